Add the endpoint table and a query of the log's state

Cause: the router, the slot shares and the health estimates need one place for what an entry instance knows of an endpoint; the proposer needs to ask for the log's tail after a lost answer.

Change: endpoint_table in the core, with one writer for each field; EVENT_LOG_ASK, answered by the log client with EVENT_LOG_STATE.

Conclusion: the decision plug-ins can share state without calling each other.

--- a/src/core/event.c
+++ b/src/core/event.c
@@ -17,6 +17,7 @@
 	[EVENT_PROPOSAL_DROPPED] = "proposal_dropped",
 	[EVENT_LOG_APPEND] = "log_append",
 	[EVENT_LOG_APPENDED] = "log_appended",
+	[EVENT_LOG_ASK] = "log_ask",
 	[EVENT_LOG_RECORD] = "log_record",
 	[EVENT_LOG_STATE] = "log_state",
 	[EVENT_FLEET_CHANGED] = "fleet_changed",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -35,6 +35,7 @@
 	EVENT_PROPOSAL_DROPPED, /* proposer: certain not to be in the log */
 	EVENT_LOG_APPEND,	/* to the log client: records for one append */
 	EVENT_LOG_APPENDED,	/* log client: how an append ended */
+	EVENT_LOG_ASK,		/* to the log client: report EVENT_LOG_STATE */
 	EVENT_LOG_RECORD,	/* log client: a record that was read */
 	EVENT_LOG_STATE, /* log client: reachable or not, first offset, tail */
 	EVENT_FLEET_CHANGED,   /* a record was applied or ignored */
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -22,6 +22,7 @@
 	GQueue *queue;			  /* of struct event */
 	bool delivering;
 	struct fleet *fleet;
+	struct endpoint_table *endpoints;
 	struct request_table *requests;
 	struct counters *counters;
 	struct timeline *timeline;
@@ -43,6 +44,7 @@
 			g_array_new(FALSE, TRUE, sizeof(struct running));
 	kernel->queue = g_queue_new();
 	kernel->fleet = fleet_new();
+	kernel->endpoints = endpoint_table_new();
 	kernel->requests = request_table_new();
 	kernel->counters = counters_new();
 	kernel->timeline = timeline_new(settings->entry);
@@ -74,6 +76,7 @@
 		g_array_unref(kernel->takers[i]);
 	g_queue_free_full(kernel->queue, queued_free);
 	fleet_free(kernel->fleet);
+	endpoint_table_free(kernel->endpoints);
 	request_table_free(kernel->requests);
 	counters_free(kernel->counters);
 	timeline_free(kernel->timeline);
@@ -243,6 +246,11 @@
 	kernel->fleet = fleet;
 }
 
+struct endpoint_table *kernel_endpoints(struct kernel *kernel)
+{
+	return kernel->endpoints;
+}
+
 struct request_table *kernel_requests(struct kernel *kernel)
 {
 	return kernel->requests;
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -7,6 +7,7 @@
  * itself; a driver (the libev loop or the script runner) advances it.
  */
 
+#include "core/endpoint_table.h"
 #include "core/event.h"
 #include "core/fleet.h"
 #include "kernel/counter.h"
@@ -70,6 +71,7 @@
 /* Replaces the replicated state by a snapshot; takes it over. */
 void kernel_set_fleet(struct kernel *kernel, struct fleet *fleet);
 
+struct endpoint_table *kernel_endpoints(struct kernel *kernel);
 struct request_table *kernel_requests(struct kernel *kernel);
 struct counters *kernel_counters(struct kernel *kernel);
 struct timeline *kernel_timeline(struct kernel *kernel);
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -198,24 +198,26 @@
 	}
 }
 
-void world_announce_log(struct world *world)
+static void announce_to(struct world *world, struct node *node)
 {
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *node = world->nodes->pdata[i];
-		struct event event = {
-			.type = EVENT_LOG_STATE,
-			.log = { .reachable =
-					 !world->log_down && !node->log_cut,
-				 .first_offset = world->log_first_offset,
-				 .next_offset = world->log->len + 1 },
-		};
+	struct event event = {
+		.type = EVENT_LOG_STATE,
+		.log = { .reachable = !world->log_down && !node->log_cut,
+			 .first_offset = world->log_first_offset,
+			 .next_offset = world->log->len + 1 },
+	};
 
-		if (!node->kernel)
-			continue;
-		feed_records(world, node);
-		world_schedule(world, world->now_us + world->log_delay_us, node,
-			       &event);
-	}
+	if (!node->kernel)
+		return;
+	feed_records(world, node);
+	world_schedule(world, world->now_us + world->log_delay_us, node,
+		       &event);
+}
+
+void world_announce_log(struct world *world)
+{
+	for (guint i = 0; i < world->nodes->len; i++)
+		announce_to(world, world->nodes->pdata[i]);
 }
 
 static void fake_append(struct world *world, struct node *node,
@@ -394,6 +396,9 @@
 	case EVENT_ATTEMPT_SEND:
 		fake_send(world, node, event);
 		break;
+	case EVENT_LOG_ASK:
+		announce_to(world, node);
+		break;
 	case EVENT_ATTEMPT_CANCEL:
 		fake_cancel(world, node, event);
 		break;
