Add the router with fair admission and endpoint choice

Requests reach the kernel, but nothing decides when and where they run.

The router finds the service by an index of path prefixes, refuses what can't run with a reason and the verdict not-run, has non-idempotent requests claimed, queues the others by the admission policy and dispatches while slots are free. The script runner gets commands that stand in for plug-ins that do not exist yet.

--- a/src/core/endpoint_table.h
+++ b/src/core/endpoint_table.h
@@ -42,6 +42,7 @@
 struct endpoint_state *endpoint_table_find(struct endpoint_table *table,
 					   const char *name);
 
+/* Only for an instance that is no longer declared: others keep pointers. */
 void endpoint_table_remove(struct endpoint_table *table, const char *name);
 
 #endif
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -25,7 +25,9 @@
 	EVENT_DRAINED, /* nothing is in flight any more; the process may end */
 	EVENT_REQUEST_NEW,	/* front end: a caller's request is complete */
 	EVENT_REQUEST_GONE,	/* front end: the caller has disconnected */
-	EVENT_REQUEST_REPLY,	/* to the front end */
+	/* To the front end: the end of each request, also of one that is gone;
+	 * the request stays in the table until then. */
+	EVENT_REQUEST_REPLY,
 	EVENT_ATTEMPT_SEND,	/* to the endpoint client */
 	EVENT_ATTEMPT_CANCEL,	/* to the endpoint client */
 	EVENT_ATTEMPT_DONE,	/* endpoint client: how an attempt ended */
--- /dev/null
+++ b/src/decide/router.c
@@ -0,0 +1,367 @@
+/* Takes callers' requests, and decides when and where each of them runs. */
+
+#include "decide/router.h"
+
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "router"
+
+/* Demand is published as the mean over windows of this length. */
+#define DEMAND_WINDOW_US (5 * USEC_PER_SEC)
+
+static void *router_init(struct kernel *kernel)
+{
+	struct router *router = g_new0(struct router, 1);
+
+	router->kernel = kernel;
+	router->admission = kernel_ops(kernel, PLUGIN_ADMISSION);
+	router->choice = kernel_ops(kernel, PLUGIN_CHOICE);
+	if (!router->admission || !router->choice) {
+		klog_error(LOG_PREFIX, "an admission and a choice policy are "
+				       "needed");
+		g_free(router);
+		return NULL;
+	}
+	router->routes = g_hash_table_new(g_int64_hash, g_int64_equal);
+	router->deadlines = g_sequence_new(NULL);
+	router_index_init(router);
+	return router;
+}
+
+static void router_fini(void *self)
+{
+	struct router *router = self;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_sequence_free(router->deadlines);
+	router_index_free(router);
+	g_hash_table_iter_init(&iter, router->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_free(value);
+	g_hash_table_unref(router->routes);
+	g_free(router);
+}
+
+/* Whether a request is refused before it is looked at more closely. */
+static enum refusal screen(const struct router *router,
+			   const struct request *request,
+			   const struct router_service *service)
+{
+	if (router->draining)
+		return REFUSAL_DRAINING;
+	if (!g_hash_table_size(router->prefixes))
+		return REFUSAL_NO_CONFIG;
+	if (!service)
+		return REFUSAL_NO_SERVICE;
+	if (service->member->left)
+		return REFUSAL_MEMBER_LEFT;
+	/* The entry instance that passed it on has counted and claimed it. */
+	if (request->relayed)
+		return REFUSAL_COUNT;
+	if (service->member->quota_count &&
+	    service->member->request_count >= service->member->quota_count)
+		return REFUSAL_QUOTA;
+	if (!service->decl.idempotent && service->decl.key_required &&
+	    !request->key[0])
+		return REFUSAL_NO_KEY;
+	return REFUSAL_COUNT;
+}
+
+static void trace_request(struct router *router, const struct request *request)
+{
+	struct timeline_entry entry = {
+		.kind = TIMELINE_REQUEST,
+		.request_id = request->id,
+	};
+
+	g_snprintf(entry.text, sizeof(entry.text), "%s %s%s", request->method,
+		   request->path, request->relayed ? " relayed" : "");
+	timeline_add(kernel_timeline(router->kernel), &entry);
+}
+
+/* Offers a request to the admission policy; false if it is refused. */
+static bool admit(struct router *router, struct route *route)
+{
+	struct admission_load load = router_pool_load(router, route->pool);
+	struct admission_item *dropped = NULL;
+	enum admission_answer answer;
+
+	if (route->item.deadline_us <= load.now_us) {
+		router_refuse(router, route, REFUSAL_DEADLINE);
+		return false;
+	}
+	answer = router->admission->offer(route->pool->queue, &route->item,
+					  &load, &dropped);
+	if (dropped)
+		router_refuse(router, (struct route *)dropped, REFUSAL_DROPPED);
+	if (answer == ADMISSION_QUEUED)
+		return true;
+	router_refuse(router, route,
+		      answer == ADMISSION_FULL ? REFUSAL_QUEUE_FULL
+					       : REFUSAL_TOO_LATE);
+	return false;
+}
+
+static void want_claim(struct router *router, struct route *route)
+{
+	struct event event = {
+		.type = EVENT_CLAIM_WANTED,
+		.claim = { .request_id = route->item.request_id },
+	};
+
+	router->admission->hold(route->pool->queue, &route->item);
+	route->phase = ROUTE_CLAIMING;
+	name_copy(event.claim.key, KEY_SIZE_BYTES, route->key);
+	name_copy(event.claim.service, NAME_SIZE_BYTES,
+		  route->service->decl.name);
+	kernel_emit(router->kernel, &event);
+}
+
+static void request_new(struct router *router, uint64_t request_id)
+{
+	const struct request *request =
+		request_get(kernel_requests(router->kernel), request_id);
+	struct router_service *service;
+	enum refusal refusal;
+	struct route *route;
+
+	if (!request || router_route_find(router, request_id))
+		return;
+	trace_request(router, request);
+	service = router_index_route(router, request->path);
+	refusal = screen(router, request, service);
+	if (refusal != REFUSAL_COUNT) {
+		router_refuse_new(router, request_id, refusal);
+		return;
+	}
+	route = router_route_new(router, request, service);
+	route->pool->demand_us += route->item.cost_us;
+	if (!admit(router, route))
+		return;
+	route->phase = ROUTE_QUEUED;
+	router_route_wait(router, route);
+	if (!service->decl.idempotent && route->key[0] && !route->relayed)
+		want_claim(router, route);
+	else
+		router_dispatch(router, route->pool);
+}
+
+static void claim_decided(struct router *router,
+			  const struct event_claim *claim)
+{
+	struct route *route = router_route_find(router, claim->request_id);
+
+	if (!route || route->phase != ROUTE_CLAIMING)
+		return;
+	if (!claim->may_run) {
+		router_refuse_claim(router, route, claim);
+		return;
+	}
+	route->phase = ROUTE_QUEUED;
+	router->admission->put_back(route->pool->queue, &route->item);
+	router_dispatch(router, route->pool);
+}
+
+static void request_gone(struct router *router, uint64_t request_id)
+{
+	struct route *route = router_route_find(router, request_id);
+
+	if (!route)
+		return;
+	if (route->phase == ROUTE_RUNNING)
+		router_cancel(router, route, "the caller has disconnected");
+	else
+		router_refuse(router, route, REFUSAL_GONE);
+}
+
+/* Dispatches what waits for an endpoint whose state has changed. */
+static void endpoint_changed(struct router *router, const char *name)
+{
+	struct choice_endpoint *endpoint =
+		g_hash_table_lookup(router->endpoints, name);
+	const struct fleet_instance *instance =
+		fleet_instance(kernel_fleet(router->kernel), name);
+	struct router_pool *pool =
+		instance ? g_hash_table_lookup(router->pools, instance->pool)
+			 : NULL;
+
+	if (endpoint)
+		choice_refresh(endpoint);
+	if (pool)
+		router_dispatch(router, pool);
+}
+
+static void refresh_all(struct router *router)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, router->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		choice_refresh(value);
+	g_hash_table_iter_init(&iter, router->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		router_dispatch(router, value);
+}
+
+/* Claims and jobs change nothing here, and there are many of them. */
+static bool concerns_routing(const struct event *event)
+{
+	const struct record *record = event->record.record;
+
+	return event->record.accepted && record->kind >= RECORD_CONFIG_PUT &&
+	       record->kind <= RECORD_INSTANCE_UP &&
+	       record->kind != RECORD_DRAIN_ACK &&
+	       record->kind != RECORD_LEASE_CLAIM &&
+	       record->kind != RECORD_LEASE_RENEW;
+}
+
+static void fleet_changed(struct router *router, const struct event *event)
+{
+	if (event->type == EVENT_FLEET_CHANGED && !concerns_routing(event))
+		return;
+	router_index_rebuild(router);
+	refresh_all(router);
+}
+
+static void expire(struct router *router)
+{
+	int64_t now_us = kernel_now_us(router->kernel);
+	GSequenceIter *first = g_sequence_get_begin_iter(router->deadlines);
+
+	while (!g_sequence_iter_is_end(first)) {
+		struct route *route = g_sequence_get(first);
+
+		if (route->item.deadline_us > now_us) {
+			kernel_wake_at(router->kernel, route->item.deadline_us);
+			return;
+		}
+		router_refuse(router, route, REFUSAL_DEADLINE);
+		first = g_sequence_get_begin_iter(router->deadlines);
+	}
+}
+
+/* Publishes each pool's demand over the window that has ended. */
+static void roll_demand(struct router *router)
+{
+	int64_t now_us = kernel_now_us(router->kernel);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_us >= router->demand_until_us) {
+		g_hash_table_iter_init(&iter, router->pools);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct router_pool *pool = value;
+
+			pool->state->demand_us_per_s = pool->demand_us *
+						       USEC_PER_SEC /
+						       DEMAND_WINDOW_US;
+			pool->demand_us = 0;
+		}
+		router->demand_until_us = now_us + DEMAND_WINDOW_US;
+	}
+	kernel_wake_at(router->kernel, router->demand_until_us);
+}
+
+static void drain_expired(struct router *router)
+{
+	GList *routes = g_hash_table_get_values(router->routes);
+
+	for (GList *at = routes; at; at = at->next) {
+		struct route *route = at->data;
+
+		if (route->phase == ROUTE_RUNNING)
+			router_cancel(router, route, "shutting down");
+		else
+			router_refuse(router, route, REFUSAL_DRAINING);
+	}
+	g_list_free(routes);
+}
+
+static void check_drain(struct router *router)
+{
+	if (!router->draining || router->drained)
+		return;
+	if (kernel_now_us(router->kernel) >= router->drain_deadline_us)
+		drain_expired(router);
+	else
+		kernel_wake_at(router->kernel, router->drain_deadline_us);
+}
+
+static void drain(struct router *router, int64_t deadline_us)
+{
+	if (!router->draining || deadline_us < router->drain_deadline_us)
+		router->drain_deadline_us = deadline_us;
+	router->draining = true;
+	router_check_drained(router);
+	check_drain(router);
+}
+
+static void wake(struct router *router)
+{
+	expire(router);
+	roll_demand(router);
+	check_drain(router);
+}
+
+static void router_handle(void *self, const struct event *event)
+{
+	struct router *router = self;
+
+	switch (event->type) {
+	case EVENT_STARTED:
+	case EVENT_WAKE:
+		wake(router);
+		break;
+	case EVENT_DRAIN:
+		drain(router, event->drain.deadline_us);
+		break;
+	case EVENT_REQUEST_NEW:
+		request_new(router, event->request.request_id);
+		break;
+	case EVENT_REQUEST_GONE:
+		request_gone(router, event->request.request_id);
+		break;
+	case EVENT_CLAIM_DECIDED:
+		claim_decided(router, &event->claim);
+		break;
+	case EVENT_ATTEMPT_DONE:
+		router_attempt_done(router, event);
+		break;
+	case EVENT_SLOTS_CHANGED:
+	case EVENT_ENDPOINT_HEALTH:
+		if (event->name.name[0])
+			endpoint_changed(router, event->name.name);
+		else
+			refresh_all(router);
+		break;
+	case EVENT_INSTANCE_LIST:
+		refresh_all(router);
+		break;
+	case EVENT_FLEET_CHANGED:
+	case EVENT_FLEET_RESET:
+		fleet_changed(router, event);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct plugin router_plugin = {
+	.name = "router",
+	.kind = PLUGIN_DECIDE,
+	.takes =
+		EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_WAKE) |
+		EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_REQUEST_NEW) |
+		EVENT_BIT(EVENT_REQUEST_GONE) | EVENT_BIT(EVENT_CLAIM_DECIDED) |
+		EVENT_BIT(EVENT_ATTEMPT_DONE) | EVENT_BIT(EVENT_SLOTS_CHANGED) |
+		EVENT_BIT(EVENT_ENDPOINT_HEALTH) |
+		EVENT_BIT(EVENT_INSTANCE_LIST) |
+		EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET),
+	.init = router_init,
+	.handle = router_handle,
+	.fini = router_fini,
+};
+
+PLUGIN_REGISTER(router_plugin)
--- /dev/null
+++ b/src/decide/router.h
@@ -0,0 +1,144 @@
+#ifndef DECIDE_ROUTER_H
+#define DECIDE_ROUTER_H
+
+/* Inside of the router plug-in, shared by the files router*.c. */
+
+#include "kernel/kernel.h"
+#include "policy/admission.h"
+#include "policy/choice.h"
+
+#define ROUTER_RETRY_AFTER_US USEC_PER_SEC
+
+enum route_phase {
+	ROUTE_CLAIMING, /* waits for EVENT_CLAIM_DECIDED */
+	ROUTE_QUEUED,
+	ROUTE_RUNNING, /* an attempt is in flight */
+};
+
+struct router_member {
+	char name[NAME_SIZE_BYTES];
+	uint32_t weight;
+	uint32_t quota_count; /* our part of it; 0: unbounded */
+	bool left;
+	bool declared;
+	uint32_t request_count; /* in progress here */
+};
+
+struct router_pool {
+	char name[NAME_SIZE_BYTES];
+	bool declared;
+	bool lend;
+	uint32_t reserve_slots_count;
+	struct choice_pool *choice; /* endpoints in our data centre */
+	void *queue;		    /* of the admission policy */
+	struct pool_state *state;
+	uint32_t route_count; /* requests in progress */
+	int64_t demand_us;    /* service time asked for in this window */
+};
+
+struct router_service {
+	struct decl_service decl;
+	struct router_member *member;
+	struct router_pool *pool;
+	bool declared;
+	int64_t service_us; /* smoothed service time; 0: not measured */
+	uint32_t route_count;
+};
+
+/* A request in progress. */
+struct route {
+	struct admission_item item; /* first: the policy hands it back */
+	struct router_service *service;
+	struct router_pool *pool;
+	struct router_member *member;
+	enum route_phase phase;
+	bool relayed; /* came from another entry instance */
+	char key[KEY_SIZE_BYTES];
+	GSequenceIter *deadline_at; /* NULL while it runs */
+	/* The latest attempt: */
+	uint32_t attempt;
+	char endpoint[NAME_SIZE_BYTES];
+	bool attempt_relayed;
+	/* Of all attempts that have ended: */
+	enum verdict verdict; /* VERDICT_NONE before the first */
+	bool cancelled;
+	const char *cancel_reason;
+};
+
+enum refusal {
+	REFUSAL_NO_CONFIG,
+	REFUSAL_NO_SERVICE,
+	REFUSAL_MEMBER_LEFT,
+	REFUSAL_QUOTA,
+	REFUSAL_NO_KEY,
+	REFUSAL_DRAINING,
+	REFUSAL_QUEUE_FULL,
+	REFUSAL_DROPPED,
+	REFUSAL_TOO_LATE,
+	REFUSAL_DEADLINE,
+	REFUSAL_NO_ENDPOINT,
+	REFUSAL_CLAIM,
+	REFUSAL_GONE,
+	REFUSAL_COUNT,
+};
+
+struct router {
+	struct kernel *kernel;
+	const struct admission_ops *admission;
+	const struct choice_ops *choice;
+	GHashTable *routes;    /* request id -> struct route */
+	GSequence *deadlines;  /* of struct route that does not run */
+	GHashTable *members;   /* name -> struct router_member */
+	GHashTable *pools;     /* name -> struct router_pool */
+	GHashTable *services;  /* name -> struct router_service */
+	GHashTable *prefixes;  /* path prefix -> struct router_service */
+	GHashTable *endpoints; /* name -> struct choice_endpoint */
+	uint32_t running_count;
+	int64_t demand_until_us; /* end of the demand window */
+	bool draining;
+	bool drained;
+	int64_t drain_deadline_us;
+};
+
+/* router_index.c: what the configuration says, ready for decisions. */
+void router_index_init(struct router *router);
+void router_index_free(struct router *router);
+void router_index_rebuild(struct router *router);
+
+/* The service with the longest path prefix of a request path, or NULL. */
+struct router_service *router_index_route(const struct router *router,
+					  const char *path);
+
+/* Sums of a pool in our data centre. */
+struct admission_load router_pool_load(const struct router *router,
+				       const struct router_pool *pool);
+void router_pool_publish(const struct router *router, struct router_pool *pool);
+
+/* router_dispatch.c: from the queue to an endpoint and back. */
+void router_dispatch(struct router *router, struct router_pool *pool);
+void router_attempt_done(struct router *router, const struct event *event);
+void router_cancel(struct router *router, struct route *route,
+		   const char *reason);
+
+/* router_reply.c: how requests end. */
+void router_refuse_new(struct router *router, uint64_t request_id,
+		       enum refusal refusal);
+void router_refuse(struct router *router, struct route *route,
+		   enum refusal refusal);
+void router_refuse_claim(struct router *router, struct route *route,
+			 const struct event_claim *claim);
+void router_answer(struct router *router, struct route *route,
+		   const struct event *done);
+void router_check_drained(struct router *router);
+
+/* router_route.c: requests in progress. */
+struct route *router_route_new(struct router *router,
+			       const struct request *request,
+			       struct router_service *service);
+struct route *router_route_find(const struct router *router,
+				uint64_t request_id);
+void router_route_free(struct router *router, struct route *route);
+void router_route_wait(struct router *router, struct route *route);
+void router_route_run(struct router *router, struct route *route);
+
+#endif
--- /dev/null
+++ b/src/policy/admission_fair.c
@@ -0,0 +1,385 @@
+/*
+ * Bounded queues by urgency and member. Members share a pool by start-time
+ * fair queueing: a member's tag grows by the service time that it has used,
+ * divided by its weight. More urgent work goes first; a member whose urgent
+ * work piles up may do so only within its share.
+ */
+
+#include <string.h>
+
+#include "kernel/plugin.h"
+#include "policy/admission.h"
+
+/* A lower urgency is passed over so often before it gets a dispatch. */
+#define FLOOR_PASSED_COUNT 15
+
+/* Service time that urgent work of a member may take ahead of its share. */
+#define AHEAD_US (100 * USEC_PER_MSEC)
+
+/* A queue of up to this length is no overload, whatever its member has used. */
+#define SHORT_QUEUE_COUNT 8
+
+#define TAG_SCALE 1000 /* the highest weight */
+
+/* One member. */
+struct flow {
+	char *member;
+	uint32_t weight;
+	int64_t tag; /* service time used, scaled by the weight */
+	GQueue items[URGENCY_COUNT];
+	int64_t work_us[URGENCY_COUNT];	  /* of the queued items */
+	GSequenceIter *at[URGENCY_COUNT]; /* NULL while there are none */
+	uint32_t queued_count;
+	uint32_t held_count;
+};
+
+struct fair {
+	GHashTable *flows;		 /* member -> struct flow */
+	GSequence *order[URGENCY_COUNT]; /* of struct flow, by tag */
+	int64_t work_us[URGENCY_COUNT];
+	uint32_t passed_count[URGENCY_COUNT];
+	int64_t virtual_tag; /* where a member starts that was idle */
+	uint32_t queued_count;
+	uint64_t active_weight; /* of the members with queued items */
+};
+
+static void flow_free(gpointer data)
+{
+	struct flow *flow = data;
+
+	g_free(flow->member);
+	g_free(flow);
+}
+
+static void *fair_new(void)
+{
+	struct fair *fair = g_new0(struct fair, 1);
+
+	fair->flows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, flow_free);
+	for (uint32_t i = 0; i < URGENCY_COUNT; i++)
+		fair->order[i] = g_sequence_new(NULL);
+	return fair;
+}
+
+static void fair_free(void *queue)
+{
+	struct fair *fair = queue;
+
+	for (uint32_t i = 0; i < URGENCY_COUNT; i++)
+		g_sequence_free(fair->order[i]);
+	g_hash_table_unref(fair->flows);
+	g_free(fair);
+}
+
+static struct flow *flow_of(struct fair *fair,
+			    const struct admission_item *item)
+{
+	struct flow *flow = g_hash_table_lookup(fair->flows, item->member);
+
+	if (!flow) {
+		flow = g_new0(struct flow, 1);
+		flow->member = g_strdup(item->member);
+		g_hash_table_insert(fair->flows, flow->member, flow);
+	}
+	/* A new weight takes effect while nothing of the member waits. */
+	if (!flow->queued_count)
+		flow->weight = MAX(item->weight, 1);
+	return flow;
+}
+
+static gint compare_flows(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct flow *left = a;
+	const struct flow *right = b;
+
+	(void)data;
+	if (left->tag != right->tag)
+		return left->tag < right->tag ? -1 : 1;
+	return strcmp(left->member, right->member);
+}
+
+static struct flow *first_flow(const struct fair *fair, uint32_t urgency)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(fair->order[urgency]);
+
+	return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+static int64_t least_tag(const struct fair *fair)
+{
+	int64_t least = INT64_MAX;
+
+	for (uint32_t i = 0; i < URGENCY_COUNT; i++) {
+		const struct flow *flow = first_flow(fair, i);
+
+		if (flow)
+			least = MIN(least, flow->tag);
+	}
+	return least;
+}
+
+static int64_t tag_cost(const struct flow *flow, int64_t cost_us)
+{
+	return cost_us * TAG_SCALE / flow->weight;
+}
+
+static void set_tag(struct flow *flow, int64_t tag)
+{
+	flow->tag = tag;
+	for (uint32_t i = 0; i < URGENCY_COUNT; i++) {
+		if (flow->at[i])
+			g_sequence_sort_changed(flow->at[i], compare_flows,
+						NULL);
+	}
+}
+
+static void insert(struct fair *fair, struct admission_item *item, bool front)
+{
+	struct flow *flow = item->flow;
+	uint32_t urgency = item->urgency;
+
+	if (!flow->queued_count) {
+		flow->tag = MAX(flow->tag, fair->virtual_tag);
+		fair->active_weight += flow->weight;
+	}
+	item->link.data = item;
+	if (front)
+		g_queue_push_head_link(&flow->items[urgency], &item->link);
+	else
+		g_queue_push_tail_link(&flow->items[urgency], &item->link);
+	if (!flow->at[urgency])
+		flow->at[urgency] = g_sequence_insert_sorted(
+			fair->order[urgency], flow, compare_flows, NULL);
+	flow->work_us[urgency] += item->cost_us;
+	fair->work_us[urgency] += item->cost_us;
+	flow->queued_count++;
+	fair->queued_count++;
+	item->queued = true;
+}
+
+static void unlink_item(struct fair *fair, struct admission_item *item)
+{
+	struct flow *flow = item->flow;
+	uint32_t urgency = item->urgency;
+
+	g_queue_unlink(&flow->items[urgency], &item->link);
+	flow->work_us[urgency] -= item->cost_us;
+	fair->work_us[urgency] -= item->cost_us;
+	flow->queued_count--;
+	fair->queued_count--;
+	item->queued = false;
+	if (!flow->items[urgency].length) {
+		g_sequence_remove(flow->at[urgency]);
+		flow->at[urgency] = NULL;
+		fair->passed_count[urgency] = 0;
+	}
+	if (!flow->queued_count)
+		fair->active_weight -= flow->weight;
+}
+
+/*
+ * Work ahead of a new item: that of its own member at its share of the
+ * slots, but no more than all work that is as urgent.
+ */
+static int64_t expected_wait_us(const struct fair *fair,
+				const struct flow *flow, uint32_t urgency,
+				const struct admission_load *load)
+{
+	uint64_t active_weight = fair->active_weight;
+	int64_t own_us = 0;
+	int64_t all_us = 0;
+
+	if (load->free_count || !load->slot_count)
+		return 0;
+	if (!flow->queued_count)
+		active_weight += flow->weight;
+	for (uint32_t i = 0; i <= urgency; i++) {
+		own_us += flow->work_us[i];
+		all_us += fair->work_us[i];
+	}
+	own_us = own_us * (int64_t)active_weight / flow->weight;
+	return MIN(own_us, all_us) / load->slot_count;
+}
+
+/* The latest of the member's least urgent items below an urgency. */
+static struct admission_item *less_urgent(const struct flow *flow,
+					  uint32_t urgency)
+{
+	for (uint32_t i = URGENCY_COUNT - 1; i > urgency; i--) {
+		if (flow->items[i].length)
+			return flow->items[i].tail->data;
+	}
+	return NULL;
+}
+
+static enum admission_answer fair_offer(void *queue,
+					struct admission_item *item,
+					const struct admission_load *load,
+					struct admission_item **dropped)
+{
+	struct fair *fair = queue;
+	struct flow *flow = flow_of(fair, item);
+
+	*dropped = NULL;
+	item->flow = flow;
+	if (load->now_us + expected_wait_us(fair, flow, item->urgency, load) >
+	    item->deadline_us)
+		return ADMISSION_TOO_LATE;
+	if (flow->queued_count + flow->held_count >=
+	    ADMISSION_MEMBER_MAX_COUNT) {
+		*dropped = less_urgent(flow, item->urgency);
+		if (!*dropped)
+			return ADMISSION_FULL;
+		unlink_item(fair, *dropped);
+	}
+	insert(fair, item, false);
+	return ADMISSION_QUEUED;
+}
+
+/* Whether a member's work of an urgency may go ahead of less urgent work. */
+static bool within_share(const struct flow *flow, uint32_t urgency,
+			 int64_t least)
+{
+	return flow->items[urgency].length <= SHORT_QUEUE_COUNT ||
+	       flow->tag <= least + tag_cost(flow, AHEAD_US);
+}
+
+static struct admission_item *head(const struct flow *flow, uint32_t urgency,
+				   admission_filter *accept, void *data)
+{
+	struct admission_item *item = flow->items[urgency].head->data;
+
+	return !accept || accept(item, data) ? item : NULL;
+}
+
+static struct admission_item *fair_peek(void *queue, admission_filter *accept,
+					void *data)
+{
+	struct fair *fair = queue;
+	struct admission_item *fallback = NULL;
+	int64_t fallback_tag = INT64_MAX;
+	int64_t least = least_tag(fair);
+
+	for (uint32_t i = URGENCY_COUNT; i > 1; i--) {
+		struct flow *flow = first_flow(fair, i - 1);
+		struct admission_item *item;
+
+		if (!flow || fair->passed_count[i - 1] < FLOOR_PASSED_COUNT)
+			continue;
+		item = head(flow, i - 1, accept, data);
+		if (item)
+			return item;
+	}
+	for (uint32_t i = 0; i < URGENCY_COUNT; i++) {
+		struct flow *flow = first_flow(fair, i);
+		struct admission_item *item =
+			flow ? head(flow, i, accept, data) : NULL;
+
+		if (!item)
+			continue;
+		if (within_share(flow, i, least))
+			return item;
+		if (flow->tag < fallback_tag) {
+			fallback = item;
+			fallback_tag = flow->tag;
+		}
+	}
+	return fallback;
+}
+
+static void fair_take(void *queue, struct admission_item *item)
+{
+	struct fair *fair = queue;
+	struct flow *flow = item->flow;
+	int64_t least = least_tag(fair);
+	int64_t cost = tag_cost(flow, item->cost_us);
+
+	fair->virtual_tag = MAX(fair->virtual_tag, least);
+	for (uint32_t i = item->urgency + 1; i < URGENCY_COUNT; i++) {
+		if (first_flow(fair, i))
+			fair->passed_count[i]++;
+	}
+	fair->passed_count[item->urgency] = 0;
+	unlink_item(fair, item);
+	/* A long time ahead of others is not held against the member. */
+	set_tag(flow, MIN(flow->tag, least + tag_cost(flow, AHEAD_US)) + cost);
+}
+
+static void fair_hold(void *queue, struct admission_item *item)
+{
+	struct flow *flow = item->flow;
+
+	unlink_item(queue, item);
+	item->held = true;
+	flow->held_count++;
+}
+
+static void end_hold(struct admission_item *item)
+{
+	struct flow *flow = item->flow;
+
+	if (item->held)
+		flow->held_count--;
+	item->held = false;
+}
+
+static void fair_put_back(void *queue, struct admission_item *item)
+{
+	struct flow *flow = item->flow;
+
+	/* What was taken but did not run is not used. */
+	if (!item->held)
+		set_tag(flow, flow->tag - tag_cost(flow, item->cost_us));
+	end_hold(item);
+	insert(queue, item, true);
+}
+
+static void fair_remove(void *queue, struct admission_item *item)
+{
+	if (item->queued)
+		unlink_item(queue, item);
+	end_hold(item);
+}
+
+static uint32_t fair_count(const void *queue)
+{
+	const struct fair *fair = queue;
+
+	return fair->queued_count;
+}
+
+static int64_t fair_wait_us(const void *queue,
+			    const struct admission_load *load)
+{
+	const struct fair *fair = queue;
+	int64_t all_us = 0;
+
+	if (load->free_count || !load->slot_count)
+		return 0;
+	for (uint32_t i = 0; i < URGENCY_COUNT; i++)
+		all_us += fair->work_us[i];
+	return all_us / load->slot_count;
+}
+
+static const struct admission_ops fair_ops = {
+	.new = fair_new,
+	.free = fair_free,
+	.offer = fair_offer,
+	.peek = fair_peek,
+	.take = fair_take,
+	.hold = fair_hold,
+	.put_back = fair_put_back,
+	.remove = fair_remove,
+	.count = fair_count,
+	.wait_us = fair_wait_us,
+};
+
+static const struct plugin fair_plugin = {
+	.name = "fair",
+	.kind = PLUGIN_ADMISSION,
+	.preferred = true,
+	.ops = &fair_ops,
+};
+
+PLUGIN_REGISTER(fair_plugin)
--- /dev/null
+++ b/src/policy/choice_least.c
@@ -0,0 +1,87 @@
+/*
+ * Power of two choices: of two random endpoints with a free slot, the one
+ * that is expected to answer first.
+ */
+
+#include <string.h>
+
+#include "kernel/plugin.h"
+#include "policy/choice.h"
+
+static struct choice_endpoint *better(struct choice_endpoint *a,
+				      struct choice_endpoint *b)
+{
+	const struct endpoint_state *left = a->state;
+	const struct endpoint_state *right = b->state;
+	int64_t left_us = left->latency_us;
+	int64_t right_us = right->latency_us;
+
+	/* A probe tells whether the endpoint can come back. */
+	if (left->ejected != right->ejected)
+		return left->ejected ? a : b;
+	/* Without an estimate of both, only their load can be compared. */
+	if (!left_us || !right_us)
+		left_us = right_us = 1;
+	return (left->in_flight_count + 1) * left_us <=
+			       (right->in_flight_count + 1) * right_us
+		       ? a
+		       : b;
+}
+
+/* A random open endpoint other than the one at index not_index. */
+static struct choice_endpoint *draw(struct choice_pool *pool,
+				    uint32_t not_index, GRand *random)
+{
+	while (pool->open_count > (not_index < pool->open_count ? 1 : 0)) {
+		uint32_t count = pool->open_count;
+		uint32_t index;
+		struct choice_endpoint *endpoint;
+
+		if (not_index < count)
+			count--;
+		index = (uint32_t)g_rand_int_range(random, 0, (gint32)count);
+		if (index >= not_index)
+			index++;
+		endpoint = choice_pool_open(pool, index);
+		if (endpoint)
+			return endpoint;
+		/* The order has changed, so not_index is no longer valid. */
+		if (not_index < pool->endpoints->len)
+			return NULL;
+	}
+	return NULL;
+}
+
+static bool is_named(const struct choice_endpoint *endpoint, const char *name)
+{
+	return endpoint && name && !strcmp(endpoint->state->name, name);
+}
+
+static struct choice_endpoint *least_pick(struct choice_pool *pool,
+					  const char *avoid, GRand *random)
+{
+	struct choice_endpoint *first = draw(pool, UINT32_MAX, random);
+	struct choice_endpoint *second;
+
+	if (!first)
+		return NULL;
+	second = draw(pool, first->place, random);
+	if (is_named(first, avoid))
+		return second;
+	if (!second || is_named(second, avoid))
+		return first;
+	return better(first, second);
+}
+
+static const struct choice_ops least_ops = {
+	.pick = least_pick,
+};
+
+static const struct plugin least_plugin = {
+	.name = "least",
+	.kind = PLUGIN_CHOICE,
+	.preferred = true,
+	.ops = &least_ops,
+};
+
+PLUGIN_REGISTER(least_plugin)
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -753,7 +753,9 @@
 		g_strfreev(script->words);
 		return;
 	}
-	fail(script, "no command is called \"%s\"", script->words[0]);
+	if (!script_feed(script->world, script->dir, script->words,
+			 script->errors))
+		fail(script, "no command is called \"%s\"", script->words[0]);
 	g_strfreev(script->words);
 }
 
--- /dev/null
+++ b/test/runner/script_feed.c
@@ -0,0 +1,267 @@
+/*
+ * Commands that stand in for other decision plug-ins: configuration without
+ * a proposer, slots without a slot owner, loads without heartbeats.
+ */
+
+#include <string.h>
+
+#include "codec/decl_yaml.h"
+#include "runner/world.h"
+
+struct feed {
+	struct world *world;
+	const char *dir;
+	gchar **words;
+	uint32_t word_count;
+	GPtrArray *errors;
+};
+
+static void fail(struct feed *feed, const char *text)
+{
+	g_ptr_array_add(feed->errors, g_strdup_printf("%s: %s: %s", feed->dir,
+						      feed->words[0], text));
+}
+
+static const char *option(const struct feed *feed, const char *key)
+{
+	size_t length_bytes = strlen(key);
+
+	for (uint32_t i = 1; i < feed->word_count; i++) {
+		if (!strncmp(feed->words[i], key, length_bytes) &&
+		    feed->words[i][length_bytes] == '=')
+			return feed->words[i] + length_bytes + 1;
+	}
+	return NULL;
+}
+
+static uint64_t number(const struct feed *feed, const char *key)
+{
+	const char *text = option(feed, key);
+
+	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
+}
+
+static struct node *running_node(struct feed *feed)
+{
+	struct node *node = world_node(feed->world, feed->words[1]);
+
+	if (node && node->kernel)
+		return node;
+	fail(feed, "no such node is running");
+	return NULL;
+}
+
+/* Puts a record into the log as if the node had written it. */
+static void append(struct world *world, struct node *node,
+		   struct record *record)
+{
+	name_copy(record->id.entry, NAME_SIZE_BYTES, node->name);
+	record->id.incarnation = node->incarnation;
+	record->id.sequence = world->log->len + 1;
+	record->wall_us = world->wall_start_us + world->now_us;
+	g_ptr_array_add(world->log, record);
+}
+
+/* join NODE [address=A]: puts the node on the roster. */
+static void feed_join(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	const char *address = option(feed, "address");
+	struct record *record;
+
+	if (!node)
+		return;
+	record = record_new(RECORD_ENTRY_JOIN);
+	name_copy(record->entry.name, NAME_SIZE_BYTES, node->name);
+	record->entry.incarnation = node->incarnation;
+	name_copy(record->entry.dc, NAME_SIZE_BYTES, node->settings->dc);
+	name_copy(record->entry.caller_address, ADDRESS_SIZE_BYTES,
+		  address ? address : "127.0.0.1:1");
+	append(feed->world, node, record);
+	world_announce_log(feed->world);
+}
+
+/* feed NODE FILE: the node, which has joined, puts a file in force. */
+static void feed_file(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	struct record *record;
+	gsize size_bytes = 0;
+	gchar *text = NULL;
+	char *path;
+
+	if (!node)
+		return;
+	path = g_build_filename(feed->dir, feed->words[2], NULL);
+	record = record_new(RECORD_CONFIG_PUT);
+	if (g_file_get_contents(path, &text, &size_bytes, NULL))
+		record->config.decl = decl_parse(
+			feed->words[2], text, size_bytes, false, feed->errors);
+	g_free(text);
+	g_free(path);
+	if (!record->config.decl) {
+		fail(feed, "the file can't be read");
+		record_unref(record);
+		return;
+	}
+	name_copy(record->config.file, NAME_SIZE_BYTES, feed->words[2]);
+	fleet_file(kernel_fleet(node->kernel), feed->words[2],
+		   &record->config.base_offset);
+	append(feed->world, node, record);
+	world_announce_log(feed->world);
+}
+
+static void grant(struct world *world, struct node *node, const char *name,
+		  uint32_t count)
+{
+	struct event event = { .type = EVENT_SLOTS_CHANGED };
+
+	endpoint_table_get(kernel_endpoints(node->kernel), name)
+		->allowed_count = count;
+	name_copy(event.name.name, NAME_SIZE_BYTES, name);
+	world_inject(world, node, &event);
+}
+
+/* grant NODE ENDPOINT|POOL|all COUNT: slots that the node may use on each. */
+static void feed_grant(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	const char *what = feed->words[2];
+	uint32_t count = (uint32_t)g_ascii_strtoull(feed->words[3], NULL, 10);
+	const GPtrArray *instances;
+	uint32_t granted_count = 0;
+
+	if (!node)
+		return;
+	instances = fleet_instances(kernel_fleet(node->kernel));
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+
+		if (strcmp(what, "all") != 0 &&
+		    strcmp(what, instance->pool) != 0 &&
+		    strcmp(what, instance->decl.name) != 0)
+			continue;
+		grant(feed->world, node, instance->decl.name, count);
+		granted_count++;
+	}
+	if (!granted_count)
+		fail(feed, "no such endpoint");
+}
+
+/* mark NODE ENDPOINT [leaving] [ejected] [probing]: as health would. */
+static void feed_mark(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	struct event event = { .type = EVENT_ENDPOINT_HEALTH };
+	struct endpoint_state *state;
+
+	if (!node)
+		return;
+	state = endpoint_table_get(kernel_endpoints(node->kernel),
+				   feed->words[2]);
+	state->leaving = state->ejected = state->probing = false;
+	for (uint32_t i = 3; i < feed->word_count; i++) {
+		state->leaving |= !strcmp(feed->words[i], "leaving");
+		state->ejected |= !strcmp(feed->words[i], "ejected");
+		state->probing |= !strcmp(feed->words[i], "probing");
+	}
+	name_copy(event.name.name, NAME_SIZE_BYTES, feed->words[2]);
+	world_inject(feed->world, node, &event);
+}
+
+/* claim NODE REQUEST yes|no: decides as once would. */
+static void feed_claim(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	struct event event = { .type = EVENT_CLAIM_DECIDED };
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	if (!node)
+		return;
+	g_hash_table_iter_init(&iter, node->request_names);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (!strcmp(value, feed->words[2]))
+			event.claim.request_id = *(uint64_t *)key;
+	}
+	event.claim.may_run = !strcmp(feed->words[3], "yes");
+	if (!event.claim.may_run) {
+		event.claim.verdict = VERDICT_MAY_HAVE_RUN;
+		event.claim.status = 409;
+		g_strlcpy(event.claim.reason, "the key is claimed",
+			  REASON_SIZE_BYTES);
+	}
+	world_inject(feed->world, node, &event);
+}
+
+/* load NODE PEER DC POOL free=N wait_ms=N: a heartbeat of the peer. */
+static void feed_load(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	struct event event = { .type = EVENT_PEER_RECEIVED };
+	struct peer_pool_load load = {
+		.free_slots_count = (uint32_t)number(feed, "free"),
+		.wait_us = (int64_t)number(feed, "wait_ms") * USEC_PER_MSEC,
+	};
+
+	if (!node)
+		return;
+	name_copy(load.pool, NAME_SIZE_BYTES, feed->words[4]);
+	event.peer.msg = peer_msg_new(PEER_MSG_HEARTBEAT);
+	name_copy(event.peer.msg->from, NAME_SIZE_BYTES, feed->words[2]);
+	name_copy(event.peer.msg->dc, NAME_SIZE_BYTES, feed->words[3]);
+	name_copy(event.peer.peer, NAME_SIZE_BYTES, feed->words[2]);
+	event.peer.msg->loads = g_array_new(FALSE, TRUE, sizeof(load));
+	g_array_append_val(event.peer.msg->loads, load);
+	world_inject(feed->world, node, &event);
+}
+
+/* peer NODE PEER alive|suspect|dead: as cluster would. */
+static void feed_peer(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	struct event event = { .type = EVENT_PEER_STATE };
+
+	if (!node)
+		return;
+	name_copy(event.peer.peer, NAME_SIZE_BYTES, feed->words[2]);
+	event.peer.state = !strcmp(feed->words[3], "alive")  ? PEER_ALIVE
+			   : !strcmp(feed->words[3], "dead") ? PEER_DEAD
+							     : PEER_SUSPECT;
+	world_inject(feed->world, node, &event);
+}
+
+static const struct feed_command {
+	const char *name;
+	uint32_t least_count; /* words after the name */
+	void (*run)(struct feed *feed);
+} commands[] = {
+	{ "claim", 3, feed_claim }, { "feed", 2, feed_file },
+	{ "grant", 3, feed_grant }, { "join", 1, feed_join },
+	{ "load", 4, feed_load },   { "mark", 2, feed_mark },
+	{ "peer", 3, feed_peer },
+};
+
+bool script_feed(struct world *world, const char *dir, gchar **words,
+		 GPtrArray *errors)
+{
+	struct feed feed = {
+		.world = world,
+		.dir = dir,
+		.words = words,
+		.word_count = g_strv_length(words),
+		.errors = errors,
+	};
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, words[0]) != 0)
+			continue;
+		if (feed.word_count <= commands[i].least_count)
+			fail(&feed, "more words are needed");
+		else
+			commands[i].run(&feed);
+		return true;
+	}
+	return false;
+}
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -126,6 +126,13 @@
 void check_fleet(struct world *world, struct node *node,
 		 const struct event *event);
 
+/*
+ * script_feed.c: runs a command that stands in for another plug-in. Returns
+ * false if there is none of that name.
+ */
+bool script_feed(struct world *world, const char *dir, gchar **words,
+		 GPtrArray *errors);
+
 /* script.c: runs a script; the output is in world->output. */
 struct world *script_run(const char *path, GPtrArray *errors);
 
