--- a/src/core/event.h
+++ b/src/core/event.h
@@ -4,6 +4,9 @@
 /*
  * Every message between plug-ins.
  *
+ * EVENT_REQUEST_REPLY ends each request, also one whose caller has
+ * disconnected; the front end keeps the request in the table until then.
+ *
  * A plug-in that proposes a record keeps a reference to it. The proposer sets
  * the record's id, and the plug-in finds the outcome by that id in
  * EVENT_FLEET_CHANGED or EVENT_PROPOSAL_DROPPED.
@@ -25,9 +28,7 @@
 	EVENT_DRAINED, /* nothing is in flight any more; the process may end */
 	EVENT_REQUEST_NEW,	/* front end: a caller's request is complete */
 	EVENT_REQUEST_GONE,	/* front end: the caller has disconnected */
-	/* To the front end: the end of each request, also of one that is gone;
-	 * the request stays in the table until then. */
-	EVENT_REQUEST_REPLY,
+	EVENT_REQUEST_REPLY,	/* to the front end */
 	EVENT_ATTEMPT_SEND,	/* to the endpoint client */
 	EVENT_ATTEMPT_CANCEL,	/* to the endpoint client */
 	EVENT_ATTEMPT_DONE,	/* endpoint client: how an attempt ended */
--- a/src/decide/router.c
+++ b/src/decide/router.c
@@ -16,15 +16,20 @@
 	router->kernel = kernel;
 	router->admission = kernel_ops(kernel, PLUGIN_ADMISSION);
 	router->choice = kernel_ops(kernel, PLUGIN_CHOICE);
-	if (!router->admission || !router->choice) {
-		klog_error(LOG_PREFIX, "an admission and a choice policy are "
-				       "needed");
+	router->retry = kernel_ops(kernel, PLUGIN_RETRY);
+	if (!router->admission || !router->choice || !router->retry) {
+		klog_error(LOG_PREFIX, "an admission, a choice and a retry "
+				       "policy are needed");
 		g_free(router);
 		return NULL;
 	}
 	router->routes = g_hash_table_new(g_int64_hash, g_int64_equal);
 	router->deadlines = g_sequence_new(NULL);
+	router->retry_state = router->retry->new ();
+	router->lenders = g_queue_new();
+	router->waiting = g_queue_new();
 	router_index_init(router);
+	router_relay_init(router);
 	return router;
 }
 
@@ -36,6 +41,10 @@
 
 	g_sequence_free(router->deadlines);
 	router_index_free(router);
+	router_relay_free(router);
+	router->retry->free(router->retry_state);
+	g_queue_free(router->lenders);
+	g_queue_free(router->waiting);
 	g_hash_table_iter_init(&iter, router->routes);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_free(value);
@@ -91,6 +100,11 @@
 		router_refuse(router, route, REFUSAL_DEADLINE);
 		return false;
 	}
+	/* The entry instance that passed it on has other choices. */
+	if (route->relayed && !load.slot_count) {
+		router_refuse(router, route, REFUSAL_NO_ENDPOINT);
+		return false;
+	}
 	answer = router->admission->offer(route->pool->queue, &route->item,
 					  &load, &dropped);
 	if (dropped)
@@ -189,7 +203,7 @@
 	if (endpoint)
 		choice_refresh(endpoint);
 	if (pool)
-		router_dispatch(router, pool);
+		router_slots_changed(router, pool);
 }
 
 static void refresh_all(struct router *router)
@@ -202,7 +216,7 @@
 		choice_refresh(value);
 	g_hash_table_iter_init(&iter, router->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		router_dispatch(router, value);
+		router_slots_changed(router, value);
 }
 
 /* Claims and jobs change nothing here, and there are many of them. */
@@ -222,6 +236,7 @@
 	if (event->type == EVENT_FLEET_CHANGED && !concerns_routing(event))
 		return;
 	router_index_rebuild(router);
+	router_relay_rebuild(router);
 	refresh_all(router);
 }
 
@@ -300,7 +315,6 @@
 
 static void wake(struct router *router)
 {
-	expire(router);
 	roll_demand(router);
 	check_drain(router);
 }
@@ -309,6 +323,8 @@
 {
 	struct router *router = self;
 
+	/* After a pause, events come before the wake-up for the deadlines. */
+	expire(router);
 	switch (event->type) {
 	case EVENT_STARTED:
 	case EVENT_WAKE:
@@ -339,6 +355,12 @@
 	case EVENT_INSTANCE_LIST:
 		refresh_all(router);
 		break;
+	case EVENT_PEER_RECEIVED:
+		router_relay_heard(router, &event->peer);
+		break;
+	case EVENT_PEER_STATE:
+		router_relay_state(router, &event->peer);
+		break;
 	case EVENT_FLEET_CHANGED:
 	case EVENT_FLEET_RESET:
 		fleet_changed(router, event);
--- a/src/decide/router.h
+++ b/src/decide/router.h
@@ -6,6 +6,7 @@
 #include "kernel/kernel.h"
 #include "policy/admission.h"
 #include "policy/choice.h"
+#include "policy/retry.h"
 
 #define ROUTER_RETRY_AFTER_US USEC_PER_SEC
 
@@ -34,6 +35,8 @@
 	struct pool_state *state;
 	uint32_t route_count; /* requests in progress */
 	int64_t demand_us;    /* service time asked for in this window */
+	bool listed_lender;   /* in the router's list of lenders */
+	bool listed_waiting;  /* in the router's list of waiting pools */
 };
 
 struct router_service {
@@ -45,6 +48,16 @@
 	uint32_t route_count;
 };
 
+/* Another entry instance on the roster. */
+struct router_peer {
+	char name[NAME_SIZE_BYTES];
+	char address[ADDRESS_SIZE_BYTES]; /* for callers */
+	bool remote;			  /* in another data centre */
+	uint32_t state;			  /* enum peer_state */
+	int64_t trip_us;   /* smoothed time that a relay adds; 0: unknown */
+	GHashTable *loads; /* pool -> struct known_load */
+};
+
 /* A request in progress. */
 struct route {
 	struct admission_item item; /* first: the policy hands it back */
@@ -59,6 +72,7 @@
 	uint32_t attempt;
 	char endpoint[NAME_SIZE_BYTES];
 	bool attempt_relayed;
+	uint32_t relay_count; /* attempts that were relayed */
 	/* Of all attempts that have ended: */
 	enum verdict verdict; /* VERDICT_NONE before the first */
 	bool cancelled;
@@ -82,10 +96,15 @@
 	REFUSAL_COUNT,
 };
 
+/* Longest wait that is published; also stands for one without end. */
+#define ROUTER_WAIT_MAX_US (3600 * USEC_PER_SEC)
+
 struct router {
 	struct kernel *kernel;
 	const struct admission_ops *admission;
 	const struct choice_ops *choice;
+	const struct retry_ops *retry;
+	void *retry_state;
 	GHashTable *routes;    /* request id -> struct route */
 	GSequence *deadlines;  /* of struct route that does not run */
 	GHashTable *members;   /* name -> struct router_member */
@@ -93,7 +112,9 @@
 	GHashTable *services;  /* name -> struct router_service */
 	GHashTable *prefixes;  /* path prefix -> struct router_service */
 	GHashTable *endpoints; /* name -> struct choice_endpoint */
-	uint32_t running_count;
+	GHashTable *peers;     /* name -> struct router_peer */
+	GQueue *lenders;       /* of struct router_pool: can lend, maybe */
+	GQueue *waiting;       /* of struct router_pool: with a queue, maybe */
 	int64_t demand_until_us; /* end of the demand window */
 	bool draining;
 	bool drained;
@@ -116,10 +137,33 @@
 
 /* router_dispatch.c: from the queue to an endpoint and back. */
 void router_dispatch(struct router *router, struct router_pool *pool);
+
+/* Dispatches on slots of the pool, of its own queue first. */
+void router_slots_changed(struct router *router, struct router_pool *pool);
 void router_attempt_done(struct router *router, const struct event *event);
 void router_cancel(struct router *router, struct route *route,
 		   const char *reason);
 
+/* router_lend.c: idle slots of one pool for short requests of another. */
+void router_lend_note(struct router *router, struct router_pool *pool);
+struct router_pool *router_lend_find(struct router *router,
+				     const struct route *route);
+void router_lend_want(struct router *router, struct router_pool *pool);
+void router_lend_offer(struct router *router, struct router_pool *lender);
+void router_lend_forget(struct router *router, struct router_pool *pool);
+
+/* router_relay.c: entry instances of other data centres. */
+void router_relay_init(struct router *router);
+void router_relay_free(struct router *router);
+void router_relay_rebuild(struct router *router);
+void router_relay_heard(struct router *router, const struct event_peer *event);
+void router_relay_state(struct router *router, const struct event_peer *event);
+struct router_peer *router_relay_find(struct router *router,
+				      const struct route *route);
+void router_relay_used(struct router_peer *peer, const struct route *route);
+void router_relay_done(struct router *router, const struct route *route,
+		       const struct event_attempt *attempt);
+
 /* router_reply.c: how requests end. */
 void router_refuse_new(struct router *router, uint64_t request_id,
 		       enum refusal refusal);
--- a/src/decide/router_dispatch.c
+++ b/src/decide/router_dispatch.c
@@ -57,22 +57,43 @@
 	name_copy(route->endpoint, sizeof(route->endpoint), endpoint);
 	route->phase = ROUTE_RUNNING;
 	router_route_run(router, route);
-	router->running_count++;
 	event = attempt_event(route, EVENT_ATTEMPT_SEND);
 	name_copy(event.attempt.address, ADDRESS_SIZE_BYTES, address);
-	event.attempt.deadline_us =
-		MIN(route->item.deadline_us,
-		    now_us + route->service->decl.timeout_us);
+	event.attempt.deadline_us = route->item.deadline_us;
+	/* A relayed request may wait at the other entry for its slot. */
+	if (!relayed)
+		event.attempt.deadline_us =
+			MIN(event.attempt.deadline_us,
+			    now_us + route->service->decl.timeout_us);
 	counter_add(kernel_counters(router->kernel), "attempts_total", 1);
 	trace_attempt(router, route, "sent");
 	kernel_emit(router->kernel, &event);
 }
 
+/* Where the next attempt of a request can go; one of the two is set. */
+struct place {
+	struct router *router;
+	const char *avoid; /* name of an endpoint, or NULL */
+	struct choice_endpoint *endpoint;
+	struct router_peer *peer;
+};
+
 static void send_to(struct router *router, struct route *route,
-		    struct choice_endpoint *endpoint)
+		    const struct place *place)
 {
+	struct choice_endpoint *endpoint = place->endpoint;
 	struct event event;
 
+	if (!route->attempt)
+		router->retry->count(router->retry_state, route->member->name,
+				     route->pool->name);
+	if (!endpoint) {
+		route->relay_count++;
+		router_relay_used(place->peer, route);
+		send(router, route, place->peer->name, place->peer->address,
+		     true);
+		return;
+	}
 	endpoint->state->in_flight_count++;
 	choice_refresh(endpoint);
 	send(router, route, endpoint->state->name, endpoint->address, false);
@@ -108,22 +129,48 @@
 	return endpoint;
 }
 
+/* Looks for a place: our pool, then a lending pool, then another entry. */
+static bool find_place(const struct route *route, struct place *place)
+{
+	struct router *router = place->router;
+	struct router_pool *lender;
+
+	place->endpoint = pick(router, route->pool, place->avoid);
+	place->peer = NULL;
+	if (place->endpoint)
+		return true;
+	lender = router_lend_find(router, route);
+	if (lender)
+		place->endpoint = pick(router, lender, place->avoid);
+	if (!place->endpoint)
+		place->peer = router_relay_find(router, route);
+	return place->endpoint || place->peer;
+}
+
+static bool can_place(const struct admission_item *item, void *data)
+{
+	return find_place((const struct route *)item, data);
+}
+
 void router_dispatch(struct router *router, struct router_pool *pool)
 {
-	for (;;) {
-		struct admission_item *item =
-			router->admission->peek(pool->queue, NULL, NULL);
-		struct choice_endpoint *endpoint;
+	struct place place = { .router = router };
+	struct admission_item *item;
 
-		if (!item)
-			break;
-		endpoint = pick(router, pool, NULL);
-		if (!endpoint)
-			break;
+	while ((item = router->admission->peek(pool->queue, can_place,
+					       &place))) {
 		router->admission->take(pool->queue, item);
-		send_to(router, (struct route *)item, endpoint);
+		send_to(router, (struct route *)item, &place);
 	}
 	router_pool_publish(router, pool);
+	router_lend_want(router, pool);
+}
+
+void router_slots_changed(struct router *router, struct router_pool *pool)
+{
+	router_dispatch(router, pool);
+	router_lend_note(router, pool);
+	router_lend_offer(router, pool);
 }
 
 static void free_slot(struct router *router, struct route *route)
@@ -132,15 +179,23 @@
 		kernel_endpoints(router->kernel), route->endpoint);
 	struct event event = attempt_event(route, EVENT_SLOT_FREE);
 
-	router->running_count--;
-	if (route->attempt_relayed)
-		return;
 	if (state && state->in_flight_count)
 		state->in_flight_count--;
 	refresh(router, route->endpoint);
 	kernel_emit(router->kernel, &event);
 }
 
+/* The pool that the endpoint of an ended attempt belongs to now, or NULL. */
+static struct router_pool *pool_of(const struct router *router,
+				   const char *endpoint)
+{
+	const struct fleet_instance *instance =
+		fleet_instance(kernel_fleet(router->kernel), endpoint);
+
+	return instance ? g_hash_table_lookup(router->pools, instance->pool)
+			: NULL;
+}
+
 /* A request that was refused or cut off tells nothing of its service time. */
 static void measure(struct route *route, const struct event_attempt *attempt)
 {
@@ -175,23 +230,88 @@
 	       !strcmp(route->endpoint, attempt->endpoint);
 }
 
+static bool is_failure(const struct event_attempt *attempt)
+{
+	return attempt->result != ATTEMPT_ANSWERED || attempt->status >= 500;
+}
+
+/* Returns a request that certainly did not run to the front of its queue. */
+static void queue_again(struct router *router, struct route *route)
+{
+	route->phase = ROUTE_QUEUED;
+	router->admission->put_back(route->pool->queue, &route->item);
+	router_route_wait(router, route);
+}
+
+static bool may_retry(struct router *router, const struct route *route)
+{
+	const struct retry_case failed = {
+		.member = route->member->name,
+		.pool = route->pool->name,
+		.idempotent = route->service->decl.idempotent,
+		.verdict = route->verdict,
+		.now_us = kernel_now_us(router->kernel),
+		.service_us = route->service->service_us,
+		.deadline_us = route->item.deadline_us,
+	};
+
+	return router->retry->allow(router->retry_state, &failed);
+}
+
+/*
+ * Repeats a failed attempt at another endpoint that has a free slot now. If
+ * all are busy, only a request that did not run waits for one: repeating the
+ * others would add work to an overload.
+ */
+static bool try_again(struct router *router, struct route *route,
+		      const struct event_attempt *attempt)
+{
+	struct place place = { .router = router, .avoid = attempt->endpoint };
+	bool found;
+
+	if (route->cancelled || !is_failure(attempt))
+		return false;
+	if (route->attempt_relayed && route->verdict == VERDICT_NOT_RUN) {
+		queue_again(router, route);
+		return true;
+	}
+	found = find_place(route, &place);
+	if (!found && route->verdict != VERDICT_NOT_RUN)
+		return false;
+	if (!may_retry(router, route))
+		return false;
+	counter_add(kernel_counters(router->kernel), "retries_total", 1);
+	if (found)
+		send_to(router, route, &place);
+	else
+		queue_again(router, route);
+	return true;
+}
+
 void router_attempt_done(struct router *router, const struct event *event)
 {
 	const struct event_attempt *attempt = &event->attempt;
 	struct route *route = router_route_find(router, attempt->request_id);
-	struct router_pool *pool;
+	struct router_pool *freed;
 
 	if (!is_current(route, attempt)) {
 		counter_add(kernel_counters(router->kernel),
 			    "attempts_stale_total", 1);
 		return;
 	}
-	pool = route->pool;
-	free_slot(router, route);
+	freed = route->pool;
+	if (route->attempt_relayed) {
+		router_relay_done(router, route, attempt);
+	} else {
+		freed = pool_of(router, route->endpoint);
+		free_slot(router, route);
+	}
 	measure(route, attempt);
 	route->verdict = merge(route->verdict, attempt->verdict);
-	router_answer(router, route, event);
-	router_dispatch(router, pool);
+	if (!try_again(router, route, attempt))
+		router_answer(router, route, event);
+	if (freed)
+		router_slots_changed(router, freed);
 }
 
 void router_cancel(struct router *router, struct route *route,
--- a/src/decide/router_index.c
+++ b/src/decide/router_index.c
@@ -9,6 +9,7 @@
 
 static void pool_free(struct router *router, struct router_pool *pool)
 {
+	router_lend_forget(router, pool);
 	choice_pool_free(pool->choice);
 	router->admission->free(pool->queue);
 	g_free(pool);
@@ -282,5 +283,7 @@
 	struct admission_load load = router_pool_load(router, pool);
 
 	pool->state->queued_count = router->admission->count(pool->queue);
-	pool->state->wait_us = router->admission->wait_us(pool->queue, &load);
+	pool->state->wait_us =
+		load.slot_count ? router->admission->wait_us(pool->queue, &load)
+				: ROUTER_WAIT_MAX_US;
 }
--- /dev/null
+++ b/src/decide/router_lend.c
@@ -0,0 +1,81 @@
+/*
+ * Lending between pools: idle slots of a pool that lends are used by others
+ * for short requests, so that they come back within the time of one of them.
+ */
+
+#include "decide/router.h"
+
+/* Longest service time of a request that may use a lent slot. */
+#define LEND_SERVICE_US (250 * USEC_PER_MSEC)
+
+/* Waiting pools that are tried for a slot that came free. */
+#define LEND_TRIES_COUNT 4
+
+static bool can_lend(const struct router *router,
+		     const struct router_pool *pool)
+{
+	return pool->lend &&
+	       pool->choice->free_count > pool->reserve_slots_count &&
+	       !router->admission->count(pool->queue);
+}
+
+/* Lists a pool whose slots have changed among those that can lend. */
+void router_lend_note(struct router *router, struct router_pool *pool)
+{
+	if (pool->listed_lender || !can_lend(router, pool))
+		return;
+	pool->listed_lender = true;
+	g_queue_push_tail(router->lenders, pool);
+}
+
+struct router_pool *router_lend_find(struct router *router,
+				     const struct route *route)
+{
+	int64_t service_us = route->service->service_us;
+	struct router_pool *pool;
+
+	if (!service_us || service_us > LEND_SERVICE_US)
+		return NULL;
+	while ((pool = g_queue_peek_head(router->lenders))) {
+		if (pool != route->pool && can_lend(router, pool))
+			return pool;
+		g_queue_pop_head(router->lenders);
+		pool->listed_lender = false;
+		if (pool == route->pool)
+			return NULL;
+	}
+	return NULL;
+}
+
+/* Lists a pool whose queue could not be emptied. */
+void router_lend_want(struct router *router, struct router_pool *pool)
+{
+	if (pool->listed_waiting || !router->admission->count(pool->queue))
+		return;
+	pool->listed_waiting = true;
+	g_queue_push_tail(router->waiting, pool);
+}
+
+/* Offers what a pool can lend to those that wait, in turn. */
+void router_lend_offer(struct router *router, struct router_pool *lender)
+{
+	for (uint32_t i = 0; i < LEND_TRIES_COUNT; i++) {
+		struct router_pool *pool;
+
+		if (!can_lend(router, lender))
+			return;
+		pool = g_queue_pop_head(router->waiting);
+		if (!pool)
+			return;
+		pool->listed_waiting = false;
+		/* Lists the pool again if some of its queue is left. */
+		router_dispatch(router, pool);
+	}
+}
+
+/* A pool that is freed must not stay listed. */
+void router_lend_forget(struct router *router, struct router_pool *pool)
+{
+	g_queue_remove(router->lenders, pool);
+	g_queue_remove(router->waiting, pool);
+}
--- /dev/null
+++ b/src/decide/router_relay.c
@@ -0,0 +1,223 @@
+/* Passing requests on to entry instances of other data centres. */
+
+#include <string.h>
+
+#include "decide/router.h"
+
+/* A peer's wait must be shorter by more than the trip there and back. */
+#define RELAY_GAIN_US (5 * USEC_PER_MSEC)
+
+/* A digest carries what has changed, and every load at least each 10 s. */
+#define LOAD_LIFE_US (12 * USEC_PER_SEC)
+
+/* Passes of one request, each of which was answered with not-run. */
+#define RELAY_MAX_COUNT 2
+
+/* A new measurement counts for a quarter of the smoothed trip. */
+#define TRIP_SHIFT 2
+
+static void peer_free(gpointer data)
+{
+	struct router_peer *peer = data;
+
+	g_hash_table_unref(peer->loads);
+	g_free(peer);
+}
+
+void router_relay_init(struct router *router)
+{
+	router->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+}
+
+void router_relay_free(struct router *router)
+{
+	g_hash_table_unref(router->peers);
+}
+
+static struct router_peer *peer_get(struct router *router, const char *name)
+{
+	struct router_peer *peer = g_hash_table_lookup(router->peers, name);
+
+	if (peer)
+		return peer;
+	peer = g_new0(struct router_peer, 1);
+	name_copy(peer->name, sizeof(peer->name), name);
+	peer->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g_hash_table_insert(router->peers, peer->name, peer);
+	return peer;
+}
+
+static gboolean has_left(gpointer key, gpointer value, gpointer data)
+{
+	(void)value;
+	return !fleet_entry(data, key);
+}
+
+/* Takes up the roster: only entries of other data centres are used. */
+void router_relay_rebuild(struct router *router)
+{
+	const struct settings *settings = kernel_settings(router->kernel);
+	struct fleet *fleet = kernel_fleet(router->kernel);
+	const GPtrArray *entries = fleet_entries(fleet);
+
+	g_hash_table_foreach_remove(router->peers, has_left, fleet);
+	for (guint i = 0; i < entries->len; i++) {
+		const struct fleet_entry *entry = entries->pdata[i];
+		struct router_peer *peer = peer_get(router, entry->decl.name);
+
+		name_copy(peer->address, sizeof(peer->address),
+			  entry->decl.caller_address);
+		peer->remote = strcmp(entry->decl.dc, settings->dc) != 0;
+	}
+}
+
+/* The latest load of a pool at a peer, corrected by what we sent since. */
+struct known_load {
+	struct peer_pool_load load;
+	int64_t heard_us;
+};
+
+static void take_loads(struct router_peer *peer, const struct peer_msg *msg,
+		       int64_t now_us)
+{
+	for (guint i = 0; i < msg->loads->len; i++) {
+		struct known_load *known = g_new0(struct known_load, 1);
+
+		known->load =
+			g_array_index(msg->loads, struct peer_pool_load, i);
+		known->heard_us = now_us;
+		g_hash_table_replace(peer->loads, known->load.pool, known);
+	}
+}
+
+/* Dispatches what waits here for one of the peer's pools. */
+static void retry_waiting(struct router *router, const struct peer_msg *msg)
+{
+	for (guint i = 0; i < msg->loads->len; i++) {
+		const struct peer_pool_load *load =
+			&g_array_index(msg->loads, struct peer_pool_load, i);
+		struct router_pool *pool =
+			g_hash_table_lookup(router->pools, load->pool);
+
+		if (pool && pool->listed_waiting)
+			router_dispatch(router, pool);
+	}
+}
+
+void router_relay_heard(struct router *router, const struct event_peer *event)
+{
+	const struct peer_msg *msg = event->msg;
+	struct router_peer *peer;
+
+	if (msg->kind != PEER_MSG_HEARTBEAT || !msg->loads)
+		return;
+	peer = g_hash_table_lookup(router->peers, msg->from);
+	if (!peer || !peer->remote)
+		return;
+	peer->state = PEER_ALIVE;
+	take_loads(peer, msg, kernel_now_us(router->kernel));
+	retry_waiting(router, msg);
+}
+
+void router_relay_state(struct router *router, const struct event_peer *event)
+{
+	struct router_peer *peer =
+		g_hash_table_lookup(router->peers, event->peer);
+
+	if (peer)
+		peer->state = event->state;
+}
+
+/* Our own expected wait for a slot; without endpoints it has no end. */
+static int64_t own_wait_us(const struct router *router,
+			   const struct router_pool *pool)
+{
+	struct admission_load load = router_pool_load(router, pool);
+
+	if (!load.slot_count)
+		return INT64_MAX;
+	return router->admission->wait_us(pool->queue, &load);
+}
+
+/* Whether a peer would run a request sooner than we do. */
+static bool has_room(const struct router *router,
+		     const struct router_peer *peer, const char *pool,
+		     int64_t wait_us)
+{
+	const struct known_load *known = g_hash_table_lookup(peer->loads, pool);
+
+	if (!known || !peer->remote || peer->state != PEER_ALIVE ||
+	    known->heard_us + LOAD_LIFE_US < kernel_now_us(router->kernel))
+		return false;
+	return known->load.free_slots_count ||
+	       known->load.wait_us < wait_us - RELAY_GAIN_US;
+}
+
+/*
+ * The nearest peer that can run a request of the pool sooner. Distances are
+ * measured on earlier relays; one that was never used is tried first.
+ */
+struct router_peer *router_relay_find(struct router *router,
+				      const struct route *route)
+{
+	int64_t wait_us = own_wait_us(router, route->pool);
+	struct router_peer *nearest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (route->relayed || route->relay_count >= RELAY_MAX_COUNT)
+		return NULL;
+	g_hash_table_iter_init(&iter, router->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct router_peer *peer = value;
+
+		if (!has_room(router, peer, route->pool->name, wait_us))
+			continue;
+		if (!nearest || peer->trip_us < nearest->trip_us ||
+		    (peer->trip_us == nearest->trip_us &&
+		     strcmp(peer->name, nearest->name) < 0))
+			nearest = peer;
+	}
+	return nearest;
+}
+
+/* Corrects the digest by what we send until the next one comes. */
+void router_relay_used(struct router_peer *peer, const struct route *route)
+{
+	struct known_load *known =
+		g_hash_table_lookup(peer->loads, route->pool->name);
+
+	if (!known)
+		return;
+	if (known->load.free_slots_count)
+		known->load.free_slots_count--;
+	else
+		known->load.wait_us += route->item.cost_us;
+}
+
+static void measure_trip(struct router_peer *peer, int64_t trip_us)
+{
+	trip_us = MAX(trip_us, 1);
+	if (!peer->trip_us)
+		peer->trip_us = trip_us;
+	else
+		peer->trip_us += (trip_us - peer->trip_us) / (1 << TRIP_SHIFT);
+}
+
+void router_relay_done(struct router *router, const struct route *route,
+		       const struct event_attempt *attempt)
+{
+	struct router_peer *peer =
+		g_hash_table_lookup(router->peers, attempt->endpoint);
+
+	if (!peer)
+		return;
+	if (attempt->verdict == VERDICT_RAN)
+		measure_trip(peer,
+			     attempt->latency_us - route->service->service_us);
+	/* The digest was wrong; the next one may be right. */
+	if (attempt->verdict == VERDICT_NOT_RUN)
+		g_hash_table_remove(peer->loads, route->pool->name);
+}
--- a/src/decide/router_reply.c
+++ b/src/decide/router_reply.c
@@ -12,6 +12,9 @@
 #define HTTP_UNAVAILABLE 503
 #define HTTP_GATEWAY_TIMEOUT 504
 
+/* Conditions change within so long, whatever the queue is now. */
+#define RETRY_AFTER_MAX_US (10 * USEC_PER_SEC)
+
 struct refusal_text {
 	uint32_t status;
 	bool again; /* a later attempt of the caller may succeed */
@@ -104,8 +107,8 @@
 	};
 
 	if (text->again)
-		reply.request.retry_after_us =
-			MAX(wait_us, ROUTER_RETRY_AFTER_US);
+		reply.request.retry_after_us = CLAMP(
+			wait_us, ROUTER_RETRY_AFTER_US, RETRY_AFTER_MAX_US);
 	set_reason(&reply, text->reason);
 	counter_add(kernel_counters(router->kernel), text->counter, 1);
 	return reply;
--- /dev/null
+++ b/src/policy/retry.h
@@ -0,0 +1,27 @@
+#ifndef POLICY_RETRY_H
+#define POLICY_RETRY_H
+
+/* Whether a failed attempt is followed by another one. */
+
+#include "core/types.h"
+
+struct retry_case {
+	const char *member;
+	const char *pool;
+	bool idempotent;
+	enum verdict verdict; /* over all attempts so far */
+	int64_t now_us;
+	int64_t service_us; /* expected service time; 0: unknown */
+	int64_t deadline_us;
+};
+
+struct retry_ops {
+	void *(*new)(void);
+	void (*free)(void *self);
+	/* A request gets its first attempt. */
+	void (*count)(void *self, const char *member, const char *pool);
+	/* Allows one more attempt, and uses up the budget for it. */
+	bool (*allow)(void *self, const struct retry_case *failed);
+};
+
+#endif
