--- a/src/core/event.h
+++ b/src/core/event.h
@@ -22,7 +22,9 @@
 	EVENT_WAKE,    /* a stored deadline has passed */
 	EVENT_STARTED, /* all plug-ins are initialised */
 	EVENT_DRAIN,   /* stop taking work, then leave */
-	EVENT_DRAINED, /* nothing is in flight any more; the process may end */
+	EVENT_DRAINED, /* router: nothing is in flight any more */
+	EVENT_LEFT,    /* cluster: entry_leave was read back, or late */
+	EVENT_RESUMED, /* kernel: the process was paused; comes before others */
 	EVENT_REQUEST_NEW,	/* front end: a caller's request is complete */
 	EVENT_REQUEST_GONE,	/* front end: the caller has disconnected */
 	EVENT_REQUEST_REPLY,	/* to the front end */
--- /dev/null
+++ b/src/decide/cluster.c
@@ -0,0 +1,413 @@
+/*
+ * Membership: joins and leaves the roster, sends heartbeats, and judges which
+ * entry instances are alive.
+ */
+
+#include <string.h>
+
+#include "decide/cluster_digest.h"
+#include "decide/cluster_peers.h"
+#include "decide/peer_out.h"
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "cluster"
+
+#define HEARTBEAT_US (500 * USEC_PER_MSEC)
+#define LEAVE_WAIT_US (2 * USEC_PER_SEC)
+/* An entry that is not the first to do so waits before it proposes. */
+#define GONE_RANK_DELAY_US (5 * USEC_PER_SEC)
+
+struct cluster {
+	struct kernel *kernel;
+	struct peers *peers;
+	struct digest *mate_digest;
+	struct digest *remote_digest;
+	struct record *join;	/* until its outcome is known */
+	struct record *leave;	/* while it is pending */
+	struct record *gone;	/* while one is pending */
+	bool joined;
+	bool fenced;
+	bool left;
+	bool log_reachable;
+	int64_t next_beat_us;
+	int64_t leave_until_us;
+	uint32_t beat_count;
+	int64_t remote_round_us; /* start of the round of digests */
+	uint32_t remote_sent_count; /* in this round */
+	GArray *remote_loads; /* of the round, may be NULL */
+};
+
+static void *cluster_init(struct kernel *kernel)
+{
+	struct cluster *cluster = g_new0(struct cluster, 1);
+
+	cluster->kernel = kernel;
+	cluster->peers = peers_new(kernel);
+	cluster->mate_digest = digest_new();
+	cluster->remote_digest = digest_new();
+	return cluster;
+}
+
+static void cluster_fini(void *self)
+{
+	struct cluster *cluster = self;
+
+	peers_free(cluster->peers);
+	digest_free(cluster->mate_digest);
+	digest_free(cluster->remote_digest);
+	record_unref(cluster->join);
+	record_unref(cluster->leave);
+	record_unref(cluster->gone);
+	if (cluster->remote_loads)
+		g_array_unref(cluster->remote_loads);
+	g_free(cluster);
+}
+
+static void trace(struct cluster *cluster, const char *text)
+{
+	struct timeline_entry entry = { .kind = TIMELINE_PROCESS };
+
+	g_strlcpy(entry.text, text, sizeof(entry.text));
+	timeline_add(kernel_timeline(cluster->kernel), &entry);
+}
+
+/* Proposes a record and keeps a reference to follow it by. */
+static void propose(struct cluster *cluster, struct record **kept,
+		    struct record *record)
+{
+	struct event event = { .type = EVENT_PROPOSE };
+
+	record_unref(*kept);
+	*kept = record_ref(record);
+	event.record.record = record;
+	kernel_emit(cluster->kernel, &event);
+}
+
+static struct record *own_record(struct cluster *cluster,
+				 enum record_kind kind)
+{
+	const struct settings *settings = kernel_settings(cluster->kernel);
+	struct record *record = record_new(kind);
+
+	name_copy(record->entry.name, NAME_SIZE_BYTES, settings->entry);
+	name_copy(record->entry.dc, NAME_SIZE_BYTES, settings->dc);
+	record->entry.incarnation = kernel_incarnation(cluster->kernel);
+	return record;
+}
+
+static void propose_join(struct cluster *cluster)
+{
+	const struct settings *settings = kernel_settings(cluster->kernel);
+	struct record *record = own_record(cluster, RECORD_ENTRY_JOIN);
+	struct record_entry *body = &record->entry;
+
+	name_copy(body->caller_address, ADDRESS_SIZE_BYTES,
+		  settings->caller_address);
+	name_copy(body->operator_address, ADDRESS_SIZE_BYTES,
+		  settings->operator_address);
+	name_copy(body->peer_address, ADDRESS_SIZE_BYTES,
+		  settings->peer_address);
+	propose(cluster, &cluster->join, record);
+}
+
+static bool on_roster(const struct cluster *cluster)
+{
+	const struct fleet_entry *entry =
+		fleet_entry(kernel_fleet(cluster->kernel),
+			    kernel_settings(cluster->kernel)->entry);
+
+	return entry && entry->decl.incarnation ==
+				kernel_incarnation(cluster->kernel);
+}
+
+/* Another incarnation took our place, or we were removed: stop. */
+static void become_fenced(struct cluster *cluster)
+{
+	struct event event = { .type = EVENT_DRAIN };
+
+	if (cluster->fenced || cluster->left)
+		return;
+	cluster->fenced = true;
+	klog_warn(LOG_PREFIX, "this process is not on the roster any more");
+	trace(cluster, "fenced: drains and ends");
+	event.drain.deadline_us =
+		kernel_now_us(cluster->kernel) +
+		kernel_settings(cluster->kernel)->drain_us;
+	kernel_emit(cluster->kernel, &event);
+}
+
+static void end_process(struct cluster *cluster)
+{
+	const GPtrArray *entries =
+		fleet_entries(kernel_fleet(cluster->kernel));
+
+	if (cluster->left)
+		return;
+	cluster->left = true;
+	trace(cluster, "left");
+	for (guint i = 0; i < entries->len; i++) {
+		const struct fleet_entry *entry = entries->pdata[i];
+
+		if (strcmp(entry->decl.name,
+			   kernel_settings(cluster->kernel)->entry) != 0)
+			peer_out_send(cluster->kernel, entry->decl.name,
+				      peer_out_new(cluster->kernel,
+						   PEER_MSG_BYE));
+	}
+	kernel_emit(cluster->kernel, &(struct event){ .type = EVENT_LEFT });
+}
+
+/* Nothing is in flight: our slots may go to others. */
+static void on_drained(struct cluster *cluster)
+{
+	if (cluster->leave || cluster->left)
+		return;
+	if (!on_roster(cluster)) {
+		end_process(cluster);
+		return;
+	}
+	cluster->leave_until_us =
+		kernel_now_us(cluster->kernel) + LEAVE_WAIT_US;
+	propose(cluster, &cluster->leave,
+		own_record(cluster, RECORD_ENTRY_LEAVE));
+}
+
+static bool is_outcome(const struct record *kept, const struct event *event)
+{
+	return kept && kept->id.sequence &&
+	       record_id_equal(&kept->id, &event->record.record->id);
+}
+
+static void forget(struct record **kept)
+{
+	record_unref(*kept);
+	*kept = NULL;
+}
+
+/* Compares the roster with what it was before the last record. */
+static void check_roster(struct cluster *cluster)
+{
+	bool member = on_roster(cluster);
+
+	if (cluster->joined && !member && !cluster->leave)
+		become_fenced(cluster);
+	if (member && !cluster->joined) {
+		cluster->joined = true;
+		cluster->next_beat_us = kernel_now_us(cluster->kernel);
+		trace(cluster, "joined the roster");
+	}
+	peers_update(cluster->peers);
+}
+
+static void on_fleet_changed(struct cluster *cluster,
+			     const struct event *event)
+{
+	bool refused = is_outcome(cluster->join, event) &&
+		       !event->record.accepted;
+
+	check_roster(cluster);
+	if (is_outcome(cluster->join, event))
+		forget(&cluster->join);
+	if (is_outcome(cluster->gone, event))
+		forget(&cluster->gone);
+	if (refused && !on_roster(cluster))
+		become_fenced(cluster);
+	if (is_outcome(cluster->leave, event) ||
+	    (cluster->leave && !on_roster(cluster)))
+		end_process(cluster);
+}
+
+static void on_dropped(struct cluster *cluster, const struct event *event)
+{
+	if (event->record.record == cluster->gone)
+		forget(&cluster->gone);
+	if (event->record.record == cluster->leave)
+		end_process(cluster);
+	if (event->record.record == cluster->join)
+		propose_join(cluster);
+}
+
+static void send_heartbeat(struct cluster *cluster, const char *peer,
+			   const GArray *loads)
+{
+	struct peer_msg *msg =
+		peer_out_new(cluster->kernel, PEER_MSG_HEARTBEAT);
+	struct counters *counters = kernel_counters(cluster->kernel);
+
+	if (loads)
+		msg->loads = g_array_copy((GArray *)loads);
+	counter_add(counters, "heartbeats_sent_total", 1);
+	counter_add(counters, "heartbeat_bytes_total",
+		    heartbeat_size_bytes(msg));
+	peer_out_send(cluster->kernel, peer, msg);
+}
+
+static void beat_mates(struct cluster *cluster,
+		       const struct digest_plan *plan)
+{
+	const GPtrArray *mates = peers_mates(cluster->peers);
+	GArray *loads = NULL;
+
+	if (cluster->beat_count % 2 == 0)
+		loads = digest_next(cluster->mate_digest, cluster->kernel,
+				    plan->load_count);
+	for (guint i = 0; i < mates->len; i++) {
+		const struct peer *peer = mates->pdata[i];
+
+		send_heartbeat(cluster, peer->name, loads);
+	}
+	if (loads)
+		g_array_unref(loads);
+}
+
+static void start_remote_round(struct cluster *cluster,
+			       const struct digest_plan *plan)
+{
+	cluster->remote_round_us = kernel_now_us(cluster->kernel);
+	cluster->remote_sent_count = 0;
+	if (cluster->remote_loads)
+		g_array_unref(cluster->remote_loads);
+	cluster->remote_loads = digest_next(cluster->remote_digest,
+					    cluster->kernel, plan->load_count);
+}
+
+/* Spreads the digests for other data centres over the time of a round. */
+static void beat_remote(struct cluster *cluster,
+			const struct digest_plan *plan)
+{
+	const GPtrArray *remote = peers_remote(cluster->peers);
+	int64_t now_us = kernel_now_us(cluster->kernel);
+	uint32_t due_count;
+
+	if (!remote->len || !peers_is_lowest(cluster->peers))
+		return;
+	if (!cluster->remote_round_us ||
+	    now_us - cluster->remote_round_us >= plan->remote_round_us)
+		start_remote_round(cluster, plan);
+	due_count = (uint32_t)((now_us - cluster->remote_round_us +
+				HEARTBEAT_US) *
+			       remote->len / plan->remote_round_us);
+	due_count = plan->remote_round_us == USEC_PER_SEC
+			    ? remote->len
+			    : MIN(due_count, remote->len);
+	while (cluster->remote_sent_count < due_count) {
+		const struct peer *peer =
+			remote->pdata[cluster->remote_sent_count++];
+
+		send_heartbeat(cluster, peer->name, cluster->remote_loads);
+	}
+}
+
+static void propose_gone(struct cluster *cluster)
+{
+	const struct peer *peer;
+	struct record *record;
+
+	if (cluster->gone || !cluster->log_reachable || cluster->leave)
+		return;
+	peer = peers_find_gone(cluster->peers, GONE_RANK_DELAY_US);
+	if (!peer)
+		return;
+	record = record_new(RECORD_ENTRY_GONE);
+	name_copy(record->entry.name, NAME_SIZE_BYTES, peer->name);
+	record->entry.incarnation = peer->incarnation;
+	klog_info(LOG_PREFIX, "entry %s is silent and off the list",
+		  peer->name);
+	propose(cluster, &cluster->gone, record);
+}
+
+static void beat(struct cluster *cluster)
+{
+	struct digest_plan plan = digest_plan(
+		peers_mates(cluster->peers)->len,
+		peers_remote(cluster->peers)->len);
+	int64_t now_us = kernel_now_us(cluster->kernel);
+
+	if (now_us < cluster->next_beat_us)
+		return;
+	cluster->next_beat_us = now_us + HEARTBEAT_US;
+	peers_judge(cluster->peers, plan.remote_round_us);
+	if (!on_roster(cluster))
+		return;
+	beat_mates(cluster, &plan);
+	beat_remote(cluster, &plan);
+	cluster->beat_count++;
+	propose_gone(cluster);
+}
+
+static void on_wake(struct cluster *cluster)
+{
+	if (cluster->leave && kernel_now_us(cluster->kernel) >=
+				      cluster->leave_until_us)
+		end_process(cluster);
+}
+
+static void arm(struct cluster *cluster)
+{
+	if (cluster->left)
+		return;
+	kernel_wake_at(cluster->kernel, cluster->next_beat_us);
+	if (cluster->leave)
+		kernel_wake_at(cluster->kernel, cluster->leave_until_us);
+}
+
+static void cluster_handle(void *self, const struct event *event)
+{
+	struct cluster *cluster = self;
+
+	switch (event->type) {
+	case EVENT_STARTED:
+		cluster->next_beat_us = kernel_now_us(cluster->kernel);
+		propose_join(cluster);
+		break;
+	case EVENT_WAKE:
+		on_wake(cluster);
+		break;
+	case EVENT_RESUMED:
+		peers_forgive(cluster->peers);
+		break;
+	case EVENT_DRAINED:
+		on_drained(cluster);
+		break;
+	case EVENT_FLEET_CHANGED:
+		on_fleet_changed(cluster, event);
+		break;
+	case EVENT_FLEET_RESET:
+		check_roster(cluster);
+		break;
+	case EVENT_PROPOSAL_DROPPED:
+		on_dropped(cluster, event);
+		break;
+	case EVENT_LOG_STATE:
+		cluster->log_reachable = event->log.reachable;
+		break;
+	case EVENT_INSTANCE_LIST:
+		peers_take_list(cluster->peers, event->list.items);
+		break;
+	case EVENT_PEER_RECEIVED:
+		peers_take_msg(cluster->peers, event->peer.msg);
+		break;
+	default:
+		break;
+	}
+	if (!cluster->left)
+		beat(cluster);
+	arm(cluster);
+}
+
+static const struct plugin cluster_plugin = {
+	.name = "cluster",
+	.kind = PLUGIN_DECIDE,
+	.takes = EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_WAKE) |
+		 EVENT_BIT(EVENT_RESUMED) | EVENT_BIT(EVENT_DRAINED) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) |
+		 EVENT_BIT(EVENT_FLEET_RESET) |
+		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
+		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_INSTANCE_LIST) |
+		 EVENT_BIT(EVENT_PEER_RECEIVED),
+	.init = cluster_init,
+	.handle = cluster_handle,
+	.fini = cluster_fini,
+};
+
+PLUGIN_REGISTER(cluster_plugin)
--- /dev/null
+++ b/src/decide/cluster_digest.c
@@ -0,0 +1,215 @@
+#include "decide/cluster_digest.h"
+
+#include <string.h>
+
+/*
+ * Bytes a second that one entry instance sends in heartbeats. What it receives
+ * is less, so that both stay below 4 KB/s with the records of the log.
+ */
+#define BUDGET_BYTES_PER_S 2500
+/* Upper bounds for names of up to 20 bytes; see heartbeat_size_bytes(). */
+#define BASE_SIZE_BYTES 84
+#define LOAD_SIZE_BYTES 40
+/* Digests to entries of other data centres, a second. */
+#define REMOTE_PER_S 8
+#define RESEND_US (10 * USEC_PER_SEC)
+
+struct sent {
+	struct peer_pool_load load;
+	int64_t sent_us;
+};
+
+struct digest {
+	GHashTable *sent; /* pool -> struct sent */
+};
+
+struct candidate {
+	struct peer_pool_load load;
+	int64_t sent_us;
+};
+
+struct digest *digest_new(void)
+{
+	struct digest *digest = g_new0(struct digest, 1);
+
+	digest->sent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return digest;
+}
+
+void digest_free(struct digest *digest)
+{
+	g_hash_table_unref(digest->sent);
+	g_free(digest);
+}
+
+/* Free slots of ours at the endpoints of a pool in our data centre. */
+static uint32_t free_slots(struct kernel *kernel, const struct fleet_pool *pool,
+			   uint32_t *endpoint_count)
+{
+	const char *dc = kernel_settings(kernel)->dc;
+	uint32_t free_count = 0;
+
+	for (guint i = 0; i < pool->instances->len; i++) {
+		const struct fleet_instance *instance =
+			pool->instances->pdata[i];
+		const struct endpoint_state *state = endpoint_table_find(
+			kernel_endpoints(kernel), instance->decl.name);
+
+		if (strcmp(instance->decl.dc, dc) != 0)
+			continue;
+		(*endpoint_count)++;
+		if (instance->phase != INSTANCE_ACTIVE || instance->down ||
+		    !state || state->leaving || state->ejected)
+			continue;
+		if (state->allowed_count > state->in_flight_count)
+			free_count += state->allowed_count -
+				      state->in_flight_count;
+	}
+	return free_count;
+}
+
+static bool same_load(const struct peer_pool_load *a,
+		      const struct peer_pool_load *b)
+{
+	return a->free_slots_count == b->free_slots_count &&
+	       a->queued_count == b->queued_count && a->wait_us == b->wait_us;
+}
+
+static bool is_due(const struct sent *sent, const struct peer_pool_load *load,
+		   int64_t now_us)
+{
+	return !sent || !same_load(&sent->load, load) ||
+	       now_us - sent->sent_us >= RESEND_US;
+}
+
+static gint compare_candidates(gconstpointer a, gconstpointer b)
+{
+	const struct candidate *left = a;
+	const struct candidate *right = b;
+
+	if (left->sent_us != right->sent_us)
+		return left->sent_us < right->sent_us ? -1 : 1;
+	return strcmp(left->load.pool, right->load.pool);
+}
+
+static GArray *find_candidates(struct digest *digest, struct kernel *kernel)
+{
+	const GPtrArray *pools = fleet_pools(kernel_fleet(kernel));
+	int64_t now_us = kernel_now_us(kernel);
+	GArray *found = g_array_new(FALSE, TRUE, sizeof(struct candidate));
+
+	for (guint i = 0; i < pools->len; i++) {
+		const struct fleet_pool *pool = pools->pdata[i];
+		const struct pool_state *state = endpoint_table_pool(
+			kernel_endpoints(kernel), pool->decl.name);
+		const struct sent *sent =
+			g_hash_table_lookup(digest->sent, pool->decl.name);
+		struct candidate candidate = { .sent_us = -1 };
+		uint32_t endpoint_count = 0;
+
+		candidate.load.free_slots_count =
+			free_slots(kernel, pool, &endpoint_count);
+		candidate.load.queued_count = state->queued_count;
+		candidate.load.wait_us = state->wait_us;
+		name_copy(candidate.load.pool, NAME_SIZE_BYTES,
+			  pool->decl.name);
+		if (sent)
+			candidate.sent_us = sent->sent_us;
+		if (endpoint_count && is_due(sent, &candidate.load, now_us))
+			g_array_append_val(found, candidate);
+	}
+	g_array_sort(found, compare_candidates);
+	return found;
+}
+
+static void note_sent(struct digest *digest, const struct peer_pool_load *load,
+		      int64_t now_us)
+{
+	struct sent *sent = g_hash_table_lookup(digest->sent, load->pool);
+
+	if (!sent) {
+		sent = g_new0(struct sent, 1);
+		sent->load = *load;
+		g_hash_table_insert(digest->sent, sent->load.pool, sent);
+	}
+	sent->load = *load;
+	sent->sent_us = now_us;
+}
+
+GArray *digest_next(struct digest *digest, struct kernel *kernel,
+		    uint32_t max_count)
+{
+	GArray *found = find_candidates(digest, kernel);
+	GArray *loads = NULL;
+
+	for (guint i = 0; i < MIN(found->len, max_count); i++) {
+		const struct candidate *candidate =
+			&g_array_index(found, struct candidate, i);
+
+		if (!loads)
+			loads = g_array_new(FALSE, TRUE,
+					    sizeof(struct peer_pool_load));
+		g_array_append_val(loads, candidate->load);
+		note_sent(digest, &candidate->load, kernel_now_us(kernel));
+	}
+	g_array_unref(found);
+	return loads;
+}
+
+/* Size of a variable-length integer with its field tag. */
+static uint32_t varint_size_bytes(uint64_t value)
+{
+	uint32_t size_bytes = 2;
+
+	while (value >= 128) {
+		value >>= 7;
+		size_bytes++;
+	}
+	return size_bytes;
+}
+
+uint32_t heartbeat_size_bytes(const struct peer_msg *msg)
+{
+	/* Version, kind, frame and length of the link. */
+	uint32_t size_bytes = 14;
+
+	size_bytes += 2 + (uint32_t)strlen(msg->from);
+	size_bytes += 2 + (uint32_t)strlen(msg->dc);
+	size_bytes += varint_size_bytes(msg->incarnation);
+	size_bytes += varint_size_bytes(msg->applied_offset);
+	size_bytes += varint_size_bytes(msg->hlc);
+	for (guint i = 0; msg->loads && i < msg->loads->len; i++) {
+		const struct peer_pool_load *load = &g_array_index(
+			msg->loads, struct peer_pool_load, i);
+
+		size_bytes += 4 + (uint32_t)strlen(load->pool);
+		size_bytes += varint_size_bytes(load->free_slots_count);
+		size_bytes += varint_size_bytes(load->queued_count);
+		size_bytes += varint_size_bytes((uint64_t)load->wait_us);
+	}
+	return size_bytes;
+}
+
+struct digest_plan digest_plan(uint32_t mate_count, uint32_t remote_count)
+{
+	struct digest_plan plan = {
+		.remote_round_us = USEC_PER_SEC,
+		.remote_count = remote_count,
+	};
+	uint32_t base_bytes;
+	uint32_t sent_count;
+
+	if (remote_count > REMOTE_PER_S)
+		plan.remote_round_us =
+			remote_count * USEC_PER_SEC / REMOTE_PER_S;
+	/* Mates get two heartbeats a second, and loads with every other. */
+	base_bytes = BASE_SIZE_BYTES *
+		     (2 * mate_count + MIN(remote_count, REMOTE_PER_S));
+	sent_count = mate_count + MIN(remote_count, REMOTE_PER_S);
+	if (base_bytes < BUDGET_BYTES_PER_S && sent_count)
+		plan.load_count = (BUDGET_BYTES_PER_S - base_bytes) /
+				  (LOAD_SIZE_BYTES * sent_count);
+	plan.load_count = MAX(plan.load_count, 1);
+	return plan;
+}
--- /dev/null
+++ b/src/decide/cluster_peers.c
@@ -0,0 +1,290 @@
+#include "decide/cluster_peers.h"
+
+#include <string.h>
+
+#define SUSPECT_US (2 * USEC_PER_SEC)
+#define DEAD_US (6 * USEC_PER_SEC)
+
+struct peers {
+	struct kernel *kernel;
+	GHashTable *by_name; /* name -> struct peer */
+	GPtrArray *mates;    /* of struct peer, by name */
+	GPtrArray *remote;   /* of struct peer, by name */
+};
+
+struct peers *peers_new(struct kernel *kernel)
+{
+	struct peers *peers = g_new0(struct peers, 1);
+
+	peers->kernel = kernel;
+	peers->by_name =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	peers->mates = g_ptr_array_new();
+	peers->remote = g_ptr_array_new();
+	return peers;
+}
+
+void peers_free(struct peers *peers)
+{
+	g_hash_table_unref(peers->by_name);
+	g_ptr_array_unref(peers->mates);
+	g_ptr_array_unref(peers->remote);
+	g_free(peers);
+}
+
+static const struct settings *own(const struct peers *peers)
+{
+	return kernel_settings(peers->kernel);
+}
+
+static gboolean is_off_roster(gpointer key, gpointer value, gpointer data)
+{
+	const struct peer *peer = value;
+	const struct fleet_entry *entry = fleet_entry(data, key);
+
+	return !entry || entry->decl.incarnation != peer->incarnation;
+}
+
+static struct peer *add_peer(struct peers *peers,
+			     const struct fleet_entry *entry)
+{
+	struct peer *peer = g_new0(struct peer, 1);
+
+	name_copy(peer->name, sizeof(peer->name), entry->decl.name);
+	name_copy(peer->dc, sizeof(peer->dc), entry->decl.dc);
+	peer->incarnation = entry->decl.incarnation;
+	peer->state = PEER_SUSPECT;
+	peer->added_us = kernel_now_us(peers->kernel);
+	g_hash_table_insert(peers->by_name, peer->name, peer);
+	return peer;
+}
+
+void peers_update(struct peers *peers)
+{
+	struct fleet *fleet = kernel_fleet(peers->kernel);
+	const GPtrArray *entries = fleet_entries(fleet);
+
+	g_hash_table_foreach_remove(peers->by_name, is_off_roster, fleet);
+	g_ptr_array_set_size(peers->mates, 0);
+	g_ptr_array_set_size(peers->remote, 0);
+	for (guint i = 0; i < entries->len; i++) {
+		const struct fleet_entry *entry = entries->pdata[i];
+		struct peer *peer;
+
+		if (!strcmp(entry->decl.name, own(peers)->entry))
+			continue;
+		peer = g_hash_table_lookup(peers->by_name, entry->decl.name);
+		if (!peer)
+			peer = add_peer(peers, entry);
+		g_ptr_array_add(strcmp(peer->dc, own(peers)->dc) != 0
+					? peers->remote
+					: peers->mates,
+				peer);
+	}
+}
+
+const GPtrArray *peers_mates(const struct peers *peers)
+{
+	return peers->mates;
+}
+
+const GPtrArray *peers_remote(const struct peers *peers)
+{
+	return peers->remote;
+}
+
+static void set_state(struct peers *peers, struct peer *peer,
+		      enum peer_state state)
+{
+	static const char *const names[] = {
+		[PEER_ALIVE] = "alive",
+		[PEER_SUSPECT] = "suspect",
+		[PEER_DEAD] = "dead",
+	};
+	struct event event = { .type = EVENT_PEER_STATE };
+	struct timeline_entry entry = { .kind = TIMELINE_PEER };
+
+	if (peer->state == state)
+		return;
+	peer->state = state;
+	g_snprintf(entry.text, sizeof(entry.text), "entry %s is %s",
+		   peer->name, names[state]);
+	timeline_add(kernel_timeline(peers->kernel), &entry);
+	name_copy(event.peer.peer, sizeof(event.peer.peer), peer->name);
+	event.peer.state = state;
+	kernel_emit(peers->kernel, &event);
+}
+
+void peers_take_msg(struct peers *peers, const struct peer_msg *msg)
+{
+	struct peer *peer = g_hash_table_lookup(peers->by_name, msg->from);
+
+	timeline_observe(kernel_timeline(peers->kernel), msg->hlc);
+	if (!peer || peer->incarnation != msg->incarnation)
+		return;
+	if (msg->kind == PEER_MSG_BYE) {
+		peer->stopped = true;
+		set_state(peers, peer, PEER_DEAD);
+		return;
+	}
+	peer->heard_us = kernel_now_us(peers->kernel);
+	peer->stopped = false;
+	peer->gone_since_us = 0;
+	set_state(peers, peer, PEER_ALIVE);
+}
+
+static bool list_has(const GArray *items, const char *name)
+{
+	for (guint i = 0; i < items->len; i++) {
+		if (!strcmp(g_array_index(items, struct list_item, i).name,
+			    name))
+			return true;
+	}
+	return false;
+}
+
+void peers_take_list(struct peers *peers, const GArray *items)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!items || !items->len)
+		return;
+	g_hash_table_iter_init(&iter, peers->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+		bool present = list_has(items, peer->name);
+
+		peer->absent = peer->listed && !present;
+		peer->listed = peer->listed || present;
+	}
+}
+
+/* Latest time at which any entry of a data centre was heard. */
+static int64_t dc_heard_us(const struct peers *peers, const char *dc,
+			   const char *upto)
+{
+	int64_t heard_us = 0;
+
+	for (guint i = 0; i < peers->remote->len; i++) {
+		const struct peer *peer = peers->remote->pdata[i];
+
+		if (!strcmp(peer->dc, dc) && strcmp(peer->name, upto) <= 0)
+			heard_us = MAX(heard_us, peer->heard_us);
+	}
+	return heard_us;
+}
+
+/*
+ * Of another data centre only its lowest live name sends. It stands for the
+ * names above it; a name below the one that sends is judged by itself.
+ */
+static int64_t silent_us(const struct peers *peers, const struct peer *peer,
+			 bool mate)
+{
+	int64_t heard_us = mate ? peer->heard_us
+				: dc_heard_us(peers, peer->dc, peer->name);
+
+	return kernel_now_us(peers->kernel) - MAX(heard_us, peer->added_us);
+}
+
+static void judge(struct peers *peers, struct peer *peer, bool mate,
+		  int64_t round_us)
+{
+	int64_t quiet_us = silent_us(peers, peer, mate);
+	int64_t suspect_us = MAX(SUSPECT_US, mate ? 0 : 2 * round_us);
+	int64_t dead_us = MAX(DEAD_US, mate ? 0 : 3 * round_us);
+
+	if (peer->stopped || quiet_us >= dead_us)
+		set_state(peers, peer, PEER_DEAD);
+	else if (quiet_us >= suspect_us)
+		set_state(peers, peer, PEER_SUSPECT);
+	else if (!mate || peer->heard_us)
+		set_state(peers, peer, PEER_ALIVE);
+	if (!peer->absent || quiet_us < dead_us)
+		peer->gone_since_us = 0;
+	else if (!peer->gone_since_us)
+		peer->gone_since_us = kernel_now_us(peers->kernel);
+}
+
+void peers_judge(struct peers *peers, int64_t remote_round_us)
+{
+	for (guint i = 0; i < peers->mates->len; i++)
+		judge(peers, peers->mates->pdata[i], true, remote_round_us);
+	for (guint i = 0; i < peers->remote->len; i++)
+		judge(peers, peers->remote->pdata[i], false, remote_round_us);
+}
+
+void peers_forgive(struct peers *peers)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		peer->added_us = kernel_now_us(peers->kernel);
+		peer->gone_since_us = 0;
+	}
+}
+
+static bool is_live(const struct peer *peer)
+{
+	return peer->state == PEER_ALIVE;
+}
+
+bool peers_is_lowest(const struct peers *peers)
+{
+	for (guint i = 0; i < peers->mates->len; i++) {
+		const struct peer *peer = peers->mates->pdata[i];
+
+		if (is_live(peer) && strcmp(peer->name, own(peers)->entry) < 0)
+			return false;
+	}
+	return true;
+}
+
+/* Number of live entries that should report a peer before we do. */
+static uint32_t report_rank(const struct peers *peers, const struct peer *gone)
+{
+	bool mate = !strcmp(gone->dc, own(peers)->dc);
+	uint32_t rank = 0;
+
+	for (uint32_t list = 0; list < 2; list++) {
+		const GPtrArray *all = list ? peers->remote : peers->mates;
+
+		for (guint i = 0; i < all->len; i++) {
+			const struct peer *peer = all->pdata[i];
+			bool nearer = !strcmp(peer->dc, gone->dc);
+
+			if (!is_live(peer) || peer == gone ||
+			    nearer < mate)
+				continue;
+			rank += nearer > mate ||
+				strcmp(peer->name, own(peers)->entry) < 0;
+		}
+	}
+	return rank;
+}
+
+const struct peer *peers_find_gone(const struct peers *peers,
+				   int64_t rank_delay_us)
+{
+	int64_t now_us = kernel_now_us(peers->kernel);
+
+	for (uint32_t list = 0; list < 2; list++) {
+		const GPtrArray *all = list ? peers->remote : peers->mates;
+
+		for (guint i = 0; i < all->len; i++) {
+			const struct peer *peer = all->pdata[i];
+
+			if (peer->gone_since_us &&
+			    now_us >= peer->gone_since_us +
+					      rank_delay_us *
+						      report_rank(peers, peer))
+				return peer;
+		}
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/decide/proposer.c
@@ -0,0 +1,603 @@
+/* Appends proposed records to the log and follows each until its outcome. */
+
+#include <string.h>
+
+#include "decide/proposer_queue.h"
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "proposer"
+
+/* Shortest time between appends: one claim waits less than others. */
+#define CLAIM_INTERVAL_US (5 * USEC_PER_MSEC)
+#define OTHER_INTERVAL_US (50 * USEC_PER_MSEC)
+/* Places of a batch that claims leave to other records that are due. */
+#define OTHERS_PLACES_COUNT 16
+/* A snapshot part has up to 64 KB, and counts as so many records. */
+#define SNAPSHOT_PLACES_COUNT 16
+
+#define BACKOFF_MIN_US (50 * USEC_PER_MSEC)
+#define BACKOFF_MAX_US (2 * USEC_PER_SEC)
+/* An append or a question that is not answered for so long is repeated. */
+#define ANSWER_TIMEOUT_US (10 * USEC_PER_SEC)
+
+/* What is known of the batch in flight. */
+enum batch_state {
+	BATCH_NONE,
+	BATCH_SENT,    /* waits for the answer of the append */
+	BATCH_ASKING,  /* answer lost; waits for the tail of the log */
+	BATCH_READING, /* reads up to the tail */
+	BATCH_BACKOFF, /* will be asked about again */
+};
+
+struct proposer {
+	struct kernel *kernel;
+	struct proposal_queue queue;
+	struct append_rate rate;
+	GPtrArray *batch; /* of struct proposal, in order of sequence */
+	enum batch_state state;
+	bool tainted; /* an answer was lost: a record may still turn up */
+	uint64_t append_id;
+	uint64_t tail_offset;	/* READING: last offset to be read */
+	int64_t state_until_us; /* when to give up waiting in this state */
+	GPtrArray *confirmed;	/* of struct proposal: in the log, not read */
+	uint64_t sequence;
+	bool reachable;
+	bool was_reachable;
+	uint64_t catch_up_offset; /* nothing is sent before it is applied */
+	int64_t last_append_us;
+	int64_t last_other_us; /* last append with other records than claims */
+	int64_t backoff_until_us;
+	int64_t backoff_us;
+	bool was_member;
+};
+
+static void *proposer_init(struct kernel *kernel)
+{
+	struct proposer *proposer = g_new0(struct proposer, 1);
+
+	proposer->kernel = kernel;
+	g_queue_init(&proposer->queue.claims);
+	g_queue_init(&proposer->queue.others);
+	proposer->batch = g_ptr_array_new_with_free_func(proposal_free);
+	proposer->confirmed = g_ptr_array_new_with_free_func(proposal_free);
+	proposer->last_append_us = -OTHER_INTERVAL_US;
+	proposer->last_other_us = -OTHER_INTERVAL_US;
+	append_rate_set(&proposer->rate, 1);
+	return proposer;
+}
+
+static void proposer_fini(void *self)
+{
+	struct proposer *proposer = self;
+
+	proposal_queue_clear(&proposer->queue);
+	g_ptr_array_unref(proposer->batch);
+	g_ptr_array_unref(proposer->confirmed);
+	g_free(proposer);
+}
+
+static void trace(struct proposer *proposer, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+
+static void trace(struct proposer *proposer, const char *format, ...)
+{
+	struct timeline_entry entry = { .kind = TIMELINE_LOG };
+	va_list args;
+
+	va_start(args, format);
+	g_vsnprintf(entry.text, sizeof(entry.text), format, args);
+	va_end(args);
+	timeline_add(kernel_timeline(proposer->kernel), &entry);
+}
+
+static void drop_record(struct proposer *proposer, struct record *record,
+			const char *reason)
+{
+	struct event event = { .type = EVENT_PROPOSAL_DROPPED };
+
+	event.record.record = record_ref(record);
+	g_strlcpy(event.record.reason, reason, sizeof(event.record.reason));
+	counter_add(kernel_counters(proposer->kernel),
+		    "proposals_dropped_total", 1);
+	trace(proposer, "drop %s: %s", record_kind_name(record->kind), reason);
+	kernel_emit(proposer->kernel, &event);
+}
+
+/* Drops a proposal that is certain not to take effect any more. */
+static void drop(struct proposer *proposer, struct proposal *proposal,
+		 const char *reason)
+{
+	drop_record(proposer, proposal->record, reason);
+	proposal_free(proposal);
+}
+
+static const struct fleet_entry *own_entry(const struct proposer *proposer)
+{
+	const struct fleet_entry *entry =
+		fleet_entry(kernel_fleet(proposer->kernel),
+			    kernel_settings(proposer->kernel)->entry);
+
+	return entry && entry->decl.incarnation ==
+				kernel_incarnation(proposer->kernel)
+		       ? entry
+		       : NULL;
+}
+
+/* Takes up to max_count places of records from a queue into the batch. */
+static uint32_t take(struct proposer *proposer, GQueue *queue,
+		     uint32_t max_count, bool member)
+{
+	uint32_t place_count = 0;
+	GList *at = queue->head;
+
+	while (at && place_count < max_count) {
+		struct proposal *proposal = at->data;
+		const struct record *record = proposal->record;
+		const char *reason = proposal_stale_reason(
+			proposal, kernel_fleet(proposer->kernel),
+			kernel_now_us(proposer->kernel));
+		GList *next = at->next;
+
+		if (reason) {
+			g_queue_delete_link(queue, at);
+			drop(proposer, proposal, reason);
+		} else if (member || record->kind == RECORD_ENTRY_JOIN) {
+			g_queue_delete_link(queue, at);
+			g_ptr_array_add(proposer->batch, proposal);
+			place_count += record->kind == RECORD_SNAPSHOT_PART
+					       ? SNAPSHOT_PLACES_COUNT
+					       : 1;
+		}
+		at = next;
+	}
+	return place_count;
+}
+
+static void fill_batch(struct proposer *proposer, bool others_due)
+{
+	bool member = own_entry(proposer) != NULL;
+	uint32_t left_count = BATCH_MAX_COUNT;
+	uint32_t kept_count =
+		others_due ? MIN(proposer->queue.others.length,
+				 OTHERS_PLACES_COUNT)
+			   : 0;
+
+	left_count -= take(proposer, &proposer->queue.claims,
+			   left_count - kept_count, member);
+	take(proposer, &proposer->queue.others, left_count, member);
+}
+
+static void send_batch(struct proposer *proposer)
+{
+	struct counters *counters = kernel_counters(proposer->kernel);
+	int64_t now_us = kernel_now_us(proposer->kernel);
+	struct event event = { .type = EVENT_LOG_APPEND };
+	GPtrArray *records =
+		g_ptr_array_new_with_free_func((GDestroyNotify)record_unref);
+
+	for (guint i = 0; i < proposer->batch->len; i++) {
+		struct proposal *proposal = proposer->batch->pdata[i];
+
+		g_ptr_array_add(records, record_ref(proposal->record));
+		if (proposal->record->kind != RECORD_CLAIM)
+			proposer->last_other_us = now_us;
+	}
+	event.append.append_id = ++proposer->append_id;
+	event.append.records = records;
+	proposer->state = BATCH_SENT;
+	proposer->state_until_us = now_us + ANSWER_TIMEOUT_US;
+	proposer->last_append_us = now_us;
+	append_rate_take(&proposer->rate, now_us);
+	counter_add(counters, "appends_total", 1);
+	counter_add(counters, "append_records_total", records->len);
+	trace(proposer, "append %" G_GUINT64_FORMAT " of %u records",
+	      event.append.append_id, records->len);
+	kernel_emit(proposer->kernel, &event);
+}
+
+/*
+ * Identities are set here, and only while no earlier record can still be
+ * appended: readers ignore an id that is not above the last applied one.
+ */
+static void number_batch(struct proposer *proposer)
+{
+	for (guint i = 0; i < proposer->batch->len; i++) {
+		struct proposal *proposal = proposer->batch->pdata[i];
+		struct record *record = proposal->record;
+
+		name_copy(record->id.entry, sizeof(record->id.entry),
+			  kernel_settings(proposer->kernel)->entry);
+		record->id.incarnation = kernel_incarnation(proposer->kernel);
+		record->id.sequence = ++proposer->sequence;
+		record->wall_us = kernel_wall_us(proposer->kernel);
+	}
+}
+
+static bool may_send(const struct proposer *proposer)
+{
+	return proposer->reachable && proposer->state == BATCH_NONE &&
+	       fleet_offset(kernel_fleet(proposer->kernel)) >=
+		       proposer->catch_up_offset;
+}
+
+/* Earliest time of the next append that the queue's records may have. */
+static int64_t next_append_us(const struct proposer *proposer)
+{
+	int64_t next_us = DEADLINE_NEVER_US;
+
+	if (proposer->queue.others.length)
+		next_us = MAX(proposer->last_other_us + OTHER_INTERVAL_US,
+			      proposer->last_append_us + CLAIM_INTERVAL_US);
+	if (proposer->queue.claims.length)
+		next_us = MIN(next_us, proposer->last_append_us +
+					       CLAIM_INTERVAL_US);
+	if (next_us == DEADLINE_NEVER_US)
+		return next_us;
+	next_us = MAX(next_us, append_rate_next_us(&proposer->rate));
+	return MAX(next_us, proposer->backoff_until_us);
+}
+
+/* Whether some record need not wait for our own entry_join. */
+static bool has_sendable(const struct proposer *proposer)
+{
+	if (own_entry(proposer))
+		return proposal_queue_count(&proposer->queue) > 0;
+	for (const GList *at = proposer->queue.others.head; at; at = at->next) {
+		const struct proposal *proposal = at->data;
+
+		if (proposal->record->kind == RECORD_ENTRY_JOIN)
+			return true;
+	}
+	return false;
+}
+
+static void try_send(struct proposer *proposer)
+{
+	int64_t now_us = kernel_now_us(proposer->kernel);
+
+	if (!may_send(proposer) || !has_sendable(proposer) ||
+	    now_us < next_append_us(proposer))
+		return;
+	fill_batch(proposer,
+		   now_us >= proposer->last_other_us + OTHER_INTERVAL_US);
+	if (!proposer->batch->len)
+		return;
+	number_batch(proposer);
+	send_batch(proposer);
+}
+
+/* Ends a batch; records that are in the log wait to be read back. */
+static void finish_batch(struct proposer *proposer)
+{
+	for (guint i = 0; i < proposer->batch->len; i++) {
+		struct proposal *proposal = proposer->batch->pdata[i];
+
+		if (proposal->seen)
+			proposal_free(proposal);
+		else
+			g_ptr_array_add(proposer->confirmed, proposal);
+	}
+	proposals_release(proposer->batch);
+	proposer->state = BATCH_NONE;
+	proposer->tainted = false;
+	proposer->backoff_us = 0;
+}
+
+static void back_off(struct proposer *proposer)
+{
+	proposer->backoff_us = CLAMP(proposer->backoff_us * 2, BACKOFF_MIN_US,
+				     BACKOFF_MAX_US);
+	proposer->backoff_until_us =
+		kernel_now_us(proposer->kernel) + proposer->backoff_us;
+}
+
+static void ask(struct proposer *proposer)
+{
+	proposer->state = BATCH_ASKING;
+	proposer->state_until_us =
+		kernel_now_us(proposer->kernel) + ANSWER_TIMEOUT_US;
+	kernel_emit(proposer->kernel, &(struct event){ .type = EVENT_LOG_ASK });
+}
+
+/*
+ * Removes what was read back. A record before one that was read back can no
+ * longer take effect, as readers ignore ids that do not rise.
+ */
+static void drop_passed_over(struct proposer *proposer)
+{
+	guint last_seen = proposer->batch->len;
+
+	while (last_seen > 0 &&
+	       !((struct proposal *)proposer->batch->pdata[last_seen - 1])
+			->seen)
+		last_seen--;
+	for (guint i = 0; i < last_seen; i++) {
+		struct proposal *proposal = proposer->batch->pdata[i];
+
+		if (!proposal->seen)
+			drop_record(proposer, proposal->record,
+				    "a later record took effect before it");
+	}
+	if (last_seen)
+		g_ptr_array_remove_range(proposer->batch, 0, last_seen);
+}
+
+/* The log was read up to its tail: appends again what is not there. */
+static void resend(struct proposer *proposer)
+{
+	drop_passed_over(proposer);
+	if (!proposer->batch->len) {
+		finish_batch(proposer);
+		return;
+	}
+	trace(proposer, "append %u records again", proposer->batch->len);
+	send_batch(proposer);
+}
+
+static void check_reading(struct proposer *proposer)
+{
+	int64_t now_us = kernel_now_us(proposer->kernel);
+	int64_t next_us = MAX(append_rate_next_us(&proposer->rate),
+			      proposer->backoff_until_us);
+
+	if (proposer->state != BATCH_READING || !proposer->reachable ||
+	    fleet_offset(kernel_fleet(proposer->kernel)) <
+		    proposer->tail_offset)
+		return;
+	if (proposals_all_seen(proposer->batch))
+		finish_batch(proposer);
+	else if (now_us >= next_us)
+		resend(proposer);
+}
+
+static void append_unknown(struct proposer *proposer)
+{
+	counter_add(kernel_counters(proposer->kernel), "append_unknown_total",
+		    1);
+	trace(proposer, "answer of append %" G_GUINT64_FORMAT " was lost",
+	      proposer->append_id);
+	proposer->tainted = true;
+	back_off(proposer);
+	if (proposals_all_seen(proposer->batch))
+		finish_batch(proposer);
+	else
+		ask(proposer);
+}
+
+static void append_not_taken(struct proposer *proposer)
+{
+	back_off(proposer);
+	if (proposer->tainted) {
+		/* An earlier append of these ids may still take effect. */
+		proposer->state = BATCH_BACKOFF;
+		proposer->state_until_us = proposer->backoff_until_us;
+		return;
+	}
+	proposal_queue_restore(&proposer->queue, proposer->batch);
+	proposer->state = BATCH_NONE;
+}
+
+static void on_appended(struct proposer *proposer, const struct event *event)
+{
+	if (proposer->state != BATCH_SENT ||
+	    event->append.append_id != proposer->append_id)
+		return;
+	switch (event->append.result) {
+	case APPEND_OK:
+		for (guint i = 0; i < proposer->batch->len; i++) {
+			struct proposal *proposal = proposer->batch->pdata[i];
+
+			proposal->offset = event->append.first_offset + i;
+		}
+		finish_batch(proposer);
+		break;
+	case APPEND_NOT_TAKEN:
+		append_not_taken(proposer);
+		break;
+	case APPEND_UNKNOWN:
+		append_unknown(proposer);
+		break;
+	}
+}
+
+static void on_log_state(struct proposer *proposer, const struct event *event)
+{
+	int64_t now_us = kernel_now_us(proposer->kernel);
+	int64_t jitter_us;
+
+	if (event->log.reachable && !proposer->reachable) {
+		proposer->catch_up_offset = event->log.next_offset - 1;
+		proposer->backoff_us = 0;
+		proposer->backoff_until_us = 0;
+	}
+	if (event->log.reachable && !proposer->reachable &&
+	    proposer->was_reachable) {
+		/* Entries that wait for the log must not append at once. */
+		jitter_us = g_rand_int_range(
+			kernel_random(proposer->kernel), 0,
+			(gint32)proposer->rate.interval_us);
+		append_rate_empty(&proposer->rate, now_us);
+		proposer->rate.full_us += jitter_us;
+	}
+	proposer->reachable = event->log.reachable;
+	proposer->was_reachable |= event->log.reachable;
+	if (proposer->state == BATCH_ASKING && event->log.reachable) {
+		proposer->state = BATCH_READING;
+		proposer->tail_offset = event->log.next_offset - 1;
+	}
+}
+
+static void forget_read_back(struct proposer *proposer)
+{
+	uint64_t offset = fleet_offset(kernel_fleet(proposer->kernel));
+
+	for (guint i = proposer->confirmed->len; i > 0; i--) {
+		const struct proposal *proposal =
+			proposer->confirmed->pdata[i - 1];
+
+		if (proposal->seen || proposal->offset <= offset)
+			g_ptr_array_remove_index(proposer->confirmed, i - 1);
+	}
+}
+
+static void drop_queue(struct proposer *proposer, GQueue *queue,
+		       const char *reason)
+{
+	struct proposal *proposal;
+
+	while ((proposal = g_queue_pop_head(queue)))
+		drop(proposer, proposal, reason);
+}
+
+/*
+ * Our entry was removed from the roster. All records of this incarnation at
+ * later offsets are ignored, and earlier ones were read back.
+ */
+static void drop_all(struct proposer *proposer)
+{
+	const char *reason = "entry is no longer on the roster";
+
+	for (guint i = 0; i < proposer->batch->len; i++) {
+		struct proposal *proposal = proposer->batch->pdata[i];
+
+		if (!proposal->seen)
+			drop_record(proposer, proposal->record, reason);
+	}
+	g_ptr_array_set_size(proposer->batch, 0);
+	proposer->state = BATCH_NONE;
+	proposer->tainted = false;
+	drop_queue(proposer, &proposer->queue.claims, reason);
+	drop_queue(proposer, &proposer->queue.others, reason);
+}
+
+static void check_membership(struct proposer *proposer)
+{
+	const struct fleet *fleet = kernel_fleet(proposer->kernel);
+	bool member = own_entry(proposer) != NULL;
+
+	append_rate_set(&proposer->rate, fleet_entries(fleet)->len);
+	if (proposer->was_member && !member)
+		drop_all(proposer);
+	proposer->was_member = member;
+}
+
+/* A snapshot replaced the state, so some records are not read one by one. */
+static void on_reset(struct proposer *proposer)
+{
+	const struct fleet_entry *entry = own_entry(proposer);
+
+	for (guint i = 0; entry && i < proposer->batch->len; i++) {
+		struct proposal *proposal = proposer->batch->pdata[i];
+
+		if (proposal->record->id.sequence <= entry->last_sequence)
+			proposal->seen = true;
+	}
+}
+
+static void on_propose(struct proposer *proposer, const struct event *event)
+{
+	struct record *record = event->record.record;
+
+	if (proposal_queue_count(&proposer->queue) >= QUEUE_MAX_COUNT) {
+		drop_record(proposer, record, "queue of proposals is full");
+		return;
+	}
+	proposal_queue_add(&proposer->queue,
+			   proposal_new(record,
+					kernel_now_us(proposer->kernel)));
+}
+
+static int64_t expire_queue(struct proposer *proposer, GQueue *queue)
+{
+	int64_t now_us = kernel_now_us(proposer->kernel);
+	struct proposal *proposal;
+
+	while ((proposal = g_queue_peek_head(queue))) {
+		if (proposal->expires_us > now_us)
+			return proposal->expires_us;
+		g_queue_pop_head(queue);
+		drop(proposer, proposal, "log was unreachable for too long");
+	}
+	return DEADLINE_NEVER_US;
+}
+
+/* Drops what is too old, and asks again where no answer has come. */
+static void check_deadlines(struct proposer *proposer)
+{
+	if (proposer->state == BATCH_NONE ||
+	    proposer->state == BATCH_READING ||
+	    kernel_now_us(proposer->kernel) < proposer->state_until_us)
+		return;
+	if (proposer->state == BATCH_SENT)
+		append_unknown(proposer);
+	else
+		ask(proposer);
+}
+
+static void arm(struct proposer *proposer)
+{
+	int64_t next_us = DEADLINE_NEVER_US;
+
+	if (!proposer->reachable) {
+		next_us = expire_queue(proposer, &proposer->queue.claims);
+		next_us = MIN(next_us, expire_queue(proposer,
+						    &proposer->queue.others));
+	} else if (may_send(proposer) && has_sendable(proposer)) {
+		next_us = next_append_us(proposer);
+	} else if (proposer->state == BATCH_READING) {
+		next_us = MAX(append_rate_next_us(&proposer->rate),
+			      proposer->backoff_until_us);
+		if (next_us <= kernel_now_us(proposer->kernel))
+			next_us = DEADLINE_NEVER_US;
+	}
+	if (proposer->state != BATCH_NONE && proposer->state != BATCH_READING)
+		next_us = MIN(next_us, proposer->state_until_us);
+	if (next_us != DEADLINE_NEVER_US)
+		kernel_wake_at(proposer->kernel, next_us);
+}
+
+static void proposer_handle(void *self, const struct event *event)
+{
+	struct proposer *proposer = self;
+
+	switch (event->type) {
+	case EVENT_PROPOSE:
+		on_propose(proposer, event);
+		break;
+	case EVENT_LOG_APPENDED:
+		on_appended(proposer, event);
+		break;
+	case EVENT_LOG_STATE:
+		on_log_state(proposer, event);
+		break;
+	case EVENT_FLEET_CHANGED:
+		proposals_mark_seen(proposer->batch, &event->record.record->id);
+		proposals_mark_seen(proposer->confirmed, &event->record.record->id);
+		check_membership(proposer);
+		break;
+	case EVENT_FLEET_RESET:
+		on_reset(proposer);
+		check_membership(proposer);
+		break;
+	default:
+		break;
+	}
+	forget_read_back(proposer);
+	check_deadlines(proposer);
+	check_reading(proposer);
+	try_send(proposer);
+	arm(proposer);
+}
+
+static const struct plugin proposer_plugin = {
+	.name = "proposer",
+	.kind = PLUGIN_DECIDE,
+	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_PROPOSE) |
+		 EVENT_BIT(EVENT_LOG_APPENDED) | EVENT_BIT(EVENT_LOG_STATE) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET),
+	.init = proposer_init,
+	.handle = proposer_handle,
+	.fini = proposer_fini,
+};
+
+PLUGIN_REGISTER(proposer_plugin)
--- /dev/null
+++ b/src/decide/proposer_queue.c
@@ -0,0 +1,179 @@
+#include "decide/proposer_queue.h"
+
+/* Appends a second: of one entry instance, and of all of them together. */
+#define ENTRY_APPENDS_PER_S 20
+#define TOTAL_APPENDS_PER_S 200
+/* Appends that an entry instance may send at once after a quiet time. */
+#define BURST_APPENDS 4
+
+/* A proposal that was not sent for so long is stale once the log is back. */
+#define EXPIRES_US (30 * USEC_PER_SEC)
+/* Planner records that were held for longer than the lease may be fenced. */
+#define LEASE_US (6 * USEC_PER_SEC)
+
+struct proposal *proposal_new(struct record *record, int64_t now_us)
+{
+	struct proposal *proposal = g_new0(struct proposal, 1);
+
+	proposal->record = record_ref(record);
+	proposal->queued_us = now_us;
+	proposal->expires_us = now_us + EXPIRES_US;
+	return proposal;
+}
+
+void proposal_free(gpointer data)
+{
+	struct proposal *proposal = data;
+
+	record_unref(proposal->record);
+	g_free(proposal);
+}
+
+void proposals_release(GPtrArray *proposals)
+{
+	g_ptr_array_set_free_func(proposals, NULL);
+	g_ptr_array_set_size(proposals, 0);
+	g_ptr_array_set_free_func(proposals, proposal_free);
+}
+
+bool proposals_all_seen(const GPtrArray *proposals)
+{
+	for (guint i = 0; i < proposals->len; i++) {
+		const struct proposal *proposal = proposals->pdata[i];
+
+		if (!proposal->seen)
+			return false;
+	}
+	return true;
+}
+
+void proposals_mark_seen(GPtrArray *proposals, const struct record_id *id)
+{
+	for (guint i = 0; i < proposals->len; i++) {
+		struct proposal *proposal = proposals->pdata[i];
+
+		if (record_id_equal(&proposal->record->id, id))
+			proposal->seen = true;
+	}
+}
+
+/* Fencing token of a planner record; false for records of other kinds. */
+static bool planner_token(const struct record *record, uint64_t *token)
+{
+	switch (record->kind) {
+	case RECORD_LEASE_RENEW:
+		*token = record->lease.token;
+		return true;
+	case RECORD_MOVE_START:
+	case RECORD_MOVE_COMMIT ... RECORD_MAINT_DONE:
+	case RECORD_INSTANCE_DOWN:
+	case RECORD_INSTANCE_UP:
+		*token = record->instance.token;
+		return true;
+	case RECORD_JOB_PLACE ... RECORD_JOB_END:
+	case RECORD_JOB_SET_ASIDE:
+		*token = record->job.token;
+		return true;
+	default:
+		return false;
+	}
+}
+
+const char *proposal_stale_reason(const struct proposal *proposal,
+				  const struct fleet *fleet, int64_t now_us)
+{
+	const struct record *record = proposal->record;
+	const struct fleet_instance *instance;
+	const struct fleet_entry *entry;
+	uint64_t token;
+
+	if (planner_token(record, &token)) {
+		if (token != fleet_lease(fleet)->token)
+			return "lease token is no longer current";
+		if (now_us - proposal->queued_us > LEASE_US)
+			return "held longer than the planner lease";
+	}
+	if (record->kind == RECORD_DRAIN_ACK) {
+		instance = fleet_instance(fleet, record->instance.instance);
+		if (!instance ||
+		    instance->drain_offset != record->instance.drain_offset)
+			return "instance is not in this drain";
+	}
+	if (record->kind == RECORD_ENTRY_GONE) {
+		entry = fleet_entry(fleet, record->entry.name);
+		if (!entry ||
+		    entry->decl.incarnation != record->entry.incarnation)
+			return "entry is not on the roster";
+	}
+	return NULL;
+}
+
+static GQueue *queue_of(struct proposal_queue *queue,
+			const struct proposal *proposal)
+{
+	return proposal->record->kind == RECORD_CLAIM ? &queue->claims
+						      : &queue->others;
+}
+
+uint32_t proposal_queue_count(const struct proposal_queue *queue)
+{
+	return queue->claims.length + queue->others.length;
+}
+
+void proposal_queue_add(struct proposal_queue *queue, struct proposal *proposal)
+{
+	g_queue_push_tail(queue_of(queue, proposal), proposal);
+}
+
+void proposal_queue_restore(struct proposal_queue *queue, GPtrArray *batch)
+{
+	for (guint i = batch->len; i > 0; i--) {
+		struct proposal *proposal = batch->pdata[i - 1];
+
+		g_queue_push_head(queue_of(queue, proposal), proposal);
+	}
+	proposals_release(batch);
+}
+
+void proposal_queue_clear(struct proposal_queue *queue)
+{
+	g_queue_clear_full(&queue->claims, proposal_free);
+	g_queue_clear_full(&queue->others, proposal_free);
+}
+
+/*
+ * Any window of one second holds at most ENTRY_APPENDS_PER_S appends of one
+ * entry instance and TOTAL_APPENDS_PER_S of all: the depth of the buckets and
+ * what flows into them in a second add up to these numbers.
+ */
+void append_rate_set(struct append_rate *rate, uint32_t entry_count)
+{
+	int64_t count = CLAMP(entry_count, 1, TOTAL_APPENDS_PER_S / 2);
+	int64_t burst = CLAMP(BURST_APPENDS *
+				      (TOTAL_APPENDS_PER_S /
+				       ENTRY_APPENDS_PER_S) /
+				      count,
+			      1, BURST_APPENDS);
+	int64_t own_us = USEC_PER_SEC / (ENTRY_APPENDS_PER_S - burst);
+	int64_t shared_us =
+		count * USEC_PER_SEC / (TOTAL_APPENDS_PER_S - count * burst);
+
+	rate->interval_us = MAX(own_us, shared_us);
+	rate->burst_us = (burst - 1) * rate->interval_us;
+}
+
+int64_t append_rate_next_us(const struct append_rate *rate)
+{
+	return rate->full_us - rate->burst_us;
+}
+
+void append_rate_take(struct append_rate *rate, int64_t now_us)
+{
+	rate->full_us = MAX(rate->full_us, now_us) + rate->interval_us;
+}
+
+void append_rate_empty(struct append_rate *rate, int64_t now_us)
+{
+	rate->full_us = MAX(rate->full_us,
+			    now_us + rate->burst_us + rate->interval_us);
+}
--- /dev/null
+++ b/src/decide/proposer_queue.h
@@ -0,0 +1,65 @@
+#ifndef DECIDE_PROPOSER_QUEUE_H
+#define DECIDE_PROPOSER_QUEUE_H
+
+/* The proposer's bounded queue of records and the rate of its appends. */
+
+#include "kernel/kernel.h"
+
+#define QUEUE_MAX_COUNT 1024
+#define BATCH_MAX_COUNT 64
+
+struct proposal {
+	struct record *record; /* owned */
+	int64_t queued_us;
+	int64_t expires_us; /* while the log is unreachable */
+	uint64_t offset;    /* in the log, once an append has succeeded */
+	bool seen;	    /* read back from the log */
+};
+
+struct proposal *proposal_new(struct record *record, int64_t now_us);
+void proposal_free(gpointer data);
+
+/* Why a record must not be sent any more, or NULL. */
+const char *proposal_stale_reason(const struct proposal *proposal,
+				  const struct fleet *fleet, int64_t now_us);
+
+/* Empties an array of proposals without freeing them. */
+void proposals_release(GPtrArray *proposals);
+bool proposals_all_seen(const GPtrArray *proposals);
+void proposals_mark_seen(GPtrArray *proposals, const struct record_id *id);
+
+/* Claims have a queue of their own: they are sent more often. */
+struct proposal_queue {
+	GQueue claims; /* of struct proposal */
+	GQueue others;
+};
+
+uint32_t proposal_queue_count(const struct proposal_queue *queue);
+void proposal_queue_add(struct proposal_queue *queue,
+			struct proposal *proposal);
+
+/* Puts back what was taken, before everything else of its kind. */
+void proposal_queue_restore(struct proposal_queue *queue, GPtrArray *batch);
+void proposal_queue_clear(struct proposal_queue *queue);
+
+/*
+ * Token bucket of appends, as the time at which the bucket is full again
+ * (generic cell rate algorithm).
+ */
+struct append_rate {
+	int64_t full_us;
+	int64_t interval_us; /* between appends in the long run */
+	int64_t burst_us;    /* depth of the bucket, as a time */
+};
+
+/* Sets the rate by the number of entry instances on the roster. */
+void append_rate_set(struct append_rate *rate, uint32_t entry_count);
+
+/* Earliest time of the next append. */
+int64_t append_rate_next_us(const struct append_rate *rate);
+void append_rate_take(struct append_rate *rate, int64_t now_us);
+
+/* Empties the bucket, so that an outage is not followed by a burst. */
+void append_rate_empty(struct append_rate *rate, int64_t now_us);
+
+#endif
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -44,7 +44,16 @@
 /* Queues an event and takes over what it owns. */
 void kernel_emit(struct kernel *kernel, const struct event *event);
 
-/* Sets both clocks. now_us is monotonic, wall_us counts from 1970 in UTC. */
+/*
+ * A process that wakes so long after a stored deadline was paused. It is less
+ * than the time after which others may remove it from the roster.
+ */
+#define KERNEL_PAUSE_US (5 * USEC_PER_SEC)
+
+/*
+ * Sets both clocks. now_us is monotonic, wall_us counts from 1970 in UTC.
+ * After a pause, EVENT_RESUMED comes before the events that have piled up.
+ */
 void kernel_set_time(struct kernel *kernel, int64_t now_us, int64_t wall_us);
 
 /* Delivers queued events, and EVENT_WAKE if a deadline has passed. */
