Script the router's rules, and limit retries and doomed dispatches

Scripts of deadlines, retries, late answers, floods, lending, drain and health show three faults: one request could use up the whole retry budget of its member and pool, ping-pong between two endpoints, and be dispatched with less time left than its service takes.

A request gets at most two retries, each at an endpoint that it has not tried. A request that has waited is refused as not run if its usual service time passes its deadline. The runner relays requests between nodes and counts replies by member.

--- a/src/decide/router.c
+++ b/src/decide/router.c
@@ -154,6 +154,7 @@
 	if (!admit(router, route))
 		return;
 	route->phase = ROUTE_QUEUED;
+	route->queued_us = kernel_now_us(router->kernel);
 	router_route_wait(router, route);
 	if (!service->decl.idempotent && route->key[0] && !route->relayed)
 		want_claim(router, route);
--- a/src/decide/router.h
+++ b/src/decide/router.h
@@ -10,6 +10,9 @@
 
 #define ROUTER_RETRY_AFTER_US USEC_PER_SEC
 
+/* Retries of one request, so that it can't use up the budget of others. */
+#define ROUTER_RETRY_MAX_COUNT 2
+
 enum route_phase {
 	ROUTE_CLAIMING, /* waits for EVENT_CLAIM_DECIDED */
 	ROUTE_QUEUED,
@@ -64,14 +67,22 @@
 	struct router_service *service;
 	struct router_pool *pool;
 	struct router_member *member;
+	/* Retries of one request, so that it can't use up the budget of others.
+	 */
+#define ROUTER_RETRY_MAX_COUNT 2
+
 	enum route_phase phase;
-	bool relayed; /* came from another entry instance */
+	int64_t queued_us; /* when it was put into the queue */
+	bool relayed;	   /* came from another entry instance */
 	char key[KEY_SIZE_BYTES];
 	GSequenceIter *deadline_at; /* NULL while it runs */
 	/* The latest attempt: */
 	uint32_t attempt;
 	char endpoint[NAME_SIZE_BYTES];
 	bool attempt_relayed;
+	/* Endpoints of earlier attempts, which a retry avoids. */
+	char tried[ROUTER_RETRY_MAX_COUNT][NAME_SIZE_BYTES];
+	uint32_t retry_count;
 	uint32_t relay_count; /* attempts that were relayed */
 	/* Of all attempts that have ended: */
 	enum verdict verdict; /* VERDICT_NONE before the first */
@@ -90,6 +101,7 @@
 	REFUSAL_DROPPED,
 	REFUSAL_TOO_LATE,
 	REFUSAL_DEADLINE,
+	REFUSAL_HOPELESS,
 	REFUSAL_NO_ENDPOINT,
 	REFUSAL_CLAIM,
 	REFUSAL_GONE,
--- a/src/decide/router_dispatch.c
+++ b/src/decide/router_dispatch.c
@@ -73,7 +73,7 @@
 /* Where the next attempt of a request can go; one of the two is set. */
 struct place {
 	struct router *router;
-	const char *avoid; /* name of an endpoint, or NULL */
+	const char *avoid[ROUTER_RETRY_MAX_COUNT + 1]; /* up to a NULL */
 	struct choice_endpoint *endpoint;
 	struct router_peer *peer;
 };
@@ -115,8 +115,8 @@
 	       !instance->down;
 }
 
-static struct choice_endpoint *pick(struct router *router,
-				    struct router_pool *pool, const char *avoid)
+static struct choice_endpoint *
+pick(struct router *router, struct router_pool *pool, const char *const *avoid)
 {
 	GRand *random = kernel_random(router->kernel);
 	struct choice_endpoint *endpoint =
@@ -152,6 +152,18 @@
 	return find_place((const struct route *)item, data);
 }
 
+/*
+ * Whether a request that has waited would be cut off before its usual
+ * service time, which wastes the slot and leaves its verdict open.
+ */
+static bool is_hopeless(const struct router *router, const struct route *route)
+{
+	int64_t now_us = kernel_now_us(router->kernel);
+
+	return now_us > route->queued_us &&
+	       now_us + route->service->service_us > route->item.deadline_us;
+}
+
 void router_dispatch(struct router *router, struct router_pool *pool)
 {
 	struct place place = { .router = router };
@@ -159,6 +171,11 @@
 
 	while ((item = router->admission->peek(pool->queue, can_place,
 					       &place))) {
+		if (is_hopeless(router, (struct route *)item)) {
+			router_refuse(router, (struct route *)item,
+				      REFUSAL_HOPELESS);
+			continue;
+		}
 		router->admission->take(pool->queue, item);
 		send_to(router, (struct route *)item, &place);
 	}
@@ -239,6 +256,7 @@
 static void queue_again(struct router *router, struct route *route)
 {
 	route->phase = ROUTE_QUEUED;
+	route->queued_us = kernel_now_us(router->kernel);
 	router->admission->put_back(route->pool->queue, &route->item);
 	router_route_wait(router, route);
 }
@@ -266,7 +284,7 @@
 static bool try_again(struct router *router, struct route *route,
 		      const struct event_attempt *attempt)
 {
-	struct place place = { .router = router, .avoid = attempt->endpoint };
+	struct place place = { .router = router };
 	bool found;
 
 	if (route->cancelled || !is_failure(attempt))
@@ -275,11 +293,19 @@
 		queue_again(router, route);
 		return true;
 	}
+	if (route->retry_count == ROUTER_RETRY_MAX_COUNT)
+		return false;
+	name_copy(route->tried[route->retry_count], NAME_SIZE_BYTES,
+		  attempt->endpoint);
+	for (uint32_t i = 0; i <= route->retry_count; i++)
+		place.avoid[i] = route->tried[i];
 	found = find_place(route, &place);
-	if (!found && route->verdict != VERDICT_NOT_RUN)
+	if (!found && (route->verdict != VERDICT_NOT_RUN ||
+		       route->pool->choice->open_count))
 		return false;
 	if (!may_retry(router, route))
 		return false;
+	route->retry_count++;
 	counter_add(kernel_counters(router->kernel), "retries_total", 1);
 	if (found)
 		send_to(router, route, &place);
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -38,7 +38,7 @@
 enum admission_answer {
 	ADMISSION_QUEUED,
 	ADMISSION_FULL,
-	ADMISSION_TOO_LATE, /* would wait past its deadline */
+	ADMISSION_TOO_LATE, /* would not end before its deadline */
 };
 
 /* Whether an item can be dispatched now. */
--- a/src/policy/admission_fair.c
+++ b/src/policy/admission_fair.c
@@ -183,7 +183,8 @@
  * slots, but no more than all work that is as urgent.
  */
 static int64_t expected_wait_us(const struct fair *fair,
-				const struct flow *flow, uint32_t urgency,
+				const struct flow *flow,
+				const struct admission_item *item,
 				const struct admission_load *load)
 {
 	uint64_t active_weight = fair->active_weight;
@@ -194,12 +195,13 @@
 		return 0;
 	if (!flow->queued_count)
 		active_weight += flow->weight;
-	for (uint32_t i = 0; i <= urgency; i++) {
+	for (uint32_t i = 0; i <= item->urgency; i++) {
 		own_us += flow->work_us[i];
 		all_us += fair->work_us[i];
 	}
 	own_us = own_us * (int64_t)active_weight / flow->weight;
-	return MIN(own_us, all_us) / load->slot_count;
+	/* The attempts in flight end one after the other. */
+	return (MIN(own_us, all_us) + item->cost_us) / load->slot_count;
 }
 
 /* The latest of the member's least urgent items below an urgency. */
@@ -220,11 +222,13 @@
 {
 	struct fair *fair = queue;
 	struct flow *flow = flow_of(fair, item);
+	int64_t wait_us;
 
 	*dropped = NULL;
 	item->flow = flow;
-	if (load->now_us + expected_wait_us(fair, flow, item->urgency, load) >
-	    item->deadline_us)
+	wait_us = expected_wait_us(fair, flow, item, load);
+	if (wait_us &&
+	    load->now_us + wait_us + item->cost_us > item->deadline_us)
 		return ADMISSION_TOO_LATE;
 	if (flow->queued_count + flow->held_count >=
 	    ADMISSION_MEMBER_MAX_COUNT) {
--- a/src/policy/choice.c
+++ b/src/policy/choice.c
@@ -1,5 +1,7 @@
 #include "policy/choice.h"
 
+#include <string.h>
+
 static void endpoint_free(gpointer data)
 {
 	g_free(data);
@@ -104,3 +106,13 @@
 	choice_refresh(endpoint);
 	return NULL;
 }
+
+bool choice_is_avoided(const struct choice_endpoint *endpoint,
+		       const char *const *avoid)
+{
+	for (; *avoid; avoid++) {
+		if (!strcmp(*avoid, endpoint->state->name))
+			return true;
+	}
+	return false;
+}
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -33,11 +33,12 @@
 
 struct choice_ops {
 	/*
-	 * An endpoint with a free slot, or NULL. avoid: name of an endpoint
-	 * that is not wanted, or NULL.
+	 * An endpoint with a free slot, or NULL. avoid: names of endpoints
+	 * that are not wanted, up to a NULL.
 	 */
 	struct choice_endpoint *(*pick)(struct choice_pool *pool,
-					const char *avoid, GRand *random);
+					const char *const *avoid,
+					GRand *random);
 };
 
 struct choice_pool *choice_pool_new(void);
@@ -54,6 +55,9 @@
 /* Takes no further attempt until the next change of its state. */
 void choice_close(struct choice_endpoint *endpoint);
 
+bool choice_is_avoided(const struct choice_endpoint *endpoint,
+		       const char *const *avoid);
+
 /* Number of attempts that the endpoint may take now. */
 uint32_t choice_free_count(const struct endpoint_state *state);
 
--- a/src/policy/choice_least.c
+++ b/src/policy/choice_least.c
@@ -3,8 +3,6 @@
  * that is expected to answer first.
  */
 
-#include <string.h>
-
 #include "kernel/plugin.h"
 #include "policy/choice.h"
 
@@ -52,13 +50,27 @@
 	return NULL;
 }
 
-static bool is_named(const struct choice_endpoint *endpoint, const char *name)
+/* Looks through the pool, which only a retry needs. */
+static struct choice_endpoint *first_wanted(struct choice_pool *pool,
+					    const char *const *avoid)
 {
-	return endpoint && name && !strcmp(endpoint->state->name, name);
+	uint32_t index = 0;
+
+	while (index < pool->open_count) {
+		struct choice_endpoint *endpoint =
+			choice_pool_open(pool, index);
+
+		if (endpoint && !choice_is_avoided(endpoint, avoid))
+			return endpoint;
+		/* A closed endpoint has given its place to another one. */
+		if (endpoint)
+			index++;
+	}
+	return NULL;
 }
 
-static struct choice_endpoint *least_pick(struct choice_pool *pool,
-					  const char *avoid, GRand *random)
+static struct choice_endpoint *
+least_pick(struct choice_pool *pool, const char *const *avoid, GRand *random)
 {
 	struct choice_endpoint *first = draw(pool, UINT32_MAX, random);
 	struct choice_endpoint *second;
@@ -66,11 +78,15 @@
 	if (!first)
 		return NULL;
 	second = draw(pool, first->place, random);
-	if (is_named(first, avoid))
-		return second;
-	if (!second || is_named(second, avoid))
-		return first;
-	return better(first, second);
+	if (choice_is_avoided(first, avoid))
+		first = NULL;
+	if (second && choice_is_avoided(second, avoid))
+		second = NULL;
+	if (first && second)
+		return better(first, second);
+	if (first || second)
+		return first ? first : second;
+	return first_wanted(pool, avoid);
 }
 
 static const struct choice_ops least_ops = {
--- a/src/policy/choice_round_robin.c
+++ b/src/policy/choice_round_robin.c
@@ -1,12 +1,11 @@
 /* Baseline: the endpoints with a free slot in turn. */
 
-#include <string.h>
-
 #include "kernel/plugin.h"
 #include "policy/choice.h"
 
-static struct choice_endpoint *
-round_robin_pick(struct choice_pool *pool, const char *avoid, GRand *random)
+static struct choice_endpoint *round_robin_pick(struct choice_pool *pool,
+						const char *const *avoid,
+						GRand *random)
 {
 	uint32_t skipped_count = 0;
 
@@ -18,7 +17,7 @@
 
 		if (!endpoint)
 			continue;
-		if (!avoid || strcmp(endpoint->state->name, avoid) != 0)
+		if (!choice_is_avoided(endpoint, avoid))
 			return endpoint;
 		skipped_count++;
 	}
--- a/test/runner/checks.c
+++ b/test/runner/checks.c
@@ -83,6 +83,32 @@
 				node->name, node->incarnation, request->id));
 }
 
+/* Counts a reply to a caller; a relayed request has none here. */
+static void count_reply(struct world *world, struct node *node,
+			const struct event_request *reply)
+{
+	const struct request *request =
+		request_get(kernel_requests(node->kernel), reply->request_id);
+	const struct decl_service *service;
+	uint32_t *counts;
+
+	if (request && request->relayed)
+		return;
+	world->reply_counts[reply->verdict]++;
+	service =
+		request ? fleet_route(kernel_fleet(node->kernel), request->path)
+			: NULL;
+	if (!service)
+		return;
+	counts = g_tree_lookup(world->member_counts, service->member);
+	if (!counts) {
+		counts = g_new0(uint32_t, VERDICT_COUNT);
+		g_tree_insert(world->member_counts, g_strdup(service->member),
+			      counts);
+	}
+	counts[reply->verdict]++;
+}
+
 void check_reply(struct world *world, struct node *node,
 		 const struct event *event)
 {
@@ -91,7 +117,7 @@
 		"%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, node->name,
 		node->incarnation, reply->request_id);
 
-	world->reply_counts[reply->verdict]++;
+	count_reply(world, node, reply);
 	world->reply_hash = world->reply_hash * UINT64_C(1099511628211) +
 			    reply->request_id * VERDICT_COUNT + reply->verdict;
 	if (!request_get(kernel_requests(node->kernel), reply->request_id))
--- /dev/null
+++ b/test/runner/relay.c
@@ -0,0 +1,128 @@
+/* Fake of the HTTP hop by which one node passes a request on to another. */
+
+#include "runner/world.h"
+
+/* The attempt that waits for the reply to a relayed request. */
+struct relay {
+	struct node *from;
+	uint64_t from_incarnation;
+	struct event_attempt attempt;
+};
+
+static void end_relay(struct world *world, const struct relay *relay,
+		      const struct event *done)
+{
+	if (relay->from->incarnation == relay->from_incarnation)
+		world_schedule(world, world->now_us + world->peer_delay_us,
+			       relay->from, done);
+}
+
+static struct event done_event(const struct event_attempt *attempt,
+			       enum attempt_result result, enum verdict verdict)
+{
+	struct event done = {
+		.type = EVENT_ATTEMPT_DONE,
+		.attempt = *attempt,
+	};
+
+	done.attempt.result = result;
+	done.attempt.verdict = verdict;
+	return done;
+}
+
+static void copy_request(struct request *to, const struct request *from,
+			 const struct event_attempt *attempt)
+{
+	name_copy(to->method, sizeof(to->method), from->method);
+	name_copy(to->key, sizeof(to->key), from->key);
+	to->path = g_strdup(from->path);
+	to->relayed = true;
+	to->deadline_us = attempt->deadline_us;
+}
+
+/* Delivers a relayed request to the node that the attempt names. */
+void relay_send(struct world *world, struct node *node,
+		const struct event *event)
+{
+	const struct event_attempt *attempt = &event->attempt;
+	const struct request *request =
+		request_get(kernel_requests(node->kernel), attempt->request_id);
+	struct node *to = world_node(world, attempt->endpoint);
+	struct event arrived = { .type = EVENT_REQUEST_NEW };
+	struct event late =
+		done_event(attempt, ATTEMPT_TIMED_OUT, VERDICT_MAY_HAVE_RUN);
+	struct relay relay = { node, node->incarnation, *attempt };
+	struct request *copy;
+
+	if (!to || !to->kernel ||
+	    g_hash_table_contains(node->peer_cuts, attempt->endpoint)) {
+		late = done_event(attempt, ATTEMPT_REFUSED, VERDICT_NOT_RUN);
+		end_relay(world, &relay, &late);
+		return;
+	}
+	copy = request_add(kernel_requests(to->kernel));
+	copy_request(copy, request, attempt);
+	copy->arrived_us = world->now_us + 1 + world->peer_delay_us;
+	g_hash_table_insert(
+		to->request_names, g_memdup2(&copy->id, sizeof(copy->id)),
+		g_strdup(g_hash_table_lookup(node->request_names,
+					     &attempt->request_id)));
+	g_hash_table_insert(to->relays, g_memdup2(&copy->id, sizeof(copy->id)),
+			    g_memdup2(&relay, sizeof(relay)));
+	arrived.request.request_id = copy->id;
+	world_schedule(world, world->now_us + world->peer_delay_us, to,
+		       &arrived);
+	/* If the reply comes first, the router drops this one as stale. */
+	world_schedule(world, attempt->deadline_us - 1, node, &late);
+}
+
+/* Carries the reply to a relayed request back. */
+void relay_reply(struct world *world, struct node *node,
+		 const struct event *event)
+{
+	const struct event_request *reply = &event->request;
+	const struct relay *relay =
+		g_hash_table_lookup(node->relays, &reply->request_id);
+	struct event done;
+
+	if (!relay)
+		return;
+	done = done_event(&relay->attempt, ATTEMPT_ANSWERED, reply->verdict);
+	done.attempt.status = reply->status;
+	done.attempt.latency_us = 2 * world->peer_delay_us +
+				  (event->answer ? world->service_us : 0);
+	done.answer = event->answer
+			      ? answer_ref(event->answer)
+			      : answer_new(reply->status, "application/json",
+					   g_bytes_new_static("{}", 2));
+	end_relay(world, relay, &done);
+	g_hash_table_remove(node->relays, &reply->request_id);
+}
+
+/* The connection is closed, which the other node sees as a lost caller. */
+void relay_cancel(struct world *world, struct node *node,
+		  const struct event *event)
+{
+	struct event done = done_event(&event->attempt, ATTEMPT_CANCELLED,
+				       VERDICT_MAY_HAVE_RUN);
+	struct node *to = world_node(world, event->attempt.endpoint);
+	struct event gone = { .type = EVENT_REQUEST_GONE };
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	world_schedule(world, world->now_us, node, &done);
+	if (!to || !to->kernel)
+		return;
+	g_hash_table_iter_init(&iter, to->relays);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct relay *relay = value;
+
+		if (relay->from != node ||
+		    relay->attempt.request_id != event->attempt.request_id)
+			continue;
+		gone.request.request_id = *(uint64_t *)key;
+		world_schedule(world, world->now_us + world->peer_delay_us, to,
+			       &gone);
+	}
+}
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -695,10 +695,30 @@
 		    world->reply_counts[VERDICT_MAY_HAVE_RUN]);
 }
 
+static gboolean print_member(gpointer key, gpointer value, gpointer data)
+{
+	const uint32_t *counts = value;
+	struct world *world = data;
+
+	world_print(world, "%10.3f %s not-run %u ran %u may-have-run %u",
+		    (double)world->now_us / USEC_PER_MSEC, (const char *)key,
+		    counts[VERDICT_NOT_RUN], counts[VERDICT_RAN],
+		    counts[VERDICT_MAY_HAVE_RUN]);
+	return FALSE;
+}
+
+/* members: replies to the callers of each member */
+static void cmd_members(struct script *script)
+{
+	g_tree_foreach(script->world->member_counts, print_member,
+		       script->world);
+}
+
 static void cmd_reset(struct script *script)
 {
 	memset(script->world->reply_counts, 0,
 	       sizeof(script->world->reply_counts));
+	g_tree_remove_all(script->world->member_counts);
 }
 
 static const struct command commands[] = {
@@ -718,6 +738,7 @@
 	{ "list", 0, cmd_list },
 	{ "log", 1, cmd_log },
 	{ "node", 1, cmd_node },
+	{ "members", 0, cmd_members },
 	{ "note", 1, cmd_note },
 	{ "pause", 1, cmd_pause },
 	{ "print", 1, cmd_print },
--- a/test/runner/script_feed.c
+++ b/test/runner/script_feed.c
@@ -1,11 +1,10 @@
 /*
- * Commands that stand in for other decision plug-ins: configuration without
- * a proposer, slots without a slot owner, loads without heartbeats.
+ * Commands that stand in for other decision plug-ins, so that a script can
+ * bring the router into a state without the plug-in that would cause it.
  */
 
 #include <string.h>
 
-#include "codec/decl_yaml.h"
 #include "runner/world.h"
 
 struct feed {
@@ -51,66 +50,6 @@
 	return NULL;
 }
 
-/* Puts a record into the log as if the node had written it. */
-static void append(struct world *world, struct node *node,
-		   struct record *record)
-{
-	name_copy(record->id.entry, NAME_SIZE_BYTES, node->name);
-	record->id.incarnation = node->incarnation;
-	record->id.sequence = world->log->len + 1;
-	record->wall_us = world->wall_start_us + world->now_us;
-	g_ptr_array_add(world->log, record);
-}
-
-/* join NODE [address=A]: puts the node on the roster. */
-static void feed_join(struct feed *feed)
-{
-	struct node *node = running_node(feed);
-	const char *address = option(feed, "address");
-	struct record *record;
-
-	if (!node)
-		return;
-	record = record_new(RECORD_ENTRY_JOIN);
-	name_copy(record->entry.name, NAME_SIZE_BYTES, node->name);
-	record->entry.incarnation = node->incarnation;
-	name_copy(record->entry.dc, NAME_SIZE_BYTES, node->settings->dc);
-	name_copy(record->entry.caller_address, ADDRESS_SIZE_BYTES,
-		  address ? address : "127.0.0.1:1");
-	append(feed->world, node, record);
-	world_announce_log(feed->world);
-}
-
-/* feed NODE FILE: the node, which has joined, puts a file in force. */
-static void feed_file(struct feed *feed)
-{
-	struct node *node = running_node(feed);
-	struct record *record;
-	gsize size_bytes = 0;
-	gchar *text = NULL;
-	char *path;
-
-	if (!node)
-		return;
-	path = g_build_filename(feed->dir, feed->words[2], NULL);
-	record = record_new(RECORD_CONFIG_PUT);
-	if (g_file_get_contents(path, &text, &size_bytes, NULL))
-		record->config.decl = decl_parse(
-			feed->words[2], text, size_bytes, false, feed->errors);
-	g_free(text);
-	g_free(path);
-	if (!record->config.decl) {
-		fail(feed, "the file can't be read");
-		record_unref(record);
-		return;
-	}
-	name_copy(record->config.file, NAME_SIZE_BYTES, feed->words[2]);
-	fleet_file(kernel_fleet(node->kernel), feed->words[2],
-		   &record->config.base_offset);
-	append(feed->world, node, record);
-	world_announce_log(feed->world);
-}
-
 static void grant(struct world *world, struct node *node, const char *name,
 		  uint32_t count)
 {
@@ -232,15 +171,47 @@
 	world_inject(feed->world, node, &event);
 }
 
+static void add_request(struct feed *feed, struct node *node, uint64_t number,
+			int64_t at_us)
+{
+	struct request *request = request_add(kernel_requests(node->kernel));
+	struct event event = { .type = EVENT_REQUEST_NEW };
+
+	name_copy(request->method, sizeof(request->method), "GET");
+	request->path = g_strdup(option(feed, "path"));
+	request->arrived_us = at_us + 1;
+	g_hash_table_insert(node->request_names,
+			    g_memdup2(&request->id, sizeof(request->id)),
+			    g_strdup_printf("%s%" G_GUINT64_FORMAT,
+					    feed->words[2], number));
+	event.request.request_id = request->id;
+	world_schedule(feed->world, at_us, node, &event);
+}
+
+/* stream NODE PREFIX count=N every_us=N path=P: while other commands run. */
+static void feed_stream(struct feed *feed)
+{
+	struct node *node = running_node(feed);
+	uint64_t count = number(feed, "count");
+	int64_t every_us = (int64_t)number(feed, "every_us");
+
+	if (!option(feed, "path")) {
+		fail(feed, "a path is needed");
+		return;
+	}
+	for (uint64_t i = 0; node && i < count; i++)
+		add_request(feed, node, i + 1,
+			    feed->world->now_us + (int64_t)i * every_us);
+}
+
 static const struct feed_command {
 	const char *name;
 	uint32_t least_count; /* words after the name */
 	void (*run)(struct feed *feed);
 } commands[] = {
-	{ "claim", 3, feed_claim }, { "feed", 2, feed_file },
-	{ "grant", 3, feed_grant }, { "join", 1, feed_join },
+	{ "claim", 3, feed_claim }, { "grant", 3, feed_grant },
 	{ "load", 4, feed_load },   { "mark", 2, feed_mark },
-	{ "peer", 3, feed_peer },
+	{ "peer", 3, feed_peer },   { "stream", 4, feed_stream },
 };
 
 bool script_feed(struct world *world, const char *dir, gchar **words,
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -44,6 +44,12 @@
 	record_unref(data);
 }
 
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
 struct world *world_new(uint32_t seed)
 {
 	struct world *world = g_new0(struct world, 1);
@@ -63,6 +69,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->started =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->member_counts =
+		g_tree_new_full(compare_names, NULL, g_free, g_free);
 	world->output = g_string_new(NULL);
 	return world;
 }
@@ -76,6 +84,7 @@
 		settings_free(node->settings);
 		g_hash_table_unref(node->peer_cuts);
 		g_hash_table_unref(node->request_names);
+		g_hash_table_unref(node->relays);
 		g_free(node);
 	}
 	g_ptr_array_unref(world->nodes);
@@ -84,6 +93,7 @@
 	g_hash_table_unref(world->endpoints);
 	g_hash_table_unref(world->key_runs);
 	g_hash_table_unref(world->started);
+	g_tree_unref(world->member_counts);
 	g_string_free(world->output, TRUE);
 	g_free(world);
 }
@@ -282,6 +292,10 @@
 		world_endpoint(world, event->attempt.endpoint);
 	int64_t left_us = event->attempt.deadline_us - world->now_us - 1;
 
+	if (event->attempt.relayed) {
+		relay_send(world, node, event);
+		return;
+	}
 	check_send(world, node, event);
 	if (endpoint->mode == ENDPOINT_REFUSE) {
 		end_attempt(world, node, event, FAIL_US, ATTEMPT_REFUSED, 0);
@@ -339,6 +353,15 @@
 {
 	GSequenceIter *at = g_sequence_get_begin_iter(world->schedule);
 
+	if (event->attempt.relayed) {
+		relay_cancel(world, node, event);
+		return;
+	}
+	if (world_endpoint(world, event->attempt.endpoint)->mode ==
+	    ENDPOINT_MANUAL) {
+		end_attempt(world, node, event, 0, ATTEMPT_CANCELLED, 0);
+		return;
+	}
 	for (; !g_sequence_iter_is_end(at); at = g_sequence_iter_next(at)) {
 		const struct scheduled *item = g_sequence_get(at);
 
@@ -407,6 +430,7 @@
 		break;
 	case EVENT_REQUEST_REPLY:
 		check_reply(world, node, event);
+		relay_reply(world, node, event);
 		request_remove(kernel_requests(node->kernel),
 			       event->request.request_id);
 		break;
@@ -442,6 +466,8 @@
 		name_copy(node->settings->dc, NAME_SIZE_BYTES, dc);
 		node->peer_cuts = g_hash_table_new_full(g_str_hash, g_str_equal,
 							g_free, NULL);
+		node->relays = g_hash_table_new_full(
+			g_int64_hash, g_int64_equal, g_free, g_free);
 		node->request_names = g_hash_table_new_full(
 			g_int64_hash, g_int64_equal, g_free, g_free);
 		g_ptr_array_add(world->nodes, node);
@@ -466,6 +492,7 @@
 	kernel_free(node->kernel);
 	node->kernel = NULL;
 	g_hash_table_remove_all(node->request_names);
+	g_hash_table_remove_all(node->relays);
 }
 
 void world_set_paused(struct world *world, struct node *node, bool paused)
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -24,6 +24,7 @@
 	uint64_t read_offset;  /* next offset that the log client hands out */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
+	GHashTable *relays;	   /* request id -> struct relay */
 };
 
 enum endpoint_mode {
@@ -66,8 +67,9 @@
 	bool quiet;
 	GString *output;
 	uint32_t violation_count;
-	uint32_t reply_counts[VERDICT_COUNT];
-	uint64_t reply_hash; /* order of all replies, for repeatability */
+	uint32_t reply_counts[VERDICT_COUNT]; /* to callers */
+	GTree *member_counts; /* member -> uint32_t[VERDICT_COUNT] */
+	uint64_t reply_hash;  /* order of all replies, for repeatability */
 };
 
 struct world *world_new(uint32_t seed);
@@ -116,6 +118,14 @@
 void print_event(struct world *world, struct node *node,
 		 const struct event *event);
 
+/* relay.c: the hop between the nodes, as attempts of one of them. */
+void relay_send(struct world *world, struct node *node,
+		const struct event *event);
+void relay_reply(struct world *world, struct node *node,
+		 const struct event *event);
+void relay_cancel(struct world *world, struct node *node,
+		  const struct event *event);
+
 /* checks.c: invariants, on each event that a node emitted. */
 void check_send(struct world *world, struct node *node,
 		const struct event *event);
