Divide the slots of endpoints among the entry instances

Cause: allowed_count was never set, so that no endpoint could be used. Change: shares by rank of a hash of endpoint and entry; shares rise only after every other entry of the data centre has reported that it fits the newest roster, and after the longest timeout of entries that ended. Loans are acknowledged in both directions and name the incarnation that is meant. After a pause nothing is allowed until the log was read.

--- a/src/decide/cluster.c
+++ b/src/decide/cluster.c
@@ -22,9 +22,9 @@
 	struct peers *peers;
 	struct digest *mate_digest;
 	struct digest *remote_digest;
-	struct record *join;	/* until its outcome is known */
-	struct record *leave;	/* while it is pending */
-	struct record *gone;	/* while one is pending */
+	struct record *join;  /* until its outcome is known */
+	struct record *leave; /* while it is pending */
+	struct record *gone;  /* while one is pending */
 	bool joined;
 	bool fenced;
 	bool left;
@@ -32,9 +32,9 @@
 	int64_t next_beat_us;
 	int64_t leave_until_us;
 	uint32_t beat_count;
-	int64_t remote_round_us; /* start of the round of digests */
+	int64_t remote_round_us;    /* start of the round of digests */
 	uint32_t remote_sent_count; /* in this round */
-	GArray *remote_loads; /* of the round, may be NULL */
+	GArray *remote_loads;	    /* of the round, may be NULL */
 };
 
 static void *cluster_init(struct kernel *kernel)
@@ -83,8 +83,7 @@
 	kernel_emit(cluster->kernel, &event);
 }
 
-static struct record *own_record(struct cluster *cluster,
-				 enum record_kind kind)
+static struct record *own_record(struct cluster *cluster, enum record_kind kind)
 {
 	const struct settings *settings = kernel_settings(cluster->kernel);
 	struct record *record = record_new(kind);
@@ -116,8 +115,8 @@
 		fleet_entry(kernel_fleet(cluster->kernel),
 			    kernel_settings(cluster->kernel)->entry);
 
-	return entry && entry->decl.incarnation ==
-				kernel_incarnation(cluster->kernel);
+	return entry &&
+	       entry->decl.incarnation == kernel_incarnation(cluster->kernel);
 }
 
 /* Another incarnation took our place, or we were removed: stop. */
@@ -130,16 +129,14 @@
 	cluster->fenced = true;
 	klog_warn(LOG_PREFIX, "this process is not on the roster any more");
 	trace(cluster, "fenced: drains and ends");
-	event.drain.deadline_us =
-		kernel_now_us(cluster->kernel) +
-		kernel_settings(cluster->kernel)->drain_us;
+	event.drain.deadline_us = kernel_now_us(cluster->kernel) +
+				  kernel_settings(cluster->kernel)->drain_us;
 	kernel_emit(cluster->kernel, &event);
 }
 
 static void end_process(struct cluster *cluster)
 {
-	const GPtrArray *entries =
-		fleet_entries(kernel_fleet(cluster->kernel));
+	const GPtrArray *entries = fleet_entries(kernel_fleet(cluster->kernel));
 
 	if (cluster->left)
 		return;
@@ -150,9 +147,9 @@
 
 		if (strcmp(entry->decl.name,
 			   kernel_settings(cluster->kernel)->entry) != 0)
-			peer_out_send(cluster->kernel, entry->decl.name,
-				      peer_out_new(cluster->kernel,
-						   PEER_MSG_BYE));
+			peer_out_send(
+				cluster->kernel, entry->decl.name,
+				peer_out_new(cluster->kernel, PEER_MSG_BYE));
 	}
 	kernel_emit(cluster->kernel, &(struct event){ .type = EVENT_LEFT });
 }
@@ -199,13 +196,14 @@
 	peers_update(cluster->peers);
 }
 
-static void on_fleet_changed(struct cluster *cluster,
-			     const struct event *event)
+static void on_fleet_changed(struct cluster *cluster, const struct event *event)
 {
-	bool refused = is_outcome(cluster->join, event) &&
-		       !event->record.accepted;
+	bool refused =
+		is_outcome(cluster->join, event) && !event->record.accepted;
 
-	check_roster(cluster);
+	if (event->record.record->kind >= RECORD_ENTRY_JOIN &&
+	    event->record.record->kind <= RECORD_ENTRY_GONE)
+		check_roster(cluster);
 	if (is_outcome(cluster->join, event))
 		forget(&cluster->join);
 	if (is_outcome(cluster->gone, event))
@@ -242,8 +240,7 @@
 	peer_out_send(cluster->kernel, peer, msg);
 }
 
-static void beat_mates(struct cluster *cluster,
-		       const struct digest_plan *plan)
+static void beat_mates(struct cluster *cluster, const struct digest_plan *plan)
 {
 	const GPtrArray *mates = peers_mates(cluster->peers);
 	GArray *loads = NULL;
@@ -272,8 +269,7 @@
 }
 
 /* Spreads the digests for other data centres over the time of a round. */
-static void beat_remote(struct cluster *cluster,
-			const struct digest_plan *plan)
+static void beat_remote(struct cluster *cluster, const struct digest_plan *plan)
 {
 	const GPtrArray *remote = peers_remote(cluster->peers);
 	int64_t now_us = kernel_now_us(cluster->kernel);
@@ -284,9 +280,9 @@
 	if (!cluster->remote_round_us ||
 	    now_us - cluster->remote_round_us >= plan->remote_round_us)
 		start_remote_round(cluster, plan);
-	due_count = (uint32_t)((now_us - cluster->remote_round_us +
-				HEARTBEAT_US) *
-			       remote->len / plan->remote_round_us);
+	due_count =
+		(uint32_t)((now_us - cluster->remote_round_us + HEARTBEAT_US) *
+			   remote->len / plan->remote_round_us);
 	due_count = plan->remote_round_us == USEC_PER_SEC
 			    ? remote->len
 			    : MIN(due_count, remote->len);
@@ -318,9 +314,9 @@
 
 static void beat(struct cluster *cluster)
 {
-	struct digest_plan plan = digest_plan(
-		peers_mates(cluster->peers)->len,
-		peers_remote(cluster->peers)->len);
+	struct digest_plan plan =
+		digest_plan(peers_mates(cluster->peers)->len,
+			    peers_remote(cluster->peers)->len);
 	int64_t now_us = kernel_now_us(cluster->kernel);
 
 	if (now_us < cluster->next_beat_us)
@@ -337,8 +333,8 @@
 
 static void on_wake(struct cluster *cluster)
 {
-	if (cluster->leave && kernel_now_us(cluster->kernel) >=
-				      cluster->leave_until_us)
+	if (cluster->leave &&
+	    kernel_now_us(cluster->kernel) >= cluster->leave_until_us)
 		end_process(cluster);
 }
 
@@ -400,8 +396,7 @@
 	.kind = PLUGIN_DECIDE,
 	.takes = EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_WAKE) |
 		 EVENT_BIT(EVENT_RESUMED) | EVENT_BIT(EVENT_DRAINED) |
-		 EVENT_BIT(EVENT_FLEET_CHANGED) |
-		 EVENT_BIT(EVENT_FLEET_RESET) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
 		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
 		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_INSTANCE_LIST) |
 		 EVENT_BIT(EVENT_PEER_RECEIVED),
--- a/src/decide/cluster_digest.c
+++ b/src/decide/cluster_digest.c
@@ -63,8 +63,8 @@
 		    !state || state->leaving || state->ejected)
 			continue;
 		if (state->allowed_count > state->in_flight_count)
-			free_count += state->allowed_count -
-				      state->in_flight_count;
+			free_count +=
+				state->allowed_count - state->in_flight_count;
 	}
 	return free_count;
 }
@@ -180,8 +180,8 @@
 	size_bytes += varint_size_bytes(msg->applied_offset);
 	size_bytes += varint_size_bytes(msg->hlc);
 	for (guint i = 0; msg->loads && i < msg->loads->len; i++) {
-		const struct peer_pool_load *load = &g_array_index(
-			msg->loads, struct peer_pool_load, i);
+		const struct peer_pool_load *load =
+			&g_array_index(msg->loads, struct peer_pool_load, i);
 
 		size_bytes += 4 + (uint32_t)strlen(load->pool);
 		size_bytes += varint_size_bytes(load->free_slots_count);
--- a/src/decide/cluster_peers.c
+++ b/src/decide/cluster_peers.c
@@ -107,8 +107,8 @@
 	if (peer->state == state)
 		return;
 	peer->state = state;
-	g_snprintf(entry.text, sizeof(entry.text), "entry %s is %s",
-		   peer->name, names[state]);
+	g_snprintf(entry.text, sizeof(entry.text), "entry %s is %s", peer->name,
+		   names[state]);
 	timeline_add(kernel_timeline(peers->kernel), &entry);
 	name_copy(event.peer.peer, sizeof(event.peer.peer), peer->name);
 	event.peer.state = state;
@@ -258,8 +258,7 @@
 			const struct peer *peer = all->pdata[i];
 			bool nearer = !strcmp(peer->dc, gone->dc);
 
-			if (!is_live(peer) || peer == gone ||
-			    nearer < mate)
+			if (!is_live(peer) || peer == gone || nearer < mate)
 				continue;
 			rank += nearer > mate ||
 				strcmp(peer->name, own(peers)->entry) < 0;
--- a/src/decide/cluster_peers.h
+++ b/src/decide/cluster_peers.h
@@ -11,7 +11,7 @@
 	uint64_t incarnation;
 	enum peer_state state;
 	int64_t added_us;
-	int64_t heard_us; /* 0: never */
+	int64_t heard_us;      /* 0: never */
 	int64_t gone_since_us; /* silent and off the list; 0: no */
 	bool listed;	       /* was on the platform's list */
 	bool absent;	       /* was on it, and is not on the newest */
--- a/src/decide/proposer.c
+++ b/src/decide/proposer.c
@@ -118,7 +118,7 @@
 			    kernel_settings(proposer->kernel)->entry);
 
 	return entry && entry->decl.incarnation ==
-				kernel_incarnation(proposer->kernel)
+				       kernel_incarnation(proposer->kernel)
 		       ? entry
 		       : NULL;
 }
@@ -157,10 +157,9 @@
 {
 	bool member = own_entry(proposer) != NULL;
 	uint32_t left_count = BATCH_MAX_COUNT;
-	uint32_t kept_count =
-		others_due ? MIN(proposer->queue.others.length,
-				 OTHERS_PLACES_COUNT)
-			   : 0;
+	uint32_t kept_count = others_due ? MIN(proposer->queue.others.length,
+					       OTHERS_PLACES_COUNT)
+					 : 0;
 
 	left_count -= take(proposer, &proposer->queue.claims,
 			   left_count - kept_count, member);
@@ -229,8 +228,8 @@
 		next_us = MAX(proposer->last_other_us + OTHER_INTERVAL_US,
 			      proposer->last_append_us + CLAIM_INTERVAL_US);
 	if (proposer->queue.claims.length)
-		next_us = MIN(next_us, proposer->last_append_us +
-					       CLAIM_INTERVAL_US);
+		next_us = MIN(next_us,
+			      proposer->last_append_us + CLAIM_INTERVAL_US);
 	if (next_us == DEADLINE_NEVER_US)
 		return next_us;
 	next_us = MAX(next_us, append_rate_next_us(&proposer->rate));
@@ -285,8 +284,8 @@
 
 static void back_off(struct proposer *proposer)
 {
-	proposer->backoff_us = CLAMP(proposer->backoff_us * 2, BACKOFF_MIN_US,
-				     BACKOFF_MAX_US);
+	proposer->backoff_us =
+		CLAMP(proposer->backoff_us * 2, BACKOFF_MIN_US, BACKOFF_MAX_US);
 	proposer->backoff_until_us =
 		kernel_now_us(proposer->kernel) + proposer->backoff_us;
 }
@@ -413,9 +412,9 @@
 	if (event->log.reachable && !proposer->reachable &&
 	    proposer->was_reachable) {
 		/* Entries that wait for the log must not append at once. */
-		jitter_us = g_rand_int_range(
-			kernel_random(proposer->kernel), 0,
-			(gint32)proposer->rate.interval_us);
+		jitter_us =
+			g_rand_int_range(kernel_random(proposer->kernel), 0,
+					 (gint32)proposer->rate.interval_us);
 		append_rate_empty(&proposer->rate, now_us);
 		proposer->rate.full_us += jitter_us;
 	}
@@ -502,9 +501,9 @@
 		drop_record(proposer, record, "queue of proposals is full");
 		return;
 	}
-	proposal_queue_add(&proposer->queue,
-			   proposal_new(record,
-					kernel_now_us(proposer->kernel)));
+	proposal_queue_add(
+		&proposer->queue,
+		proposal_new(record, kernel_now_us(proposer->kernel)));
 }
 
 static int64_t expire_queue(struct proposer *proposer, GQueue *queue)
@@ -524,8 +523,7 @@
 /* Drops what is too old, and asks again where no answer has come. */
 static void check_deadlines(struct proposer *proposer)
 {
-	if (proposer->state == BATCH_NONE ||
-	    proposer->state == BATCH_READING ||
+	if (proposer->state == BATCH_NONE || proposer->state == BATCH_READING ||
 	    kernel_now_us(proposer->kernel) < proposer->state_until_us)
 		return;
 	if (proposer->state == BATCH_SENT)
@@ -540,8 +538,8 @@
 
 	if (!proposer->reachable) {
 		next_us = expire_queue(proposer, &proposer->queue.claims);
-		next_us = MIN(next_us, expire_queue(proposer,
-						    &proposer->queue.others));
+		next_us = MIN(next_us,
+			      expire_queue(proposer, &proposer->queue.others));
 	} else if (may_send(proposer) && has_sendable(proposer)) {
 		next_us = next_append_us(proposer);
 	} else if (proposer->state == BATCH_READING) {
@@ -572,7 +570,8 @@
 		break;
 	case EVENT_FLEET_CHANGED:
 		proposals_mark_seen(proposer->batch, &event->record.record->id);
-		proposals_mark_seen(proposer->confirmed, &event->record.record->id);
+		proposals_mark_seen(proposer->confirmed,
+				    &event->record.record->id);
 		check_membership(proposer);
 		break;
 	case EVENT_FLEET_RESET:
--- a/src/decide/proposer_queue.c
+++ b/src/decide/proposer_queue.c
@@ -149,11 +149,10 @@
 void append_rate_set(struct append_rate *rate, uint32_t entry_count)
 {
 	int64_t count = CLAMP(entry_count, 1, TOTAL_APPENDS_PER_S / 2);
-	int64_t burst = CLAMP(BURST_APPENDS *
-				      (TOTAL_APPENDS_PER_S /
-				       ENTRY_APPENDS_PER_S) /
-				      count,
-			      1, BURST_APPENDS);
+	int64_t burst = CLAMP(
+		BURST_APPENDS * (TOTAL_APPENDS_PER_S / ENTRY_APPENDS_PER_S) /
+			count,
+		1, BURST_APPENDS);
 	int64_t own_us = USEC_PER_SEC / (ENTRY_APPENDS_PER_S - burst);
 	int64_t shared_us =
 		count * USEC_PER_SEC / (TOTAL_APPENDS_PER_S - count * burst);
@@ -174,6 +173,6 @@
 
 void append_rate_empty(struct append_rate *rate, int64_t now_us)
 {
-	rate->full_us = MAX(rate->full_us,
-			    now_us + rate->burst_us + rate->interval_us);
+	rate->full_us =
+		MAX(rate->full_us, now_us + rate->burst_us + rate->interval_us);
 }
--- /dev/null
+++ b/src/decide/slots.c
@@ -0,0 +1,560 @@
+/*
+ * Divides the slots of the endpoints of one data centre among its entry
+ * instances.
+ *
+ * Every change of the data centre's roster lowers our shares at once. They
+ * rise only when every other entry has reported that it has applied the change
+ * and that what it uses fits its own share, and when the requests of entries
+ * that ended can no longer run.
+ */
+
+#include "decide/slots.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#include "decide/peer_out.h"
+#include "decide/slots_share.h"
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "slots"
+
+/* One answer may have been on its way before the pause ended. */
+#define SURE_ANSWERS_COUNT 2
+
+static void endpoint_free(gpointer data)
+{
+	struct slot_endpoint *endpoint = data;
+
+	g_ptr_array_unref(endpoint->lent);
+	g_ptr_array_unref(endpoint->borrowed);
+	g_ptr_array_unref(endpoint->returned);
+	g_free(endpoint);
+}
+
+static void *slots_init(struct kernel *kernel)
+{
+	struct slots *slots = g_new0(struct slots, 1);
+
+	slots->kernel = kernel;
+	slots->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 endpoint_free);
+	slots->mates = g_ptr_array_new_with_free_func(g_free);
+	slots->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       g_free);
+	slots->demand_check_us = DEADLINE_NEVER_US;
+	slots->resend_us = DEADLINE_NEVER_US;
+	slots->return_us = DEADLINE_NEVER_US;
+	return slots;
+}
+
+static void slots_fini(void *self)
+{
+	struct slots *slots = self;
+
+	g_hash_table_unref(slots->endpoints);
+	g_ptr_array_unref(slots->mates);
+	g_hash_table_unref(slots->demands);
+	g_free(slots);
+}
+
+void slots_trace(struct slots *slots, const char *endpoint, const char *format,
+		 ...)
+{
+	struct timeline_entry entry = { .kind = TIMELINE_SLOTS };
+	va_list args;
+
+	name_copy(entry.instance, sizeof(entry.instance), endpoint);
+	va_start(args, format);
+	g_vsnprintf(entry.text, sizeof(entry.text), format, args);
+	va_end(args);
+	timeline_add(kernel_timeline(slots->kernel), &entry);
+}
+
+struct slot_endpoint *slots_endpoint(struct slots *slots, const char *name)
+{
+	return g_hash_table_lookup(slots->endpoints, name);
+}
+
+uint32_t slots_in_flight(const struct slots *slots,
+			 const struct slot_endpoint *endpoint)
+{
+	const struct endpoint_state *state = endpoint_table_find(
+		kernel_endpoints(slots->kernel), endpoint->name);
+
+	return state ? state->in_flight_count : 0;
+}
+
+void slots_resend_later(struct slots *slots)
+{
+	if (slots->resend_us == DEADLINE_NEVER_US)
+		slots->resend_us =
+			kernel_now_us(slots->kernel) + SLOTS_RESEND_US;
+}
+
+uint32_t loans_total(const GPtrArray *loans)
+{
+	uint32_t total_count = 0;
+
+	for (guint i = 0; i < loans->len; i++)
+		total_count += ((struct loan *)loans->pdata[i])->slots_count;
+	return total_count;
+}
+
+static uint32_t allowed(const struct slots *slots,
+			const struct slot_endpoint *endpoint)
+{
+	uint32_t owned_count = endpoint->base_count;
+	uint32_t lent_count = loans_total(endpoint->lent);
+
+	if (!slots->member || slots->unsure)
+		return 0;
+	for (guint i = 0; i < endpoint->borrowed->len; i++) {
+		const struct loan *loan = endpoint->borrowed->pdata[i];
+
+		owned_count += loan->returning ? 0 : loan->slots_count;
+	}
+	return owned_count > lent_count ? owned_count - lent_count : 0;
+}
+
+void slots_refresh(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	struct endpoint_state *state = endpoint_table_get(
+		kernel_endpoints(slots->kernel), endpoint->name);
+	uint32_t allowed_count = allowed(slots, endpoint);
+	struct event event = { .type = EVENT_SLOTS_CHANGED };
+
+	if (state->allowed_count == allowed_count)
+		return;
+	state->allowed_count = allowed_count;
+	name_copy(event.name.name, sizeof(event.name.name), endpoint->name);
+	event.name.value = allowed_count;
+	kernel_emit(slots->kernel, &event);
+}
+
+/* Calls a function for each endpoint of our data centre, in order of name. */
+static void each_endpoint(struct slots *slots,
+			  void (*call)(struct slots *, struct slot_endpoint *))
+{
+	const GPtrArray *instances =
+		fleet_instances(kernel_fleet(slots->kernel));
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+		struct slot_endpoint *endpoint =
+			slots_endpoint(slots, instance->decl.name);
+
+		if (endpoint)
+			call(slots, endpoint);
+	}
+}
+
+static uint32_t share(const struct slots *slots,
+		      const struct slot_endpoint *endpoint)
+{
+	const struct settings *settings = kernel_settings(slots->kernel);
+
+	if (!slots->member)
+		return 0;
+	return slots_share(fleet_entries(kernel_fleet(slots->kernel)),
+			   settings->dc, settings->entry, endpoint->name,
+			   endpoint->slot_count);
+}
+
+static void lower(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	endpoint->base_count =
+		MIN(endpoint->base_count, share(slots, endpoint));
+	slots_refresh(slots, endpoint);
+}
+
+static void raise_share(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	endpoint->base_count = share(slots, endpoint);
+	slots_refresh(slots, endpoint);
+}
+
+static struct slot_endpoint *add_endpoint(struct slots *slots, const char *name)
+{
+	struct slot_endpoint *endpoint = g_new0(struct slot_endpoint, 1);
+
+	name_copy(endpoint->name, sizeof(endpoint->name), name);
+	endpoint->lent = g_ptr_array_new_with_free_func(g_free);
+	endpoint->borrowed = g_ptr_array_new_with_free_func(g_free);
+	endpoint->returned = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_insert(slots->endpoints, endpoint->name, endpoint);
+	return endpoint;
+}
+
+/* Takes up the endpoints of our data centre and their numbers of slots. */
+static void update_endpoints(struct slots *slots)
+{
+	const struct fleet *fleet = kernel_fleet(slots->kernel);
+	const GPtrArray *instances = fleet_instances(fleet);
+
+	slots->longest_timeout_us = MAX(slots->longest_timeout_us,
+					fleet_longest_timeout_us(fleet));
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+		struct slot_endpoint *endpoint;
+
+		if (strcmp(instance->decl.dc,
+			   kernel_settings(slots->kernel)->dc) != 0)
+			continue;
+		endpoint = slots_endpoint(slots, instance->decl.name);
+		if (!endpoint)
+			endpoint = add_endpoint(slots, instance->decl.name);
+		endpoint->slot_count = instance->decl.slot_count;
+	}
+	each_endpoint(slots, slots->confirmed ? raise_share : lower);
+}
+
+/* Requests of an entry that ended run for up to the longest timeout. */
+static void hold(struct slots *slots)
+{
+	slots->hold_until_us =
+		MAX(slots->hold_until_us, kernel_now_us(slots->kernel) +
+						  slots->longest_timeout_us);
+}
+
+static bool ends_running(const struct event *event)
+{
+	return event->type == EVENT_FLEET_RESET ||
+	       event->record.record->kind != RECORD_ENTRY_LEAVE;
+}
+
+/* Earlier incarnations of ours count like other entries. */
+static bool own_predecessor_ended(struct slots *slots,
+				  const struct fleet_entry *own, bool member)
+{
+	bool before = slots->has_predecessor;
+
+	slots->has_predecessor = own && !member;
+	return before && !slots->has_predecessor;
+}
+
+static const struct fleet_entry *own_entry(const struct slots *slots)
+{
+	return fleet_entry(kernel_fleet(slots->kernel),
+			   kernel_settings(slots->kernel)->entry);
+}
+
+/*
+ * Our own join. With others on the roster, their reports include the wait for
+ * entries that ended before; alone, we have to wait for those ourselves.
+ */
+static void note_own_join(struct slots *slots, const struct fleet_entry *own)
+{
+	slots->member = true;
+	slots->join_offset = own->join_offset;
+	if (slots->unknown_past && !slots->mates->len)
+		hold(slots);
+}
+
+static void update_roster(struct slots *slots, const struct event *event)
+{
+	const struct fleet_entry *own = own_entry(slots);
+	bool member = own && own->decl.incarnation ==
+				     kernel_incarnation(slots->kernel);
+	bool changed = member != slots->member;
+	GPtrArray *mates = mates_read(slots, &changed);
+	bool ended = mates_ended(slots, mates);
+
+	changed |= ended;
+	g_ptr_array_unref(slots->mates);
+	slots->mates = mates;
+	ended |= own_predecessor_ended(slots, own, member);
+	if (!changed && !ended)
+		return;
+	if (ended && ends_running(event) && slots->member)
+		hold(slots);
+	else if (ended && ends_running(event))
+		slots->unknown_past = true;
+	if (member && !slots->member)
+		note_own_join(slots, own);
+	slots->member = member;
+	slots->epoch_offset = fleet_offset(kernel_fleet(slots->kernel));
+	slots->confirmed = false;
+	slots->settled = false;
+	each_endpoint(slots, lower);
+	loans_roster_changed(slots);
+}
+
+/* asks: whether we need the report of the receiver. */
+static void send_ack(struct slots *slots, const struct mate *mate)
+{
+	struct peer_msg *msg =
+		peer_out_new(slots->kernel, PEER_MSG_SHARE_ACK);
+
+	if (slots->settled)
+		msg->join_offset = fleet_offset(kernel_fleet(slots->kernel));
+	msg->slots_count = !slots->confirmed;
+	peer_out_send(slots->kernel, mate->name, msg);
+}
+
+static bool fits(const struct slots *slots,
+		 const struct slot_endpoint *endpoint)
+{
+	return slots_in_flight(slots, endpoint) + loans_total(endpoint->lent) <=
+	       endpoint->base_count + loans_total(endpoint->borrowed);
+}
+
+static bool all_fit(const struct slots *slots)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, slots->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!fits(slots, value))
+			return false;
+	}
+	return true;
+}
+
+/* Reports to the others once what we use fits our share. */
+static void check_settled(struct slots *slots)
+{
+	if (!slots->member || slots->settled || slots->unsure ||
+	    kernel_now_us(slots->kernel) < slots->hold_until_us)
+		return;
+	loans_release_ended(slots);
+	if (!all_fit(slots))
+		return;
+	slots->settled = true;
+	for (guint i = 0; i < slots->mates->len; i++)
+		send_ack(slots, slots->mates->pdata[i]);
+}
+
+static bool all_acked(const struct slots *slots)
+{
+	for (guint i = 0; i < slots->mates->len; i++) {
+		const struct mate *mate = slots->mates->pdata[i];
+
+		if (mate->acked_offset < slots->epoch_offset)
+			return false;
+	}
+	return true;
+}
+
+/* Takes up the shares of the newest roster. */
+static void check_confirmed(struct slots *slots)
+{
+	if (!slots->member || slots->confirmed ||
+	    kernel_now_us(slots->kernel) < slots->hold_until_us ||
+	    !all_acked(slots))
+		return;
+	slots->confirmed = true;
+	slots_trace(slots, "", "shares of %u entries are in use",
+		    slots->mates->len + 1);
+	each_endpoint(slots, raise_share);
+}
+
+static void take_ack(struct slots *slots, const struct peer_msg *msg)
+{
+	struct mate *mate = slots_mate(slots, msg->from);
+
+	if (!mate || mate->incarnation != msg->incarnation)
+		return;
+	mate->acked_offset = MAX(mate->acked_offset, msg->join_offset);
+	/* It asks for our report. */
+	if (msg->slots_count && slots->settled) {
+		struct peer_msg *answer =
+			peer_out_new(slots->kernel, PEER_MSG_SHARE_ACK);
+
+		answer->join_offset =
+			fleet_offset(kernel_fleet(slots->kernel));
+		peer_out_send(slots->kernel, mate->name, answer);
+	}
+}
+
+/* We may have been removed from the roster while we were paused. */
+static void on_resumed(struct slots *slots)
+{
+	slots->unsure = true;
+	slots->asked = false;
+	slots->sure_answers_count = SURE_ANSWERS_COUNT;
+	slots->sure_offset = 0;
+	klog_warn(LOG_PREFIX, "was paused; reads the log before it goes on");
+	slots_trace(slots, "", "paused: waits for the tail of the log");
+	each_endpoint(slots, slots_refresh);
+	kernel_emit(slots->kernel, &(struct event){ .type = EVENT_LOG_ASK });
+}
+
+static void on_log_state(struct slots *slots, const struct event *event)
+{
+	if (!slots->unsure || !slots->asked || !event->log.reachable ||
+	    !slots->sure_answers_count)
+		return;
+	slots->sure_offset = event->log.next_offset - 1;
+	if (--slots->sure_answers_count)
+		kernel_emit(slots->kernel,
+			    &(struct event){ .type = EVENT_LOG_ASK });
+}
+
+static void check_sure(struct slots *slots)
+{
+	if (!slots->unsure || !slots->asked || slots->sure_answers_count ||
+	    fleet_offset(kernel_fleet(slots->kernel)) < slots->sure_offset)
+		return;
+	slots->unsure = false;
+	each_endpoint(slots, slots_refresh);
+}
+
+static void on_fleet_changed(struct slots *slots, const struct event *event)
+{
+	if (!event->record.accepted)
+		return;
+	switch (event->record.record->kind) {
+	case RECORD_CONFIG_PUT:
+	case RECORD_CONFIG_REMOVE:
+		update_endpoints(slots);
+		break;
+	case RECORD_ENTRY_JOIN:
+	case RECORD_ENTRY_LEAVE:
+	case RECORD_ENTRY_GONE:
+		update_roster(slots, event);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_reset(struct slots *slots, const struct event *event)
+{
+	slots->unknown_past = true;
+	update_endpoints(slots);
+	update_roster(slots, event);
+}
+
+static void on_use(struct slots *slots, const struct event *event)
+{
+	struct slot_endpoint *endpoint =
+		slots_endpoint(slots, event->attempt.endpoint);
+
+	if (endpoint && !event->attempt.relayed)
+		loans_update(slots, endpoint);
+}
+
+static void resend(struct slots *slots)
+{
+	for (guint i = 0; !slots->confirmed && i < slots->mates->len; i++) {
+		const struct mate *mate = slots->mates->pdata[i];
+
+		if (mate->acked_offset < slots->epoch_offset)
+			send_ack(slots, mate);
+	}
+	loans_resend(slots);
+}
+
+static void on_wake(struct slots *slots)
+{
+	int64_t now_us = kernel_now_us(slots->kernel);
+
+	if (now_us >= slots->resend_us) {
+		slots->resend_us = DEADLINE_NEVER_US;
+		resend(slots);
+	}
+	if (now_us >= slots->demand_check_us)
+		loans_check_demand(slots);
+	if (now_us >= slots->return_us)
+		loans_update_all(slots);
+}
+
+static void on_peer(struct slots *slots, const struct event *event)
+{
+	const struct peer_msg *msg = event->peer.msg;
+
+	if (msg->kind == PEER_MSG_SHARE_ACK)
+		take_ack(slots, msg);
+	else
+		loans_take_msg(slots, msg);
+}
+
+/* A request came in: it may wait for a slot that another entry has idle. */
+static void on_request(struct slots *slots)
+{
+	if (slots->demand_check_us == DEADLINE_NEVER_US && slots->mates->len)
+		slots->demand_check_us =
+			kernel_now_us(slots->kernel) + 20 * USEC_PER_MSEC;
+}
+
+static void arm(struct slots *slots)
+{
+	int64_t now_us = kernel_now_us(slots->kernel);
+
+	if (slots->member && !slots->confirmed && slots->mates->len)
+		slots_resend_later(slots);
+	kernel_wake_at(slots->kernel, slots->resend_us);
+	kernel_wake_at(slots->kernel, slots->demand_check_us);
+	kernel_wake_at(slots->kernel, slots->return_us);
+	if (slots->member && now_us < slots->hold_until_us)
+		kernel_wake_at(slots->kernel, slots->hold_until_us);
+}
+
+static void dispatch(struct slots *slots, const struct event *event)
+{
+	switch (event->type) {
+	case EVENT_WAKE:
+		on_wake(slots);
+		break;
+	case EVENT_RESUMED:
+		on_resumed(slots);
+		break;
+	case EVENT_LOG_ASK:
+		slots->asked = true;
+		break;
+	case EVENT_LOG_STATE:
+		on_log_state(slots, event);
+		break;
+	case EVENT_DRAIN:
+		slots->draining = true;
+		loans_update_all(slots);
+		break;
+	case EVENT_REQUEST_NEW:
+		on_request(slots);
+		break;
+	case EVENT_DISPATCHED:
+	case EVENT_SLOT_FREE:
+		on_use(slots, event);
+		break;
+	case EVENT_FLEET_CHANGED:
+		on_fleet_changed(slots, event);
+		break;
+	case EVENT_FLEET_RESET:
+		on_reset(slots, event);
+		break;
+	case EVENT_PEER_RECEIVED:
+		on_peer(slots, event);
+		break;
+	default:
+		break;
+	}
+}
+
+static void slots_handle(void *self, const struct event *event)
+{
+	struct slots *slots = self;
+
+	dispatch(slots, event);
+	check_sure(slots);
+	check_settled(slots);
+	check_confirmed(slots);
+	arm(slots);
+}
+
+static const struct plugin slots_plugin = {
+	.name = "slots",
+	.kind = PLUGIN_DECIDE,
+	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_RESUMED) |
+		 EVENT_BIT(EVENT_LOG_ASK) | EVENT_BIT(EVENT_LOG_STATE) |
+		 EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_REQUEST_NEW) |
+		 EVENT_BIT(EVENT_DISPATCHED) | EVENT_BIT(EVENT_SLOT_FREE) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) |
+		 EVENT_BIT(EVENT_FLEET_RESET) | EVENT_BIT(EVENT_PEER_RECEIVED),
+	.init = slots_init,
+	.handle = slots_handle,
+	.fini = slots_fini,
+};
+
+PLUGIN_REGISTER(slots_plugin)
--- /dev/null
+++ b/src/decide/slots_loan.c
@@ -0,0 +1,526 @@
+/*
+ * Loans of slots. A lender counts slots as lent before it offers them, and as
+ * its own again only when the borrower has sent them back, or when the
+ * borrower has ended and its requests can no longer run. No loan ends by time
+ * alone. Grants and returns are sent again until they are answered.
+ */
+
+#include <string.h>
+
+#include "decide/peer_out.h"
+#include "decide/slots.h"
+
+/* A borrowed slot goes back after it was idle for so long. */
+#define IDLE_US (200 * USEC_PER_MSEC)
+#define ASK_MIN_US (50 * USEC_PER_MSEC)
+#define ASK_MAX_US (800 * USEC_PER_MSEC)
+#define ASK_SLOTS_MAX 64
+
+static void send_loan(struct slots *slots, enum peer_msg_kind kind,
+		      const char *endpoint, const struct loan *loan,
+		      uint32_t slots_count)
+{
+	struct peer_msg *msg = peer_out_new(slots->kernel, kind);
+
+	name_copy(msg->endpoint, sizeof(msg->endpoint), endpoint);
+	msg->loan_id = loan->loan_id;
+	msg->slots_count = slots_count;
+	/* Names the incarnation of the receiver that is meant. */
+	msg->join_offset = loan->join_offset;
+	peer_out_send(slots->kernel, loan->peer, msg);
+}
+
+static struct loan *find_loan(const GPtrArray *loans, const char *peer,
+			      uint64_t loan_id, guint *index)
+{
+	for (guint i = 0; i < loans->len; i++) {
+		struct loan *loan = loans->pdata[i];
+
+		if (loan->loan_id != loan_id || strcmp(loan->peer, peer) != 0)
+			continue;
+		if (index)
+			*index = i;
+		return loan;
+	}
+	return NULL;
+}
+
+static struct loan *loan_new(const struct mate *mate, uint64_t loan_id,
+			     uint32_t slots_count)
+{
+	struct loan *loan = g_new0(struct loan, 1);
+
+	name_copy(loan->peer, sizeof(loan->peer), mate->name);
+	loan->incarnation = mate->incarnation;
+	loan->join_offset = mate->join_offset;
+	loan->loan_id = loan_id;
+	loan->slots_count = slots_count;
+	loan->return_at_us = DEADLINE_NEVER_US;
+	return loan;
+}
+
+/* Own slots of an endpoint that nothing uses. */
+static uint32_t idle_count(const struct slots *slots,
+			   const struct slot_endpoint *endpoint)
+{
+	uint32_t used_count = slots_in_flight(slots, endpoint) +
+			      loans_total(endpoint->lent);
+
+	return endpoint->base_count > used_count
+		       ? endpoint->base_count - used_count
+		       : 0;
+}
+
+static void lend(struct slots *slots, struct slot_endpoint *endpoint,
+		 const struct mate *mate, uint32_t slots_count)
+{
+	struct loan *loan =
+		loan_new(mate, ++slots->last_loan_id, slots_count);
+
+	g_ptr_array_add(endpoint->lent, loan);
+	slots_refresh(slots, endpoint);
+	counter_add(kernel_counters(slots->kernel), "slots_lent_total",
+		    slots_count);
+	slots_trace(slots, endpoint->name, "lends %u slots to %s", slots_count,
+		    mate->name);
+	send_loan(slots, PEER_MSG_LOAN_GRANT, endpoint->name, loan,
+		  slots_count);
+	slots_resend_later(slots);
+}
+
+/* The lender has requests of its own waiting: its slots go back first. */
+static void recall(struct slots *slots, struct slot_endpoint *endpoint,
+		   const struct mate *lender)
+{
+	for (guint i = 0; i < endpoint->borrowed->len; i++) {
+		struct loan *loan = endpoint->borrowed->pdata[i];
+
+		if (!strcmp(loan->peer, lender->name))
+			loan->returning = true;
+	}
+	loans_update(slots, endpoint);
+}
+
+static bool may_lend(const struct slots *slots,
+		     const struct fleet_instance *instance,
+		     const struct slot_endpoint *endpoint)
+{
+	const struct endpoint_state *state = endpoint_table_find(
+		kernel_endpoints(slots->kernel), endpoint->name);
+
+	return instance->phase == INSTANCE_ACTIVE && !instance->down &&
+	       !endpoint->borrowed->len && state && !state->leaving &&
+	       !state->ejected;
+}
+
+static bool pool_waits(const struct slots *slots, const char *pool)
+{
+	return endpoint_table_pool(kernel_endpoints(slots->kernel), pool)
+		       ->queued_count > 0;
+}
+
+/* Lends at most half of the idle slots of each endpoint of the pool. */
+static void take_ask(struct slots *slots, const struct mate *mate,
+		     const struct peer_msg *msg)
+{
+	const struct fleet *fleet = kernel_fleet(slots->kernel);
+	const struct fleet_instance *asked =
+		fleet_instance(fleet, msg->endpoint);
+	const struct fleet_pool *pool =
+		asked ? fleet_pool(fleet, asked->pool) : NULL;
+	uint32_t left_count = MIN(msg->slots_count, ASK_SLOTS_MAX);
+	bool lends = slots->member && slots->confirmed && !slots->unsure &&
+		     !slots->draining;
+
+	for (guint i = 0; pool && i < pool->instances->len; i++) {
+		const struct fleet_instance *instance =
+			pool->instances->pdata[i];
+		struct slot_endpoint *endpoint =
+			slots_endpoint(slots, instance->decl.name);
+		uint32_t count;
+
+		if (!endpoint)
+			continue;
+		recall(slots, endpoint, mate);
+		if (!lends || pool_waits(slots, pool->decl.name) ||
+		    !may_lend(slots, instance, endpoint))
+			continue;
+		count = MIN(idle_count(slots, endpoint) / 2, left_count);
+		if (count)
+			lend(slots, endpoint, mate, count);
+		left_count -= count;
+	}
+}
+
+static void end_demand_backoff(struct slots *slots, const char *endpoint)
+{
+	const struct fleet_instance *instance =
+		fleet_instance(kernel_fleet(slots->kernel), endpoint);
+	struct pool_demand *demand =
+		instance ? g_hash_table_lookup(slots->demands, instance->pool)
+			 : NULL;
+
+	if (demand)
+		demand->backoff_us = ASK_MIN_US;
+}
+
+/* A grant that was answered before, and may have been returned since. */
+static void answer_old_grant(struct slots *slots, struct mate *mate,
+			     struct slot_endpoint *endpoint,
+			     const struct peer_msg *msg)
+{
+	struct loan again = { .loan_id = msg->loan_id,
+			      .join_offset = mate->join_offset };
+	bool held = find_loan(endpoint->borrowed, mate->name, msg->loan_id,
+			      NULL) != NULL;
+
+	name_copy(again.peer, sizeof(again.peer), mate->name);
+	if (held)
+		send_loan(slots, PEER_MSG_LOAN_ACK, endpoint->name, &again,
+			  msg->slots_count);
+	else
+		send_loan(slots, PEER_MSG_LOAN_RETURN, endpoint->name, &again,
+			  msg->slots_count);
+}
+
+static void take_grant(struct slots *slots, struct mate *mate,
+		       const struct peer_msg *msg)
+{
+	struct slot_endpoint *endpoint = slots_endpoint(slots, msg->endpoint);
+	struct loan *loan;
+
+	if (!endpoint || !slots->member || !msg->slots_count)
+		return;
+	if (msg->loan_id <= mate->last_loan_id) {
+		answer_old_grant(slots, mate, endpoint, msg);
+		return;
+	}
+	mate->last_loan_id = msg->loan_id;
+	loan = loan_new(mate, msg->loan_id, msg->slots_count);
+	loan->returning = slots->draining;
+	g_ptr_array_add(endpoint->borrowed, loan);
+	counter_add(kernel_counters(slots->kernel), "slots_borrowed_total",
+		    msg->slots_count);
+	send_loan(slots, PEER_MSG_LOAN_ACK, endpoint->name, loan,
+		  msg->slots_count);
+	end_demand_backoff(slots, endpoint->name);
+	loans_update(slots, endpoint);
+}
+
+static void take_return(struct slots *slots, const struct mate *mate,
+			const struct peer_msg *msg)
+{
+	struct slot_endpoint *endpoint = slots_endpoint(slots, msg->endpoint);
+	struct loan booked = { .loan_id = msg->loan_id,
+			       .join_offset = mate->join_offset };
+	struct loan *loan;
+	guint index;
+
+	if (!endpoint)
+		return;
+	loan = find_loan(endpoint->lent, mate->name, msg->loan_id, &index);
+	if (loan && loan->incarnation == mate->incarnation) {
+		g_ptr_array_remove_index(endpoint->lent, index);
+		slots_refresh(slots, endpoint);
+	}
+	name_copy(booked.peer, sizeof(booked.peer), mate->name);
+	send_loan(slots, PEER_MSG_LOAN_ACK, endpoint->name, &booked, 0);
+}
+
+/* slots_count tells a received grant from a booked return. */
+static void take_loan_ack(struct slots *slots, const struct mate *mate,
+			  const struct peer_msg *msg)
+{
+	struct slot_endpoint *endpoint = slots_endpoint(slots, msg->endpoint);
+	struct loan *loan;
+	guint index;
+
+	if (!endpoint)
+		return;
+	if (msg->slots_count) {
+		loan = find_loan(endpoint->lent, mate->name, msg->loan_id,
+				 NULL);
+		if (loan)
+			loan->answered = true;
+		return;
+	}
+	loan = find_loan(endpoint->returned, mate->name, msg->loan_id, &index);
+	if (loan)
+		g_ptr_array_remove_index(endpoint->returned, index);
+}
+
+void loans_take_msg(struct slots *slots, const struct peer_msg *msg)
+{
+	struct mate *mate = slots_mate(slots, msg->from);
+
+	if (!mate || mate->incarnation != msg->incarnation)
+		return;
+	if (msg->kind == PEER_MSG_LOAN_ASK) {
+		take_ask(slots, mate, msg);
+		return;
+	}
+	/* Meant for an earlier incarnation of ours. */
+	if (!slots->member || msg->join_offset != slots->join_offset)
+		return;
+	if (msg->kind == PEER_MSG_LOAN_GRANT)
+		take_grant(slots, mate, msg);
+	else if (msg->kind == PEER_MSG_LOAN_RETURN)
+		take_return(slots, mate, msg);
+	else if (msg->kind == PEER_MSG_LOAN_ACK)
+		take_loan_ack(slots, mate, msg);
+}
+
+/*
+ * The loans are used in order: one is idle while our own slots and those of
+ * the loans before it are enough.
+ */
+static void note_idle(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	uint32_t used_count = slots_in_flight(slots, endpoint) +
+			      loans_total(endpoint->lent);
+	uint32_t enough_count = endpoint->base_count;
+
+	for (guint i = 0; i < endpoint->borrowed->len; i++) {
+		struct loan *loan = endpoint->borrowed->pdata[i];
+
+		if (used_count > enough_count)
+			loan->return_at_us = DEADLINE_NEVER_US;
+		else if (loan->return_at_us == DEADLINE_NEVER_US)
+			loan->return_at_us =
+				kernel_now_us(slots->kernel) + IDLE_US;
+		enough_count += loan->slots_count;
+	}
+}
+
+static bool is_ended(const struct slots *slots, const struct loan *loan)
+{
+	const struct mate *mate = slots_mate(slots, loan->peer);
+
+	return !mate || mate->incarnation != loan->incarnation;
+}
+
+static void remove_ended(const struct slots *slots, GPtrArray *loans)
+{
+	for (guint i = loans->len; i > 0; i--) {
+		if (is_ended(slots, loans->pdata[i - 1]))
+			g_ptr_array_remove_index(loans, i - 1);
+	}
+}
+
+void loans_roster_changed(struct slots *slots)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, slots->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct slot_endpoint *endpoint = value;
+
+		remove_ended(slots, endpoint->borrowed);
+		remove_ended(slots, endpoint->returned);
+		/* Shares are about to change, so the others go home. */
+		for (guint i = 0; i < endpoint->borrowed->len; i++) {
+			struct loan *loan = endpoint->borrowed->pdata[i];
+
+			loan->returning = true;
+		}
+	}
+	loans_update_all(slots);
+}
+
+void loans_release_ended(struct slots *slots)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, slots->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct slot_endpoint *endpoint = value;
+
+		remove_ended(slots, endpoint->lent);
+	}
+}
+
+/* Whether a loan can go back without what is in flight exceeding the rest. */
+static bool can_return(const struct slots *slots,
+		       const struct slot_endpoint *endpoint,
+		       const struct loan *loan)
+{
+	uint32_t used_count = slots_in_flight(slots, endpoint) +
+			      loans_total(endpoint->lent);
+	uint32_t owned_count =
+		endpoint->base_count + loans_total(endpoint->borrowed);
+
+	return used_count + loan->slots_count <= owned_count;
+}
+
+static void give_back(struct slots *slots, struct slot_endpoint *endpoint,
+		      guint index)
+{
+	struct loan *loan =
+		g_ptr_array_steal_index(endpoint->borrowed, index);
+
+	slots_refresh(slots, endpoint);
+	slots_trace(slots, endpoint->name, "returns %u slots to %s",
+		    loan->slots_count, loan->peer);
+	send_loan(slots, PEER_MSG_LOAN_RETURN, endpoint->name, loan,
+		  loan->slots_count);
+	g_ptr_array_add(endpoint->returned, loan);
+	slots_resend_later(slots);
+}
+
+static void return_idle(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	int64_t now_us = kernel_now_us(slots->kernel);
+
+	for (guint i = endpoint->borrowed->len; i > 0; i--) {
+		struct loan *loan = endpoint->borrowed->pdata[i - 1];
+
+		if (loan->return_at_us <= now_us || slots->draining)
+			loan->returning = true;
+		if (loan->returning && can_return(slots, endpoint, loan))
+			give_back(slots, endpoint, i - 1);
+		else if (!loan->returning)
+			slots->return_us =
+				MIN(slots->return_us, loan->return_at_us);
+	}
+	slots_refresh(slots, endpoint);
+}
+
+void loans_update(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	if (!endpoint->borrowed->len)
+		return;
+	note_idle(slots, endpoint);
+	return_idle(slots, endpoint);
+}
+
+/* Calls in order of name, so that messages come in the same order each run. */
+static void each_by_name(struct slots *slots,
+			 void (*call)(struct slots *, struct slot_endpoint *))
+{
+	GList *names = g_hash_table_get_keys(slots->endpoints);
+
+	names = g_list_sort(names, (GCompareFunc)strcmp);
+	for (const GList *at = names; at; at = at->next)
+		call(slots, slots_endpoint(slots, at->data));
+	g_list_free(names);
+}
+
+void loans_update_all(struct slots *slots)
+{
+	slots->return_us = DEADLINE_NEVER_US;
+	each_by_name(slots, loans_update);
+}
+
+/* Whether we have a free slot at some endpoint of a pool. */
+static bool has_free_slot(const struct slots *slots,
+			  const struct fleet_pool *pool, const char **endpoint)
+{
+	for (guint i = 0; i < pool->instances->len; i++) {
+		const struct fleet_instance *instance =
+			pool->instances->pdata[i];
+		const struct endpoint_state *state = endpoint_table_find(
+			kernel_endpoints(slots->kernel), instance->decl.name);
+
+		if (instance->phase != INSTANCE_ACTIVE || instance->down ||
+		    !g_hash_table_contains(slots->endpoints,
+					   instance->decl.name) ||
+		    !state || state->leaving || state->ejected)
+			continue;
+		if (state->allowed_count > state->in_flight_count)
+			return true;
+		*endpoint = instance->decl.name;
+	}
+	return false;
+}
+
+static struct pool_demand *demand_of(struct slots *slots, const char *pool)
+{
+	struct pool_demand *demand =
+		g_hash_table_lookup(slots->demands, pool);
+
+	if (demand)
+		return demand;
+	demand = g_new0(struct pool_demand, 1);
+	demand->backoff_us = ASK_MIN_US;
+	g_hash_table_insert(slots->demands, g_strdup(pool), demand);
+	return demand;
+}
+
+static void ask_mates(struct slots *slots, const char *endpoint,
+		      uint32_t wanted_count)
+{
+	uint32_t each_count =
+		(wanted_count + slots->mates->len - 1) / slots->mates->len;
+
+	for (guint i = 0; i < slots->mates->len; i++) {
+		const struct mate *mate = slots->mates->pdata[i];
+		struct loan ask = { .join_offset = mate->join_offset };
+
+		name_copy(ask.peer, sizeof(ask.peer), mate->name);
+		send_loan(slots, PEER_MSG_LOAN_ASK, endpoint, &ask,
+			  MIN(each_count, ASK_SLOTS_MAX));
+	}
+	counter_add(kernel_counters(slots->kernel), "slots_asked_total", 1);
+}
+
+/* Returns when the pool is to be looked at again. */
+static int64_t check_pool(struct slots *slots, const struct fleet_pool *pool)
+{
+	uint32_t queued_count = endpoint_table_pool(
+		kernel_endpoints(slots->kernel), pool->decl.name)
+					->queued_count;
+	int64_t now_us = kernel_now_us(slots->kernel);
+	struct pool_demand *demand;
+	const char *endpoint = NULL;
+
+	if (!queued_count || has_free_slot(slots, pool, &endpoint) ||
+	    !endpoint)
+		return DEADLINE_NEVER_US;
+	demand = demand_of(slots, pool->decl.name);
+	if (now_us >= demand->next_ask_us) {
+		ask_mates(slots, endpoint, queued_count);
+		demand->next_ask_us = now_us + demand->backoff_us;
+		demand->backoff_us = MIN(demand->backoff_us * 2, ASK_MAX_US);
+	}
+	return demand->next_ask_us;
+}
+
+void loans_check_demand(struct slots *slots)
+{
+	const GPtrArray *pools = fleet_pools(kernel_fleet(slots->kernel));
+
+	slots->demand_check_us = DEADLINE_NEVER_US;
+	if (!slots->member || !slots->mates->len || slots->draining)
+		return;
+	for (guint i = 0; i < pools->len; i++)
+		slots->demand_check_us =
+			MIN(slots->demand_check_us,
+			    check_pool(slots, pools->pdata[i]));
+}
+
+static void resend(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	for (guint i = 0; i < endpoint->lent->len; i++) {
+		const struct loan *loan = endpoint->lent->pdata[i];
+
+		if (loan->answered || is_ended(slots, loan))
+			continue;
+		send_loan(slots, PEER_MSG_LOAN_GRANT, endpoint->name, loan,
+			  loan->slots_count);
+		slots_resend_later(slots);
+	}
+	for (guint i = 0; i < endpoint->returned->len; i++) {
+		const struct loan *loan = endpoint->returned->pdata[i];
+
+		send_loan(slots, PEER_MSG_LOAN_RETURN, endpoint->name, loan,
+			  loan->slots_count);
+		slots_resend_later(slots);
+	}
+}
+
+void loans_resend(struct slots *slots)
+{
+	each_by_name(slots, resend);
+}
--- /dev/null
+++ b/src/decide/slots_share.c
@@ -0,0 +1,48 @@
+#include "decide/slots_share.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static uint64_t order_key(const char *endpoint, const char *entry)
+{
+	char text[2 * NAME_SIZE_BYTES];
+	int length_bytes = g_snprintf(text, sizeof(text), "%s/%s", endpoint,
+				      entry);
+
+	return XXH3_64bits(text, (size_t)length_bytes);
+}
+
+/*
+ * Entries are ordered for each endpoint by a hash of both names. Removing one
+ * never raises the rank of another, so that no share shrinks; a rotation of
+ * sorted names would change all ranks (8 slots of 10 entries: 1 to 0).
+ */
+uint32_t slots_share(const GPtrArray *entries, const char *dc,
+		     const char *entry, const char *endpoint,
+		     uint32_t slot_count)
+{
+	uint64_t own_key = order_key(endpoint, entry);
+	uint32_t entry_count = 0;
+	uint32_t rank = 0;
+	bool found = false;
+
+	for (guint i = 0; i < entries->len; i++) {
+		const struct fleet_entry *other = entries->pdata[i];
+		const char *name = other->decl.name;
+		uint64_t key;
+
+		if (strcmp(other->decl.dc, dc) != 0)
+			continue;
+		entry_count++;
+		if (!strcmp(name, entry)) {
+			found = true;
+			continue;
+		}
+		key = order_key(endpoint, name);
+		rank += key < own_key ||
+			(key == own_key && strcmp(name, entry) < 0);
+	}
+	if (!found)
+		return 0;
+	return slot_count / entry_count + (rank < slot_count % entry_count);
+}
