--- a/src/decide/router.c
+++ b/src/decide/router.c
@@ -185,7 +185,7 @@
 	if (!route)
 		return;
 	if (route->phase == ROUTE_RUNNING)
-		router_cancel(router, route, "the caller has disconnected");
+		router_cancel(router, route, REFUSAL_GONE);
 	else
 		router_refuse(router, route, REFUSAL_GONE);
 }
@@ -280,15 +280,24 @@
 	kernel_wake_at(router->kernel, router->demand_until_us);
 }
 
+static gint compare_ids(gconstpointer a, gconstpointer b)
+{
+	const struct route *left = a;
+	const struct route *right = b;
+
+	return left->item.request_id < right->item.request_id ? -1 : 1;
+}
+
 static void drain_expired(struct router *router)
 {
-	GList *routes = g_hash_table_get_values(router->routes);
+	GList *routes = g_list_sort(g_hash_table_get_values(router->routes),
+				    compare_ids);
 
 	for (GList *at = routes; at; at = at->next) {
 		struct route *route = at->data;
 
 		if (route->phase == ROUTE_RUNNING)
-			router_cancel(router, route, "shutting down");
+			router_cancel(router, route, REFUSAL_DRAINING);
 		else
 			router_refuse(router, route, REFUSAL_DRAINING);
 	}
@@ -381,7 +390,8 @@
 		EVENT_BIT(EVENT_ATTEMPT_DONE) | EVENT_BIT(EVENT_SLOTS_CHANGED) |
 		EVENT_BIT(EVENT_ENDPOINT_HEALTH) |
 		EVENT_BIT(EVENT_INSTANCE_LIST) |
-		EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET),
+		EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
+		EVENT_BIT(EVENT_PEER_RECEIVED) | EVENT_BIT(EVENT_PEER_STATE),
 	.init = router_init,
 	.handle = router_handle,
 	.fini = router_fini,
--- a/src/decide/router.h
+++ b/src/decide/router.h
@@ -19,6 +19,24 @@
 	ROUTE_RUNNING, /* an attempt is in flight */
 };
 
+enum refusal {
+	REFUSAL_NO_CONFIG,
+	REFUSAL_NO_SERVICE,
+	REFUSAL_MEMBER_LEFT,
+	REFUSAL_QUOTA,
+	REFUSAL_NO_KEY,
+	REFUSAL_DRAINING,
+	REFUSAL_QUEUE_FULL,
+	REFUSAL_DROPPED,
+	REFUSAL_TOO_LATE,
+	REFUSAL_DEADLINE,
+	REFUSAL_HOPELESS,
+	REFUSAL_NO_ENDPOINT,
+	REFUSAL_CLAIM,
+	REFUSAL_GONE,
+	REFUSAL_COUNT,
+};
+
 struct router_member {
 	char name[NAME_SIZE_BYTES];
 	uint32_t weight;
@@ -57,6 +75,7 @@
 	char address[ADDRESS_SIZE_BYTES]; /* for callers */
 	bool remote;			  /* in another data centre */
 	uint32_t state;			  /* enum peer_state */
+	int64_t heard_us;		  /* latest heartbeat */
 	int64_t trip_us;   /* smoothed time that a relay adds; 0: unknown */
 	GHashTable *loads; /* pool -> struct known_load */
 };
@@ -87,25 +106,7 @@
 	/* Of all attempts that have ended: */
 	enum verdict verdict; /* VERDICT_NONE before the first */
 	bool cancelled;
-	const char *cancel_reason;
-};
-
-enum refusal {
-	REFUSAL_NO_CONFIG,
-	REFUSAL_NO_SERVICE,
-	REFUSAL_MEMBER_LEFT,
-	REFUSAL_QUOTA,
-	REFUSAL_NO_KEY,
-	REFUSAL_DRAINING,
-	REFUSAL_QUEUE_FULL,
-	REFUSAL_DROPPED,
-	REFUSAL_TOO_LATE,
-	REFUSAL_DEADLINE,
-	REFUSAL_HOPELESS,
-	REFUSAL_NO_ENDPOINT,
-	REFUSAL_CLAIM,
-	REFUSAL_GONE,
-	REFUSAL_COUNT,
+	enum refusal cancel_cause;
 };
 
 /* Longest wait that is published; also stands for one without end. */
@@ -154,7 +155,7 @@
 void router_slots_changed(struct router *router, struct router_pool *pool);
 void router_attempt_done(struct router *router, const struct event *event);
 void router_cancel(struct router *router, struct route *route,
-		   const char *reason);
+		   enum refusal cause);
 
 /* router_lend.c: idle slots of one pool for short requests of another. */
 void router_lend_note(struct router *router, struct router_pool *pool);
--- a/src/decide/router_dispatch.c
+++ b/src/decide/router_dispatch.c
@@ -334,21 +334,23 @@
 	}
 	measure(route, attempt);
 	route->verdict = merge(route->verdict, attempt->verdict);
-	if (!try_again(router, route, attempt))
+	if (route->cancelled && attempt->result != ATTEMPT_ANSWERED)
+		router_refuse(router, route, route->cancel_cause);
+	else if (!try_again(router, route, attempt))
 		router_answer(router, route, event);
 	if (freed)
 		router_slots_changed(router, freed);
 }
 
 void router_cancel(struct router *router, struct route *route,
-		   const char *reason)
+		   enum refusal cause)
 {
 	struct event event = attempt_event(route, EVENT_ATTEMPT_CANCEL);
 
 	if (route->cancelled)
 		return;
 	route->cancelled = true;
-	route->cancel_reason = reason;
+	route->cancel_cause = cause;
 	trace_attempt(router, route, "cancelled");
 	kernel_emit(router->kernel, &event);
 }
--- a/src/decide/router_relay.c
+++ b/src/decide/router_relay.c
@@ -7,8 +7,14 @@
 /* A peer's wait must be shorter by more than the trip there and back. */
 #define RELAY_GAIN_US (5 * USEC_PER_MSEC)
 
-/* A digest carries what has changed, and every load at least each 10 s. */
-#define LOAD_LIFE_US (12 * USEC_PER_SEC)
+/* Loads are in force while heartbeats come: these carry what has changed. */
+#define HEARTBEAT_LIFE_US (6 * USEC_PER_SEC)
+
+/* A peer that refused is left alone until its next digest has come. */
+#define REFUSED_AVOID_US (1 * USEC_PER_SEC)
+
+/* Waiting pools that are tried when a digest has come. */
+#define WAITING_TRIES_COUNT 16
 
 /* Passes of one request, each of which was answered with not-run. */
 #define RELAY_MAX_COUNT 2
@@ -76,33 +82,32 @@
 /* The latest load of a pool at a peer, corrected by what we sent since. */
 struct known_load {
 	struct peer_pool_load load;
-	int64_t heard_us;
+	int64_t avoid_until_us; /* after it did not run a request */
 };
 
-static void take_loads(struct router_peer *peer, const struct peer_msg *msg,
-		       int64_t now_us)
+static void take_loads(struct router_peer *peer, const struct peer_msg *msg)
 {
 	for (guint i = 0; i < msg->loads->len; i++) {
 		struct known_load *known = g_new0(struct known_load, 1);
 
 		known->load =
 			g_array_index(msg->loads, struct peer_pool_load, i);
-		known->heard_us = now_us;
 		g_hash_table_replace(peer->loads, known->load.pool, known);
 	}
 }
 
-/* Dispatches what waits here for one of the peer's pools. */
-static void retry_waiting(struct router *router, const struct peer_msg *msg)
+/* Dispatches what waits here, since a peer may have room now. */
+static void retry_waiting(struct router *router)
 {
-	for (guint i = 0; i < msg->loads->len; i++) {
-		const struct peer_pool_load *load =
-			&g_array_index(msg->loads, struct peer_pool_load, i);
-		struct router_pool *pool =
-			g_hash_table_lookup(router->pools, load->pool);
+	uint32_t count = MIN(router->waiting->length, WAITING_TRIES_COUNT);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct router_pool *pool = g_queue_pop_head(router->waiting);
 
-		if (pool && pool->listed_waiting)
-			router_dispatch(router, pool);
+		if (!pool)
+			return;
+		pool->listed_waiting = false;
+		router_dispatch(router, pool);
 	}
 }
 
@@ -111,14 +116,16 @@
 	const struct peer_msg *msg = event->msg;
 	struct router_peer *peer;
 
-	if (msg->kind != PEER_MSG_HEARTBEAT || !msg->loads)
+	if (msg->kind != PEER_MSG_HEARTBEAT)
 		return;
 	peer = g_hash_table_lookup(router->peers, msg->from);
 	if (!peer || !peer->remote)
 		return;
 	peer->state = PEER_ALIVE;
-	take_loads(peer, msg, kernel_now_us(router->kernel));
-	retry_waiting(router, msg);
+	peer->heard_us = kernel_now_us(router->kernel);
+	if (msg->loads)
+		take_loads(peer, msg);
+	retry_waiting(router);
 }
 
 void router_relay_state(struct router *router, const struct event_peer *event)
@@ -147,9 +154,11 @@
 		     int64_t wait_us)
 {
 	const struct known_load *known = g_hash_table_lookup(peer->loads, pool);
+	int64_t now_us = kernel_now_us(router->kernel);
 
 	if (!known || !peer->remote || peer->state != PEER_ALIVE ||
-	    known->heard_us + LOAD_LIFE_US < kernel_now_us(router->kernel))
+	    peer->heard_us + HEARTBEAT_LIFE_US < now_us ||
+	    known->avoid_until_us > now_us)
 		return false;
 	return known->load.free_slots_count ||
 	       known->load.wait_us < wait_us - RELAY_GAIN_US;
@@ -211,13 +220,15 @@
 {
 	struct router_peer *peer =
 		g_hash_table_lookup(router->peers, attempt->endpoint);
+	struct known_load *known;
 
 	if (!peer)
 		return;
 	if (attempt->verdict == VERDICT_RAN)
 		measure_trip(peer,
 			     attempt->latency_us - route->service->service_us);
-	/* The digest was wrong; the next one may be right. */
-	if (attempt->verdict == VERDICT_NOT_RUN)
-		g_hash_table_remove(peer->loads, route->pool->name);
+	known = g_hash_table_lookup(peer->loads, route->pool->name);
+	if (known && attempt->verdict == VERDICT_NOT_RUN)
+		known->avoid_until_us =
+			kernel_now_us(router->kernel) + REFUSED_AVOID_US;
 }
--- a/src/decide/router_reply.c
+++ b/src/decide/router_reply.c
@@ -210,8 +210,6 @@
 	} else {
 		describe_failure(&reply, done);
 	}
-	if (route->cancel_reason)
-		set_reason(&reply, route->cancel_reason);
 	finish(router, route, &reply);
 }
 
