--- a/src/decide/cluster.c
+++ b/src/decide/cluster.c
@@ -13,6 +13,7 @@
 #define LOG_PREFIX "cluster"
 
 #define HEARTBEAT_US (500 * USEC_PER_MSEC)
+#define JOIN_RETRY_US (1 * USEC_PER_SEC)
 #define LEAVE_WAIT_US (2 * USEC_PER_SEC)
 /* An entry that is not the first to do so waits before it proposes. */
 #define GONE_RANK_DELAY_US (5 * USEC_PER_SEC)
@@ -30,6 +31,7 @@
 	bool left;
 	bool log_reachable;
 	int64_t next_beat_us;
+	int64_t join_retry_us;
 	int64_t leave_until_us;
 	uint32_t beat_count;
 	int64_t remote_round_us;    /* start of the round of digests */
@@ -43,6 +45,7 @@
 
 	cluster->kernel = kernel;
 	cluster->peers = peers_new(kernel);
+	cluster->join_retry_us = DEADLINE_NEVER_US;
 	cluster->mate_digest = digest_new();
 	cluster->remote_digest = digest_new();
 	return cluster;
@@ -221,8 +224,12 @@
 		forget(&cluster->gone);
 	if (event->record.record == cluster->leave)
 		end_process(cluster);
-	if (event->record.record == cluster->join)
-		propose_join(cluster);
+	if (event->record.record == cluster->join) {
+		/* At once would not end while the queue is full. */
+		forget(&cluster->join);
+		cluster->join_retry_us =
+			kernel_now_us(cluster->kernel) + JOIN_RETRY_US;
+	}
 }
 
 static void send_heartbeat(struct cluster *cluster, const char *peer,
@@ -336,6 +343,11 @@
 	if (cluster->leave &&
 	    kernel_now_us(cluster->kernel) >= cluster->leave_until_us)
 		end_process(cluster);
+	if (kernel_now_us(cluster->kernel) >= cluster->join_retry_us) {
+		cluster->join_retry_us = DEADLINE_NEVER_US;
+		if (!on_roster(cluster) && !cluster->fenced)
+			propose_join(cluster);
+	}
 }
 
 static void arm(struct cluster *cluster)
@@ -343,6 +355,7 @@
 	if (cluster->left)
 		return;
 	kernel_wake_at(cluster->kernel, cluster->next_beat_us);
+	kernel_wake_at(cluster->kernel, cluster->join_retry_us);
 	if (cluster->leave)
 		kernel_wake_at(cluster->kernel, cluster->leave_until_us);
 }
--- a/src/decide/slots.c
+++ b/src/decide/slots.c
@@ -40,8 +40,8 @@
 	slots->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 endpoint_free);
 	slots->mates = g_ptr_array_new_with_free_func(g_free);
-	slots->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
+	slots->demands =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	slots->demand_check_us = DEADLINE_NEVER_US;
 	slots->resend_us = DEADLINE_NEVER_US;
 	slots->return_us = DEADLINE_NEVER_US;
@@ -192,8 +192,8 @@
 	const struct fleet *fleet = kernel_fleet(slots->kernel);
 	const GPtrArray *instances = fleet_instances(fleet);
 
-	slots->longest_timeout_us = MAX(slots->longest_timeout_us,
-					fleet_longest_timeout_us(fleet));
+	slots->longest_timeout_us =
+		MAX(slots->longest_timeout_us, fleet_longest_timeout_us(fleet));
 	for (guint i = 0; i < instances->len; i++) {
 		const struct fleet_instance *instance = instances->pdata[i];
 		struct slot_endpoint *endpoint;
@@ -213,8 +213,8 @@
 static void hold(struct slots *slots)
 {
 	slots->hold_until_us =
-		MAX(slots->hold_until_us, kernel_now_us(slots->kernel) +
-						  slots->longest_timeout_us);
+		MAX(slots->hold_until_us,
+		    kernel_now_us(slots->kernel) + slots->longest_timeout_us);
 }
 
 static bool ends_running(const struct event *event)
@@ -283,8 +283,7 @@
 /* asks: whether we need the report of the receiver. */
 static void send_ack(struct slots *slots, const struct mate *mate)
 {
-	struct peer_msg *msg =
-		peer_out_new(slots->kernel, PEER_MSG_SHARE_ACK);
+	struct peer_msg *msg = peer_out_new(slots->kernel, PEER_MSG_SHARE_ACK);
 
 	if (slots->settled)
 		msg->join_offset = fleet_offset(kernel_fleet(slots->kernel));
@@ -362,8 +361,7 @@
 		struct peer_msg *answer =
 			peer_out_new(slots->kernel, PEER_MSG_SHARE_ACK);
 
-		answer->join_offset =
-			fleet_offset(kernel_fleet(slots->kernel));
+		answer->join_offset = fleet_offset(kernel_fleet(slots->kernel));
 		peer_out_send(slots->kernel, mate->name, answer);
 	}
 }
@@ -550,8 +548,8 @@
 		 EVENT_BIT(EVENT_LOG_ASK) | EVENT_BIT(EVENT_LOG_STATE) |
 		 EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_REQUEST_NEW) |
 		 EVENT_BIT(EVENT_DISPATCHED) | EVENT_BIT(EVENT_SLOT_FREE) |
-		 EVENT_BIT(EVENT_FLEET_CHANGED) |
-		 EVENT_BIT(EVENT_FLEET_RESET) | EVENT_BIT(EVENT_PEER_RECEIVED),
+		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
+		 EVENT_BIT(EVENT_PEER_RECEIVED),
 	.init = slots_init,
 	.handle = slots_handle,
 	.fini = slots_fini,
--- a/src/decide/slots_loan.c
+++ b/src/decide/slots_loan.c
@@ -63,8 +63,8 @@
 static uint32_t idle_count(const struct slots *slots,
 			   const struct slot_endpoint *endpoint)
 {
-	uint32_t used_count = slots_in_flight(slots, endpoint) +
-			      loans_total(endpoint->lent);
+	uint32_t used_count =
+		slots_in_flight(slots, endpoint) + loans_total(endpoint->lent);
 
 	return endpoint->base_count > used_count
 		       ? endpoint->base_count - used_count
@@ -74,8 +74,7 @@
 static void lend(struct slots *slots, struct slot_endpoint *endpoint,
 		 const struct mate *mate, uint32_t slots_count)
 {
-	struct loan *loan =
-		loan_new(mate, ++slots->last_loan_id, slots_count);
+	struct loan *loan = loan_new(mate, ++slots->last_loan_id, slots_count);
 
 	g_ptr_array_add(endpoint->lent, loan);
 	slots_refresh(slots, endpoint);
@@ -276,8 +275,8 @@
  */
 static void note_idle(struct slots *slots, struct slot_endpoint *endpoint)
 {
-	uint32_t used_count = slots_in_flight(slots, endpoint) +
-			      loans_total(endpoint->lent);
+	uint32_t used_count =
+		slots_in_flight(slots, endpoint) + loans_total(endpoint->lent);
 	uint32_t enough_count = endpoint->base_count;
 
 	for (guint i = 0; i < endpoint->borrowed->len; i++) {
@@ -346,8 +345,8 @@
 		       const struct slot_endpoint *endpoint,
 		       const struct loan *loan)
 {
-	uint32_t used_count = slots_in_flight(slots, endpoint) +
-			      loans_total(endpoint->lent);
+	uint32_t used_count =
+		slots_in_flight(slots, endpoint) + loans_total(endpoint->lent);
 	uint32_t owned_count =
 		endpoint->base_count + loans_total(endpoint->borrowed);
 
@@ -357,8 +356,7 @@
 static void give_back(struct slots *slots, struct slot_endpoint *endpoint,
 		      guint index)
 {
-	struct loan *loan =
-		g_ptr_array_steal_index(endpoint->borrowed, index);
+	struct loan *loan = g_ptr_array_steal_index(endpoint->borrowed, index);
 
 	slots_refresh(slots, endpoint);
 	slots_trace(slots, endpoint->name, "returns %u slots to %s",
@@ -437,8 +435,7 @@
 
 static struct pool_demand *demand_of(struct slots *slots, const char *pool)
 {
-	struct pool_demand *demand =
-		g_hash_table_lookup(slots->demands, pool);
+	struct pool_demand *demand = g_hash_table_lookup(slots->demands, pool);
 
 	if (demand)
 		return demand;
@@ -468,15 +465,15 @@
 /* Returns when the pool is to be looked at again. */
 static int64_t check_pool(struct slots *slots, const struct fleet_pool *pool)
 {
-	uint32_t queued_count = endpoint_table_pool(
-		kernel_endpoints(slots->kernel), pool->decl.name)
-					->queued_count;
+	uint32_t queued_count =
+		endpoint_table_pool(kernel_endpoints(slots->kernel),
+				    pool->decl.name)
+			->queued_count;
 	int64_t now_us = kernel_now_us(slots->kernel);
 	struct pool_demand *demand;
 	const char *endpoint = NULL;
 
-	if (!queued_count || has_free_slot(slots, pool, &endpoint) ||
-	    !endpoint)
+	if (!queued_count || has_free_slot(slots, pool, &endpoint) || !endpoint)
 		return DEADLINE_NEVER_US;
 	demand = demand_of(slots, pool->decl.name);
 	if (now_us >= demand->next_ask_us) {
--- a/src/decide/slots_mates.c
+++ b/src/decide/slots_mates.c
@@ -26,14 +26,12 @@
 GPtrArray *mates_read(struct slots *slots, bool *changed)
 {
 	const struct settings *settings = kernel_settings(slots->kernel);
-	const GPtrArray *entries =
-		fleet_entries(kernel_fleet(slots->kernel));
+	const GPtrArray *entries = fleet_entries(kernel_fleet(slots->kernel));
 	GPtrArray *mates = g_ptr_array_new_with_free_func(g_free);
 
 	for (guint i = 0; i < entries->len; i++) {
 		const struct fleet_entry *entry = entries->pdata[i];
-		const struct mate *old =
-			slots_mate(slots, entry->decl.name);
+		const struct mate *old = slots_mate(slots, entry->decl.name);
 
 		if (strcmp(entry->decl.dc, settings->dc) != 0 ||
 		    !strcmp(entry->decl.name, settings->entry))
@@ -66,4 +64,3 @@
 	}
 	return false;
 }
-
