--- /dev/null
+++ b/src/codec/snapshot_codec.c
@@ -0,0 +1,591 @@
+#include "codec/snapshot_codec.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "codec/proto/snapshot.pb-c.h"
+#include "codec/record_body.h"
+#include "core/fleet_state.h"
+#include "core/state_codec.h"
+#include "kernel/plugin.h"
+
+#define SNAPSHOT_VERSION 1
+#define SNAPSHOT_END 1
+
+/* Memory of the packed form; all of it lives as long as the encoding. */
+struct packer {
+	GPtrArray *blocks; /* of any allocation, owned */
+};
+
+static gpointer keep(struct packer *packer, gpointer block)
+{
+	g_ptr_array_add(packer->blocks, block);
+	return block;
+}
+
+/* Array of pointers to count messages of size_bytes each. */
+static gpointer *message_list(struct packer *packer, guint count,
+			      size_t size_bytes)
+{
+	gpointer *list = keep(packer, g_new0(gpointer, count + 1));
+	char *messages = keep(packer, g_malloc0_n(count + 1, size_bytes));
+
+	for (guint i = 0; i < count; i++)
+		list[i] = messages + i * size_bytes;
+	return list;
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Keys of a table in order; the array is kept by the packer. */
+static char **sorted_keys(struct packer *packer, GHashTable *table)
+{
+	guint count;
+	char **keys = (char **)keep(
+		packer, g_hash_table_get_keys_as_array(table, &count));
+
+	if (count)
+		qsort(keys, count, sizeof(*keys), compare_keys);
+	return keys;
+}
+
+static void pack_files(struct packer *packer, Pl__Snapshot *to,
+		       const struct fleet *fleet)
+{
+	char **names = sorted_keys(packer, fleet->files);
+
+	to->n_files = g_hash_table_size(fleet->files);
+	to->files = (Pl__StateFile **)message_list(packer, to->n_files,
+						   sizeof(Pl__StateFile));
+	for (size_t i = 0; i < to->n_files; i++) {
+		const struct fleet_file *file =
+			g_hash_table_lookup(fleet->files, names[i]);
+
+		pl__state_file__init(to->files[i]);
+		to->files[i]->name = (char *)file->name;
+		to->files[i]->offset = file->offset;
+		to->files[i]->source = body_pack_source(file->decl);
+	}
+}
+
+static void pack_removed(struct packer *packer, Pl__StateInstance *to,
+			 const struct decl_instance *from)
+{
+	Pl__StateDecl *decl = keep(packer, g_new0(Pl__StateDecl, 1));
+
+	pl__state_decl__init(decl);
+	decl->address = (char *)from->address;
+	decl->dc = (char *)from->dc;
+	decl->rack = (char *)from->rack;
+	decl->pool = (char *)from->pool;
+	decl->slot_count = from->slot_count;
+	to->decl = decl;
+}
+
+static void pack_instances(struct packer *packer, Pl__Snapshot *to,
+			   const struct fleet *fleet)
+{
+	char **names = sorted_keys(packer, fleet->instances);
+
+	to->n_instances = g_hash_table_size(fleet->instances);
+	to->instances = (Pl__StateInstance **)message_list(
+		packer, to->n_instances, sizeof(Pl__StateInstance));
+	for (size_t i = 0; i < to->n_instances; i++) {
+		const struct fleet_instance *from =
+			g_hash_table_lookup(fleet->instances, names[i]);
+		Pl__StateInstance *instance = to->instances[i];
+
+		pl__state_instance__init(instance);
+		instance->name = (char *)from->decl.name;
+		instance->pool = (char *)from->pool;
+		instance->phase = from->phase;
+		instance->down = from->down;
+		instance->drain_offset = from->drain_offset;
+		instance->to_pool = (char *)from->to_pool;
+		instance->wave = (char *)from->wave;
+		instance->n_acks = from->acks->len;
+		instance->acks = (char **)from->acks->pdata;
+		instance->changed_offset = from->changed_offset;
+		if (from->phase == INSTANCE_REMOVED)
+			pack_removed(packer, instance, &from->decl);
+	}
+}
+
+static void pack_entries(struct packer *packer, Pl__Snapshot *to,
+			 const struct fleet *fleet)
+{
+	char **names = sorted_keys(packer, fleet->entries);
+
+	to->n_entries = g_hash_table_size(fleet->entries);
+	to->entries = (Pl__StateEntry **)message_list(packer, to->n_entries,
+						      sizeof(Pl__StateEntry));
+	for (size_t i = 0; i < to->n_entries; i++) {
+		const struct fleet_entry *from =
+			g_hash_table_lookup(fleet->entries, names[i]);
+		Pl__StateEntry *entry = to->entries[i];
+
+		pl__state_entry__init(entry);
+		entry->decl = keep(packer, g_new0(Pl__EntryBody, 1));
+		body_pack_entry(entry->decl, &from->decl);
+		entry->join_offset = from->join_offset;
+		entry->last_sequence = from->last_sequence;
+	}
+}
+
+static void pack_fences(struct packer *packer, Pl__Snapshot *to,
+			const struct fleet *fleet)
+{
+	char **names = sorted_keys(packer, fleet->fences);
+
+	to->n_fences = g_hash_table_size(fleet->fences);
+	to->fences = (Pl__StateFence **)message_list(packer, to->n_fences,
+						     sizeof(Pl__StateFence));
+	for (size_t i = 0; i < to->n_fences; i++) {
+		const struct fleet_fence *from =
+			g_hash_table_lookup(fleet->fences, names[i]);
+
+		pl__state_fence__init(to->fences[i]);
+		to->fences[i]->name = (char *)from->name;
+		to->fences[i]->incarnation = from->incarnation;
+		to->fences[i]->offset = from->offset;
+	}
+}
+
+static void pack_waves(struct packer *packer, Pl__Snapshot *to,
+		       const struct fleet *fleet)
+{
+	char **names = sorted_keys(packer, fleet->waves);
+
+	to->n_waves = g_hash_table_size(fleet->waves);
+	to->waves = (Pl__StateWave **)message_list(packer, to->n_waves,
+						   sizeof(Pl__StateWave));
+	for (size_t i = 0; i < to->n_waves; i++) {
+		const struct fleet_wave *from =
+			g_hash_table_lookup(fleet->waves, names[i]);
+		Pl__StateWave *wave = to->waves[i];
+
+		pl__state_wave__init(wave);
+		wave->name = (char *)from->decl.name;
+		wave->n_done = g_hash_table_size(from->done);
+		wave->done = sorted_keys(packer, from->done);
+		wave->recent_failures = from->recent_failures;
+		wave->halted = from->halted;
+		wave->halt_offset = from->halt_offset;
+	}
+}
+
+static void pack_claims(struct packer *packer, Pl__Snapshot *to,
+			const struct fleet *fleet)
+{
+	const GList *at = fleet->claim_order->head;
+
+	to->n_claims = fleet->claim_order->length;
+	to->claims = (Pl__StateClaim **)message_list(packer, to->n_claims,
+						     sizeof(Pl__StateClaim));
+	for (size_t i = 0; at; i++, at = at->next) {
+		const struct fleet_claim *from = at->data;
+		Pl__StateClaim *claim = to->claims[i];
+
+		pl__state_claim__init(claim);
+		claim->key = (char *)from->key;
+		claim->service = (char *)from->service;
+		claim->entry = (char *)from->entry;
+		claim->incarnation = from->incarnation;
+		claim->request_id = from->request_id;
+		claim->offset = from->offset;
+		claim->verdict = from->verdict;
+		claim->status = from->status;
+	}
+}
+
+static void pack_jobs(struct packer *packer, Pl__Snapshot *to,
+		      const struct fleet *fleet)
+{
+	char **names = sorted_keys(packer, fleet->jobs);
+
+	to->n_jobs = g_hash_table_size(fleet->jobs);
+	to->jobs = (Pl__StateJob **)message_list(packer, to->n_jobs,
+						 sizeof(Pl__StateJob));
+	for (size_t i = 0; i < to->n_jobs; i++) {
+		const struct fleet_job *from =
+			g_hash_table_lookup(fleet->jobs, names[i]);
+		Pl__StateJob *job = to->jobs[i];
+
+		pl__state_job__init(job);
+		job->decl = keep(packer, g_new0(Pl__JobBody, 1));
+		body_pack_job(job->decl, &from->decl);
+		job->state = from->state;
+		job->instance = (char *)from->instance;
+		job->n_failed_on = from->failed_on->len;
+		job->failed_on = (char **)from->failed_on->pdata;
+		job->attempt_count = from->attempt_count;
+		job->changed_offset = from->changed_offset;
+		job->reason = (char *)from->reason;
+	}
+}
+
+GBytes *snapshot_encode(const struct fleet *fleet)
+{
+	struct packer packer = {
+		.blocks = g_ptr_array_new_with_free_func(g_free),
+	};
+	Pl__StateLease lease = PL__STATE_LEASE__INIT;
+	Pl__Snapshot to = PL__SNAPSHOT__INIT;
+	GBytes *bytes;
+
+	to.version = SNAPSHOT_VERSION;
+	to.offset = fleet->offset;
+	to.wall_us = fleet->wall_us;
+	lease.holder = (char *)fleet->lease.holder;
+	lease.incarnation = fleet->lease.incarnation;
+	lease.token = fleet->lease.token;
+	to.lease = &lease;
+	pack_files(&packer, &to, fleet);
+	pack_instances(&packer, &to, fleet);
+	pack_entries(&packer, &to, fleet);
+	pack_fences(&packer, &to, fleet);
+	pack_waves(&packer, &to, fleet);
+	pack_claims(&packer, &to, fleet);
+	pack_jobs(&packer, &to, fleet);
+	to.end = SNAPSHOT_END;
+	bytes = body_serialise(&to.base);
+	g_ptr_array_unref(packer.blocks);
+	return bytes;
+}
+
+/* Whether a name comes after the one before it, so that none occurs twice. */
+static bool rises(const char *before, const char *name)
+{
+	return !before || strcmp(before, name) < 0;
+}
+
+static bool unpack_files(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	GPtrArray *decls = g_ptr_array_new();
+	bool valid = true;
+
+	for (size_t i = 0; valid && i < from->n_files; i++) {
+		struct fleet_file *file = g_new0(struct fleet_file, 1);
+
+		valid = body_name(file->name, sizeof(file->name),
+				  from->files[i]->name) &&
+			rises(i ? from->files[i - 1]->name : NULL, file->name);
+		if (valid)
+			file->decl = body_unpack_source(
+				file->name, &from->files[i]->source);
+		if (!file->decl) {
+			g_free(file);
+			valid = false;
+			break;
+		}
+		file->offset = from->files[i]->offset;
+		g_hash_table_insert(fleet->files, file->name, file);
+		g_ptr_array_add(decls, file->decl);
+	}
+	/* The state may only hold declarations that fit together. */
+	valid = valid && decl_check(decls, NULL);
+	g_ptr_array_unref(decls);
+	return valid;
+}
+
+static bool unpack_names(GPtrArray *to, char **from, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		char name[NAME_SIZE_BYTES];
+
+		if (!body_name(name, sizeof(name), from[i]))
+			return false;
+		g_ptr_array_add(to, g_strdup(name));
+	}
+	return true;
+}
+
+static bool unpack_removed(struct decl_instance *to, const Pl__StateDecl *from)
+{
+	to->slot_count = from->slot_count;
+	return body_text(to->address, sizeof(to->address), from->address) &&
+	       body_text(to->dc, sizeof(to->dc), from->dc) &&
+	       body_text(to->rack, sizeof(to->rack), from->rack) &&
+	       body_text(to->pool, sizeof(to->pool), from->pool);
+}
+
+static gint compare_instances(gconstpointer a, gconstpointer b)
+{
+	const struct fleet_instance *const *left = a;
+	const struct fleet_instance *const *right = b;
+
+	return strcmp((*left)->decl.name, (*right)->decl.name);
+}
+
+/* The declared instance of a name, or a new one that was removed. */
+static struct fleet_instance *place_instance(struct fleet *fleet,
+					     const Pl__StateInstance *from)
+{
+	struct fleet_instance *instance =
+		g_hash_table_lookup(fleet->instances, from->name);
+	char name[NAME_SIZE_BYTES];
+
+	if (!!instance == (from->phase == INSTANCE_REMOVED))
+		return NULL;
+	if (instance)
+		return instance;
+	if (!from->decl || !body_name(name, sizeof(name), from->name))
+		return NULL;
+	instance = fleet_instance_new();
+	name_copy(instance->decl.name, sizeof(instance->decl.name), name);
+	g_hash_table_insert(fleet->instances, instance->decl.name, instance);
+	g_ptr_array_add(fleet->instance_list, instance);
+	if (!unpack_removed(&instance->decl, from->decl))
+		return NULL;
+	return instance;
+}
+
+static bool unpack_instance(struct fleet_instance *to,
+			    const Pl__StateInstance *from)
+{
+	to->phase = (enum instance_phase)from->phase;
+	to->down = from->down;
+	to->drain_offset = from->drain_offset;
+	to->changed_offset = from->changed_offset;
+	return body_text(to->pool, sizeof(to->pool), from->pool) &&
+	       body_text(to->to_pool, sizeof(to->to_pool), from->to_pool) &&
+	       body_text(to->wave, sizeof(to->wave), from->wave) &&
+	       unpack_names(to->acks, from->acks, from->n_acks);
+}
+
+/*
+ * The files have made the declared instances already. Those that are no
+ * longer declared are added afterwards, since fleet_rebuild() drops them.
+ */
+static bool unpack_instances(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	for (size_t i = 0; i < from->n_instances; i++) {
+		const Pl__StateInstance *item = from->instances[i];
+		struct fleet_instance *instance;
+
+		if (!rises(i ? from->instances[i - 1]->name : NULL,
+			   item->name) ||
+		    item->phase > INSTANCE_REMOVED)
+			return false;
+		instance = place_instance(fleet, item);
+		if (!instance || !unpack_instance(instance, item))
+			return false;
+	}
+	if (g_hash_table_size(fleet->instances) != from->n_instances)
+		return false;
+	g_ptr_array_sort(fleet->instance_list, compare_instances);
+	fleet_recount(fleet);
+	return true;
+}
+
+static bool unpack_entries(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	for (size_t i = 0; i < from->n_entries; i++) {
+		const Pl__StateEntry *item = from->entries[i];
+		struct fleet_entry *entry = g_new0(struct fleet_entry, 1);
+
+		if (!item->decl ||
+		    !body_unpack_entry(&entry->decl, item->decl) ||
+		    !rises(i ? from->entries[i - 1]->decl->name : NULL,
+			   entry->decl.name)) {
+			g_free(entry);
+			return false;
+		}
+		entry->join_offset = item->join_offset;
+		entry->last_sequence = item->last_sequence;
+		g_hash_table_insert(fleet->entries, entry->decl.name, entry);
+		g_ptr_array_add(fleet->entry_list, entry);
+	}
+	return true;
+}
+
+static bool unpack_fences(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	for (size_t i = 0; i < from->n_fences; i++) {
+		const Pl__StateFence *item = from->fences[i];
+		struct fleet_fence *fence = g_new0(struct fleet_fence, 1);
+
+		if (!body_name(fence->name, sizeof(fence->name), item->name) ||
+		    !rises(i ? from->fences[i - 1]->name : NULL, fence->name)) {
+			g_free(fence);
+			return false;
+		}
+		fence->incarnation = item->incarnation;
+		fence->offset = item->offset;
+		g_hash_table_insert(fleet->fences, fence->name, fence);
+	}
+	return true;
+}
+
+/* The files have made the waves already. */
+static bool unpack_waves(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	if (g_hash_table_size(fleet->waves) != from->n_waves)
+		return false;
+	for (size_t i = 0; i < from->n_waves; i++) {
+		const Pl__StateWave *item = from->waves[i];
+		struct fleet_wave *wave =
+			g_hash_table_lookup(fleet->waves, item->name);
+
+		if (!wave ||
+		    !rises(i ? from->waves[i - 1]->name : NULL, item->name))
+			return false;
+		for (size_t k = 0; k < item->n_done; k++) {
+			char name[NAME_SIZE_BYTES];
+
+			if (!body_name(name, sizeof(name), item->done[k]) ||
+			    !rises(k ? item->done[k - 1] : NULL, name))
+				return false;
+			g_hash_table_add(wave->done, g_strdup(name));
+		}
+		wave->recent_failures = item->recent_failures;
+		wave->halted = item->halted;
+		wave->halt_offset = item->halt_offset;
+	}
+	return true;
+}
+
+static bool unpack_claim(struct fleet_claim *to, const Pl__StateClaim *from)
+{
+	to->incarnation = from->incarnation;
+	to->request_id = from->request_id;
+	to->offset = from->offset;
+	to->verdict = (enum verdict)from->verdict;
+	to->status = from->status;
+	return from->verdict < VERDICT_COUNT &&
+	       body_name(to->key, sizeof(to->key), from->key) &&
+	       claim_key_wall_us(to->key, &to->key_wall_us) &&
+	       body_text(to->service, sizeof(to->service), from->service) &&
+	       body_name(to->entry, sizeof(to->entry), from->entry);
+}
+
+static bool unpack_claims(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	for (size_t i = 0; i < from->n_claims; i++) {
+		struct fleet_claim *claim = g_new0(struct fleet_claim, 1);
+
+		if (!unpack_claim(claim, from->claims[i]) ||
+		    fleet_claim(fleet, claim->key)) {
+			g_free(claim);
+			return false;
+		}
+		fleet_claim_insert(fleet, claim);
+	}
+	return true;
+}
+
+static void count_job(struct fleet *fleet, const char *instance)
+{
+	guint count = fleet_jobs_on(fleet, instance) + 1;
+
+	g_hash_table_insert(fleet->jobs_on, g_strdup(instance),
+			    GUINT_TO_POINTER(count));
+}
+
+static bool unpack_job(struct fleet_job *to, const Pl__StateJob *from)
+{
+	to->state = (enum job_state)from->state;
+	to->attempt_count = from->attempt_count;
+	to->changed_offset = from->changed_offset;
+	return from->state <= JOB_ASIDE && from->decl &&
+	       body_unpack_job(&to->decl, from->decl) &&
+	       body_text(to->instance, sizeof(to->instance), from->instance) &&
+	       body_text(to->reason, sizeof(to->reason), from->reason) &&
+	       unpack_names(to->failed_on, from->failed_on, from->n_failed_on);
+}
+
+static bool unpack_jobs(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	for (size_t i = 0; i < from->n_jobs; i++) {
+		struct fleet_job *job = fleet_job_new();
+		bool valid = unpack_job(job, from->jobs[i]) &&
+			     !fleet_job(fleet, job->decl.job);
+
+		if (!valid) {
+			g_ptr_array_unref(job->failed_on);
+			g_free(job);
+			return false;
+		}
+		fleet_job_insert(fleet, job);
+		if (job->instance[0])
+			count_job(fleet, job->instance);
+	}
+	return true;
+}
+
+static const char *unpack(struct fleet *fleet, const Pl__Snapshot *from)
+{
+	if (from->version != SNAPSHOT_VERSION)
+		return "snapshot has an unknown version";
+	if (from->end != SNAPSHOT_END || !from->lease)
+		return "snapshot is cut short";
+	fleet->offset = from->offset;
+	fleet->wall_us = from->wall_us;
+	fleet->lease.incarnation = from->lease->incarnation;
+	fleet->lease.token = from->lease->token;
+	if (from->wall_us < 0 || from->wall_us > INT64_MAX / 2)
+		return "snapshot has no valid time";
+	if (!body_text(fleet->lease.holder, sizeof(fleet->lease.holder),
+		       from->lease->holder))
+		return "snapshot has an invalid lease";
+	if (!unpack_jobs(fleet, from))
+		return "snapshot has invalid jobs";
+	if (!unpack_files(fleet, from))
+		return "snapshot has invalid declarations";
+	fleet_rebuild(fleet);
+	if (!unpack_instances(fleet, from))
+		return "snapshot has invalid instances";
+	if (!unpack_entries(fleet, from) || !unpack_fences(fleet, from))
+		return "snapshot has an invalid roster";
+	if (!unpack_waves(fleet, from))
+		return "snapshot has invalid waves";
+	if (!unpack_claims(fleet, from))
+		return "snapshot has invalid claims";
+	return NULL;
+}
+
+struct fleet *snapshot_decode(GBytes *bytes, char reason[REASON_SIZE_BYTES])
+{
+	gsize size_bytes;
+	const void *data = g_bytes_get_data(bytes, &size_bytes);
+	Pl__Snapshot *from = pl__snapshot__unpack(NULL, size_bytes, data);
+	const char *error = "snapshot is damaged";
+	struct fleet *fleet = fleet_new();
+
+	if (from) {
+		error = unpack(fleet, from);
+		pl__snapshot__free_unpacked(from, NULL);
+	}
+	if (error) {
+		g_strlcpy(reason, error, REASON_SIZE_BYTES);
+		fleet_free(fleet);
+		return NULL;
+	}
+	return fleet;
+}
+
+uint64_t snapshot_hash(GBytes *bytes)
+{
+	gsize size_bytes;
+	const void *data = g_bytes_get_data(bytes, &size_bytes);
+
+	return XXH3_64bits(data, size_bytes);
+}
+
+static const struct state_codec_ops codec_ops = {
+	.encode = snapshot_encode,
+	.decode = snapshot_decode,
+	.hash = snapshot_hash,
+};
+
+static const struct plugin codec_plugin = {
+	.name = "protobuf",
+	.kind = PLUGIN_STATE_CODEC,
+	.preferred = true,
+	.ops = &codec_ops,
+};
+
+PLUGIN_REGISTER(codec_plugin)
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -19,6 +19,7 @@
 	[PLUGIN_RETRY] = { .name = "retry", .is_choice = true },
 	[PLUGIN_MOVES] = { .name = "moves", .is_choice = true },
 	[PLUGIN_WAVES] = { .name = "waves", .is_choice = true },
+	[PLUGIN_STATE_CODEC] = { .name = "state_codec", .is_choice = true },
 	[PLUGIN_COMMAND] = { .name = "command" },
 };
 
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -15,18 +15,19 @@
 struct kernel;
 
 enum plugin_kind {
-	PLUGIN_DECIDE,	  /* decision modules; every one is started */
-	PLUGIN_FRONT,	  /* interfaces to callers and operators; every one */
-	PLUGIN_ENDPOINT,  /* client of endpoints; one */
-	PLUGIN_LOG,	  /* access to the platform's log; one */
-	PLUGIN_LIST,	  /* access to the platform's list; one */
-	PLUGIN_PEER,	  /* link to other entry instances; one */
-	PLUGIN_ADMISSION, /* table: struct admission_ops; one */
-	PLUGIN_CHOICE,	  /* table: struct choice_ops; one */
-	PLUGIN_RETRY,	  /* table: struct retry_ops; one */
-	PLUGIN_MOVES,	  /* table: struct moves_ops; one */
-	PLUGIN_WAVES,	  /* table: struct waves_ops; one */
-	PLUGIN_COMMAND,	  /* subcommands; table: struct command_ops */
+	PLUGIN_DECIDE,	    /* decision modules; every one is started */
+	PLUGIN_FRONT,	    /* interfaces to callers and operators; every one */
+	PLUGIN_ENDPOINT,    /* client of endpoints; one */
+	PLUGIN_LOG,	    /* access to the platform's log; one */
+	PLUGIN_LIST,	    /* access to the platform's list; one */
+	PLUGIN_PEER,	    /* link to other entry instances; one */
+	PLUGIN_ADMISSION,   /* table: struct admission_ops; one */
+	PLUGIN_CHOICE,	    /* table: struct choice_ops; one */
+	PLUGIN_RETRY,	    /* table: struct retry_ops; one */
+	PLUGIN_MOVES,	    /* table: struct moves_ops; one */
+	PLUGIN_WAVES,	    /* table: struct waves_ops; one */
+	PLUGIN_STATE_CODEC, /* table: struct state_codec_ops; one */
+	PLUGIN_COMMAND,	    /* subcommands; table: struct command_ops */
 	PLUGIN_KIND_COUNT,
 };
 
