--- a/src/core/event.h
+++ b/src/core/event.h
@@ -119,6 +119,11 @@
 
 struct event_record {
 	uint64_t offset;
+	/*
+	 * log_record: no record lies between this offset and the record's
+	 * own. Above the applied offset, some records were trimmed unread.
+	 */
+	uint64_t previous_offset;
 	struct record *record; /* owned */
 	bool accepted;	       /* fleet_changed */
 	/* fleet_changed: why it was ignored; proposal_dropped: why */
--- a/src/decide/replay.c
+++ b/src/decide/replay.c
@@ -1,22 +1,51 @@
-/* Applies the records that were read from the log to the replicated state. */
+/*
+ * Applies the records that were read from the log to the replicated state.
+ * Records behind a gap wait until a snapshot closes it.
+ */
 
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
 #define LOG_PREFIX "replay"
+/* Records between two snapshots, with room for several missed snapshots. */
+#define WAITING_MAX_COUNT 65536
+
+struct waiting {
+	uint64_t offset;
+	uint64_t previous_offset;
+	struct record *record;
+};
 
 struct replay {
 	struct kernel *kernel;
+	GQueue waiting; /* of struct waiting, by offset */
 };
 
+static void waiting_free(gpointer data)
+{
+	struct waiting *waiting = data;
+
+	record_unref(waiting->record);
+	g_free(waiting);
+}
+
 static void *replay_init(struct kernel *kernel)
 {
 	struct replay *replay = g_new0(struct replay, 1);
 
 	replay->kernel = kernel;
+	g_queue_init(&replay->waiting);
 	return replay;
 }
 
+static void replay_fini(void *self)
+{
+	struct replay *replay = self;
+
+	g_queue_clear_full(&replay->waiting, waiting_free);
+	g_free(replay);
+}
+
 static void trace(struct replay *replay, const struct event *changed)
 {
 	const struct record *record = changed->record.record;
@@ -36,45 +65,113 @@
 	timeline_add(kernel_timeline(replay->kernel), &entry);
 }
 
-static void replay_handle(void *self, const struct event *event)
+static void apply(struct replay *replay, uint64_t offset, struct record *record)
 {
-	struct replay *replay = self;
 	struct fleet *fleet = kernel_fleet(replay->kernel);
 	struct counters *counters = kernel_counters(replay->kernel);
 	struct event changed = { .type = EVENT_FLEET_CHANGED };
 	struct fleet_outcome outcome;
 
-	if (event->record.offset <= fleet_offset(fleet)) {
-		counter_add(counters, "records_repeated_total", 1);
-		return;
-	}
-	fleet_apply(fleet, event->record.offset, event->record.record,
-		    &outcome);
+	fleet_apply(fleet, offset, record, &outcome);
 	counter_add(counters,
 		    outcome.accepted ? "records_accepted_total"
 				     : "records_ignored_total",
 		    1);
 	counter_set(counters, "applied_offset", fleet_offset(fleet));
-	changed.record.offset = event->record.offset;
-	changed.record.record = record_ref(event->record.record);
+	changed.record.offset = offset;
+	changed.record.record = record_ref(record);
 	changed.record.accepted = outcome.accepted;
 	g_strlcpy(changed.record.reason, outcome.reason,
 		  sizeof(changed.record.reason));
 	trace(replay, &changed);
 	if (!outcome.accepted)
 		klog_debug(LOG_PREFIX,
-			   "record %" G_GUINT64_FORMAT " ignored: %s",
-			   event->record.offset, outcome.reason);
+			   "record %" G_GUINT64_FORMAT " ignored: %s", offset,
+			   outcome.reason);
 	kernel_emit(replay->kernel, &changed);
 }
 
+static void count_waiting(struct replay *replay)
+{
+	counter_set(kernel_counters(replay->kernel), "records_waiting",
+		    replay->waiting.length);
+}
+
+static void wait_for_snapshot(struct replay *replay,
+			      const struct event_record *read)
+{
+	struct waiting *waiting;
+
+	if (!replay->waiting.length)
+		klog_warn(LOG_PREFIX,
+			  "records %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT
+			  " were trimmed unread; waiting for a snapshot",
+			  fleet_offset(kernel_fleet(replay->kernel)) + 1,
+			  read->previous_offset);
+	if (replay->waiting.length >= WAITING_MAX_COUNT) {
+		waiting_free(g_queue_pop_head(&replay->waiting));
+		counter_add(kernel_counters(replay->kernel),
+			    "records_waiting_dropped_total", 1);
+	}
+	waiting = g_new0(struct waiting, 1);
+	waiting->offset = read->offset;
+	waiting->previous_offset = read->previous_offset;
+	waiting->record = record_ref(read->record);
+	g_queue_push_tail(&replay->waiting, waiting);
+	count_waiting(replay);
+}
+
+static void log_record(struct replay *replay, const struct event_record *read)
+{
+	uint64_t applied_offset = fleet_offset(kernel_fleet(replay->kernel));
+	const struct waiting *newest = g_queue_peek_tail(&replay->waiting);
+
+	if (read->offset <= applied_offset ||
+	    (newest && read->offset <= newest->offset))
+		counter_add(kernel_counters(replay->kernel),
+			    "records_repeated_total", 1);
+	else if (newest || read->previous_offset > applied_offset)
+		wait_for_snapshot(replay, read);
+	else
+		apply(replay, read->offset, read->record);
+}
+
+/* Goes on after a snapshot, unless it is too old to close the gap. */
+static void fleet_reset(struct replay *replay)
+{
+	struct waiting *waiting;
+
+	while ((waiting = g_queue_peek_head(&replay->waiting))) {
+		uint64_t applied_offset =
+			fleet_offset(kernel_fleet(replay->kernel));
+
+		if (waiting->offset > applied_offset) {
+			if (waiting->previous_offset > applied_offset)
+				break;
+			apply(replay, waiting->offset, waiting->record);
+		}
+		waiting_free(g_queue_pop_head(&replay->waiting));
+	}
+	counter_set(kernel_counters(replay->kernel), "applied_offset",
+		    fleet_offset(kernel_fleet(replay->kernel)));
+	count_waiting(replay);
+}
+
+static void replay_handle(void *self, const struct event *event)
+{
+	if (event->type == EVENT_LOG_RECORD)
+		log_record(self, &event->record);
+	else
+		fleet_reset(self);
+}
+
 static const struct plugin replay_plugin = {
 	.name = "replay",
 	.kind = PLUGIN_DECIDE,
-	.takes = EVENT_BIT(EVENT_LOG_RECORD),
+	.takes = EVENT_BIT(EVENT_LOG_RECORD) | EVENT_BIT(EVENT_FLEET_RESET),
 	.init = replay_init,
 	.handle = replay_handle,
-	.fini = g_free,
+	.fini = replay_fini,
 };
 
 PLUGIN_REGISTER(replay_plugin)
--- /dev/null
+++ b/src/decide/snapshot.c
@@ -0,0 +1,313 @@
+/* Reads snapshots from the log, and says when to write one. */
+
+#include "decide/snapshot.h"
+
+#include <string.h>
+
+#include "kernel/klog.h"
+
+static void *snapshot_init(struct kernel *kernel)
+{
+	struct snapshot *snapshot = g_new0(struct snapshot, 1);
+
+	snapshot->kernel = kernel;
+	snapshot->ops = kernel_ops(kernel, PLUGIN_STATE_CODEC);
+	snapshot_write_init(snapshot);
+	return snapshot;
+}
+
+static void assembly_clear(struct snapshot_assembly *assembly)
+{
+	for (uint32_t i = 0; i < assembly->part_count; i++) {
+		if (assembly->parts[i])
+			g_bytes_unref(assembly->parts[i]);
+	}
+	g_free(assembly->parts);
+	*assembly = (struct snapshot_assembly){ 0 };
+}
+
+static void snapshot_fini(void *self)
+{
+	struct snapshot *snapshot = self;
+
+	for (uint32_t i = 0; i < SNAPSHOT_ASSEMBLIES_COUNT; i++)
+		assembly_clear(&snapshot->assemblies[i]);
+	snapshot_write_clear(snapshot);
+	snapshot_peer_clear(snapshot);
+	g_free(snapshot);
+}
+
+static void count(struct snapshot *snapshot, const char *counter)
+{
+	counter_add(kernel_counters(snapshot->kernel), counter, 1);
+}
+
+bool snapshot_has_gap(const struct snapshot *snapshot)
+{
+	return snapshot->read_offset >
+	       fleet_offset(kernel_fleet(snapshot->kernel));
+}
+
+bool snapshot_install(struct snapshot *snapshot, GBytes *bytes)
+{
+	uint64_t applied_offset = fleet_offset(kernel_fleet(snapshot->kernel));
+	struct event reset = { .type = EVENT_FLEET_RESET };
+	char reason[REASON_SIZE_BYTES] = "";
+	struct fleet *fleet = snapshot->ops->decode(bytes, reason);
+
+	if (!fleet) {
+		klog_error(SNAPSHOT_LOG_PREFIX, "snapshot refused: %s", reason);
+		count(snapshot, "snapshots_damaged_total");
+		return false;
+	}
+	if (fleet_offset(fleet) <= applied_offset) {
+		fleet_free(fleet);
+		return false;
+	}
+	reset.name.offset = fleet_offset(fleet);
+	kernel_set_fleet(snapshot->kernel, fleet);
+	count(snapshot, "snapshots_installed_total");
+	kernel_emit(snapshot->kernel, &reset);
+	return true;
+}
+
+static bool is_part_of(const struct snapshot_assembly *assembly,
+		       const struct record *record)
+{
+	const struct record_snapshot *body = &record->snapshot;
+
+	return assembly->part_count == body->part_count &&
+	       assembly->base_offset == body->base_offset &&
+	       assembly->state_hash == body->state_hash &&
+	       assembly->writer.incarnation == record->id.incarnation &&
+	       !strcmp(assembly->writer.entry, record->id.entry);
+}
+
+/* The assembly of a part. A new one replaces that with the lowest base. */
+static struct snapshot_assembly *find_assembly(struct snapshot *snapshot,
+					       const struct record *record)
+{
+	struct snapshot_assembly *oldest = &snapshot->assemblies[0];
+
+	for (uint32_t i = 0; i < SNAPSHOT_ASSEMBLIES_COUNT; i++) {
+		struct snapshot_assembly *assembly = &snapshot->assemblies[i];
+
+		if (is_part_of(assembly, record))
+			return assembly;
+		if (assembly->base_offset < oldest->base_offset)
+			oldest = assembly;
+	}
+	assembly_clear(oldest);
+	oldest->writer = record->id;
+	oldest->base_offset = record->snapshot.base_offset;
+	oldest->state_hash = record->snapshot.state_hash;
+	oldest->part_count = record->snapshot.part_count;
+	oldest->parts = g_new0(GBytes *, oldest->part_count);
+	return oldest;
+}
+
+static GBytes *join_parts(const struct snapshot_assembly *assembly)
+{
+	GByteArray *joined = g_byte_array_new();
+
+	for (uint32_t i = 0; i < assembly->part_count; i++) {
+		gsize size_bytes;
+		const uint8_t *data =
+			g_bytes_get_data(assembly->parts[i], &size_bytes);
+
+		g_byte_array_append(joined, data, (guint)size_bytes);
+	}
+	return g_byte_array_free_to_bytes(joined);
+}
+
+static const struct snapshot_mark *find_mark(const struct snapshot *snapshot,
+					     uint64_t offset)
+{
+	for (uint32_t i = 0; i < SNAPSHOT_MARKS_COUNT; i++) {
+		if (snapshot->marks[i].offset == offset)
+			return &snapshot->marks[i];
+	}
+	return NULL;
+}
+
+/* The hash that our version gives to a state, which another may encode. */
+static bool own_hash(struct snapshot *snapshot, GBytes *bytes, uint64_t *hash)
+{
+	char reason[REASON_SIZE_BYTES];
+	struct fleet *fleet = snapshot->ops->decode(bytes, reason);
+	GBytes *again;
+
+	if (!fleet)
+		return false;
+	again = snapshot->ops->encode(fleet);
+	*hash = snapshot->ops->hash(again);
+	g_bytes_unref(again);
+	fleet_free(fleet);
+	return true;
+}
+
+static void compare(struct snapshot *snapshot,
+		    const struct snapshot_assembly *whole, GBytes *bytes)
+{
+	const struct snapshot_mark *mark =
+		find_mark(snapshot, whole->base_offset);
+	uint64_t hash = whole->state_hash;
+
+	if (!mark)
+		return;
+	count(snapshot, "snapshots_compared_total");
+	if (hash == mark->state_hash)
+		return;
+	if (own_hash(snapshot, bytes, &hash) && hash == mark->state_hash)
+		return;
+	klog_error(SNAPSHOT_LOG_PREFIX,
+		   "our state at %" G_GUINT64_FORMAT
+		   " differs from the snapshot of %s",
+		   whole->base_offset, whole->writer.entry);
+	count(snapshot, "snapshots_differ_total");
+}
+
+static void note_whole(struct snapshot *snapshot,
+		       const struct snapshot_assembly *whole, gsize size_bytes)
+{
+	const struct snapshot_mark *mark =
+		find_mark(snapshot, whole->base_offset);
+	uint64_t first_offset = MIN(snapshot->first_offset, whole->base_offset);
+
+	if (whole->base_offset <= snapshot->whole_offset)
+		return;
+	snapshot->whole_offset = whole->base_offset;
+	snapshot->whole_size_bytes = size_bytes;
+	snapshot->whole_record_count =
+		mark ? mark->record_count : snapshot->record_count;
+	snapshot->renew_offset =
+		first_offset + (whole->base_offset - first_offset) / 2 + 1;
+	counter_set(kernel_counters(snapshot->kernel), "snapshot_offset",
+		    whole->base_offset);
+}
+
+static void whole(struct snapshot *snapshot, struct snapshot_assembly *assembly)
+{
+	GBytes *bytes = join_parts(assembly);
+
+	if (snapshot->ops->hash(bytes) != assembly->state_hash) {
+		klog_error(SNAPSHOT_LOG_PREFIX,
+			   "snapshot of %s refused: hash does not match",
+			   assembly->writer.entry);
+		count(snapshot, "snapshots_damaged_total");
+	} else {
+		note_whole(snapshot, assembly, g_bytes_get_size(bytes));
+		if (assembly->base_offset >
+		    fleet_offset(kernel_fleet(snapshot->kernel)))
+			snapshot_install(snapshot, bytes);
+		else
+			compare(snapshot, assembly, bytes);
+	}
+	g_bytes_unref(bytes);
+	assembly_clear(assembly);
+}
+
+static void read_part(struct snapshot *snapshot, const struct record *record)
+{
+	const struct record_snapshot *body = &record->snapshot;
+	struct snapshot_assembly *assembly;
+
+	if (body->part_count > SNAPSHOT_PARTS_MAX ||
+	    body->part >= body->part_count || !body->bytes ||
+	    g_bytes_get_size(body->bytes) > SNAPSHOT_PART_SIZE_BYTES) {
+		count(snapshot, "snapshots_damaged_total");
+		return;
+	}
+	if (body->base_offset <= snapshot->whole_offset)
+		return;
+	assembly = find_assembly(snapshot, record);
+	if (assembly->parts[body->part])
+		return;
+	assembly->parts[body->part] = g_bytes_ref(body->bytes);
+	assembly->received_count++;
+	if (assembly->received_count == assembly->part_count)
+		whole(snapshot, assembly);
+}
+
+/* Returns our state at the mark, or NULL if we have not applied it. */
+static GBytes *read_mark(struct snapshot *snapshot, uint64_t offset)
+{
+	const struct fleet *fleet = kernel_fleet(snapshot->kernel);
+	struct snapshot_mark *mark = &snapshot->marks[snapshot->next_mark];
+	GBytes *bytes;
+
+	if (fleet_offset(fleet) != offset)
+		return NULL;
+	bytes = snapshot->ops->encode(fleet);
+	mark->offset = offset;
+	mark->state_hash = snapshot->ops->hash(bytes);
+	mark->record_count = snapshot->record_count;
+	snapshot->next_mark = (snapshot->next_mark + 1) % SNAPSHOT_MARKS_COUNT;
+	return bytes;
+}
+
+/* Runs after the replay plug-in, whose name comes first. */
+static void log_record(struct snapshot *snapshot,
+		       const struct event_record *read)
+{
+	const struct record *record = read->record;
+	GBytes *bytes = NULL;
+
+	snapshot->read_offset = MAX(snapshot->read_offset, read->offset);
+	if (record->kind != RECORD_SNAPSHOT_PART) {
+		snapshot->record_count++;
+		return;
+	}
+	if (record->snapshot.part_count)
+		read_part(snapshot, record);
+	else
+		bytes = read_mark(snapshot, read->offset);
+	if (snapshot_write_is_ours(snapshot, record))
+		snapshot_write_read_back(snapshot, read, bytes);
+	if (bytes)
+		g_bytes_unref(bytes);
+}
+
+static void snapshot_handle(void *self, const struct event *event)
+{
+	struct snapshot *snapshot = self;
+
+	switch (event->type) {
+	case EVENT_STARTED:
+		snapshot_peer_start(snapshot);
+		break;
+	case EVENT_LOG_RECORD:
+		log_record(snapshot, &event->record);
+		break;
+	case EVENT_LOG_STATE:
+		snapshot->log_reachable = event->log.reachable;
+		if (event->log.reachable)
+			snapshot->first_offset = event->log.first_offset;
+		break;
+	case EVENT_PROPOSAL_DROPPED:
+		snapshot_write_dropped(snapshot, event->record.record);
+		break;
+	case EVENT_PEER_RECEIVED:
+		snapshot_peer_received(snapshot, &event->peer);
+		return;
+	default:
+		break;
+	}
+	snapshot_write_advance(snapshot);
+	snapshot_peer_advance(snapshot);
+}
+
+static const struct plugin snapshot_plugin = {
+	.name = "snapshot",
+	.kind = PLUGIN_DECIDE,
+	.takes = EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_WAKE) |
+		 EVENT_BIT(EVENT_FLEET_RESET) | EVENT_BIT(EVENT_LOG_RECORD) |
+		 EVENT_BIT(EVENT_LOG_STATE) |
+		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
+		 EVENT_BIT(EVENT_PEER_RECEIVED),
+	.init = snapshot_init,
+	.handle = snapshot_handle,
+	.fini = snapshot_fini,
+};
+
+PLUGIN_REGISTER(snapshot_plugin)
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -189,6 +189,7 @@
 		struct event event = {
 			.type = EVENT_LOG_RECORD,
 			.record = { .offset = node->read_offset,
+				    .previous_offset = node->read_offset - 1,
 				    .record = record_ref(record) },
 		};
 
