--- a/src/core/event.h
+++ b/src/core/event.h
@@ -4,6 +4,9 @@
 /*
  * Every message between plug-ins.
  *
+ * EVENT_REQUEST_REPLY ends each request, also one whose caller has
+ * disconnected; the front end keeps the request in the table until then.
+ *
  * A plug-in that proposes a record keeps a reference to it. The proposer sets
  * the record's id, and the plug-in finds the outcome by that id in
  * EVENT_FLEET_CHANGED or EVENT_PROPOSAL_DROPPED.
--- /dev/null
+++ b/src/decide/router_dispatch.c
@@ -0,0 +1,328 @@
+/* From the queue of a pool to an endpoint, and how attempts end. */
+
+#include <string.h>
+
+#include "decide/router.h"
+
+/* A new measurement counts for an eighth of the smoothed service time. */
+#define SERVICE_TIME_SHIFT 3
+
+static void trace_attempt(struct router *router, const struct route *route,
+			  const char *what)
+{
+	struct timeline_entry entry = {
+		.kind = TIMELINE_ATTEMPT,
+		.request_id = route->item.request_id,
+	};
+
+	name_copy(entry.instance, sizeof(entry.instance), route->endpoint);
+	name_copy(entry.pool, sizeof(entry.pool), route->pool->name);
+	g_snprintf(entry.text, sizeof(entry.text), "attempt %u %s",
+		   route->attempt, what);
+	timeline_add(kernel_timeline(router->kernel), &entry);
+}
+
+static void refresh(struct router *router, const char *endpoint)
+{
+	struct choice_endpoint *found =
+		g_hash_table_lookup(router->endpoints, endpoint);
+
+	if (found)
+		choice_refresh(found);
+}
+
+static struct event attempt_event(const struct route *route,
+				  enum event_type type)
+{
+	struct event event = {
+		.type = type,
+		.attempt = { .request_id = route->item.request_id,
+			     .attempt = route->attempt,
+			     .relayed = route->attempt_relayed },
+	};
+
+	name_copy(event.attempt.endpoint, NAME_SIZE_BYTES, route->endpoint);
+	return event;
+}
+
+/* Starts the next attempt of a request that is in no queue. */
+static void send(struct router *router, struct route *route,
+		 const char *endpoint, const char *address, bool relayed)
+{
+	int64_t now_us = kernel_now_us(router->kernel);
+	struct event event;
+
+	route->attempt++;
+	route->attempt_relayed = relayed;
+	name_copy(route->endpoint, sizeof(route->endpoint), endpoint);
+	route->phase = ROUTE_RUNNING;
+	router_route_run(router, route);
+	event = attempt_event(route, EVENT_ATTEMPT_SEND);
+	name_copy(event.attempt.address, ADDRESS_SIZE_BYTES, address);
+	event.attempt.deadline_us = route->item.deadline_us;
+	/* A relayed request may wait at the other entry for its slot. */
+	if (!relayed)
+		event.attempt.deadline_us =
+			MIN(event.attempt.deadline_us,
+			    now_us + route->service->decl.timeout_us);
+	counter_add(kernel_counters(router->kernel), "attempts_total", 1);
+	trace_attempt(router, route, "sent");
+	kernel_emit(router->kernel, &event);
+}
+
+/* Where the next attempt of a request can go; one of the two is set. */
+struct place {
+	struct router *router;
+	const char *avoid; /* name of an endpoint, or NULL */
+	struct choice_endpoint *endpoint;
+	struct router_peer *peer;
+};
+
+static void send_to(struct router *router, struct route *route,
+		    const struct place *place)
+{
+	struct choice_endpoint *endpoint = place->endpoint;
+	struct event event;
+
+	if (!route->attempt)
+		router->retry->count(router->retry_state, route->member->name,
+				     route->pool->name);
+	if (!endpoint) {
+		route->relay_count++;
+		router_relay_used(place->peer, route);
+		send(router, route, place->peer->name, place->peer->address,
+		     true);
+		return;
+	}
+	endpoint->state->in_flight_count++;
+	choice_refresh(endpoint);
+	send(router, route, endpoint->state->name, endpoint->address, false);
+	event = attempt_event(route, EVENT_DISPATCHED);
+	kernel_emit(router->kernel, &event);
+}
+
+/*
+ * A record that was just applied can have changed the instance before the
+ * index is rebuilt.
+ */
+static bool still_active(struct router *router,
+			 const struct choice_endpoint *endpoint)
+{
+	const struct fleet_instance *instance = fleet_instance(
+		kernel_fleet(router->kernel), endpoint->state->name);
+
+	return instance && instance->phase == INSTANCE_ACTIVE &&
+	       !instance->down;
+}
+
+static struct choice_endpoint *pick(struct router *router,
+				    struct router_pool *pool, const char *avoid)
+{
+	GRand *random = kernel_random(router->kernel);
+	struct choice_endpoint *endpoint =
+		router->choice->pick(pool->choice, avoid, random);
+
+	while (endpoint && !still_active(router, endpoint)) {
+		choice_close(endpoint);
+		endpoint = router->choice->pick(pool->choice, avoid, random);
+	}
+	return endpoint;
+}
+
+/* Looks for a place: our pool, then a lending pool, then another entry. */
+static bool find_place(const struct route *route, struct place *place)
+{
+	struct router *router = place->router;
+	struct router_pool *lender;
+
+	place->endpoint = pick(router, route->pool, place->avoid);
+	place->peer = NULL;
+	if (place->endpoint)
+		return true;
+	lender = router_lend_find(router, route);
+	if (lender)
+		place->endpoint = pick(router, lender, place->avoid);
+	if (!place->endpoint)
+		place->peer = router_relay_find(router, route);
+	return place->endpoint || place->peer;
+}
+
+static bool can_place(const struct admission_item *item, void *data)
+{
+	return find_place((const struct route *)item, data);
+}
+
+void router_dispatch(struct router *router, struct router_pool *pool)
+{
+	struct place place = { .router = router };
+	struct admission_item *item;
+
+	while ((item = router->admission->peek(pool->queue, can_place,
+					       &place))) {
+		router->admission->take(pool->queue, item);
+		send_to(router, (struct route *)item, &place);
+	}
+	router_pool_publish(router, pool);
+	router_lend_want(router, pool);
+}
+
+void router_slots_changed(struct router *router, struct router_pool *pool)
+{
+	router_dispatch(router, pool);
+	router_lend_note(router, pool);
+	router_lend_offer(router, pool);
+}
+
+static void free_slot(struct router *router, struct route *route)
+{
+	struct endpoint_state *state = endpoint_table_find(
+		kernel_endpoints(router->kernel), route->endpoint);
+	struct event event = attempt_event(route, EVENT_SLOT_FREE);
+
+	if (state && state->in_flight_count)
+		state->in_flight_count--;
+	refresh(router, route->endpoint);
+	kernel_emit(router->kernel, &event);
+}
+
+/* The pool that the endpoint of an ended attempt belongs to now, or NULL. */
+static struct router_pool *pool_of(const struct router *router,
+				   const char *endpoint)
+{
+	const struct fleet_instance *instance =
+		fleet_instance(kernel_fleet(router->kernel), endpoint);
+
+	return instance ? g_hash_table_lookup(router->pools, instance->pool)
+			: NULL;
+}
+
+/* A request that was refused or cut off tells nothing of its service time. */
+static void measure(struct route *route, const struct event_attempt *attempt)
+{
+	struct router_service *service = route->service;
+
+	if (route->attempt_relayed || attempt->result != ATTEMPT_ANSWERED ||
+	    attempt->status >= 500)
+		return;
+	if (!service->service_us)
+		service->service_us = MAX(attempt->latency_us, 1);
+	else
+		service->service_us +=
+			(attempt->latency_us - service->service_us) /
+			(1 << SERVICE_TIME_SHIFT);
+}
+
+/* The verdict over all attempts so far: not run only if none may have run. */
+static enum verdict merge(enum verdict before, enum verdict latest)
+{
+	if (before == VERDICT_RAN || latest == VERDICT_RAN)
+		return VERDICT_RAN;
+	if (before == VERDICT_MAY_HAVE_RUN || latest != VERDICT_NOT_RUN)
+		return VERDICT_MAY_HAVE_RUN;
+	return VERDICT_NOT_RUN;
+}
+
+static bool is_current(const struct route *route,
+		       const struct event_attempt *attempt)
+{
+	return route && route->phase == ROUTE_RUNNING &&
+	       route->attempt == attempt->attempt &&
+	       !strcmp(route->endpoint, attempt->endpoint);
+}
+
+static bool is_failure(const struct event_attempt *attempt)
+{
+	return attempt->result != ATTEMPT_ANSWERED || attempt->status >= 500;
+}
+
+/* Returns a request that certainly did not run to the front of its queue. */
+static void queue_again(struct router *router, struct route *route)
+{
+	route->phase = ROUTE_QUEUED;
+	router->admission->put_back(route->pool->queue, &route->item);
+	router_route_wait(router, route);
+}
+
+static bool may_retry(struct router *router, const struct route *route)
+{
+	const struct retry_case failed = {
+		.member = route->member->name,
+		.pool = route->pool->name,
+		.idempotent = route->service->decl.idempotent,
+		.verdict = route->verdict,
+		.now_us = kernel_now_us(router->kernel),
+		.service_us = route->service->service_us,
+		.deadline_us = route->item.deadline_us,
+	};
+
+	return router->retry->allow(router->retry_state, &failed);
+}
+
+/*
+ * Repeats a failed attempt at another endpoint that has a free slot now. If
+ * all are busy, only a request that did not run waits for one: repeating the
+ * others would add work to an overload.
+ */
+static bool try_again(struct router *router, struct route *route,
+		      const struct event_attempt *attempt)
+{
+	struct place place = { .router = router, .avoid = attempt->endpoint };
+	bool found;
+
+	if (route->cancelled || !is_failure(attempt))
+		return false;
+	if (route->attempt_relayed && route->verdict == VERDICT_NOT_RUN) {
+		queue_again(router, route);
+		return true;
+	}
+	found = find_place(route, &place);
+	if (!found && route->verdict != VERDICT_NOT_RUN)
+		return false;
+	if (!may_retry(router, route))
+		return false;
+	counter_add(kernel_counters(router->kernel), "retries_total", 1);
+	if (found)
+		send_to(router, route, &place);
+	else
+		queue_again(router, route);
+	return true;
+}
+
+void router_attempt_done(struct router *router, const struct event *event)
+{
+	const struct event_attempt *attempt = &event->attempt;
+	struct route *route = router_route_find(router, attempt->request_id);
+	struct router_pool *freed;
+
+	if (!is_current(route, attempt)) {
+		counter_add(kernel_counters(router->kernel),
+			    "attempts_stale_total", 1);
+		return;
+	}
+	freed = route->pool;
+	if (route->attempt_relayed) {
+		router_relay_done(router, route, attempt);
+	} else {
+		freed = pool_of(router, route->endpoint);
+		free_slot(router, route);
+	}
+	measure(route, attempt);
+	route->verdict = merge(route->verdict, attempt->verdict);
+	if (!try_again(router, route, attempt))
+		router_answer(router, route, event);
+	if (freed)
+		router_slots_changed(router, freed);
+}
+
+void router_cancel(struct router *router, struct route *route,
+		   const char *reason)
+{
+	struct event event = attempt_event(route, EVENT_ATTEMPT_CANCEL);
+
+	if (route->cancelled)
+		return;
+	route->cancelled = true;
+	route->cancel_reason = reason;
+	trace_attempt(router, route, "cancelled");
+	kernel_emit(router->kernel, &event);
+}
