--- a/src/decide/snapshot_peer.c
+++ b/src/decide/snapshot_peer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "decide/peer_out.h"
 #include "decide/snapshot.h"
 #include "kernel/klog.h"
 
@@ -18,22 +19,6 @@
 	g_clear_pointer(&snapshot->cached, g_bytes_unref);
 }
 
-static struct event message(struct snapshot *snapshot, enum peer_msg_kind kind,
-			    const char *to)
-{
-	const struct settings *settings = kernel_settings(snapshot->kernel);
-	struct event event = { .type = EVENT_PEER_SEND };
-	struct peer_msg *msg = peer_msg_new(kind);
-
-	name_copy(msg->from, sizeof(msg->from), settings->entry);
-	name_copy(msg->dc, sizeof(msg->dc), settings->dc);
-	msg->incarnation = kernel_incarnation(snapshot->kernel);
-	msg->applied_offset = fleet_offset(kernel_fleet(snapshot->kernel));
-	event.peer.msg = msg;
-	name_copy(event.peer.peer, sizeof(event.peer.peer), to);
-	return event;
-}
-
 static bool needs_state(const struct snapshot *snapshot)
 {
 	return snapshot_has_gap(snapshot) ||
@@ -61,7 +46,6 @@
 void snapshot_peer_advance(struct snapshot *snapshot)
 {
 	int64_t now_us = kernel_now_us(snapshot->kernel);
-	struct event event;
 	const char *peer;
 
 	if (!needs_state(snapshot))
@@ -71,8 +55,9 @@
 		if (!peer)
 			return;
 		snapshot->ask_at_us = now_us + ASK_EVERY_US;
-		event = message(snapshot, PEER_MSG_STATE_ASK, peer);
-		kernel_emit(snapshot->kernel, &event);
+		peer_out_send(
+			snapshot->kernel, peer,
+			peer_out_new(snapshot->kernel, PEER_MSG_STATE_ASK));
 	}
 	kernel_wake_at(snapshot->kernel, snapshot->ask_at_us);
 }
@@ -80,7 +65,7 @@
 static void answer(struct snapshot *snapshot, const char *to)
 {
 	const struct fleet *fleet = kernel_fleet(snapshot->kernel);
-	struct event event;
+	struct peer_msg *msg;
 
 	if (!fleet_offset(fleet) || snapshot_has_gap(snapshot))
 		return;
@@ -90,9 +75,9 @@
 		snapshot->cached = snapshot->ops->encode(fleet);
 		snapshot->cached_offset = fleet_offset(fleet);
 	}
-	event = message(snapshot, PEER_MSG_STATE, to);
-	event.peer.msg->state = g_bytes_ref(snapshot->cached);
-	kernel_emit(snapshot->kernel, &event);
+	msg = peer_out_new(snapshot->kernel, PEER_MSG_STATE);
+	msg->state = g_bytes_ref(snapshot->cached);
+	peer_out_send(snapshot->kernel, to, msg);
 }
 
 void snapshot_peer_received(struct snapshot *snapshot,
--- a/test/runner/print.c
+++ b/test/runner/print.c
@@ -102,6 +102,12 @@
 			g_string_append_printf(line, " instance=%s",
 					       record->job.instance);
 		break;
+	case RECORD_SNAPSHOT_PART:
+		g_string_append_printf(
+			line, " base=%" G_GUINT64_FORMAT " part=%u/%u",
+			record->snapshot.base_offset, record->snapshot.part,
+			record->snapshot.part_count);
+		break;
 	default:
 		break;
 	}
@@ -189,6 +195,10 @@
 	case EVENT_CLAIM_DECIDED:
 		add_claim(line, node, &event->claim);
 		break;
+	case EVENT_FLEET_RESET:
+		g_string_append_printf(line, " @%" G_GUINT64_FORMAT,
+				       event->name.offset);
+		break;
 	case EVENT_INSTANCE_REBOOT:
 	case EVENT_ROLE_CHANGED:
 	case EVENT_SLOTS_CHANGED:
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "codec/decl_yaml.h"
+#include "codec/snapshot_codec.h"
 #include "runner/world.h"
 
 #define WORDS_MAX_COUNT 64
@@ -161,6 +162,21 @@
 				    g_strdup(word(script, 3)));
 }
 
+/* know NODE PEER: a peer in the settings; before the node is started again. */
+static void cmd_know(struct script *script)
+{
+	struct node *node = node_at(script, 1);
+	struct node *known = node_at(script, 2);
+	struct settings_peer peer = { 0 };
+
+	if (!node || !known)
+		return;
+	name_copy(peer.name, sizeof(peer.name), known->name);
+	name_copy(peer.dc, sizeof(peer.dc), known->settings->dc);
+	name_copy(peer.address, sizeof(peer.address), "127.0.0.1:1");
+	g_array_append_val(node->settings->peers, peer);
+}
+
 static void cmd_start(struct script *script)
 {
 	struct node *node = node_at(script, 1);
@@ -636,7 +652,18 @@
 	}
 }
 
-/* agree: all running nodes have the same offset, lease and pools. */
+static bool same_state(struct node *a, struct node *b)
+{
+	GBytes *left = snapshot_encode(kernel_fleet(a->kernel));
+	GBytes *right = snapshot_encode(kernel_fleet(b->kernel));
+	bool same = g_bytes_equal(left, right);
+
+	g_bytes_unref(left);
+	g_bytes_unref(right);
+	return same;
+}
+
+/* agree: all running nodes have the same replicated state. */
 static void cmd_agree(struct script *script)
 {
 	struct world *world = script->world;
@@ -666,6 +693,9 @@
 						first->name, node->name,
 						a->decl.name);
 		}
+		if (!same_state(first, node))
+			world_violation(world, "%s and %s differ in state",
+					first->name, node->name);
 	}
 }
 
@@ -701,6 +731,30 @@
 	       sizeof(script->world->reply_counts));
 }
 
+static void run_line(struct script *script, char *line);
+
+/* repeat COUNT EVERY COMMAND...: runs a command several times. */
+static void cmd_repeat(struct script *script)
+{
+	struct world *world = script->world;
+	uint64_t count = g_ascii_strtoull(word(script, 1), NULL, 10);
+	int64_t every_us = duration_us(script, word(script, 2));
+	char *line = g_strjoinv(" ", script->words + 3);
+	gchar **words = script->words;
+	uint32_t word_count = script->word_count;
+
+	for (uint64_t i = 0; i < count; i++) {
+		char *copy = g_strdup(line);
+
+		run_line(script, copy);
+		g_free(copy);
+		world_run_until(world, world->now_us + every_us);
+	}
+	script->words = words;
+	script->word_count = word_count;
+	g_free(line);
+}
+
 static const struct command commands[] = {
 	{ "agree", 0, cmd_agree },
 	{ "apply", 2, cmd_apply },
@@ -715,6 +769,7 @@
 	{ "heal", 2, cmd_heal },
 	{ "hide", 0, cmd_hide },
 	{ "kill", 1, cmd_kill },
+	{ "know", 2, cmd_know },
 	{ "list", 0, cmd_list },
 	{ "log", 1, cmd_log },
 	{ "node", 1, cmd_node },
@@ -722,6 +777,7 @@
 	{ "pause", 1, cmd_pause },
 	{ "print", 1, cmd_print },
 	{ "propose", 2, cmd_propose },
+	{ "repeat", 3, cmd_repeat },
 	{ "request", 2, cmd_request },
 	{ "reset", 0, cmd_reset },
 	{ "resume", 1, cmd_resume },
