Add the callers' front end, the endpoint client and the serve command

Cause: the kernel had no connection to callers or endpoints.

The content type of a request and of an answer gets 256 bytes, as a multipart boundary does not fit into 64.

Observed by hand: 400, 413 and 431 with a JSON reason, 503 while draining, and a 503 may-have-run for a request that was unfinished at the deadline. The endpoint client is not yet covered by a test.

--- /dev/null
+++ b/src/cmd/serve.c
@@ -0,0 +1,234 @@
+/* The serve command: runs one entry instance until it has drained. */
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <ev.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+
+#include "cmd/command.h"
+#include "kernel/kernel.h"
+#include "kernel/klog.h"
+#include "kernel/loop.h"
+
+#define LOG_PREFIX "serve"
+/* After the drain deadline, the time to give unfinished requests a verdict. */
+#define LAST_REPLIES_US (2 * USEC_PER_SEC)
+
+struct serve {
+	struct settings *settings;
+	struct kernel *kernel;
+	struct loop *loop;
+	ev_signal signals[2];
+	ev_timer end_timer; /* armed for end_us */
+	int64_t end_us;	    /* ends even if not drained; 0: not draining */
+	bool drained;
+};
+
+static const int end_signals[] = { SIGTERM, SIGINT };
+
+static const enum plugin_kind started_kinds[] = {
+	PLUGIN_DECIDE, PLUGIN_FRONT, PLUGIN_ENDPOINT,
+	PLUGIN_LOG,    PLUGIN_LIST,  PLUGIN_PEER,
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	const char **path = state->input;
+
+	switch (key) {
+	case 's':
+		*path = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (!*path)
+			argp_error(state, "--settings is missing");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void set_end(struct serve *serve, int64_t deadline_us)
+{
+	struct ev_loop *ev = kernel_loop(serve->kernel);
+	int64_t left_us;
+
+	serve->end_us = deadline_us + LAST_REPLIES_US;
+	left_us = MAX(serve->end_us - g_get_monotonic_time(), 0);
+	ev_timer_stop(ev, &serve->end_timer);
+	ev_now_update(ev);
+	ev_timer_set(&serve->end_timer, (double)left_us / (double)USEC_PER_SEC,
+		     0.);
+	ev_timer_start(ev, &serve->end_timer);
+}
+
+static void emit_drain(struct serve *serve, int64_t deadline_us)
+{
+	struct event event = { .type = EVENT_DRAIN };
+
+	event.drain.deadline_us = deadline_us;
+	kernel_emit(serve->kernel, &event);
+}
+
+static void on_signal(struct ev_loop *ev, ev_signal *watcher, int revents)
+{
+	struct serve *serve = watcher->data;
+	int64_t now_us = g_get_monotonic_time();
+
+	(void)ev;
+	(void)revents;
+	if (serve->end_us) {
+		klog_warn(LOG_PREFIX,
+			  "second signal: unfinished requests end now");
+		emit_drain(serve, now_us);
+		return;
+	}
+	klog_info(LOG_PREFIX, "signal %d: draining", watcher->signum);
+	emit_drain(serve, now_us + serve->settings->drain_us);
+}
+
+static void on_end(struct ev_loop *ev, ev_timer *watcher, int revents)
+{
+	struct serve *serve = watcher->data;
+
+	(void)ev;
+	(void)revents;
+	klog_warn(LOG_PREFIX, "ending before everything has drained");
+	loop_stop(serve->loop);
+}
+
+static void serve_handle(void *self, const struct event *event)
+{
+	struct serve *serve = self;
+
+	if (event->type == EVENT_DRAIN) {
+		set_end(serve, event->drain.deadline_us);
+		return;
+	}
+	klog_info(LOG_PREFIX, "drained");
+	serve->drained = true;
+	loop_stop(serve->loop);
+}
+
+static const struct plugin serve_watch = {
+	.name = "serve",
+	.kind = PLUGIN_FRONT,
+	.takes = EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_DRAINED),
+	.handle = serve_handle,
+};
+
+/* Each caller and each slot of an endpoint takes a descriptor. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	if (setrlimit(RLIMIT_NOFILE, &limit) != 0)
+		klog_warn(LOG_PREFIX, "can't raise the descriptor limit");
+}
+
+static void start_signals(struct serve *serve)
+{
+	struct ev_loop *ev = kernel_loop(serve->kernel);
+
+	for (gsize i = 0; i < G_N_ELEMENTS(end_signals); i++) {
+		ev_signal_init(&serve->signals[i], on_signal, end_signals[i]);
+		serve->signals[i].data = serve;
+		ev_signal_start(ev, &serve->signals[i]);
+	}
+	ev_timer_init(&serve->end_timer, on_end, 0., 0.);
+	serve->end_timer.data = serve;
+}
+
+/* A kind without any plug-in in this build is left out with a warning. */
+static bool start_plugins(struct serve *serve)
+{
+	for (gsize i = 0; i < G_N_ELEMENTS(started_kinds); i++) {
+		enum plugin_kind kind = started_kinds[i];
+
+		if (plugin_kind_is_choice(kind) &&
+		    !settings_choice(serve->settings, kind) &&
+		    !plugin_find(kind, NULL)) {
+			klog_warn(LOG_PREFIX, "there is no %s plug-in",
+				  plugin_kind_name(kind));
+			continue;
+		}
+		if (!kernel_start_kind(serve->kernel, kind))
+			return false;
+	}
+	kernel_start_plugin_with(serve->kernel, &serve_watch, serve);
+	return true;
+}
+
+static int run(struct serve *serve)
+{
+	const struct settings *settings = serve->settings;
+	uint64_t incarnation = (uint64_t)(g_get_real_time() / USEC_PER_MSEC);
+	int status = EXIT_REJECTED;
+
+	serve->kernel =
+		kernel_new(settings, incarnation,
+			   settings->seed ? settings->seed : g_random_int());
+	serve->loop = loop_new(serve->kernel);
+	start_signals(serve);
+	if (start_plugins(serve)) {
+		kernel_emit(serve->kernel,
+			    &(struct event){ .type = EVENT_STARTED });
+		loop_run(serve->loop);
+		status = serve->drained ? EXIT_DONE : EXIT_UNKNOWN;
+	}
+	/* The plug-ins stop their watchers while the loop still exists. */
+	kernel_free(serve->kernel);
+	loop_free(serve->loop);
+	return status;
+}
+
+static int serve_run(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{ "settings", 's', "FILE", 0, "settings of this process", 0 },
+		{ 0 },
+	};
+	const char *path = NULL;
+	const struct argp argp = {
+		.options = options,
+		.parser = parse,
+		.doc = "Runs one entry instance until it has drained.",
+	};
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	struct serve serve = { .settings = NULL };
+	int status = EXIT_REJECTED;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &path);
+	serve.settings = settings_load(path, errors);
+	for (guint i = 0; i < errors->len; i++)
+		fprintf(stderr, "%s\n", (char *)errors->pdata[i]);
+	g_ptr_array_unref(errors);
+	if (!serve.settings)
+		return status;
+	klog_init(serve.settings->entry);
+	raise_descriptor_limit();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	status = run(&serve);
+	curl_global_cleanup();
+	settings_free(serve.settings);
+	return status;
+}
+
+static const struct command_ops serve_ops = {
+	.summary = "run an entry instance",
+	.run = serve_run,
+};
+
+static const struct plugin serve_plugin = {
+	.name = "serve",
+	.kind = PLUGIN_COMMAND,
+	.ops = &serve_ops,
+};
+
+PLUGIN_REGISTER(serve_plugin)
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -59,7 +59,7 @@
 struct answer {
 	grefcount refs;
 	uint32_t status;
-	char content_type[NAME_SIZE_BYTES];
+	char content_type[CONTENT_TYPE_SIZE_BYTES];
 	GBytes *body;
 };
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -11,6 +11,8 @@
 #define KEY_SIZE_BYTES 128    /* an idempotency key with its NUL */
 #define ADDRESS_SIZE_BYTES 64 /* "IP:port" with its NUL */
 #define REASON_SIZE_BYTES 96
+#define CONTENT_TYPE_SIZE_BYTES 256 /* a media type with its NUL */
+#define METHOD_SIZE_BYTES 16	    /* an HTTP method with its NUL */
 
 #define USEC_PER_MSEC INT64_C(1000)
 #define USEC_PER_SEC INT64_C(1000000)
--- /dev/null
+++ b/src/io/front_http.c
@@ -0,0 +1,285 @@
+/* The callers' front end: plain HTTP/1.1. */
+
+#include <string.h>
+
+#include "io/mhd_loop.h"
+#include "kernel/kernel.h"
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "front"
+#define BODY_MAX_BYTES (1024 * 1024)
+#define CONNECTIONS_MAX_COUNT 1024
+#define DEADLINE_MAX_MS (24 * 3600 * 1000)
+#define DRAIN_RETRY_AFTER_US USEC_PER_SEC
+
+struct front {
+	struct kernel *kernel;
+	struct httpd *httpd;
+	GHashTable *waiting; /* request id -> struct exchange */
+	bool draining;
+};
+
+/* What the headers of a request ask for. */
+struct front_headers {
+	int64_t deadline_ms; /* 0: none given */
+	const char *key;
+	const char *content_type;
+};
+
+static bool is_visible(const char *text)
+{
+	for (; *text; text++) {
+		if ((unsigned char)*text <= ' ' || *text == 0x7f)
+			return false;
+	}
+	return true;
+}
+
+/* Returns why the request can't be taken, or NULL. */
+static const char *read_deadline(const struct exchange *exchange,
+				 struct front_headers *headers)
+{
+	const char *value = exchange_header(exchange, "Pl-Deadline-Ms");
+	guint64 deadline_ms;
+
+	if (!value)
+		return NULL;
+	if (!g_ascii_string_to_unsigned(value, 10, 1, DEADLINE_MAX_MS,
+					&deadline_ms, NULL))
+		return "Pl-Deadline-Ms: expected milliseconds, 1 to 86400000";
+	headers->deadline_ms = (int64_t)deadline_ms;
+	return NULL;
+}
+
+static const char *read_key(const struct exchange *exchange,
+			    struct front_headers *headers)
+{
+	headers->key = exchange_header(exchange, "Idempotency-Key");
+	if (!headers->key)
+		return NULL;
+	if (!headers->key[0])
+		return "Idempotency-Key: expected a key, it is empty";
+	if (strlen(headers->key) >= KEY_SIZE_BYTES)
+		return "Idempotency-Key: expected at most 127 characters";
+	if (!is_visible(headers->key))
+		return "Idempotency-Key: expected visible characters only";
+	return NULL;
+}
+
+static const char *read_content_type(const struct exchange *exchange,
+				     struct front_headers *headers)
+{
+	headers->content_type = exchange_header(exchange, "Content-Type");
+	if (headers->content_type &&
+	    strlen(headers->content_type) >= CONTENT_TYPE_SIZE_BYTES)
+		return "Content-Type: expected at most 255 characters";
+	return NULL;
+}
+
+static const char *read_request_line(const struct exchange *exchange)
+{
+	if (strlen(exchange_method(exchange)) >= METHOD_SIZE_BYTES)
+		return "method: expected at most 15 characters";
+	if (exchange_target(exchange)[0] != '/')
+		return "target: expected a path with a leading '/'";
+	if (!is_visible(exchange_target(exchange)))
+		return "target: expected visible characters only";
+	return NULL;
+}
+
+static const char *read_request(const struct exchange *exchange,
+				struct front_headers *headers)
+{
+	const char *reason = read_request_line(exchange);
+
+	if (!reason)
+		reason = read_deadline(exchange, headers);
+	if (!reason)
+		reason = read_key(exchange, headers);
+	if (!reason)
+		reason = read_content_type(exchange, headers);
+	return reason;
+}
+
+static struct request *add_request(struct front *front,
+				   const struct exchange *exchange,
+				   const struct front_headers *headers)
+{
+	struct request *request = request_add(kernel_requests(front->kernel));
+	GBytes *body = exchange_body(exchange);
+
+	name_copy(request->method, sizeof(request->method),
+		  exchange_method(exchange));
+	request->path = g_strdup(exchange_target(exchange));
+	if (headers->content_type)
+		name_copy(request->content_type, sizeof(request->content_type),
+			  headers->content_type);
+	if (headers->key)
+		name_copy(request->key, sizeof(request->key), headers->key);
+	request->relayed = exchange_header(exchange, "Pl-Relay") != NULL;
+	/* The kernel's clock stands still while the loop waits for input. */
+	request->arrived_us = g_get_monotonic_time();
+	if (headers->deadline_ms)
+		request->deadline_us = request->arrived_us +
+				       headers->deadline_ms * USEC_PER_MSEC;
+	request->body = body ? g_bytes_ref(body) : NULL;
+	return request;
+}
+
+static void add_retry_after(struct exchange *exchange, int64_t retry_after_us)
+{
+	char seconds[24];
+
+	if (retry_after_us <= 0)
+		return;
+	g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
+		   (retry_after_us + USEC_PER_SEC - 1) / USEC_PER_SEC);
+	exchange_add_header(exchange, "Retry-After", seconds);
+}
+
+static void front_request(void *self, struct exchange *exchange)
+{
+	struct front *front = self;
+	struct event event = { .type = EVENT_REQUEST_NEW };
+	struct front_headers headers = { 0 };
+	const char *reason = read_request(exchange, &headers);
+	struct request *request;
+	uint64_t *id;
+
+	if (reason) {
+		counter_add(kernel_counters(front->kernel),
+			    "requests_malformed_total", 1);
+		exchange_refuse(exchange, 400, reason, VERDICT_NOT_RUN, NULL);
+		return;
+	}
+	if (front->draining) {
+		add_retry_after(exchange, DRAIN_RETRY_AFTER_US);
+		exchange_refuse(exchange, 503, "this entry instance is leaving",
+				VERDICT_NOT_RUN, NULL);
+		return;
+	}
+	request = add_request(front, exchange, &headers);
+	event.request.request_id = request->id;
+	id = g_memdup2(&request->id, sizeof(request->id));
+	exchange_set_data(exchange, id);
+	g_hash_table_insert(front->waiting, id, exchange);
+	kernel_emit(front->kernel, &event);
+}
+
+static void front_gone(void *self, struct exchange *exchange)
+{
+	struct front *front = self;
+	const uint64_t *id = exchange_data(exchange);
+	struct event event = { .type = EVENT_REQUEST_GONE };
+
+	event.request.request_id = *id;
+	g_hash_table_remove(front->waiting, &event.request.request_id);
+	kernel_emit(front->kernel, &event);
+}
+
+static const struct httpd_ops front_ops = {
+	.request = front_request,
+	.gone = front_gone,
+};
+
+static void answer(struct front *front, struct exchange *exchange,
+		   const struct event *event)
+{
+	char *id = g_strdup_printf("%s/%" G_GUINT64_FORMAT,
+				   kernel_settings(front->kernel)->entry,
+				   event->request.request_id);
+
+	exchange_add_header(exchange, "Pl-Request", id);
+	if (event->answer) {
+		exchange_add_header(exchange, "Pl-Verdict",
+				    verdict_name(event->request.verdict));
+		exchange_reply(exchange, event->answer->status,
+			       event->answer->content_type,
+			       event->answer->body);
+	} else {
+		add_retry_after(exchange, event->request.retry_after_us);
+		exchange_refuse(exchange, event->request.status,
+				event->request.reason, event->request.verdict,
+				id);
+	}
+	g_free(id);
+}
+
+static void on_reply(struct front *front, const struct event *event)
+{
+	uint64_t id = event->request.request_id;
+	struct exchange *exchange = g_hash_table_lookup(front->waiting, &id);
+
+	if (exchange) {
+		g_hash_table_remove(front->waiting, &id);
+		answer(front, exchange, event);
+	}
+	request_remove(kernel_requests(front->kernel), id);
+}
+
+static void front_handle(void *self, const struct event *event)
+{
+	struct front *front = self;
+
+	if (event->type == EVENT_REQUEST_REPLY)
+		on_reply(front, event);
+	else if (event->type == EVENT_DRAIN)
+		front->draining = true;
+}
+
+static void *front_init(struct kernel *kernel)
+{
+	const struct httpd_limits limits = {
+		.body_max_bytes = BODY_MAX_BYTES,
+		.connections_max_count = CONNECTIONS_MAX_COUNT,
+	};
+	struct front *front = g_new0(struct front, 1);
+
+	front->kernel = kernel;
+	front->httpd = httpd_new(kernel_loop(kernel),
+				 kernel_settings(kernel)->caller_address,
+				 &limits, &front_ops, front);
+	if (!front->httpd) {
+		g_free(front);
+		return NULL;
+	}
+	front->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, NULL);
+	klog_info(LOG_PREFIX, "callers are served on port %u",
+		  httpd_port(front->httpd));
+	return front;
+}
+
+/* What is still unanswered may have been sent to an endpoint. */
+static void front_fini(void *self)
+{
+	struct front *front = self;
+	struct event event = { .type = EVENT_REQUEST_REPLY };
+	GHashTableIter iter;
+	gpointer exchange;
+	gpointer id;
+
+	event.request.status = 503;
+	event.request.verdict = VERDICT_MAY_HAVE_RUN;
+	g_strlcpy(event.request.reason, "this entry instance has ended",
+		  sizeof(event.request.reason));
+	g_hash_table_iter_init(&iter, front->waiting);
+	while (g_hash_table_iter_next(&iter, &id, &exchange)) {
+		event.request.request_id = *(uint64_t *)id;
+		answer(front, exchange, &event);
+	}
+	httpd_free(front->httpd);
+	g_hash_table_unref(front->waiting);
+	g_free(front);
+}
+
+static const struct plugin front_plugin = {
+	.name = "front_http",
+	.kind = PLUGIN_FRONT,
+	.takes = EVENT_BIT(EVENT_REQUEST_REPLY) | EVENT_BIT(EVENT_DRAIN),
+	.init = front_init,
+	.handle = front_handle,
+	.fini = front_fini,
+};
+
+PLUGIN_REGISTER(front_plugin)
--- /dev/null
+++ b/src/io/mhd_loop.h
@@ -0,0 +1,84 @@
+#ifndef IO_MHD_LOOP_H
+#define IO_MHD_LOOP_H
+
+/*
+ * HTTP servers on libev: libmicrohttpd in external epoll mode. A server
+ * collects each request within its bounds, hands it over when it is complete,
+ * and suspends the connection until the answer is given.
+ */
+
+#include <ev.h>
+#include <glib.h>
+
+#include "core/types.h"
+
+struct httpd;
+struct exchange; /* one request and its answer */
+
+struct httpd_limits {
+	uint64_t body_max_bytes;
+	uint32_t connections_max_count;
+};
+
+struct httpd_ops {
+	/* A request is complete. exchange_reply() must follow, now or later. */
+	void (*request)(void *self, struct exchange *exchange);
+	/*
+	 * The client has disconnected before the answer was given. The exchange
+	 * ends with this call.
+	 */
+	void (*gone)(void *self, struct exchange *exchange);
+};
+
+/* address: IP:port to listen on. NULL on failure, after logging the cause. */
+struct httpd *httpd_new(struct ev_loop *ev, const char *address,
+			const struct httpd_limits *limits,
+			const struct httpd_ops *ops, void *self);
+
+/*
+ * Sends the answers that were given, for a bounded time, then closes all
+ * connections. Every exchange must have been answered.
+ */
+void httpd_free(struct httpd *httpd);
+
+/* The port that it listens on; of use if the address had port 0. */
+uint16_t httpd_port(const struct httpd *httpd);
+
+const char *exchange_method(const struct exchange *exchange);
+
+/* Path and query as the client sent them. */
+const char *exchange_target(const struct exchange *exchange);
+
+/* Decoded path without the query. */
+const char *exchange_path(const struct exchange *exchange);
+
+/* Decoded argument of the query; NULL if there is none. */
+const char *exchange_argument(const struct exchange *exchange,
+			      const char *name);
+
+/* NULL if the request has no such header. */
+const char *exchange_header(const struct exchange *exchange, const char *name);
+
+/* NULL if the request has no body. Owned by the exchange. */
+GBytes *exchange_body(const struct exchange *exchange);
+
+void exchange_set_data(struct exchange *exchange, void *data);
+void *exchange_data(const struct exchange *exchange);
+
+/* Adds a header to the answer. */
+void exchange_add_header(struct exchange *exchange, const char *name,
+			 const char *value);
+
+/*
+ * Gives the answer; the exchange must not be used afterwards. content_type
+ * may be empty, body NULL. Holds a reference to the body.
+ */
+void exchange_reply(struct exchange *exchange, uint32_t status,
+		    const char *content_type, GBytes *body);
+
+/* Answers with {"reason","verdict","request"}; request may be NULL. */
+void exchange_refuse(struct exchange *exchange, uint32_t status,
+		     const char *reason, enum verdict verdict,
+		     const char *request);
+
+#endif
--- a/src/kernel/request.h
+++ b/src/kernel/request.h
@@ -9,9 +9,9 @@
 
 struct request {
 	uint64_t id;
-	char method[16];
+	char method[METHOD_SIZE_BYTES];
 	char *path; /* with the query, as the caller sent it */
-	char content_type[NAME_SIZE_BYTES];
+	char content_type[CONTENT_TYPE_SIZE_BYTES];
 	char key[KEY_SIZE_BYTES]; /* idempotency key; empty: none */
 	bool relayed;		  /* passed on by another entry instance */
 	int64_t deadline_us;	  /* kernel clock; 0: the service's own */
