--- a/src/decide/drain_ack.c
+++ b/src/decide/drain_ack.c
@@ -56,7 +56,7 @@
 			    kernel_settings(self->kernel)->entry);
 
 	return entry && entry->decl.incarnation ==
-				kernel_incarnation(self->kernel)
+				       kernel_incarnation(self->kernel)
 		       ? entry
 		       : NULL;
 }
@@ -91,8 +91,8 @@
 
 static uint32_t in_flight(const struct drain_ack *self, const char *instance)
 {
-	const struct endpoint_state *state = endpoint_table_find(
-		kernel_endpoints(self->kernel), instance);
+	const struct endpoint_state *state =
+		endpoint_table_find(kernel_endpoints(self->kernel), instance);
 
 	return state ? state->in_flight_count : 0;
 }
@@ -244,8 +244,7 @@
 	.kind = PLUGIN_DECIDE,
 	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_FLEET_CHANGED) |
 		 EVENT_BIT(EVENT_FLEET_RESET) |
-		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
-		 EVENT_BIT(EVENT_SLOT_FREE),
+		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) | EVENT_BIT(EVENT_SLOT_FREE),
 	.init = drain_ack_init,
 	.handle = drain_ack_handle,
 	.fini = drain_ack_fini,
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -24,6 +24,8 @@
 	uint64_t read_offset;  /* next offset that the log client hands out */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
+	GHashTable *relays;	   /* request id -> struct relay */
+	char **only; /* the decision plug-ins that it runs; NULL: all */
 };
 
 enum endpoint_mode {
@@ -66,8 +68,9 @@
 	bool quiet;
 	GString *output;
 	uint32_t violation_count;
-	uint32_t reply_counts[VERDICT_COUNT];
-	uint64_t reply_hash; /* order of all replies, for repeatability */
+	uint32_t reply_counts[VERDICT_COUNT]; /* to callers */
+	GTree *member_counts; /* member -> uint32_t[VERDICT_COUNT] */
+	uint64_t reply_hash;  /* order of all replies, for repeatability */
 };
 
 struct world *world_new(uint32_t seed);
@@ -75,6 +78,10 @@
 
 struct node *world_node(struct world *world, const char *name);
 
+/* Adds a node without starting it; an existing one is left as it is. */
+struct node *world_add_node(struct world *world, const char *name,
+			    const char *dc);
+
 /* Adds and starts a node, or starts a killed one again. */
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc);
@@ -112,10 +119,22 @@
 void world_print(struct world *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
+/* node.c */
+void node_free(struct node *node);
+void node_start_plugins(struct node *node);
+
 /* print.c: one line for an event that a node emitted. */
 void print_event(struct world *world, struct node *node,
 		 const struct event *event);
 
+/* relay.c: the hop between the nodes, as attempts of one of them. */
+void relay_send(struct world *world, struct node *node,
+		const struct event *event);
+void relay_reply(struct world *world, struct node *node,
+		 const struct event *event);
+void relay_cancel(struct world *world, struct node *node,
+		  const struct event *event);
+
 /* checks.c: invariants, on each event that a node emitted. */
 void check_send(struct world *world, struct node *node,
 		const struct event *event);
