--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -39,7 +39,7 @@
 	bool probe_running;
 	uint64_t probe_request_id;
 	uint32_t probe_attempt;
-	bool listed; /* was on the platform's list */
+	bool listed;		   /* was on the platform's list */
 	uint32_t live_lists_count; /* in a row while it is marked as leaving */
 	int64_t live_since_us;
 };
@@ -145,16 +145,15 @@
 	       __builtin_popcount(endpoint->window) > WINDOW_FAILURES_COUNT;
 }
 
-static void set_backoff(struct health *health,
-			struct endpoint_health *endpoint)
+static void set_backoff(struct health *health, struct endpoint_health *endpoint)
 {
 	int64_t now_us = kernel_now_us(health->kernel);
 
 	if (endpoint->restored_us &&
 	    now_us - endpoint->restored_us >= BACKOFF_MAX_US)
 		endpoint->backoff_us = 0;
-	endpoint->backoff_us = CLAMP(endpoint->backoff_us * 2, BACKOFF_MIN_US,
-				     BACKOFF_MAX_US);
+	endpoint->backoff_us =
+		CLAMP(endpoint->backoff_us * 2, BACKOFF_MIN_US, BACKOFF_MAX_US);
 	endpoint->probe_at_us = now_us + endpoint->backoff_us;
 }
 
@@ -240,8 +239,8 @@
 {
 	endpoint->failures_in_row_count =
 		failed ? endpoint->failures_in_row_count + 1 : 0;
-	endpoint->window = ((endpoint->window << 1) | failed) &
-			   ((1u << WINDOW_COUNT) - 1);
+	endpoint->window =
+		((endpoint->window << 1) | failed) & ((1u << WINDOW_COUNT) - 1);
 	endpoint->window_count = MIN(endpoint->window_count + 1, WINDOW_COUNT);
 }
 
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -138,11 +138,17 @@
 	g_free(text);
 }
 
+/* node NAME [dc=DC] [only=PLUGIN,...]: all decision plug-ins, or some. */
 static void cmd_node(struct script *script)
 {
 	const char *dc = option(script, "dc");
+	const char *only = option(script, "only");
+	struct node *node =
+		world_add_node(script->world, word(script, 1), dc ? dc : "dc1");
 
-	world_start_node(script->world, word(script, 1), dc ? dc : "dc1");
+	if (only && !node->only)
+		node->only = g_strsplit(only, ",", -1);
+	world_start_node(script->world, node->name, "");
 }
 
 /* use NODE KIND PLUGIN: must come before the node is started again. */
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -25,6 +25,7 @@
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
 	GHashTable *relays;	   /* request id -> struct relay */
+	char **only; /* the decision plug-ins that it runs; NULL: all */
 };
 
 enum endpoint_mode {
@@ -77,6 +78,10 @@
 
 struct node *world_node(struct world *world, const char *name);
 
+/* Adds a node without starting it; an existing one is left as it is. */
+struct node *world_add_node(struct world *world, const char *name,
+			    const char *dc);
+
 /* Adds and starts a node, or starts a killed one again. */
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc);
@@ -114,6 +119,10 @@
 void world_print(struct world *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
+/* node.c */
+void node_free(struct node *node);
+void node_start_plugins(struct node *node);
+
 /* print.c: one line for an event that a node emitted. */
 void print_event(struct world *world, struct node *node,
 		 const struct event *event);
