--- a/src/decide/router_dispatch.c
+++ b/src/decide/router_dispatch.c
@@ -73,6 +73,7 @@
 /* Where the next attempt of a request can go; one of the two is set. */
 struct place {
 	struct router *router;
+	const struct route *route; /* that it was found for */
 	const char *avoid[ROUTER_RETRY_MAX_COUNT + 1]; /* up to a NULL */
 	struct choice_endpoint *endpoint;
 	struct router_peer *peer;
@@ -147,9 +148,28 @@
 	return place->endpoint || place->peer;
 }
 
+/* The policy may look at several requests before it settles on one. */
 static bool can_place(const struct admission_item *item, void *data)
 {
-	return find_place((const struct route *)item, data);
+	struct place *place = data;
+
+	place->route = NULL;
+	if (!find_place((const struct route *)item, place))
+		return false;
+	place->route = (const struct route *)item;
+	return true;
+}
+
+/* The next request of a pool that has a place, or NULL. */
+static struct route *next_route(struct router_pool *pool, struct place *place)
+{
+	struct admission_item *item =
+		place->router->admission->peek(pool->queue, can_place, place);
+	struct route *route = (struct route *)item;
+
+	if (route && place->route != route && !find_place(route, place))
+		return NULL;
+	return route;
 }
 
 /*
@@ -167,17 +187,15 @@
 void router_dispatch(struct router *router, struct router_pool *pool)
 {
 	struct place place = { .router = router };
-	struct admission_item *item;
+	struct route *route;
 
-	while ((item = router->admission->peek(pool->queue, can_place,
-					       &place))) {
-		if (is_hopeless(router, (struct route *)item)) {
-			router_refuse(router, (struct route *)item,
-				      REFUSAL_HOPELESS);
+	while ((route = next_route(pool, &place))) {
+		if (is_hopeless(router, route)) {
+			router_refuse(router, route, REFUSAL_HOPELESS);
 			continue;
 		}
-		router->admission->take(pool->queue, item);
-		send_to(router, (struct route *)item, &place);
+		router->admission->take(pool->queue, &route->item);
+		send_to(router, route, &place);
 	}
 	router_pool_publish(router, pool);
 	router_lend_want(router, pool);
--- a/src/decide/router_relay.c
+++ b/src/decide/router_relay.c
@@ -148,10 +148,13 @@
 	return router->admission->wait_us(pool->queue, &load);
 }
 
-/* Whether a peer would run a request sooner than we do. */
-static bool has_room(const struct router *router,
-		     const struct router_peer *peer, const char *pool,
-		     int64_t wait_us)
+/*
+ * Time that a request would spend on the way to a peer and in its queue, or
+ * INT64_MAX if the peer is not known to run it sooner than we do.
+ */
+static int64_t relay_cost_us(const struct router *router,
+			     const struct router_peer *peer, const char *pool,
+			     int64_t own_us)
 {
 	const struct known_load *known = g_hash_table_lookup(peer->loads, pool);
 	int64_t now_us = kernel_now_us(router->kernel);
@@ -159,9 +162,13 @@
 	if (!known || !peer->remote || peer->state != PEER_ALIVE ||
 	    peer->heard_us + HEARTBEAT_LIFE_US < now_us ||
 	    known->avoid_until_us > now_us)
-		return false;
-	return known->load.free_slots_count ||
-	       known->load.wait_us < wait_us - RELAY_GAIN_US;
+		return INT64_MAX;
+	if (known->load.free_slots_count)
+		return peer->trip_us;
+	if (known->load.wait_us >= own_us - RELAY_GAIN_US ||
+	    known->load.wait_us >= ROUTER_WAIT_MAX_US)
+		return INT64_MAX;
+	return peer->trip_us + known->load.wait_us;
 }
 
 /*
@@ -171,8 +178,9 @@
 struct router_peer *router_relay_find(struct router *router,
 				      const struct route *route)
 {
-	int64_t wait_us = own_wait_us(router, route->pool);
+	int64_t own_us = own_wait_us(router, route->pool);
 	struct router_peer *nearest = NULL;
+	int64_t nearest_us = INT64_MAX;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -181,13 +189,15 @@
 	g_hash_table_iter_init(&iter, router->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct router_peer *peer = value;
+		int64_t cost_us =
+			relay_cost_us(router, peer, route->pool->name, own_us);
 
-		if (!has_room(router, peer, route->pool->name, wait_us))
-			continue;
-		if (!nearest || peer->trip_us < nearest->trip_us ||
-		    (peer->trip_us == nearest->trip_us &&
-		     strcmp(peer->name, nearest->name) < 0))
+		if (cost_us < nearest_us ||
+		    (nearest && cost_us == nearest_us &&
+		     strcmp(peer->name, nearest->name) < 0)) {
 			nearest = peer;
+			nearest_us = cost_us;
+		}
 	}
 	return nearest;
 }
--- a/test/runner/node.c
+++ b/test/runner/node.c
@@ -32,8 +32,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	node->relays = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, g_free);
-	node->request_names = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, g_free, g_free);
+	node->request_names = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, g_free);
 	g_ptr_array_add(world->nodes, node);
 	return node;
 }
--- a/test/runner/relay.c
+++ b/test/runner/relay.c
@@ -6,6 +6,7 @@
 struct relay {
 	struct node *from;
 	uint64_t from_incarnation;
+	int64_t sent_us;
 	struct event_attempt attempt;
 };
 
@@ -51,7 +52,8 @@
 	struct event arrived = { .type = EVENT_REQUEST_NEW };
 	struct event late =
 		done_event(attempt, ATTEMPT_TIMED_OUT, VERDICT_MAY_HAVE_RUN);
-	struct relay relay = { node, node->incarnation, *attempt };
+	struct relay relay = { node, node->incarnation, world->now_us,
+			       *attempt };
 	struct request *copy;
 
 	if (!to || !to->kernel ||
@@ -89,8 +91,8 @@
 		return;
 	done = done_event(&relay->attempt, ATTEMPT_ANSWERED, reply->verdict);
 	done.attempt.status = reply->status;
-	done.attempt.latency_us = 2 * world->peer_delay_us +
-				  (event->answer ? world->service_us : 0);
+	done.attempt.latency_us =
+		world->now_us + world->peer_delay_us - relay->sent_us;
 	done.answer = event->answer
 			      ? answer_ref(event->answer)
 			      : answer_new(reply->status, "application/json",
