--- a/bench/decision.c
+++ b/bench/decision.c
@@ -77,6 +77,7 @@
 						 "background" };
 	GString *text = g_string_new("members:\n");
 
+	g_assert(size->pool_count && size->member_count);
 	for (uint32_t i = 0; i < size->member_count; i++)
 		g_string_append_printf(text, "- {name: m%u}\n", i);
 	g_string_append(text, "pools:\n");
@@ -165,11 +166,9 @@
 	advance(bench);
 }
 
-static struct bench *bench_new(const struct size *size)
+static void bench_init(struct bench *bench, const struct size *size)
 {
-	struct bench *bench = g_new0(struct bench, 1);
-
-	bench->size = size;
+	*bench = (struct bench){ .size = size };
 	bench->settings = settings_new();
 	name_copy(bench->settings->dc, NAME_SIZE_BYTES, "dc1");
 	bench->kernel = kernel_new(bench->settings, 1, 1);
@@ -183,7 +182,6 @@
 	kernel_start_plugin_with(bench->kernel, &sink_plugin, bench);
 	configure(bench);
 	grant(bench);
-	return bench;
 }
 
 static void event_free(gpointer data)
@@ -192,14 +190,13 @@
 	g_free(data);
 }
 
-static void bench_free(struct bench *bench)
+static void bench_clear(struct bench *bench)
 {
 	kernel_free(bench->kernel);
 	settings_free(bench->settings);
 	g_queue_free_full(bench->running, event_free);
 	g_ptr_array_unref(bench->paths);
 	g_rand_free(bench->random);
-	g_free(bench);
 }
 
 static void add_request(struct bench *bench)
@@ -260,16 +257,16 @@
 static void measure(uint32_t count)
 {
 	double times_ns[G_N_ELEMENTS(sizes)][ROUNDS_COUNT];
-	struct bench *benches[G_N_ELEMENTS(sizes)];
-	double medians_ns[G_N_ELEMENTS(sizes)];
+	struct bench benches[G_N_ELEMENTS(sizes)];
+	double medians_ns[G_N_ELEMENTS(sizes)] = { 0 };
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-		benches[i] = bench_new(&sizes[i]);
-		fill(benches[i], count);
+		bench_init(&benches[i], &sizes[i]);
+		fill(&benches[i], count);
 	}
 	for (uint32_t round = 0; round < ROUNDS_COUNT; round++) {
 		for (uint32_t i = 0; i < G_N_ELEMENTS(sizes); i++)
-			times_ns[i][round] = round_ns(benches[i]);
+			times_ns[i][round] = round_ns(&benches[i]);
 	}
 	for (uint32_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		qsort(times_ns[i], ROUNDS_COUNT, sizeof(double), compare);
@@ -278,7 +275,7 @@
 		       "%u pools: %.0f ns\n",
 		       count, sizes[i].instance_count, sizes[i].pool_count,
 		       medians_ns[i]);
-		bench_free(benches[i]);
+		bench_clear(&benches[i]);
 	}
 	printf("decision, %u requests in progress: ratio %.2f "
 	       "(target at most 1.5)\n",
