Drive the nodes with random faults from a seed

Cause: the orders of pauses, cuts, losses and restarts that break slot sharing are not those that one writes down. Change: 'random seed=N steps=M' in the script runner; the sum of allowed slots is checked on each change, and after healing all slots must be in use again. The check of leaving endpoints now starts when a node has seen the list, as the invariant says; a node cut off from the list can't know. Two faults found by it: a process that was removed before it saw its own join stayed without a roster (seed 282), and plug-ins saw the state after later records; replay now reports each record before the next is applied. Slots are given up when nothing is in flight, before entry_leave.

--- a/src/decide/cluster.c
+++ b/src/decide/cluster.c
@@ -201,17 +201,16 @@
 
 static void on_fleet_changed(struct cluster *cluster, const struct event *event)
 {
-	bool refused =
-		is_outcome(cluster->join, event) && !event->record.accepted;
+	bool decided = is_outcome(cluster->join, event);
 
 	if (event->record.record->kind >= RECORD_ENTRY_JOIN &&
 	    event->record.record->kind <= RECORD_ENTRY_GONE)
 		check_roster(cluster);
-	if (is_outcome(cluster->join, event))
+	if (decided)
 		forget(&cluster->join);
 	if (is_outcome(cluster->gone, event))
 		forget(&cluster->gone);
-	if (refused && !on_roster(cluster))
+	if (decided && !on_roster(cluster))
 		become_fenced(cluster);
 	if (is_outcome(cluster->leave, event) ||
 	    (cluster->leave && !on_roster(cluster)))
--- a/src/decide/replay.c
+++ b/src/decide/replay.c
@@ -65,7 +65,8 @@
 		klog_debug(LOG_PREFIX,
 			   "record %" G_GUINT64_FORMAT " ignored: %s",
 			   event->record.offset, outcome.reason);
-	kernel_emit(replay->kernel, &changed);
+	/* Before the next record, which may be queued already, is applied. */
+	kernel_emit_next(replay->kernel, &changed);
 }
 
 static const struct plugin replay_plugin = {
--- a/src/decide/slots.c
+++ b/src/decide/slots.c
@@ -107,7 +107,7 @@
 	uint32_t owned_count = endpoint->base_count;
 	uint32_t lent_count = loans_total(endpoint->lent);
 
-	if (!slots->member || slots->unsure)
+	if (!slots->member || slots->unsure || slots->drained)
 		return 0;
 	for (guint i = 0; i < endpoint->borrowed->len; i++) {
 		const struct loan *loan = endpoint->borrowed->pdata[i];
@@ -509,6 +509,11 @@
 		slots->draining = true;
 		loans_update_all(slots);
 		break;
+	case EVENT_DRAINED:
+		/* Our entry_leave gives the slots to others. */
+		slots->drained = true;
+		each_endpoint(slots, slots_refresh);
+		break;
 	case EVENT_REQUEST_NEW:
 		on_request(slots);
 		break;
@@ -546,10 +551,10 @@
 	.kind = PLUGIN_DECIDE,
 	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_RESUMED) |
 		 EVENT_BIT(EVENT_LOG_ASK) | EVENT_BIT(EVENT_LOG_STATE) |
-		 EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_REQUEST_NEW) |
-		 EVENT_BIT(EVENT_DISPATCHED) | EVENT_BIT(EVENT_SLOT_FREE) |
-		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
-		 EVENT_BIT(EVENT_PEER_RECEIVED),
+		 EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_DRAINED) |
+		 EVENT_BIT(EVENT_REQUEST_NEW) | EVENT_BIT(EVENT_DISPATCHED) |
+		 EVENT_BIT(EVENT_SLOT_FREE) | EVENT_BIT(EVENT_FLEET_CHANGED) |
+		 EVENT_BIT(EVENT_FLEET_RESET) | EVENT_BIT(EVENT_PEER_RECEIVED),
 	.init = slots_init,
 	.handle = slots_handle,
 	.fini = slots_fini,
--- a/src/decide/slots.h
+++ b/src/decide/slots.h
@@ -63,6 +63,7 @@
 	bool asked;
 	uint64_t sure_offset;
 	bool draining;
+	bool drained; /* nothing is in flight, and nothing will be */
 	uint64_t last_loan_id;
 	GHashTable *demands; /* pool -> struct pool_demand */
 	int64_t demand_check_us;
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -165,7 +165,7 @@
 			  g_memdup2(event, sizeof(struct event)));
 }
 
-static void emit_first(struct kernel *kernel, const struct event *event)
+void kernel_emit_next(struct kernel *kernel, const struct event *event)
 {
 	g_queue_push_head(kernel->queue,
 			  g_memdup2(event, sizeof(struct event)));
@@ -176,7 +176,8 @@
 	if (kernel->now_us && kernel->next_wake_us != DEADLINE_NEVER_US &&
 	    now_us - kernel->next_wake_us >= KERNEL_PAUSE_US &&
 	    now_us > kernel->now_us)
-		emit_first(kernel, &(struct event){ .type = EVENT_RESUMED });
+		kernel_emit_next(kernel,
+				 &(struct event){ .type = EVENT_RESUMED });
 	/* A clock that steps back must not revive passed deadlines. */
 	if (now_us > kernel->now_us)
 		kernel->now_us = now_us;
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -44,6 +44,12 @@
 /* Queues an event and takes over what it owns. */
 void kernel_emit(struct kernel *kernel, const struct event *event);
 
+/*
+ * Like kernel_emit(), but before the events that are queued already, so that
+ * what it reports is still true when it is delivered.
+ */
+void kernel_emit_next(struct kernel *kernel, const struct event *event);
+
 /*
  * A process that wakes so long after a stored deadline was paused. It is less
  * than the time after which others may remove it from the roster.
--- a/test/runner/checks.c
+++ b/test/runner/checks.c
@@ -34,6 +34,79 @@
 				instance_phase_name(instance->phase));
 }
 
+/* What running nodes may use together fits, whether they use it or not. */
+void check_allowed(struct world *world, const char *endpoint)
+{
+	uint32_t allowed_count = 0;
+	uint32_t slot_count = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *node = world->nodes->pdata[i];
+		const struct fleet_instance *instance;
+		const struct endpoint_state *state;
+
+		/* A paused one sends nothing before it has read the log. */
+		if (!node->kernel || node->paused)
+			continue;
+		instance = fleet_instance(kernel_fleet(node->kernel), endpoint);
+		state = endpoint_table_find(kernel_endpoints(node->kernel),
+					    endpoint);
+		allowed_count += state ? state->allowed_count : 0;
+		if (instance)
+			slot_count = MAX(slot_count, instance->decl.slot_count);
+	}
+	if (slot_count && allowed_count > slot_count)
+		world_violation(world, "%u of the %u slots of %s are allowed",
+				allowed_count, slot_count, endpoint);
+}
+
+static void note_item(struct world *world, struct node *node, const char *name,
+		      const struct list_item *item)
+{
+	bool leaving = item ? item->state == LIST_LEAVING
+			    : g_hash_table_contains(node->listed, name);
+
+	if (item)
+		g_hash_table_add(node->listed, g_strdup(name));
+	if (!leaving)
+		g_hash_table_remove(node->leaving, name);
+	else if (!g_hash_table_contains(node->leaving, name))
+		g_hash_table_insert(
+			node->leaving, g_strdup(name),
+			g_memdup2(&world->now_us, sizeof(world->now_us)));
+}
+
+/* Notes which endpoints a node knows to be leaving, and since when. */
+void check_list(struct world *world, struct node *node,
+		const struct event *event)
+{
+	const GPtrArray *instances =
+		fleet_instances(kernel_fleet(node->kernel));
+	const GArray *items = event->list.items;
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+		const struct list_item *found = NULL;
+
+		for (guint k = 0; k < items->len; k++) {
+			const struct list_item *item =
+				&g_array_index(items, struct list_item, k);
+
+			if (!strcmp(item->name, instance->decl.name))
+				found = item;
+		}
+		note_item(world, node, instance->decl.name, found);
+	}
+}
+
+static bool knows_leaving(const struct world *world, const struct node *node,
+			  const char *endpoint)
+{
+	const int64_t *since_us = g_hash_table_lookup(node->leaving, endpoint);
+
+	return since_us && world->now_us - *since_us > LEAVING_GRACE_US;
+}
+
 /* A non-idempotent request runs at most once over all nodes. */
 static void check_once(struct world *world, struct node *node,
 		       const struct request *request)
@@ -65,8 +138,7 @@
 	if (attempt->relayed)
 		return;
 	check_slots(world, node, endpoint);
-	if (endpoint->leaving_since_us &&
-	    world->now_us - endpoint->leaving_since_us > LEAVING_GRACE_US)
+	if (knows_leaving(world, node, attempt->endpoint))
 		world_violation(world, "%s sends to %s, which is leaving",
 				node->name, endpoint->name);
 	if (!request) {
--- a/test/runner/node.c
+++ b/test/runner/node.c
@@ -30,10 +30,14 @@
 	name_copy(node->settings->dc, NAME_SIZE_BYTES, dc);
 	node->peer_cuts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->leaving =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->relays = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, g_free);
-	node->request_names = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, g_free, g_free);
+	node->request_names = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, g_free);
 	g_ptr_array_add(world->nodes, node);
 	return node;
 }
@@ -45,6 +49,8 @@
 	g_hash_table_unref(node->peer_cuts);
 	g_hash_table_unref(node->request_names);
 	g_hash_table_unref(node->relays);
+	g_hash_table_unref(node->listed);
+	g_hash_table_unref(node->leaving);
 	g_strfreev(node->only);
 	g_free(node);
 }
--- /dev/null
+++ b/test/runner/random.c
@@ -0,0 +1,432 @@
+/*
+ * Random faults and requests from a seed, on the nodes that a script has
+ * started. The invariants are checked on every event; at the end everything is
+ * healed, and all slots must be in use again.
+ */
+
+#include <string.h>
+
+#include "runner/world.h"
+
+#define STEP_MAX_US (400 * USEC_PER_MSEC)
+#define LONG_STEP_MAX_US (9 * USEC_PER_SEC)
+#define HEAL_US (60 * USEC_PER_SEC)
+#define BURST_MAX 30
+
+struct driver {
+	struct world *world;
+	GRand *random;
+	bool trace;
+	uint64_t request_count;
+	GHashTable *absent; /* names of nodes that the list has lost */
+	GHashTable *leaving; /* names of endpoints that it calls leaving */
+};
+
+struct action {
+	const char *name;
+	uint32_t weight;
+	void (*run)(struct driver *driver, struct node *node);
+};
+
+static uint32_t below(struct driver *driver, uint32_t limit)
+{
+	return (uint32_t)g_rand_int_range(driver->random, 0, (gint32)limit);
+}
+
+static uint32_t running_count(const struct world *world)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *node = world->nodes->pdata[i];
+
+		count += node->kernel && !node->paused;
+	}
+	return count;
+}
+
+static const struct fleet_instance *any_instance(struct driver *driver,
+						 struct node *node)
+{
+	const GPtrArray *instances =
+		node->kernel ? fleet_instances(kernel_fleet(node->kernel))
+			     : NULL;
+
+	if (!instances || !instances->len)
+		return NULL;
+	return instances->pdata[below(driver, instances->len)];
+}
+
+static void add_request(struct driver *driver, struct node *node,
+			const char *path)
+{
+	struct event event = { .type = EVENT_REQUEST_NEW };
+	struct request *request;
+
+	if (!node->kernel)
+		return;
+	request = request_add(kernel_requests(node->kernel));
+	name_copy(request->method, sizeof(request->method), "POST");
+	request->path = g_strdup(path);
+	g_snprintf(request->key, sizeof(request->key),
+		   "%" G_GINT64_FORMAT "-%" G_GUINT64_FORMAT,
+		   (driver->world->wall_start_us + driver->world->now_us) /
+			   USEC_PER_MSEC,
+		   ++driver->request_count);
+	request->arrived_us = driver->world->now_us + 1;
+	g_hash_table_insert(node->request_names,
+			    g_memdup2(&request->id, sizeof(request->id)),
+			    g_strdup(request->key));
+	event.request.request_id = request->id;
+	world_inject(driver->world, node, &event);
+}
+
+static void do_requests(struct driver *driver, struct node *node)
+{
+	const GPtrArray *services;
+	char path[NAME_SIZE_BYTES];
+	uint32_t count;
+
+	if (!node->kernel || node->paused)
+		return;
+	services = fleet_services(kernel_fleet(node->kernel));
+	if (!services->len)
+		return;
+	name_copy(path, sizeof(path),
+		  ((const struct decl_service *)
+			   services->pdata[below(driver, services->len)])
+			  ->path);
+	count = 1 + below(driver, BURST_MAX);
+	for (uint32_t i = 0; i < count; i++)
+		add_request(driver, node, path);
+}
+
+static void do_kill(struct driver *driver, struct node *node)
+{
+	if (node->kernel && running_count(driver->world) > 1)
+		world_kill_node(driver->world, node);
+}
+
+static void do_start(struct driver *driver, struct node *node)
+{
+	if (node->kernel)
+		return;
+	g_hash_table_remove(driver->absent, node->name);
+	world_start_node(driver->world, node->name, "");
+}
+
+static void do_pause(struct driver *driver, struct node *node)
+{
+	if (node->kernel && running_count(driver->world) > 1)
+		world_set_paused(driver->world, node, true);
+}
+
+static void do_resume(struct driver *driver, struct node *node)
+{
+	if (!node->kernel || !node->paused)
+		return;
+	g_hash_table_remove(driver->absent, node->name);
+	world_set_paused(driver->world, node, false);
+}
+
+static void do_drain(struct driver *driver, struct node *node)
+{
+	struct event event = { .type = EVENT_DRAIN };
+
+	if (!node->kernel || node->paused || running_count(driver->world) < 2)
+		return;
+	event.drain.deadline_us = driver->world->now_us + 5 * USEC_PER_SEC;
+	world_inject(driver->world, node, &event);
+}
+
+static void do_cut_log(struct driver *driver, struct node *node)
+{
+	node->log_cut = !below(driver, 4);
+	world_announce_log(driver->world);
+}
+
+static void set_peer_cut(struct node *a, struct node *b, bool cut)
+{
+	if (cut) {
+		g_hash_table_add(a->peer_cuts, g_strdup(b->name));
+		g_hash_table_add(b->peer_cuts, g_strdup(a->name));
+	} else {
+		g_hash_table_remove(a->peer_cuts, b->name);
+		g_hash_table_remove(b->peer_cuts, a->name);
+	}
+}
+
+static void do_cut_peer(struct driver *driver, struct node *node)
+{
+	struct node *other = driver->world->nodes->pdata[below(
+		driver, driver->world->nodes->len)];
+
+	if (other != node)
+		set_peer_cut(node, other, !below(driver, 3));
+}
+
+static void do_log_down(struct driver *driver, struct node *node)
+{
+	(void)node;
+	driver->world->log_down = !below(driver, 4);
+	world_announce_log(driver->world);
+}
+
+static void do_log_lose(struct driver *driver, struct node *node)
+{
+	(void)node;
+	driver->world->log_lose_answers = !below(driver, 3);
+}
+
+static void do_delays(struct driver *driver, struct node *node)
+{
+	(void)node;
+	driver->world->log_delay_us =
+		(1 + below(driver, 300)) * USEC_PER_MSEC;
+	driver->world->peer_delay_us =
+		(1 + below(driver, 100)) * USEC_PER_MSEC;
+}
+
+static void do_endpoint(struct driver *driver, struct node *node)
+{
+	static const enum endpoint_mode modes[] = {
+		ENDPOINT_AUTO, ENDPOINT_AUTO, ENDPOINT_AUTO,  ENDPOINT_FAIL,
+		ENDPOINT_HANG, ENDPOINT_CUT,  ENDPOINT_REFUSE
+	};
+	const struct fleet_instance *instance = any_instance(driver, node);
+	struct endpoint *endpoint;
+
+	if (!instance)
+		return;
+	endpoint = world_endpoint(driver->world, instance->decl.name);
+	endpoint->mode = modes[below(driver, G_N_ELEMENTS(modes))];
+	endpoint->service_us = (1 + below(driver, 1500)) * USEC_PER_MSEC;
+}
+
+static void do_leaving(struct driver *driver, struct node *node)
+{
+	const struct fleet_instance *instance = any_instance(driver, node);
+
+	if (!instance)
+		return;
+	if (!g_hash_table_remove(driver->leaving, instance->decl.name))
+		g_hash_table_add(driver->leaving,
+				 g_strdup(instance->decl.name));
+}
+
+static void add_item(GArray *items, const char *name, enum list_state state)
+{
+	struct list_item item = { .state = state };
+
+	name_copy(item.name, sizeof(item.name), name);
+	g_array_append_val(items, item);
+}
+
+static GArray *list_items(struct driver *driver, struct node *to)
+{
+	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct list_item));
+	const GPtrArray *instances =
+		fleet_instances(kernel_fleet(to->kernel));
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+
+		add_item(items, instance->decl.name,
+			 g_hash_table_contains(driver->leaving,
+					       instance->decl.name)
+				 ? LIST_LEAVING
+				 : LIST_LIVE);
+	}
+	for (guint i = 0; i < driver->world->nodes->len; i++) {
+		const struct node *node = driver->world->nodes->pdata[i];
+
+		if (!g_hash_table_contains(driver->absent, node->name))
+			add_item(items, node->name, LIST_LIVE);
+	}
+	return items;
+}
+
+/* A node that does not run may be missing; one that runs never is. */
+static void do_list(struct driver *driver, struct node *node)
+{
+	struct world *world = driver->world;
+
+	(void)node;
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *other = world->nodes->pdata[i];
+
+		if ((!other->kernel || other->paused) && below(driver, 2))
+			g_hash_table_add(driver->absent,
+					 g_strdup(other->name));
+	}
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct node *to = world->nodes->pdata[i];
+		struct event event = { .type = EVENT_INSTANCE_LIST };
+
+		if (!to->kernel || to->log_cut)
+			continue;
+		event.list.items = list_items(driver, to);
+		world_schedule(world, world->now_us, to, &event);
+	}
+}
+
+static const struct action actions[] = {
+	{ "requests", 40, do_requests }, { "kill", 3, do_kill },
+	{ "start", 8, do_start },	 { "pause", 4, do_pause },
+	{ "resume", 10, do_resume },	 { "drain", 1, do_drain },
+	{ "cut-log", 4, do_cut_log },	 { "cut-peer", 6, do_cut_peer },
+	{ "log-down", 3, do_log_down },	 { "log-lose", 3, do_log_lose },
+	{ "delays", 3, do_delays },	 { "endpoint", 6, do_endpoint },
+	{ "leaving", 2, do_leaving },	 { "list", 8, do_list },
+};
+
+static const struct action *pick_action(struct driver *driver)
+{
+	uint32_t total = 0;
+	uint32_t at;
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(actions); i++)
+		total += actions[i].weight;
+	at = below(driver, total);
+	for (uint32_t i = 0;; i++) {
+		if (at < actions[i].weight)
+			return &actions[i];
+		at -= actions[i].weight;
+	}
+}
+
+static void step(struct driver *driver)
+{
+	struct world *world = driver->world;
+	const struct action *action = pick_action(driver);
+	struct node *node =
+		world->nodes->pdata[below(driver, world->nodes->len)];
+	int64_t wait_us = below(driver, (uint32_t)STEP_MAX_US);
+
+	if (!below(driver, 20))
+		wait_us = below(driver, (uint32_t)LONG_STEP_MAX_US);
+	if (driver->trace)
+		world_print(world, "%10.3f -- %s %s",
+			    (double)world->now_us / USEC_PER_MSEC,
+			    action->name, node->name);
+	action->run(driver, node);
+	world_run_until(world, world->now_us + wait_us);
+}
+
+static void heal_all(struct driver *driver)
+{
+	struct world *world = driver->world;
+
+	world->log_down = false;
+	world->log_lose_answers = false;
+	world->log_delay_us = 2 * USEC_PER_MSEC;
+	world->peer_delay_us = USEC_PER_MSEC;
+	g_hash_table_remove_all(driver->leaving);
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct node *node = world->nodes->pdata[i];
+
+		node->log_cut = false;
+		g_hash_table_remove_all(node->peer_cuts);
+		if (node->kernel && node->paused)
+			do_resume(driver, node);
+	}
+	world_announce_log(world);
+}
+
+/* Lets what is left of the faults end, and starts what has stopped. */
+static void settle(struct driver *driver)
+{
+	struct world *world = driver->world;
+
+	for (uint32_t round = 0; round < 3; round++) {
+		heal_all(driver);
+		world_run_until(world, world->now_us + HEAL_US / 3);
+		for (guint i = 0; i < world->nodes->len; i++)
+			do_start(driver, world->nodes->pdata[i]);
+		do_list(driver, NULL);
+	}
+	world_run_until(world, world->now_us + HEAL_US);
+}
+
+static uint32_t allowed_sum(const struct world *world, const char *endpoint)
+{
+	uint32_t sum = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *node = world->nodes->pdata[i];
+		const struct endpoint_state *state =
+			node->kernel
+				? endpoint_table_find(
+					  kernel_endpoints(node->kernel),
+					  endpoint)
+				: NULL;
+
+		sum += state ? state->allowed_count : 0;
+	}
+	return sum;
+}
+
+static bool dc_has_node(const struct world *world, const char *dc)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *node = world->nodes->pdata[i];
+
+		if (!strcmp(node->settings->dc, dc))
+			return true;
+	}
+	return false;
+}
+
+/* No slot and no entry is lost for good by the faults. */
+static void check_recovered(struct world *world)
+{
+	struct node *node = world->nodes->pdata[0];
+	const GPtrArray *instances =
+		fleet_instances(kernel_fleet(node->kernel));
+
+	if (fleet_entries(kernel_fleet(node->kernel))->len !=
+	    world->nodes->len)
+		world_violation(world, "only %u of %u entries are back",
+				fleet_entries(kernel_fleet(node->kernel))->len,
+				world->nodes->len);
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+		uint32_t sum = allowed_sum(world, instance->decl.name);
+
+		if (dc_has_node(world, instance->decl.dc) &&
+		    sum != instance->decl.slot_count)
+			world_violation(world, "%u of %u slots of %s are back",
+					sum, instance->decl.slot_count,
+					instance->decl.name);
+	}
+}
+
+void random_run(struct world *world, uint32_t seed, uint32_t step_count,
+		bool trace)
+{
+	struct driver driver = {
+		.world = world,
+		.random = g_rand_new_with_seed(seed),
+		.trace = trace,
+		.absent = g_hash_table_new_full(g_str_hash, g_str_equal,
+						g_free, NULL),
+		.leaving = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, NULL),
+	};
+
+	for (uint32_t i = 0; i < step_count; i++)
+		step(&driver);
+	settle(&driver);
+	check_recovered(world);
+	world_print(world,
+		    "%10.3f random seed=%u steps=%u: requests %" G_GUINT64_FORMAT
+		    ", log %u, replies not-run %u ran %u may-have-run %u",
+		    (double)world->now_us / USEC_PER_MSEC, seed, step_count,
+		    driver.request_count, world->log->len,
+		    world->reply_counts[VERDICT_NOT_RUN],
+		    world->reply_counts[VERDICT_RAN],
+		    world->reply_counts[VERDICT_MAY_HAVE_RUN]);
+	g_hash_table_unref(driver.absent);
+	g_hash_table_unref(driver.leaving);
+	g_rand_free(driver.random);
+}
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -428,13 +428,6 @@
 {
 	struct world *world = script->world;
 
-	for (uint32_t i = 1; i < script->word_count; i++) {
-		char **pair = g_strsplit(script->words[i], "=", 2);
-		struct endpoint *endpoint = world_endpoint(world, pair[0]);
-
-		endpoint->leaving_since_us = MAX(world->now_us, 1);
-		g_strfreev(pair);
-	}
 	for (guint i = 0; i < world->nodes->len; i++) {
 		struct node *node = world->nodes->pdata[i];
 		struct event event = { .type = EVENT_INSTANCE_LIST };
@@ -780,7 +773,8 @@
 		g_strfreev(script->words);
 		return;
 	}
-	if (!script_feed(script->world, script->dir, script->words,
+	if (!script_slots(script->world, script->words) &&
+	    !script_feed(script->world, script->dir, script->words,
 			 script->errors))
 		fail(script, "no command is called \"%s\"", script->words[0]);
 	g_strfreev(script->words);
--- /dev/null
+++ b/test/runner/script_slots.c
@@ -0,0 +1,118 @@
+/* Commands that show slots and the roster, and the randomised driver. */
+
+#include <string.h>
+
+#include "runner/world.h"
+
+static struct node *first_running(struct world *world)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct node *node = world->nodes->pdata[i];
+
+		if (node->kernel)
+			return node;
+	}
+	return NULL;
+}
+
+static void show_endpoint(struct world *world,
+			  const struct fleet_instance *instance)
+{
+	GString *line = g_string_new(NULL);
+	uint32_t sum_count = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *node = world->nodes->pdata[i];
+		const struct endpoint_state *state;
+
+		if (!node->kernel)
+			continue;
+		state = endpoint_table_find(kernel_endpoints(node->kernel),
+					    instance->decl.name);
+		if (!state || !state->allowed_count)
+			continue;
+		sum_count += state->allowed_count;
+		g_string_append_printf(line, " %s=%u", node->name,
+				       state->allowed_count);
+	}
+	world_print(world, "           slots %s:%s, %u of %u",
+		    instance->decl.name, line->str, sum_count,
+		    instance->decl.slot_count);
+	g_string_free(line, TRUE);
+}
+
+/* slots [ENDPOINT ...]: what each running node may use. */
+static void cmd_slots(struct world *world, gchar **words)
+{
+	struct node *first = first_running(world);
+	const GPtrArray *instances;
+
+	if (!first)
+		return;
+	world_print(world, "%10.3f slots",
+		    (double)world->now_us / USEC_PER_MSEC);
+	instances = fleet_instances(kernel_fleet(first->kernel));
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+
+		if (!words[1] || g_strv_contains((const gchar *const *)words,
+						 instance->decl.name))
+			show_endpoint(world, instance);
+	}
+}
+
+/* roster NODE: the entries on its roster. */
+static void cmd_roster(struct world *world, gchar **words)
+{
+	struct node *node = words[1] ? world_node(world, words[1]) : NULL;
+	GString *line = g_string_new(NULL);
+	const GPtrArray *entries;
+
+	if (node && node->kernel) {
+		entries = fleet_entries(kernel_fleet(node->kernel));
+		for (guint i = 0; i < entries->len; i++) {
+			const struct fleet_entry *entry = entries->pdata[i];
+
+			g_string_append_printf(
+				line, " %s/%" G_GUINT64_FORMAT,
+				entry->decl.name, entry->decl.incarnation);
+		}
+		world_print(world, "%10.3f %s roster:%s",
+			    (double)world->now_us / USEC_PER_MSEC, node->name,
+			    line->str);
+	}
+	g_string_free(line, TRUE);
+}
+
+static uint64_t number(gchar **words, const char *key, uint64_t otherwise)
+{
+	size_t length_bytes = strlen(key);
+
+	for (uint32_t i = 1; words[i]; i++) {
+		if (!strncmp(words[i], key, length_bytes))
+			return g_ascii_strtoull(words[i] + length_bytes, NULL,
+						10);
+	}
+	return otherwise;
+}
+
+/* random seed=N steps=M [trace=1] */
+static void cmd_random(struct world *world, gchar **words)
+{
+	random_run(world, (uint32_t)number(words, "seed=", 1),
+		   (uint32_t)number(words, "steps=", 100),
+		   number(words, "trace=", 0) != 0);
+}
+
+bool script_slots(struct world *world, gchar **words)
+{
+	if (!strcmp(words[0], "slots"))
+		cmd_slots(world, words);
+	else if (!strcmp(words[0], "roster"))
+		cmd_roster(world, words);
+	else if (!strcmp(words[0], "random"))
+		cmd_random(world, words);
+	else
+		return false;
+	return true;
+}
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -153,6 +153,8 @@
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
 	kernel_run(node->kernel);
+	if (node->left)
+		world_kill_node(world, node);
 }
 
 void world_inject(struct world *world, struct node *node,
@@ -415,6 +417,15 @@
 		request_remove(kernel_requests(node->kernel),
 			       event->request.request_id);
 		break;
+	case EVENT_LEFT:
+		node->left = true;
+		break;
+	case EVENT_INSTANCE_LIST:
+		check_list(world, node, event);
+		break;
+	case EVENT_SLOTS_CHANGED:
+		check_allowed(world, event->name.name);
+		break;
 	case EVENT_INSTANCE_REBOOT:
 		check_reboot(world, node, event);
 		break;
@@ -441,6 +452,7 @@
 	node->incarnation++;
 	node->read_offset = world->log_first_offset;
 	node->paused = false;
+	node->left = false;
 	node->kernel = kernel_new(node->settings, node->incarnation,
 				  world->seed + world->nodes->len);
 	kernel_set_time(node->kernel, world->now_us + 1,
@@ -458,6 +470,8 @@
 	kernel_free(node->kernel);
 	node->kernel = NULL;
 	g_hash_table_remove_all(node->request_names);
+	g_hash_table_remove_all(node->listed);
+	g_hash_table_remove_all(node->leaving);
 	g_hash_table_remove_all(node->relays);
 }
 
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -19,12 +19,15 @@
 	struct kernel *kernel; /* NULL after a kill */
 	uint64_t incarnation;
 	bool paused;
+	bool left; /* the process has ended itself; the kernel is freed next */
 	bool log_cut;	       /* can't reach the log or the list */
 	int64_t skew_us;       /* wall clock ahead of the world's */
 	uint64_t read_offset;  /* next offset that the log client hands out */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
 	GHashTable *relays;	   /* request id -> struct relay */
+	GHashTable *listed;	   /* names that a list has shown to it */
+	GHashTable *leaving;	   /* name -> time since which it knows */
 	char **only; /* the decision plug-ins that it runs; NULL: all */
 };
 
@@ -43,7 +46,6 @@
 	enum endpoint_mode mode;
 	int64_t service_us;
 	uint32_t running_count;
-	int64_t leaving_since_us; /* 0: not leaving */
 };
 
 struct world {
@@ -140,6 +142,9 @@
 		const struct event *event);
 void check_reply(struct world *world, struct node *node,
 		 const struct event *event);
+void check_list(struct world *world, struct node *node,
+		const struct event *event);
+void check_allowed(struct world *world, const char *endpoint);
 void check_reboot(struct world *world, struct node *node,
 		  const struct event *event);
 void check_fleet(struct world *world, struct node *node,
@@ -152,6 +157,13 @@
 bool script_feed(struct world *world, const char *dir, gchar **words,
 		 GPtrArray *errors);
 
+/* script_slots.c: like script_feed(). */
+bool script_slots(struct world *world, gchar **words);
+
+/* random.c: random faults and requests from a seed. */
+void random_run(struct world *world, uint32_t seed, uint32_t step_count,
+		bool trace);
+
 /* script.c: runs a script; the output is in world->output. */
 struct world *script_run(const char *path, GPtrArray *errors);
 
