--- a/src/decide/slots_loan.c
+++ b/src/decide/slots_loan.c
@@ -306,27 +306,6 @@
 	}
 }
 
-void loans_roster_changed(struct slots *slots)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, slots->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct slot_endpoint *endpoint = value;
-
-		remove_ended(slots, endpoint->borrowed);
-		remove_ended(slots, endpoint->returned);
-		/* Shares are about to change, so the others go home. */
-		for (guint i = 0; i < endpoint->borrowed->len; i++) {
-			struct loan *loan = endpoint->borrowed->pdata[i];
-
-			loan->returning = true;
-		}
-	}
-	loans_update_all(slots);
-}
-
 void loans_release_ended(struct slots *slots)
 {
 	GHashTableIter iter;
@@ -405,6 +384,25 @@
 	g_list_free(names);
 }
 
+static void roster_changed(struct slots *slots, struct slot_endpoint *endpoint)
+{
+	remove_ended(slots, endpoint->borrowed);
+	remove_ended(slots, endpoint->returned);
+	/* Shares are about to change, so the others go home. */
+	for (guint i = 0; i < endpoint->borrowed->len; i++) {
+		struct loan *loan = endpoint->borrowed->pdata[i];
+
+		loan->returning = true;
+	}
+	slots_refresh(slots, endpoint);
+}
+
+void loans_roster_changed(struct slots *slots)
+{
+	each_by_name(slots, roster_changed);
+	loans_update_all(slots);
+}
+
 void loans_update_all(struct slots *slots)
 {
 	slots->return_us = DEADLINE_NEVER_US;
--- a/test/runner/random.c
+++ b/test/runner/random.c
@@ -11,14 +11,14 @@
 #define STEP_MAX_US (400 * USEC_PER_MSEC)
 #define LONG_STEP_MAX_US (9 * USEC_PER_SEC)
 #define HEAL_US (60 * USEC_PER_SEC)
-#define BURST_MAX 30
+#define BURST_MAX 40
 
 struct driver {
 	struct world *world;
 	GRand *random;
 	bool trace;
 	uint64_t request_count;
-	GHashTable *absent; /* names of nodes that the list has lost */
+	GHashTable *absent;  /* names of nodes that the list has lost */
 	GHashTable *leaving; /* names of endpoints that it calls leaving */
 };
 
@@ -158,8 +158,9 @@
 
 static void do_cut_peer(struct driver *driver, struct node *node)
 {
-	struct node *other = driver->world->nodes->pdata[below(
-		driver, driver->world->nodes->len)];
+	struct node *other =
+		driver->world->nodes
+			->pdata[below(driver, driver->world->nodes->len)];
 
 	if (other != node)
 		set_peer_cut(node, other, !below(driver, 3));
@@ -181,10 +182,8 @@
 static void do_delays(struct driver *driver, struct node *node)
 {
 	(void)node;
-	driver->world->log_delay_us =
-		(1 + below(driver, 300)) * USEC_PER_MSEC;
-	driver->world->peer_delay_us =
-		(1 + below(driver, 100)) * USEC_PER_MSEC;
+	driver->world->log_delay_us = (1 + below(driver, 300)) * USEC_PER_MSEC;
+	driver->world->peer_delay_us = (1 + below(driver, 100)) * USEC_PER_MSEC;
 }
 
 static void do_endpoint(struct driver *driver, struct node *node)
@@ -225,8 +224,7 @@
 static GArray *list_items(struct driver *driver, struct node *to)
 {
 	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct list_item));
-	const GPtrArray *instances =
-		fleet_instances(kernel_fleet(to->kernel));
+	const GPtrArray *instances = fleet_instances(kernel_fleet(to->kernel));
 
 	for (guint i = 0; i < instances->len; i++) {
 		const struct fleet_instance *instance = instances->pdata[i];
@@ -256,8 +254,7 @@
 		const struct node *other = world->nodes->pdata[i];
 
 		if ((!other->kernel || other->paused) && below(driver, 2))
-			g_hash_table_add(driver->absent,
-					 g_strdup(other->name));
+			g_hash_table_add(driver->absent, g_strdup(other->name));
 	}
 	for (guint i = 0; i < world->nodes->len; i++) {
 		struct node *to = world->nodes->pdata[i];
@@ -271,7 +268,7 @@
 }
 
 static const struct action actions[] = {
-	{ "requests", 40, do_requests }, { "kill", 3, do_kill },
+	{ "requests", 80, do_requests }, { "kill", 3, do_kill },
 	{ "start", 8, do_start },	 { "pause", 4, do_pause },
 	{ "resume", 10, do_resume },	 { "drain", 1, do_drain },
 	{ "cut-log", 4, do_cut_log },	 { "cut-peer", 6, do_cut_peer },
@@ -307,8 +304,8 @@
 		wait_us = below(driver, (uint32_t)LONG_STEP_MAX_US);
 	if (driver->trace)
 		world_print(world, "%10.3f -- %s %s",
-			    (double)world->now_us / USEC_PER_MSEC,
-			    action->name, node->name);
+			    (double)world->now_us / USEC_PER_MSEC, action->name,
+			    node->name);
 	action->run(driver, node);
 	world_run_until(world, world->now_us + wait_us);
 }
@@ -355,11 +352,10 @@
 	for (guint i = 0; i < world->nodes->len; i++) {
 		const struct node *node = world->nodes->pdata[i];
 		const struct endpoint_state *state =
-			node->kernel
-				? endpoint_table_find(
-					  kernel_endpoints(node->kernel),
-					  endpoint)
-				: NULL;
+			node->kernel ? endpoint_table_find(
+					       kernel_endpoints(node->kernel),
+					       endpoint)
+				     : NULL;
 
 		sum += state ? state->allowed_count : 0;
 	}
@@ -384,8 +380,7 @@
 	const GPtrArray *instances =
 		fleet_instances(kernel_fleet(node->kernel));
 
-	if (fleet_entries(kernel_fleet(node->kernel))->len !=
-	    world->nodes->len)
+	if (fleet_entries(kernel_fleet(node->kernel))->len != world->nodes->len)
 		world_violation(world, "only %u of %u entries are back",
 				fleet_entries(kernel_fleet(node->kernel))->len,
 				world->nodes->len);
@@ -408,8 +403,8 @@
 		.world = world,
 		.random = g_rand_new_with_seed(seed),
 		.trace = trace,
-		.absent = g_hash_table_new_full(g_str_hash, g_str_equal,
-						g_free, NULL),
+		.absent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL),
 		.leaving = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, NULL),
 	};
@@ -418,14 +413,15 @@
 		step(&driver);
 	settle(&driver);
 	check_recovered(world);
-	world_print(world,
-		    "%10.3f random seed=%u steps=%u: requests %" G_GUINT64_FORMAT
-		    ", log %u, replies not-run %u ran %u may-have-run %u",
-		    (double)world->now_us / USEC_PER_MSEC, seed, step_count,
-		    driver.request_count, world->log->len,
-		    world->reply_counts[VERDICT_NOT_RUN],
-		    world->reply_counts[VERDICT_RAN],
-		    world->reply_counts[VERDICT_MAY_HAVE_RUN]);
+	world_print(
+		world,
+		"%10.3f random seed=%u steps=%u: requests %" G_GUINT64_FORMAT
+		", log %u, replies not-run %u ran %u may-have-run %u",
+		(double)world->now_us / USEC_PER_MSEC, seed, step_count,
+		driver.request_count, world->log->len,
+		world->reply_counts[VERDICT_NOT_RUN],
+		world->reply_counts[VERDICT_RAN],
+		world->reply_counts[VERDICT_MAY_HAVE_RUN]);
 	g_hash_table_unref(driver.absent);
 	g_hash_table_unref(driver.leaving);
 	g_rand_free(driver.random);
--- a/test/runner/script_slots.c
+++ b/test/runner/script_slots.c
@@ -73,9 +73,9 @@
 		for (guint i = 0; i < entries->len; i++) {
 			const struct fleet_entry *entry = entries->pdata[i];
 
-			g_string_append_printf(
-				line, " %s/%" G_GUINT64_FORMAT,
-				entry->decl.name, entry->decl.incarnation);
+			g_string_append_printf(line, " %s/%" G_GUINT64_FORMAT,
+					       entry->decl.name,
+					       entry->decl.incarnation);
 		}
 		world_print(world, "%10.3f %s roster:%s",
 			    (double)world->now_us / USEC_PER_MSEC, node->name,
