Add stand-ins, example declarations and the model of the core protocol

Cause: the whole path needs a platform log, a list and endpoints to talk to, and the claims of the design need a check that can fail.

--- /dev/null
+++ b/spec/snapshot.pml
@@ -0,0 +1,172 @@
+/*
+ * Snapshots against the limited retention of the log. A writer appends
+ * records and snapshots in two parts, the platform trims old records, and a
+ * reader that starts at any time must get the state of the last record.
+ *
+ * The state is the number of records applied, so a gap shows at once.
+ *
+ * Variants that must fail:
+ *   NO_GAP_CHECK  the reader takes a snapshot older than the first record
+ *   ONE_PART      the reader takes a snapshot whose other part is missing
+ *   EARLY_TRIM    records are trimmed before a newer whole snapshot is there,
+ *                 and a reader still counts on finding a state
+ */
+
+#define OFFSETS 10
+
+#define RECORD 1
+#define PART_ONE 2
+#define PART_TWO 3
+
+byte kind[OFFSETS + 1]; /* by offset, from 1 */
+byte base[OFFSETS + 1]; /* of a part: records that it covers, by offset */
+byte state_at[OFFSETS + 1]; /* state after the offset */
+byte state_of[OFFSETS + 1]; /* of a part: the state that it holds */
+byte tail = 0;
+byte first = 1;
+byte state = 0;
+byte whole_base = 0; /* base of the newest whole snapshot */
+byte whole_first = 0; /* offset of its first part */
+bool overrun = false; /* trimmed what no whole snapshot replaces */
+
+proctype writer()
+{
+	byte part_base = 0;
+	byte part_state = 0;
+	byte part_first = 0;
+	bool taken = false;
+
+	do
+	:: atomic {
+			(tail < OFFSETS) ->
+				tail++;
+				kind[tail] = RECORD;
+				state++;
+				state_at[tail] = state;
+		}
+	:: /* the state is taken; other records may come before the parts */
+		atomic {
+			(part_first == 0 && !taken) ->
+				taken = true;
+				part_base = tail;
+				part_state = state;
+		}
+	:: /* and between them */
+		atomic {
+			(tail < OFFSETS && taken) ->
+				taken = false;
+				tail++;
+				part_first = tail;
+				kind[tail] = PART_ONE;
+				base[tail] = part_base;
+				state_of[tail] = part_state;
+				state_at[tail] = state;
+		}
+	:: atomic {
+			(tail < OFFSETS && part_first != 0) ->
+				tail++;
+				kind[tail] = PART_TWO;
+				base[tail] = part_base;
+				state_of[tail] = part_state;
+				state_at[tail] = state;
+				whole_base = part_base;
+				whole_first = part_first;
+				part_first = 0;
+		}
+	:: (tail == OFFSETS) -> break;
+	od
+}
+
+/*
+ * Retention. What the newest whole snapshot replaces may go; if the log trims
+ * more, because snapshots came too late, a reader may find no state, but
+ * never a wrong one.
+ */
+proctype platform()
+{
+	do
+	:: atomic {
+			(first < tail) ->
+#ifndef EARLY_TRIM
+				if
+				:: (whole_first != 0 && first < whole_first &&
+				    first <= whole_base) -> skip;
+				:: else -> overrun = true;
+				fi;
+#endif
+				first++;
+		}
+	:: (tail == OFFSETS) -> break;
+	od
+}
+
+/* Reads all that is kept in one go, as of some moment, and replays. */
+proctype reader()
+{
+	byte at;
+	byte have_base;
+	byte have_state;
+	byte part_base;
+	bool have_part;
+	bool ready;
+
+	atomic {
+		(tail > 0) ->
+		at = first;
+		/* The log was never trimmed: replay from nothing. */
+		ready = (first == 1);
+		do
+		:: (at > tail) -> break;
+		:: (at <= tail && kind[at] == PART_ONE) ->
+			have_part = true;
+			part_base = base[at];
+#ifdef ONE_PART
+			if
+			:: (!ready && base[at] + 1 >= first) ->
+				ready = true;
+				have_base = base[at];
+				have_state = state_of[at] - 1;
+			:: else -> skip;
+			fi;
+#endif
+			at++;
+		:: (at <= tail && kind[at] == PART_TWO) ->
+			if
+			:: (!ready && have_part && part_base == base[at]
+#ifndef NO_GAP_CHECK
+			    && base[at] + 1 >= first
+#endif
+			    ) ->
+				ready = true;
+				have_base = base[at];
+				have_state = state_of[at];
+			:: else -> skip;
+			fi;
+			at++;
+		:: (at <= tail && kind[at] == RECORD) -> at++;
+		od;
+		/* Replay what follows the base. */
+		if
+		:: ready ->
+			at = (have_base + 1 > first -> have_base + 1 : first);
+			do
+			:: (at > tail) -> break;
+			:: (at <= tail) ->
+				have_state = have_state +
+					     (kind[at] == RECORD -> 1 : 0);
+				at++;
+			od;
+			assert(have_state == state_at[tail]);
+		:: else ->
+			assert(overrun);
+		fi
+	}
+}
+
+init {
+	atomic {
+		run writer();
+		run platform();
+		run reader();
+	}
+}
--- /dev/null
+++ b/test/standin/common_server.h
@@ -0,0 +1,50 @@
+#ifndef STANDIN_COMMON_SERVER_H
+#define STANDIN_COMMON_SERVER_H
+
+/* A small HTTP server for the stand-ins: libmicrohttpd on one libev loop. */
+
+#include <ev.h>
+#include <glib.h>
+#include <microhttpd.h>
+
+struct server;
+
+/* One request; valid until it is answered. */
+struct server_request {
+	struct server *server;
+	struct MHD_Connection *connection;
+	char *method;
+	char *path;
+	GByteArray *body;
+	void *data;		       /* for the handler's own use */
+	struct MHD_Response *response; /* set once it is answered */
+	unsigned int status;
+	gboolean suspended;
+	gboolean cut;	/* closes the connection instead of a whole answer */
+	gboolean *gone; /* set to TRUE when the connection ends, may be NULL */
+};
+
+typedef void server_handler(struct server_request *request, void *data);
+
+/* Listens on 127.0.0.1. connection_limit 0: the library's own. */
+struct server *server_new(struct ev_loop *loop, uint16_t port,
+			  uint32_t connection_limit, server_handler *handler,
+			  void *data);
+void server_free(struct server *server);
+
+/* Value of a query argument or header, or NULL. */
+const char *server_argument(const struct server_request *request,
+			    const char *name);
+
+/* Answers now or later. */
+void server_reply(struct server_request *request, unsigned int status,
+		  const char *content_type, const char *body,
+		  size_t size_bytes);
+
+/* Sends part of an answer, then breaks the connection. */
+void server_reply_short(struct server_request *request);
+
+/* Breaks the connection without an answer. */
+void server_cut(struct server_request *request);
+
+#endif
--- /dev/null
+++ b/test/standin/platform_main.c
@@ -0,0 +1,479 @@
+/*
+ * Stand-in of the platform: the append-only log and the list of instances.
+ * It listens on one port for each data centre, so that one can be cut off.
+ *
+ * POST /control?port=N&log=up|down|lose|slow  switches, port 0 for all
+ * POST /control?append_delay_ms=N&keep=N
+ * POST /control?name=NAME&state=live|leaving|gone
+ */
+
+#include <argp.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/common_server.h"
+
+#define RECORDS_PER_READ_MAX 256
+#define PORTS_MAX_COUNT 16
+#define USEC_PER_MSEC INT64_C(1000)
+#define USEC_PER_SEC INT64_C(1000000)
+#define SLOW_US (INT64_C(2) * USEC_PER_SEC)
+
+enum log_mode { LOG_UP, LOG_DOWN, LOG_LOSE, LOG_SLOW };
+
+static const char *const log_modes[] = { "up", "down", "lose", "slow" };
+
+struct platform;
+
+struct port {
+	struct platform *platform;
+	struct server *server;
+	enum log_mode mode;
+};
+
+/* A request that waits: a long poll, or an answer that is held back. */
+struct waiting {
+	struct platform *platform;
+	struct server_request *request;
+	gboolean gone;
+	gboolean is_read;
+	guint64 from;
+	int64_t deadline_us;
+};
+
+struct platform {
+	struct ev_loop *loop;
+	struct port ports[PORTS_MAX_COUNT];
+	guint port_count;
+	guint16 first_port;
+	GPtrArray *records; /* of GBytes; offset 1 is index 0 */
+	guint64 keep_count; /* retention */
+	GPtrArray *waiting;
+	ev_timer timer;
+	GTree *instances;   /* name -> state */
+	GPtrArray *lagging; /* of struct change */
+	int64_t lag_us;
+	int64_t reboot_us;
+	double rate_per_s;
+	double tokens;
+	int64_t tokens_at_us;
+	guint64 append_count;
+	guint64 reboot_count;
+};
+
+/* A change of the list that is not shown yet. */
+struct change {
+	char *name;
+	char *state;
+	int64_t at_us;
+};
+
+static guint64 first_offset(const struct platform *platform)
+{
+	guint64 count = platform->records->len;
+
+	return count > platform->keep_count ? count - platform->keep_count + 1
+					    : 1;
+}
+
+static void reply_json(struct server_request *request, unsigned int status,
+		       json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	server_reply(request, status, "application/json", text, strlen(text));
+	free(text);
+	json_decref(json);
+}
+
+static void reply_error(struct server_request *request, unsigned int status,
+			const char *reason)
+{
+	reply_json(request, status, json_pack("{s:s}", "error", reason));
+}
+
+static void reply_records(struct platform *platform,
+			  struct server_request *request, guint64 from)
+{
+	guint64 at = MAX(from, first_offset(platform));
+	json_t *records = json_array();
+
+	for (; at <= platform->records->len &&
+	       json_array_size(records) < RECORDS_PER_READ_MAX;
+	     at++) {
+		GBytes *bytes = platform->records->pdata[at - 1];
+		gsize size_bytes;
+		gconstpointer data = g_bytes_get_data(bytes, &size_bytes);
+		gchar *text = g_base64_encode(data, size_bytes);
+
+		json_array_append_new(records,
+				      json_pack("{s:I,s:s}", "offset",
+						(json_int_t)at, "data", text));
+		g_free(text);
+	}
+	reply_json(request, MHD_HTTP_OK,
+		   json_pack("{s:I,s:I,s:o}", "first",
+			     (json_int_t)first_offset(platform), "next",
+			     (json_int_t)platform->records->len + 1, "records",
+			     records));
+}
+
+/* Answers what is due; readers are due when there is something to read. */
+static void serve_waiting(struct platform *platform)
+{
+	int64_t now_us = g_get_monotonic_time();
+	int64_t next_us = INT64_MAX;
+
+	for (guint i = platform->waiting->len; i > 0; i--) {
+		struct waiting *waiting = platform->waiting->pdata[i - 1];
+		gboolean due = now_us >= waiting->deadline_us;
+
+		if (waiting->is_read && waiting->from <= platform->records->len)
+			due = TRUE;
+		if (!waiting->gone && !due) {
+			next_us = MIN(next_us, waiting->deadline_us);
+			continue;
+		}
+		if (!waiting->gone) {
+			waiting->request->gone = NULL;
+			reply_records(platform, waiting->request,
+				      waiting->from);
+		}
+		g_ptr_array_remove_index(platform->waiting, i - 1);
+	}
+	ev_timer_stop(platform->loop, &platform->timer);
+	if (next_us == INT64_MAX)
+		return;
+	ev_timer_set(&platform->timer,
+		     (double)MAX(next_us - now_us, 0) / (double)USEC_PER_SEC,
+		     0.);
+	ev_timer_start(platform->loop, &platform->timer);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+	(void)loop;
+	(void)revents;
+	serve_waiting(watcher->data);
+}
+
+static void hold(struct platform *platform, struct server_request *request,
+		 guint64 from, int64_t for_us, gboolean is_read)
+{
+	struct waiting *waiting = g_new0(struct waiting, 1);
+
+	waiting->platform = platform;
+	waiting->request = request;
+	waiting->from = from;
+	waiting->is_read = is_read;
+	waiting->deadline_us = g_get_monotonic_time() + for_us;
+	request->gone = &waiting->gone;
+	g_ptr_array_add(platform->waiting, waiting);
+	ev_timer_stop(platform->loop, &platform->timer);
+	ev_timer_set(&platform->timer, 0., 0.);
+	ev_timer_start(platform->loop, &platform->timer);
+}
+
+static guint64 number(const struct server_request *request, const char *name,
+		      guint64 otherwise)
+{
+	const char *text = server_argument(request, name);
+
+	return text ? g_ascii_strtoull(text, NULL, 10) : otherwise;
+}
+
+static gboolean take_token(struct platform *platform)
+{
+	int64_t now_us = g_get_monotonic_time();
+	double passed_s = (double)(now_us - platform->tokens_at_us) /
+			  (double)USEC_PER_SEC;
+
+	platform->tokens =
+		MIN(platform->tokens + passed_s * platform->rate_per_s,
+		    platform->rate_per_s);
+	platform->tokens_at_us = now_us;
+	if (platform->tokens < 1.)
+		return FALSE;
+	platform->tokens -= 1.;
+	return TRUE;
+}
+
+static void handle_append(struct platform *platform, enum log_mode mode,
+			  struct server_request *request)
+{
+	if (!take_token(platform)) {
+		reply_error(request, MHD_HTTP_TOO_MANY_REQUESTS,
+			    "append rate exceeded");
+		return;
+	}
+	platform->append_count++;
+	g_ptr_array_add(platform->records,
+			g_bytes_new(request->body->data, request->body->len));
+	serve_waiting(platform);
+	if (mode == LOG_LOSE)
+		server_cut(request);
+	else
+		reply_json(request, MHD_HTTP_OK,
+			   json_pack("{s:I}", "offset",
+				     (json_int_t)platform->records->len));
+}
+
+static void handle_read(struct platform *platform, enum log_mode mode,
+			struct server_request *request)
+{
+	guint64 from = number(request, "from", 1);
+	int64_t wait_us =
+		(int64_t)number(request, "wait_ms", 0) * USEC_PER_MSEC;
+
+	if (mode == LOG_SLOW)
+		hold(platform, request, from, SLOW_US, FALSE);
+	else if (from <= platform->records->len || !wait_us)
+		reply_records(platform, request, from);
+	else
+		hold(platform, request, from, wait_us, TRUE);
+}
+
+static void show_changes(struct platform *platform)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	while (platform->lagging->len) {
+		struct change *change = platform->lagging->pdata[0];
+
+		if (change->at_us > now_us)
+			return;
+		if (!strcmp(change->state, "gone"))
+			g_tree_remove(platform->instances, change->name);
+		else
+			g_tree_insert(platform->instances,
+				      g_strdup(change->name),
+				      g_strdup(change->state));
+		g_free(change->name);
+		g_free(change->state);
+		g_free(change);
+		g_ptr_array_remove_index(platform->lagging, 0);
+	}
+}
+
+static gint compare_changes(gconstpointer a, gconstpointer b)
+{
+	const struct change *const *left = a;
+	const struct change *const *right = b;
+
+	return (*left)->at_us < (*right)->at_us
+		       ? -1
+		       : (*left)->at_us > (*right)->at_us;
+}
+
+static void change_list(struct platform *platform, const char *name,
+			const char *state, int64_t after_us)
+{
+	struct change *change = g_new0(struct change, 1);
+
+	change->name = g_strdup(name);
+	change->state = g_strdup(state);
+	change->at_us = g_get_monotonic_time() + platform->lag_us + after_us;
+	g_ptr_array_add(platform->lagging, change);
+	g_ptr_array_sort(platform->lagging, compare_changes);
+}
+
+static gboolean add_instance(gpointer key, gpointer value, gpointer data)
+{
+	json_array_append_new(data, json_pack("{s:s,s:s}", "name", (char *)key,
+					      "state", (char *)value));
+	return FALSE;
+}
+
+static void handle_list(struct platform *platform,
+			struct server_request *request)
+{
+	json_t *instances = json_array();
+
+	show_changes(platform);
+	g_tree_foreach(platform->instances, add_instance, instances);
+	reply_json(request, MHD_HTTP_OK,
+		   json_pack("{s:o}", "instances", instances));
+}
+
+/* POST /instances/NAME/reboot */
+static void handle_reboot(struct platform *platform,
+			  struct server_request *request)
+{
+	char **parts = g_strsplit(request->path, "/", 0);
+
+	if (g_strv_length(parts) == 4 && !strcmp(parts[3], "reboot")) {
+		platform->reboot_count++;
+		change_list(platform, parts[2], "gone", 0);
+		change_list(platform, parts[2], "live", platform->reboot_us);
+		reply_json(request, MHD_HTTP_OK, json_object());
+	} else {
+		reply_error(request, MHD_HTTP_NOT_FOUND, "no such path");
+	}
+	g_strfreev(parts);
+}
+
+static void set_mode(struct platform *platform, guint64 number_of_port,
+		     const char *name)
+{
+	for (guint mode = 0; mode < G_N_ELEMENTS(log_modes); mode++) {
+		if (strcmp(log_modes[mode], name) != 0)
+			continue;
+		for (guint i = 0; i < platform->port_count; i++) {
+			if (!number_of_port ||
+			    number_of_port == platform->first_port + i)
+				platform->ports[i].mode = (enum log_mode)mode;
+		}
+	}
+}
+
+static void handle_control(struct platform *platform,
+			   struct server_request *request)
+{
+	const char *mode = server_argument(request, "log");
+	const char *name = server_argument(request, "name");
+	const char *state = server_argument(request, "state");
+
+	if (mode)
+		set_mode(platform, number(request, "port", 0), mode);
+	if (name && state)
+		change_list(platform, name, state, 0);
+	platform->keep_count = number(request, "keep", platform->keep_count);
+	reply_json(request, MHD_HTTP_OK,
+		   json_pack("{s:I,s:I,s:I}", "appends",
+			     (json_int_t)platform->append_count, "records",
+			     (json_int_t)platform->records->len, "reboots",
+			     (json_int_t)platform->reboot_count));
+}
+
+static void on_request(struct server_request *request, void *data)
+{
+	struct port *port = data;
+	struct platform *platform = port->platform;
+
+	if (!strcmp(request->path, "/control"))
+		handle_control(platform, request);
+	else if (port->mode == LOG_DOWN)
+		server_cut(request);
+	else if (!strcmp(request->path, "/append"))
+		handle_append(platform, port->mode, request);
+	else if (!strcmp(request->path, "/read"))
+		handle_read(platform, port->mode, request);
+	else if (!strcmp(request->path, "/instances"))
+		handle_list(platform, request);
+	else if (g_str_has_prefix(request->path, "/instances/"))
+		handle_reboot(platform, request);
+	else
+		reply_error(request, MHD_HTTP_NOT_FOUND, "no such path");
+}
+
+static const struct argp_option options[] = {
+	{ "port", 'p', "N", 0, "First port", 0 },
+	{ "ports", 'n', "N", 0, "Number of ports, one a data centre", 0 },
+	{ "keep", 'k', "N", 0, "Records kept", 0 },
+	{ "rate", 'r', "N", 0, "Appends a second", 0 },
+	{ "lag-ms", 'l', "N", 0, "Lag of the list", 0 },
+	{ "reboot-ms", 'b', "N", 0, "Time of a reboot", 0 },
+	{ "names", 'f', "FILE", 0, "Names of live instances, one a line", 0 },
+	{ 0 },
+};
+
+static void read_names(struct platform *platform, const char *path)
+{
+	gchar *text = NULL;
+	gchar **lines;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		g_error("standin: %s can't be read", path);
+	lines = g_strsplit(text, "\n", -1);
+	for (guint i = 0; lines[i]; i++) {
+		if (lines[i][0])
+			g_tree_insert(platform->instances, g_strdup(lines[i]),
+				      g_strdup("live"));
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct platform *platform = state->input;
+
+	switch (key) {
+	case 'p':
+		platform->first_port = (guint16)atoi(arg);
+		return 0;
+	case 'n':
+		platform->port_count =
+			CLAMP((guint)atoi(arg), 1, PORTS_MAX_COUNT);
+		return 0;
+	case 'k':
+		platform->keep_count = g_ascii_strtoull(arg, NULL, 10);
+		return 0;
+	case 'r':
+		platform->rate_per_s = atof(arg);
+		return 0;
+	case 'l':
+		platform->lag_us = atoi(arg) * USEC_PER_MSEC;
+		return 0;
+	case 'b':
+		platform->reboot_us = atoi(arg) * USEC_PER_MSEC;
+		return 0;
+	case 'f':
+		read_names(platform, arg);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void on_signal(struct ev_loop *loop, ev_signal *watcher, int revents)
+{
+	(void)watcher;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+int main(int argc, char **argv)
+{
+	static struct platform platform = {
+		.port_count = 1,
+		.first_port = 7000,
+		.keep_count = 100000,
+		.lag_us = 200 * USEC_PER_MSEC,
+		.reboot_us = 500 * USEC_PER_MSEC,
+		.rate_per_s = 300.,
+	};
+	const struct argp argp = { .options = options, .parser = parse };
+	ev_signal signal_watcher;
+
+	platform.loop = ev_default_loop(EVFLAG_AUTO);
+	platform.records =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	platform.waiting = g_ptr_array_new_with_free_func(g_free);
+	platform.lagging = g_ptr_array_new();
+	platform.instances =
+		g_tree_new_full(compare_names, NULL, g_free, g_free);
+	argp_parse(&argp, argc, argv, 0, NULL, &platform);
+	ev_timer_init(&platform.timer, on_timer, 0., 0.);
+	platform.timer.data = &platform;
+	platform.tokens_at_us = g_get_monotonic_time();
+	for (guint i = 0; i < platform.port_count; i++) {
+		platform.ports[i].platform = &platform;
+		platform.ports[i].server = server_new(
+			platform.loop, (uint16_t)(platform.first_port + i), 0,
+			on_request, &platform.ports[i]);
+	}
+	ev_signal_init(&signal_watcher, on_signal, SIGTERM);
+	ev_signal_start(platform.loop, &signal_watcher);
+	ev_run(platform.loop, 0);
+	return 0;
+}
