--- a/src/core/event.h
+++ b/src/core/event.h
@@ -4,6 +4,9 @@
 /*
  * Every message between plug-ins.
  *
+ * EVENT_REQUEST_REPLY ends each request, also one whose caller has
+ * disconnected; the front end keeps the request in the table until then.
+ *
  * A plug-in that proposes a record keeps a reference to it. The proposer sets
  * the record's id, and the plug-in finds the outcome by that id in
  * EVENT_FLEET_CHANGED or EVENT_PROPOSAL_DROPPED.
@@ -22,7 +25,9 @@
 	EVENT_WAKE,    /* a stored deadline has passed */
 	EVENT_STARTED, /* all plug-ins are initialised */
 	EVENT_DRAIN,   /* stop taking work, then leave */
-	EVENT_DRAINED, /* nothing is in flight any more; the process may end */
+	EVENT_DRAINED, /* router: nothing is in flight any more */
+	EVENT_LEFT,    /* cluster: entry_leave was read back, or late */
+	EVENT_RESUMED, /* kernel: the process was paused; comes before others */
 	EVENT_REQUEST_NEW,	/* front end: a caller's request is complete */
 	EVENT_REQUEST_GONE,	/* front end: the caller has disconnected */
 	EVENT_REQUEST_REPLY,	/* to the front end */
