Add the planner with its lease, moves and waves

Cause: nothing plans moves between pools and maintenance waves.

Change: the planner plug-in claims and renews the planner lease, records instances as down and up from the platform's list, and carries moves and waves from start to end. Heartbeats get a field for the demand of a pool.

--- a/src/core/peer_msg.h
+++ b/src/core/peer_msg.h
@@ -33,6 +33,11 @@
 	uint32_t free_slots_count;
 	uint32_t queued_count;
 	int64_t wait_us; /* expected wait of a new request */
+	/*
+	 * Slot time asked for per second: of the sender within its data
+	 * centre, of the whole data centre in a digest to another one.
+	 */
+	int64_t demand_us_per_s;
 };
 
 struct peer_msg {
--- /dev/null
+++ b/src/decide/planner.c
@@ -0,0 +1,343 @@
+/*
+ * The planner lease. Whoever holds it plans moves and waves for all; its
+ * records carry the lease's token, so that an earlier holder changes nothing.
+ */
+
+#include "decide/planner.h"
+
+#include <string.h>
+
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "planner"
+#define RENEW_US (2 * USEC_PER_SEC)
+#define TICK_US (1 * USEC_PER_SEC)
+/* Claims of entries spread over this time, so that most need not race. */
+#define SPREAD_US (1 * USEC_PER_SEC)
+#define LEASE_KEY "=lease" /* not a name that a declaration allows */
+
+static void draw_spread(struct planner *planner)
+{
+	planner->spread_us =
+		g_rand_int_range(kernel_random(planner->kernel), 0, SPREAD_US);
+}
+
+static void *planner_init(struct kernel *kernel)
+{
+	struct planner *planner = g_new0(struct planner, 1);
+
+	planner->kernel = kernel;
+	planner->moves = kernel_ops(kernel, PLUGIN_MOVES);
+	planner->waves = kernel_ops(kernel, PLUGIN_WAVES);
+	if (!planner->moves || !planner->waves) {
+		klog_error(LOG_PREFIX, "a chosen policy does not exist");
+		g_free(planner);
+		return NULL;
+	}
+	planner->moves_self = planner->moves->new ();
+	planner->waves_self = planner->waves->new ();
+	planner->pending = pending_new(kernel);
+	planner->awake_us = kernel_now_us(kernel);
+	planner->heard_us = planner->awake_us;
+	planner_watch_init(planner);
+	draw_spread(planner);
+	kernel_wake_at(kernel, planner->awake_us + RENEW_US);
+	return planner;
+}
+
+static void planner_fini(void *self)
+{
+	struct planner *planner = self;
+
+	planner->moves->free(planner->moves_self);
+	planner->waves->free(planner->waves_self);
+	pending_free(planner->pending);
+	planner_watch_free(planner);
+	g_free(planner);
+}
+
+struct record *planner_record(const struct planner *planner,
+			      enum record_kind kind, const char *instance)
+{
+	struct record *record = record_new(kind);
+
+	record->instance.token = planner->token;
+	name_copy(record->instance.instance, NAME_SIZE_BYTES, instance);
+	return record;
+}
+
+static void announce(struct planner *planner, bool holds)
+{
+	struct event event = { .type = EVENT_ROLE_CHANGED };
+	struct timeline_entry entry = { .kind = TIMELINE_ROLE,
+					.offset = planner->token };
+
+	name_copy(event.name.name, NAME_SIZE_BYTES,
+		  kernel_settings(planner->kernel)->entry);
+	event.name.offset = planner->token;
+	event.name.value = holds;
+	kernel_emit(planner->kernel, &event);
+	g_snprintf(entry.text, sizeof(entry.text), "planner lease %s",
+		   holds ? "gained" : "given up");
+	timeline_add(kernel_timeline(planner->kernel), &entry);
+	klog_info(LOG_PREFIX, "%s", entry.text);
+}
+
+static void lose(struct planner *planner)
+{
+	pending_clear(planner->pending);
+	if (!planner->token)
+		return;
+	announce(planner, false);
+	planner->token = 0;
+}
+
+static void gain(struct planner *planner, uint64_t token)
+{
+	int64_t now_us = kernel_now_us(planner->kernel);
+
+	pending_clear(planner->pending);
+	planner->token = token;
+	planner->renew_at_us = now_us + RENEW_US;
+	planner->tick_at_us = now_us + TICK_US;
+	planner_hold_all(planner);
+	announce(planner, true);
+}
+
+/* A process that slept past its lease must not act on what it knew. */
+static void check_jump(struct planner *planner)
+{
+	int64_t now_us = kernel_now_us(planner->kernel);
+
+	if (now_us - planner->awake_us > LEASE_US) {
+		lose(planner);
+		planner->heard_us = now_us;
+		draw_spread(planner);
+	}
+	planner->awake_us = now_us;
+}
+
+static bool is_me(const struct planner *planner, const char *entry,
+		  uint64_t incarnation)
+{
+	return !strcmp(entry, kernel_settings(planner->kernel)->entry) &&
+	       incarnation == kernel_incarnation(planner->kernel);
+}
+
+static bool may_propose(const struct planner *planner)
+{
+	return planner->log_reachable &&
+	       fleet_offset(kernel_fleet(planner->kernel)) + 1 >=
+		       planner->log_next_offset;
+}
+
+static void try_claim(struct planner *planner)
+{
+	struct fleet *fleet = kernel_fleet(planner->kernel);
+	const struct settings *settings = kernel_settings(planner->kernel);
+	const struct fleet_entry *entry = fleet_entry(fleet, settings->entry);
+	int64_t now_us = kernel_now_us(planner->kernel);
+	struct record *record;
+
+	if (now_us < planner->heard_us + LEASE_US + planner->spread_us ||
+	    !may_propose(planner) || !entry ||
+	    !is_me(planner, entry->decl.name, entry->decl.incarnation) ||
+	    pending_has(planner->pending, LEASE_KEY))
+		return;
+	record = record_new(RECORD_LEASE_CLAIM);
+	record->lease.token = fleet_lease(fleet)->token;
+	pending_propose(planner->pending, LEASE_KEY, record);
+}
+
+static void try_renew(struct planner *planner)
+{
+	int64_t now_us = kernel_now_us(planner->kernel);
+	struct record *record;
+
+	if (now_us < planner->renew_at_us || !may_propose(planner) ||
+	    pending_has(planner->pending, LEASE_KEY))
+		return;
+	planner->renew_at_us = now_us + RENEW_US;
+	record = record_new(RECORD_LEASE_RENEW);
+	record->lease.token = planner->token;
+	pending_propose(planner->pending, LEASE_KEY, record);
+}
+
+static void try_tick(struct planner *planner)
+{
+	int64_t now_us = kernel_now_us(planner->kernel);
+
+	if (now_us < planner->tick_at_us)
+		return;
+	planner->tick_at_us = now_us + TICK_US;
+	if (may_propose(planner))
+		planner_tick(planner);
+}
+
+static void run_due(struct planner *planner)
+{
+	int64_t now_us = kernel_now_us(planner->kernel);
+
+	if (!planner->token) {
+		try_claim(planner);
+		/* Often enough that only a real pause looks like one. */
+		kernel_wake_at(planner->kernel, now_us + RENEW_US);
+		if (now_us < planner->heard_us + LEASE_US + planner->spread_us)
+			kernel_wake_at(planner->kernel,
+				       planner->heard_us + LEASE_US +
+					       planner->spread_us);
+		return;
+	}
+	try_renew(planner);
+	try_tick(planner);
+	kernel_wake_at(planner->kernel, planner->tick_at_us);
+	if (planner->renew_at_us > now_us)
+		kernel_wake_at(planner->kernel, planner->renew_at_us);
+}
+
+static bool holds_lease(const struct planner *planner)
+{
+	const struct fleet_lease *lease =
+		fleet_lease(kernel_fleet(planner->kernel));
+
+	return lease->token == planner->token &&
+	       is_me(planner, lease->holder, lease->incarnation);
+}
+
+static bool by_planner(const struct record *record)
+{
+	switch (record->kind) {
+	case RECORD_LEASE_CLAIM:
+	case RECORD_LEASE_RENEW:
+	case RECORD_MOVE_START:
+	case RECORD_MOVE_COMMIT:
+	case RECORD_MOVE_ABORT:
+	case RECORD_MAINT_START:
+	case RECORD_MAINT_REBOOT:
+	case RECORD_MAINT_DONE:
+	case RECORD_INSTANCE_DOWN:
+	case RECORD_INSTANCE_UP:
+	case RECORD_JOB_PLACE:
+	case RECORD_JOB_RENEW:
+	case RECORD_JOB_END:
+	case RECORD_JOB_SET_ASIDE:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* A claim that came to nothing is made again, but not at once. */
+static void delay_claim(struct planner *planner)
+{
+	int64_t now_us = kernel_now_us(planner->kernel);
+
+	planner->heard_us =
+		MAX(planner->heard_us, now_us - LEASE_US + RENEW_US);
+	draw_spread(planner);
+}
+
+static void take_claim(struct planner *planner, const struct event *event,
+		       bool ours)
+{
+	const struct fleet_lease *lease =
+		fleet_lease(kernel_fleet(planner->kernel));
+
+	if (ours && event->record.accepted &&
+	    lease->token == event->record.offset)
+		gain(planner, event->record.offset);
+	else
+		delay_claim(planner);
+}
+
+static void take_change(struct planner *planner, const struct event *event)
+{
+	const struct record *record = event->record.record;
+	bool ours = pending_settle(planner->pending, event);
+	const struct fleet_instance *instance = NULL;
+
+	if (event->record.accepted && by_planner(record))
+		planner->heard_us = kernel_now_us(planner->kernel);
+	if (record->kind == RECORD_LEASE_CLAIM)
+		take_claim(planner, event, ours);
+	if (record->kind >= RECORD_ENTRY_JOIN &&
+	    record->kind <= RECORD_ENTRY_GONE)
+		planner_take_roster(planner);
+	if (planner->token && !holds_lease(planner))
+		lose(planner);
+	if (!event->record.accepted || record->kind < RECORD_MOVE_START ||
+	    record->kind > RECORD_INSTANCE_UP)
+		return;
+	planner_note(planner, record);
+	instance = fleet_instance(kernel_fleet(planner->kernel),
+				  record->instance.instance);
+	if (planner->token && instance && may_propose(planner))
+		planner_step(planner, instance);
+}
+
+static void take_reset(struct planner *planner)
+{
+	planner_take_roster(planner);
+	if (planner->token && !holds_lease(planner))
+		lose(planner);
+}
+
+static void take_log_state(struct planner *planner, const struct event *event)
+{
+	/* While the log was away, no record of a planner could be seen. */
+	if (event->log.reachable && !planner->log_reachable) {
+		planner->heard_us = kernel_now_us(planner->kernel);
+		draw_spread(planner);
+	}
+	planner->log_reachable = event->log.reachable;
+	planner->log_next_offset = event->log.next_offset;
+}
+
+static void planner_handle(void *self, const struct event *event)
+{
+	struct planner *planner = self;
+
+	check_jump(planner);
+	switch (event->type) {
+	case EVENT_FLEET_CHANGED:
+		take_change(planner, event);
+		break;
+	case EVENT_FLEET_RESET:
+		take_reset(planner);
+		break;
+	case EVENT_PROPOSAL_DROPPED:
+		if (pending_settle(planner->pending, event))
+			delay_claim(planner);
+		break;
+	case EVENT_LOG_STATE:
+		take_log_state(planner, event);
+		break;
+	case EVENT_INSTANCE_LIST:
+		planner_take_list(planner, &event->list);
+		break;
+	case EVENT_PEER_STATE:
+		planner_take_peer_state(planner, &event->peer);
+		break;
+	case EVENT_PEER_RECEIVED:
+		planner_take_peer_msg(planner, &event->peer);
+		break;
+	default:
+		break;
+	}
+	run_due(planner);
+}
+
+static const struct plugin planner_plugin = {
+	.name = "planner",
+	.kind = PLUGIN_DECIDE,
+	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_STARTED) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
+		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
+		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_INSTANCE_LIST) |
+		 EVENT_BIT(EVENT_PEER_STATE) | EVENT_BIT(EVENT_PEER_RECEIVED),
+	.init = planner_init,
+	.handle = planner_handle,
+	.fini = planner_fini,
+};
+
+PLUGIN_REGISTER(planner_plugin)
--- /dev/null
+++ b/src/policy/moves_greedy.c
@@ -0,0 +1,120 @@
+/* Baseline: moves whenever one pool is short now and another has idle. */
+
+#include <string.h>
+
+#include "kernel/plugin.h"
+#include "policy/moves.h"
+
+static void *greedy_new(void)
+{
+	return NULL;
+}
+
+static void greedy_free(void *self)
+{
+	(void)self;
+}
+
+static void greedy_sample(void *self, const struct plan_view *view)
+{
+	(void)self;
+	(void)view;
+}
+
+static void greedy_note(void *self, const struct plan_view *view,
+			const struct record *record)
+{
+	(void)self;
+	(void)view;
+	(void)record;
+}
+
+static bool is_short(const struct plan_view *view,
+		     const struct fleet_pool *pool)
+{
+	return plan_demand_us_per_s(view, pool->decl.name) >
+	       plan_capacity_us_per_s(pool) +
+		       plan_incoming_us_per_s(view, pool->decl.name);
+}
+
+/* An instance of a pool that has at least one instance's worth of idle. */
+static const struct fleet_instance *idle_of(const struct plan_view *view,
+					    const struct fleet_pool *pool)
+{
+	int64_t idle = plan_capacity_us_per_s(pool) -
+		       plan_demand_us_per_s(view, pool->decl.name);
+
+	for (guint i = 0; i < pool->instances->len; i++) {
+		const struct fleet_instance *instance =
+			pool->instances->pdata[i];
+
+		if (idle >= plan_instance_us_per_s(instance) &&
+		    plan_may_take(view, instance))
+			return instance;
+	}
+	return NULL;
+}
+
+static bool take_for(const struct plan_view *view,
+		     const struct fleet_pool *pool, struct moves_choice *choice)
+{
+	const GPtrArray *pools = fleet_pools(view->fleet);
+
+	for (guint i = 0; i < pools->len; i++) {
+		const struct fleet_instance *instance =
+			pools->pdata[i] == pool
+				? NULL
+				: idle_of(view, pools->pdata[i]);
+
+		if (!instance)
+			continue;
+		name_copy(choice->instance, NAME_SIZE_BYTES,
+			  instance->decl.name);
+		name_copy(choice->to_pool, NAME_SIZE_BYTES, pool->decl.name);
+		return true;
+	}
+	return false;
+}
+
+static bool greedy_choose(void *self, const struct plan_view *view,
+			  struct moves_choice *choice)
+{
+	const GPtrArray *pools = fleet_pools(view->fleet);
+
+	(void)self;
+	for (guint i = 0; i < pools->len; i++) {
+		const struct fleet_pool *pool = pools->pdata[i];
+
+		if (is_short(view, pool) &&
+		    !plan_gentle(view, pool->decl.name) &&
+		    take_for(view, pool, choice))
+			return true;
+	}
+	return false;
+}
+
+static bool greedy_wanted(void *self, const struct plan_view *view,
+			  const struct fleet_instance *instance)
+{
+	(void)self;
+	(void)view;
+	(void)instance;
+	return true;
+}
+
+static const struct moves_ops greedy_ops = {
+	.new = greedy_new,
+	.free = greedy_free,
+	.sample = greedy_sample,
+	.note = greedy_note,
+	.choose = greedy_choose,
+	.wanted = greedy_wanted,
+};
+
+static const struct plugin moves_greedy_plugin = {
+	.name = "greedy",
+	.kind = PLUGIN_MOVES,
+	.ops = &greedy_ops,
+};
+
+PLUGIN_REGISTER(moves_greedy_plugin)
--- /dev/null
+++ b/src/policy/waves_budget.c
@@ -0,0 +1,198 @@
+/*
+ * Maintains one rack after the other, as many instances at a time as the
+ * wave's parallelism and the pools' budgets allow, in one data centre at a
+ * time, and holds when instances outside of the wave fail together.
+ */
+
+#include <string.h>
+
+#include "kernel/plugin.h"
+#include "policy/waves.h"
+
+/* Failures in one rack within this time count as correlated. */
+#define TOGETHER_US (60 * USEC_PER_SEC)
+#define TOGETHER_COUNT 2
+/* Time without a further correlated failure after which waves go on. */
+#define HOLD_US (600 * USEC_PER_SEC)
+
+struct budget {
+	GHashTable *failed_us; /* instance -> int64_t: seen down since */
+	int64_t hold_until_us;
+};
+
+static void *budget_new(void)
+{
+	struct budget *budget = g_new0(struct budget, 1);
+
+	budget->failed_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return budget;
+}
+
+static void budget_free(void *self)
+{
+	struct budget *budget = self;
+
+	g_hash_table_unref(budget->failed_us);
+	g_free(budget);
+}
+
+static bool same_rack(const struct fleet_instance *a,
+		      const struct fleet_instance *b)
+{
+	return !strcmp(a->decl.rack, b->decl.rack) &&
+	       !strcmp(a->decl.dc, b->decl.dc);
+}
+
+/* Instances of the same rack that failed at about the same time. */
+static uint32_t failed_together(struct budget *budget,
+				const struct plan_view *view,
+				const struct fleet_instance *failed,
+				int64_t at_us)
+{
+	const GPtrArray *instances = fleet_instances(view->fleet);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *other = instances->pdata[i];
+		const int64_t *other_us;
+
+		if (!other->down || !same_rack(failed, other))
+			continue;
+		other_us = g_hash_table_lookup(budget->failed_us,
+					       other->decl.name);
+		count += other_us && at_us - *other_us <= TOGETHER_US;
+	}
+	return count;
+}
+
+static void note_failure(struct budget *budget, const struct plan_view *view,
+			 const struct fleet_instance *instance)
+{
+	g_hash_table_insert(budget->failed_us, g_strdup(instance->decl.name),
+			    g_memdup2(&view->now_us, sizeof(view->now_us)));
+	if (failed_together(budget, view, instance, view->now_us) >=
+	    TOGETHER_COUNT)
+		budget->hold_until_us = view->now_us + HOLD_US;
+}
+
+static void budget_sample(void *self, const struct plan_view *view)
+{
+	struct budget *budget = self;
+	const GPtrArray *instances = fleet_instances(view->fleet);
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+		bool known = g_hash_table_contains(budget->failed_us,
+						   instance->decl.name);
+
+		/* What a wave itself takes out is no failure. */
+		if (!instance->down || plan_in_maintenance(instance)) {
+			if (known)
+				g_hash_table_remove(budget->failed_us,
+						    instance->decl.name);
+		} else if (!known) {
+			note_failure(budget, view, instance);
+		}
+	}
+}
+
+static bool in_wave(const struct fleet_wave *wave,
+		    const struct fleet_instance *instance)
+{
+	return g_ptr_array_find_with_equal_func(
+		       wave->decl.pools, instance->pool, g_str_equal, NULL) &&
+	       !g_hash_table_contains(wave->done, instance->decl.name);
+}
+
+/* The instance in maintenance that fixes the current rack, or NULL. */
+static const struct fleet_instance *current(const struct plan_view *view,
+					    const struct fleet_wave *wave,
+					    uint32_t *in_progress_count)
+{
+	const GPtrArray *instances = fleet_instances(view->fleet);
+	const struct fleet_instance *found = NULL;
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+
+		if (!plan_in_maintenance(instance))
+			continue;
+		found = instance;
+		*in_progress_count += !strcmp(instance->wave, wave->decl.name);
+	}
+	return found;
+}
+
+/* Whether another instance of the rack is down for a reason of its own. */
+static bool rack_suffers(const struct plan_view *view,
+			 const struct fleet_instance *of)
+{
+	const GPtrArray *instances = fleet_instances(view->fleet);
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *other = instances->pdata[i];
+
+		if (other->down && !plan_in_maintenance(other) &&
+		    same_rack(of, other))
+			return true;
+	}
+	return false;
+}
+
+/* By data centre, rack and name, so that a domain is done before the next. */
+static int compare_domains(const struct fleet_instance *a,
+			   const struct fleet_instance *b)
+{
+	int order = strcmp(a->decl.dc, b->decl.dc);
+
+	if (!order)
+		order = strcmp(a->decl.rack, b->decl.rack);
+	return order ? order : strcmp(a->decl.name, b->decl.name);
+}
+
+static const struct fleet_instance *budget_choose(void *self,
+						  const struct plan_view *view,
+						  const struct fleet_wave *wave)
+{
+	struct budget *budget = self;
+	const GPtrArray *instances = fleet_instances(view->fleet);
+	const struct fleet_instance *best = NULL;
+	const struct fleet_instance *domain;
+	uint32_t in_progress_count = 0;
+
+	if (wave->halted || wave->decl.not_before_us > view->wall_us ||
+	    view->now_us < budget->hold_until_us)
+		return NULL;
+	domain = current(view, wave, &in_progress_count);
+	if (in_progress_count >= wave->decl.parallel_count)
+		return NULL;
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+
+		if (!in_wave(wave, instance) ||
+		    (domain && !same_rack(domain, instance)) ||
+		    (best && compare_domains(instance, best) > 0) ||
+		    !plan_may_take(view, instance) ||
+		    rack_suffers(view, instance))
+			continue;
+		best = instance;
+	}
+	return best;
+}
+
+static const struct waves_ops budget_ops = {
+	.new = budget_new,
+	.free = budget_free,
+	.sample = budget_sample,
+	.choose = budget_choose,
+};
+
+static const struct plugin waves_budget_plugin = {
+	.name = "budget",
+	.kind = PLUGIN_WAVES,
+	.preferred = true,
+	.ops = &budget_ops,
+};
+
+PLUGIN_REGISTER(waves_budget_plugin)
