Add the placement of jobs

Cause: jobs are recorded, but nothing places, renews or ends them.

Change: the jobs plug-in, which acts on the holder of the planner lease: places waiting jobs by observed size over racks, asks the platform to start, checkpoint and stop tasks by new typed events, renews job leases and records ends, in slices of 64. What can never run is set aside.

--- a/src/core/event.c
+++ b/src/core/event.c
@@ -32,6 +32,10 @@
 	[EVENT_CLAIM_WANTED] = "claim_wanted",
 	[EVENT_ROLE_CHANGED] = "role_changed",
 	[EVENT_ENDPOINT_HEALTH] = "endpoint_health",
+	[EVENT_TASK_START] = "task_start",
+	[EVENT_TASK_CHECKPOINT] = "task_checkpoint",
+	[EVENT_TASK_STOP] = "task_stop",
+	[EVENT_TASK_REPORT] = "task_report",
 };
 
 struct answer *answer_new(uint32_t status, const char *content_type,
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -23,8 +23,8 @@
 	EVENT_STARTED, /* all plug-ins are initialised */
 	EVENT_DRAIN,   /* stop taking work, then leave */
 	EVENT_DRAINED, /* nothing is in flight any more; the process may end */
-	EVENT_REQUEST_NEW,	/* front end: a caller's request is complete */
-	EVENT_REQUEST_GONE,	/* front end: the caller has disconnected */
+	EVENT_REQUEST_NEW,  /* front end: a caller's request is complete */
+	EVENT_REQUEST_GONE, /* front end: the caller has disconnected */
 	/* To the front end: the end of each request, also of one that is gone;
 	 * the request stays in the table until then. */
 	EVENT_REQUEST_REPLY,
@@ -52,6 +52,10 @@
 	EVENT_CLAIM_WANTED,  /* router: a request must be claimed first */
 	EVENT_ROLE_CHANGED,  /* planner lease gained or lost */
 	EVENT_ENDPOINT_HEALTH, /* health: ejected, probing or restored */
+	EVENT_TASK_START,      /* to the platform: idempotent by attempt */
+	EVENT_TASK_CHECKPOINT, /* to the platform: save its state, then stop */
+	EVENT_TASK_STOP,       /* to the platform: stop without a result */
+	EVENT_TASK_REPORT,     /* platform: how a task goes, or has ended */
 	EVENT_TYPE_COUNT,
 };
 
@@ -167,6 +171,25 @@
 	int64_t deadline_us;
 };
 
+enum task_report {
+	TASK_RUNNING,
+	TASK_SUCCEEDED,
+	TASK_FAILED,
+	TASK_CHECKPOINTED,
+	TASK_STOPPED,
+};
+
+/* A task is one attempt of a job on one instance. */
+struct event_task {
+	char job[NAME_SIZE_BYTES];
+	char instance[NAME_SIZE_BYTES];
+	uint32_t attempt;
+	uint32_t slots_count;		/* start: declared */
+	enum task_report report;	/* report */
+	uint32_t used_millislots;	/* report: 0 if not known */
+	char reason[REASON_SIZE_BYTES]; /* report: of a failure */
+};
+
 struct event {
 	enum event_type type;
 	union {
@@ -180,6 +203,7 @@
 		struct event_claim claim;
 		struct event_peer peer;
 		struct event_drain drain;
+		struct event_task task;
 	};
 	struct answer *answer; /* owned; attempt_done and request_reply */
 };
--- /dev/null
+++ b/src/decide/jobs.c
@@ -0,0 +1,514 @@
+/*
+ * Carries jobs from submission to their end, on the entry instance that holds
+ * the planner lease. Work is done in slices, so that thousands of changes at
+ * once do not keep the loop from requests.
+ */
+
+#include "decide/jobs.h"
+
+#include <string.h>
+
+#include "kernel/klog.h"
+#include "policy/plan.h"
+
+#define LOG_PREFIX "jobs"
+#define SLICE_COUNT 64
+#define SLICE_GAP_US (10 * USEC_PER_MSEC)
+#define TICK_US (1 * USEC_PER_SEC)
+/* Two appends' worth, so that the proposer's queue keeps room for others. */
+#define PENDING_MAX_COUNT 128
+/* A waiting job that found no place is tried again after this time. */
+#define WAITING_US (5 * USEC_PER_SEC)
+/* A checkpoint or stop without a report is asked for again. */
+#define ASK_US (30 * USEC_PER_SEC)
+/*
+ * The platform ends a task whose worker it has lost within its own lease;
+ * placing the job elsewhere any sooner could run it twice.
+ */
+#define DOWN_US (60 * USEC_PER_SEC)
+/*
+ * 1,600 running jobs renewed every 600 s are 2.7 records a second, a few
+ * bytes in each of the 20 appends that an entry instance may make.
+ */
+#define RENEW_US (600 * USEC_PER_SEC)
+#define RENEW_PER_TICK_COUNT 4
+
+static void *jobs_init(struct kernel *kernel)
+{
+	struct jobs *jobs = g_new0(struct jobs, 1);
+
+	jobs->kernel = kernel;
+	jobs->awake_us = kernel_now_us(kernel);
+	jobs->pending = pending_new(kernel);
+	jobs->tracked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	jobs->todo = g_queue_new();
+	jobs->charges =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	jobs->running =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	jobs->observed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return jobs;
+}
+
+static void jobs_fini(void *self)
+{
+	struct jobs *jobs = self;
+
+	pending_free(jobs->pending);
+	g_hash_table_unref(jobs->tracked);
+	g_queue_free_full(jobs->todo, g_free);
+	g_hash_table_unref(jobs->charges);
+	g_hash_table_unref(jobs->running);
+	g_hash_table_unref(jobs->observed);
+	g_free(jobs);
+}
+
+/* Forgets what only the holder of the lease keeps. */
+static void stop_planning(struct jobs *jobs)
+{
+	jobs->token = 0;
+	pending_clear(jobs->pending);
+	g_hash_table_remove_all(jobs->tracked);
+	g_hash_table_remove_all(jobs->charges);
+	g_hash_table_remove_all(jobs->running);
+	g_queue_clear_full(jobs->todo, g_free);
+}
+
+static void enqueue(struct jobs *jobs, struct tracked *tracked)
+{
+	if (tracked->queued)
+		return;
+	tracked->queued = true;
+	g_queue_push_tail(jobs->todo, g_strdup(tracked->name));
+}
+
+static bool is_on_instance(const struct fleet_job *job)
+{
+	return job->state == JOB_RUNNING || job->state == JOB_CANCELLING;
+}
+
+static bool in_progress(const struct fleet_job *job)
+{
+	return job->state == JOB_WAITING || is_on_instance(job);
+}
+
+static struct tracked *track(struct jobs *jobs, const struct fleet_job *job)
+{
+	struct tracked *tracked =
+		g_hash_table_lookup(jobs->tracked, job->decl.job);
+
+	if (tracked)
+		return tracked;
+	tracked = g_new0(struct tracked, 1);
+	name_copy(tracked->name, NAME_SIZE_BYTES, job->decl.job);
+	name_copy(tracked->member, NAME_SIZE_BYTES, job->decl.member);
+	g_hash_table_insert(jobs->tracked, tracked->name, tracked);
+	return tracked;
+}
+
+/* Takes over the replicated state of a job and attends to it soon. */
+static void sync_job(struct jobs *jobs, const char *name)
+{
+	const struct fleet_job *job =
+		fleet_job(kernel_fleet(jobs->kernel), name);
+	struct tracked *tracked = g_hash_table_lookup(jobs->tracked, name);
+
+	if (!job || !in_progress(job)) {
+		if (!tracked)
+			return;
+		jobs_charge(jobs, tracked, "", 0);
+		g_hash_table_remove(jobs->tracked, name);
+		return;
+	}
+	tracked = track(jobs, job);
+	if (strcmp(tracked->charged_to, job->instance) != 0) {
+		tracked->ended = false;
+		tracked->asked_us = 0;
+		tracked->down_us = 0;
+		tracked->renew_at_us = 0;
+	}
+	jobs_charge(jobs, tracked, job->instance,
+		    jobs_size_millislots(jobs, tracked, job));
+	enqueue(jobs, tracked);
+}
+
+static void start_planning(struct jobs *jobs, uint64_t token)
+{
+	GPtrArray *list = fleet_jobs(kernel_fleet(jobs->kernel));
+
+	stop_planning(jobs);
+	jobs->token = token;
+	jobs->tick_at_us = kernel_now_us(jobs->kernel) + TICK_US;
+	for (guint i = 0; i < list->len; i++)
+		sync_job(jobs, ((struct fleet_job *)list->pdata[i])->decl.job);
+	g_ptr_array_unref(list);
+}
+
+static struct record *job_record(const struct jobs *jobs, enum record_kind kind,
+				 const struct fleet_job *job)
+{
+	struct record *record = record_new(kind);
+
+	record->job.token = jobs->token;
+	name_copy(record->job.job, NAME_SIZE_BYTES, job->decl.job);
+	name_copy(record->job.instance, NAME_SIZE_BYTES, job->instance);
+	record->job.attempt_count = job->attempt_count;
+	return record;
+}
+
+static void tell_platform(struct jobs *jobs, enum event_type type,
+			  const struct fleet_job *job)
+{
+	struct event event = { .type = type };
+
+	name_copy(event.task.job, NAME_SIZE_BYTES, job->decl.job);
+	name_copy(event.task.instance, NAME_SIZE_BYTES, job->instance);
+	event.task.attempt = job->attempt_count;
+	event.task.slots_count = job->decl.declared_slots_count;
+	kernel_emit(jobs->kernel, &event);
+}
+
+static void propose_end(struct jobs *jobs, const struct tracked *tracked,
+			const struct fleet_job *job)
+{
+	struct record *record = job_record(jobs, RECORD_JOB_END, job);
+
+	record->job.succeeded = tracked->outcome == TASK_SUCCEEDED;
+	record->job.checkpointed = tracked->outcome == TASK_CHECKPOINTED;
+	g_strlcpy(record->job.reason, tracked->reason, REASON_SIZE_BYTES);
+	pending_propose(jobs->pending, tracked->name, record);
+}
+
+static void set_aside(struct jobs *jobs, const struct tracked *tracked,
+		      const struct fleet_job *job, const char *reason)
+{
+	struct record *record = job_record(jobs, RECORD_JOB_SET_ASIDE, job);
+
+	g_strlcpy(record->job.reason, reason, REASON_SIZE_BYTES);
+	pending_propose(jobs->pending, tracked->name, record);
+	klog_info(LOG_PREFIX, "job %s is set aside: %s", tracked->name, reason);
+}
+
+static void attend_waiting(struct jobs *jobs, struct tracked *tracked,
+			   const struct fleet_job *job)
+{
+	const char *never = jobs_never_runs(jobs, tracked, job);
+	const struct fleet_instance *place;
+	struct record *record;
+
+	if (never) {
+		set_aside(jobs, tracked, job, never);
+		return;
+	}
+	place = jobs_find_place(jobs, tracked, job);
+	tracked->next_us = kernel_now_us(jobs->kernel) + WAITING_US;
+	if (!place)
+		return;
+	record = job_record(jobs, RECORD_JOB_PLACE, job);
+	name_copy(record->job.instance, NAME_SIZE_BYTES, place->decl.name);
+	/* Booked at once, so that the next job of this slice sees it. */
+	jobs_charge(jobs, tracked, place->decl.name,
+		    jobs_size_millislots(jobs, tracked, job));
+	pending_propose(jobs->pending, tracked->name, record);
+}
+
+static void ask(struct jobs *jobs, struct tracked *tracked,
+		const struct fleet_job *job, enum event_type type)
+{
+	int64_t now_us = kernel_now_us(jobs->kernel);
+
+	if (tracked->asked_us && now_us - tracked->asked_us < ASK_US) {
+		tracked->next_us = tracked->asked_us + ASK_US;
+		return;
+	}
+	tracked->asked_us = MAX(now_us, 1);
+	tracked->next_us = now_us + ASK_US;
+	tell_platform(jobs, type, job);
+}
+
+/* Whether the window of a gentle service of the job is open. */
+static bool is_gentle(struct jobs *jobs, const struct fleet_job *job)
+{
+	struct plan_view view = { .fleet = kernel_fleet(jobs->kernel),
+				  .wall_us = kernel_wall_us(jobs->kernel) };
+
+	return plan_member_gentle(&view, job->decl.member, job->decl.pool);
+}
+
+static void renew(struct jobs *jobs, struct tracked *tracked,
+		  const struct fleet_job *job)
+{
+	int64_t now_us = kernel_now_us(jobs->kernel);
+
+	if (!tracked->renew_at_us)
+		/* Jobs that started together are not renewed together. */
+		tracked->renew_at_us =
+			now_us + g_rand_int_range(kernel_random(jobs->kernel),
+						  RENEW_US / 2, RENEW_US);
+	if (now_us >= tracked->renew_at_us &&
+	    jobs->renewed_count < RENEW_PER_TICK_COUNT) {
+		jobs->renewed_count++;
+		tracked->renew_at_us = now_us + RENEW_US;
+		pending_propose(jobs->pending, tracked->name,
+				job_record(jobs, RECORD_JOB_RENEW, job));
+	}
+	tracked->next_us = MAX(tracked->renew_at_us, now_us + TICK_US);
+}
+
+/* Returns whether the instance of a job is gone; ends the job in time. */
+static bool attend_down(struct jobs *jobs, struct tracked *tracked,
+			const struct fleet_job *job,
+			const struct fleet_instance *instance)
+{
+	int64_t now_us = kernel_now_us(jobs->kernel);
+
+	if (instance && !instance->down &&
+	    instance->phase != INSTANCE_REMOVED) {
+		tracked->down_us = 0;
+		return false;
+	}
+	if (!tracked->down_us)
+		tracked->down_us = MAX(now_us, 1);
+	tracked->next_us = tracked->down_us + DOWN_US;
+	if (now_us < tracked->next_us) {
+		/* An instance that leaves may still save what runs on it. */
+		if (!tracked->asked_us && job->state == JOB_RUNNING)
+			ask(jobs, tracked, job, EVENT_TASK_CHECKPOINT);
+		tracked->next_us = tracked->down_us + DOWN_US;
+		return true;
+	}
+	tell_platform(jobs, EVENT_TASK_STOP, job);
+	tracked->ended = true;
+	tracked->outcome = TASK_FAILED;
+	g_strlcpy(tracked->reason, "its instance went down", REASON_SIZE_BYTES);
+	propose_end(jobs, tracked, job);
+	return true;
+}
+
+static void attend_running(struct jobs *jobs, struct tracked *tracked,
+			   const struct fleet_job *job)
+{
+	const struct fleet_instance *instance =
+		fleet_instance(kernel_fleet(jobs->kernel), job->instance);
+
+	if (tracked->ended) {
+		propose_end(jobs, tracked, job);
+		return;
+	}
+	if (attend_down(jobs, tracked, job, instance))
+		return;
+	if (job->state == JOB_CANCELLING) {
+		ask(jobs, tracked, job, EVENT_TASK_STOP);
+		return;
+	}
+	if (tracked->started_attempt != job->attempt_count) {
+		tracked->started_attempt = job->attempt_count;
+		tell_platform(jobs, EVENT_TASK_START, job);
+	}
+	if (instance->phase != INSTANCE_ACTIVE && !is_gentle(jobs, job)) {
+		ask(jobs, tracked, job, EVENT_TASK_CHECKPOINT);
+		return;
+	}
+	renew(jobs, tracked, job);
+}
+
+static void attend(struct jobs *jobs, struct tracked *tracked)
+{
+	const struct fleet_job *job =
+		fleet_job(kernel_fleet(jobs->kernel), tracked->name);
+
+	tracked->next_us = kernel_now_us(jobs->kernel) + TICK_US;
+	if (!job || pending_has(jobs->pending, tracked->name))
+		return;
+	if (job->state == JOB_WAITING)
+		attend_waiting(jobs, tracked, job);
+	else if (is_on_instance(job))
+		attend_running(jobs, tracked, job);
+}
+
+static bool may_propose(const struct jobs *jobs)
+{
+	return jobs->token && jobs->log_reachable &&
+	       fleet_offset(kernel_fleet(jobs->kernel)) + 1 >=
+		       jobs->log_next_offset;
+}
+
+static bool is_full(const struct jobs *jobs)
+{
+	return pending_count(jobs->pending) >= PENDING_MAX_COUNT;
+}
+
+static void run_slice(struct jobs *jobs)
+{
+	for (uint32_t i = 0; i < SLICE_COUNT && !is_full(jobs); i++) {
+		char *name = g_queue_pop_head(jobs->todo);
+		struct tracked *tracked;
+
+		if (!name)
+			return;
+		tracked = g_hash_table_lookup(jobs->tracked, name);
+		g_free(name);
+		if (!tracked)
+			continue;
+		tracked->queued = false;
+		attend(jobs, tracked);
+	}
+}
+
+static void enqueue_due(struct jobs *jobs)
+{
+	int64_t now_us = kernel_now_us(jobs->kernel);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, jobs->tracked);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tracked *tracked = value;
+
+		if (tracked->next_us <= now_us)
+			enqueue(jobs, tracked);
+	}
+}
+
+static void run_due(struct jobs *jobs)
+{
+	int64_t now_us = kernel_now_us(jobs->kernel);
+
+	if (!jobs->token)
+		return;
+	if (now_us >= jobs->tick_at_us) {
+		jobs->tick_at_us = now_us + TICK_US;
+		jobs->renewed_count = 0;
+		enqueue_due(jobs);
+	}
+	if (may_propose(jobs))
+		run_slice(jobs);
+	kernel_wake_at(jobs->kernel, jobs->tick_at_us);
+	/* Without room, the outcome of a proposal is the next event. */
+	if (jobs->todo->length && may_propose(jobs) && !is_full(jobs))
+		kernel_wake_at(jobs->kernel, now_us + SLICE_GAP_US);
+}
+
+/* Jobs on an instance whose state changed are looked at again. */
+static void enqueue_on(struct jobs *jobs, const char *instance)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!g_hash_table_contains(jobs->charges, instance))
+		return;
+	g_hash_table_iter_init(&iter, jobs->tracked);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tracked *tracked = value;
+
+		if (!strcmp(tracked->charged_to, instance))
+			enqueue(jobs, tracked);
+	}
+}
+
+static void take_change(struct jobs *jobs, const struct event *event)
+{
+	const struct record *record = event->record.record;
+
+	pending_settle(jobs->pending, event);
+	if (!jobs->token)
+		return;
+	if (record->kind >= RECORD_JOB_SUBMIT &&
+	    record->kind <= RECORD_JOB_SET_ASIDE) {
+		if (record->kind != RECORD_JOB_RENEW)
+			sync_job(jobs, record->job.job);
+	} else if (event->record.accepted &&
+		   record->kind >= RECORD_MOVE_START &&
+		   record->kind <= RECORD_INSTANCE_UP &&
+		   record->kind != RECORD_DRAIN_ACK) {
+		enqueue_on(jobs, record->instance.instance);
+	}
+}
+
+static void take_dropped(struct jobs *jobs, const struct event *event)
+{
+	if (pending_settle(jobs->pending, event) && jobs->token)
+		sync_job(jobs, event->record.record->job.job);
+}
+
+static void take_report(struct jobs *jobs, const struct event_task *task)
+{
+	const struct fleet_job *job =
+		fleet_job(kernel_fleet(jobs->kernel), task->job);
+	struct tracked *tracked = g_hash_table_lookup(jobs->tracked, task->job);
+
+	if (!jobs->token || !job || !tracked || !is_on_instance(job) ||
+	    strcmp(job->instance, task->instance) != 0 ||
+	    job->attempt_count != task->attempt)
+		return;
+	jobs_observe(jobs, tracked, job, task->used_millislots);
+	jobs_charge(jobs, tracked, job->instance,
+		    jobs_size_millislots(jobs, tracked, job));
+	if (task->report == TASK_RUNNING || tracked->ended)
+		return;
+	tracked->ended = true;
+	tracked->outcome = task->report;
+	g_strlcpy(tracked->reason, task->reason, REASON_SIZE_BYTES);
+	enqueue(jobs, tracked);
+}
+
+static void check_jump(struct jobs *jobs)
+{
+	int64_t now_us = kernel_now_us(jobs->kernel);
+
+	/* The planner plug-in gives the role up as well and says so later. */
+	if (jobs->token && now_us - jobs->awake_us > LEASE_US)
+		stop_planning(jobs);
+	jobs->awake_us = now_us;
+}
+
+static void jobs_handle(void *self, const struct event *event)
+{
+	struct jobs *jobs = self;
+
+	check_jump(jobs);
+	switch (event->type) {
+	case EVENT_ROLE_CHANGED:
+		if (event->name.value)
+			start_planning(jobs, event->name.offset);
+		else
+			stop_planning(jobs);
+		break;
+	case EVENT_FLEET_CHANGED:
+		take_change(jobs, event);
+		break;
+	case EVENT_FLEET_RESET:
+		if (jobs->token)
+			start_planning(jobs, jobs->token);
+		break;
+	case EVENT_PROPOSAL_DROPPED:
+		take_dropped(jobs, event);
+		break;
+	case EVENT_LOG_STATE:
+		jobs->log_reachable = event->log.reachable;
+		jobs->log_next_offset = event->log.next_offset;
+		break;
+	case EVENT_TASK_REPORT:
+		take_report(jobs, &event->task);
+		break;
+	default:
+		break;
+	}
+	run_due(jobs);
+}
+
+static const struct plugin jobs_plugin = {
+	.name = "jobs",
+	.kind = PLUGIN_DECIDE,
+	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_ROLE_CHANGED) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
+		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
+		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_TASK_REPORT),
+	.init = jobs_init,
+	.handle = jobs_handle,
+	.fini = jobs_fini,
+};
+
+PLUGIN_REGISTER(jobs_plugin)
--- /dev/null
+++ b/src/decide/jobs_place.c
@@ -0,0 +1,224 @@
+/* Sizes of jobs, and where they run. */
+
+#include <string.h>
+
+#include "decide/jobs.h"
+
+#define OBSERVED_COUNT 64 /* latest reports of a member in a pool */
+#define PERCENTILE 90
+/* A job counts for at least this part of its declared size. */
+#define LEAST_PART 10
+/* Limit of a reported use against the declared size, in per mille. */
+#define RATIO_MAX_PERMILLE 100000
+
+/* Reported use against declared size, in per mille. */
+struct observed {
+	uint32_t ratios_permille[OBSERVED_COUNT];
+	uint32_t count;
+	uint32_t next;
+};
+
+static uint32_t declared_millislots(const struct fleet_job *job)
+{
+	uint64_t millislots =
+		(uint64_t)job->decl.declared_slots_count * MILLISLOTS;
+
+	return (uint32_t)CLAMP(millislots, 1, UINT32_MAX);
+}
+
+static struct observed *observed_of(struct jobs *jobs,
+				    const struct fleet_job *job)
+{
+	char *key = g_strdup_printf("%s/%s", job->decl.member, job->decl.pool);
+	struct observed *observed = g_hash_table_lookup(jobs->observed, key);
+
+	if (!observed) {
+		observed = g_new0(struct observed, 1);
+		g_hash_table_insert(jobs->observed, g_strdup(key), observed);
+	}
+	g_free(key);
+	return observed;
+}
+
+void jobs_observe(struct jobs *jobs, struct tracked *tracked,
+		  const struct fleet_job *job, uint32_t used_millislots)
+{
+	struct observed *observed = observed_of(jobs, job);
+	uint64_t ratio =
+		(uint64_t)used_millislots * 1000 / declared_millislots(job);
+
+	if (!used_millislots)
+		return;
+	tracked->used_millislots =
+		MAX(tracked->used_millislots, used_millislots);
+	observed->ratios_permille[observed->next] =
+		(uint32_t)MIN(ratio, RATIO_MAX_PERMILLE);
+	observed->next = (observed->next + 1) % OBSERVED_COUNT;
+	observed->count = MIN(observed->count + 1, OBSERVED_COUNT);
+}
+
+static int compare_ratios(const void *a, const void *b)
+{
+	uint32_t left = *(const uint32_t *)a;
+	uint32_t right = *(const uint32_t *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+static uint32_t percentile_permille(const struct observed *observed)
+{
+	uint32_t sorted[OBSERVED_COUNT];
+
+	memcpy(sorted, observed->ratios_permille, sizeof(sorted));
+	qsort(sorted, observed->count, sizeof(sorted[0]), compare_ratios);
+	return sorted[(observed->count - 1) * PERCENTILE / 100];
+}
+
+uint32_t jobs_size_millislots(struct jobs *jobs, const struct tracked *tracked,
+			      const struct fleet_job *job)
+{
+	const struct observed *observed = observed_of(jobs, job);
+	uint32_t declared = declared_millislots(job);
+	uint64_t size = declared;
+
+	if (tracked->used_millislots)
+		size = tracked->used_millislots;
+	else if (observed->count)
+		size = (uint64_t)declared * percentile_permille(observed) /
+		       1000;
+	return (uint32_t)CLAMP(size, declared / LEAST_PART, UINT32_MAX);
+}
+
+static uint32_t count_of(GHashTable *table, const char *key)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(table, key));
+}
+
+static void add_to(GHashTable *table, const char *key, int64_t change)
+{
+	int64_t count = count_of(table, key) + change;
+
+	if (count > 0)
+		g_hash_table_replace(table, g_strdup(key),
+				     GUINT_TO_POINTER((guint)count));
+	else
+		g_hash_table_remove(table, key);
+}
+
+void jobs_charge(struct jobs *jobs, struct tracked *tracked,
+		 const char *instance, uint32_t millislots)
+{
+	if (tracked->charged_to[0]) {
+		add_to(jobs->charges, tracked->charged_to,
+		       -(int64_t)tracked->charged_millislots);
+		add_to(jobs->running, tracked->member, -1);
+	}
+	name_copy(tracked->charged_to, NAME_SIZE_BYTES, instance);
+	tracked->charged_millislots = millislots;
+	if (tracked->charged_to[0]) {
+		add_to(jobs->charges, instance, millislots);
+		add_to(jobs->running, tracked->member, 1);
+	}
+}
+
+static bool has_failed_on(const struct fleet_job *job,
+			  const struct fleet_instance *instance)
+{
+	return g_ptr_array_find_with_equal_func(
+		job->failed_on, instance->decl.name, g_str_equal, NULL);
+}
+
+static bool fits(struct jobs *jobs, const struct fleet_instance *instance,
+		 uint32_t size_millislots)
+{
+	uint64_t used = count_of(jobs->charges, instance->decl.name);
+
+	return used + size_millislots <=
+	       (uint64_t)instance->decl.slot_count * MILLISLOTS;
+}
+
+/* What jobs use of the rack of an instance, in this pool. */
+static uint64_t rack_millislots(struct jobs *jobs,
+				const struct fleet_pool *pool,
+				const struct fleet_instance *of)
+{
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < pool->instances->len; i++) {
+		const struct fleet_instance *instance =
+			pool->instances->pdata[i];
+
+		if (!strcmp(instance->decl.rack, of->decl.rack) &&
+		    !strcmp(instance->decl.dc, of->decl.dc))
+			sum += count_of(jobs->charges, instance->decl.name);
+	}
+	return sum;
+}
+
+static bool quota_allows(struct jobs *jobs, const struct fleet_job *job)
+{
+	const struct decl_member *member =
+		fleet_member(kernel_fleet(jobs->kernel), job->decl.member);
+
+	return !member || !member->quota_count ||
+	       count_of(jobs->running, job->decl.member) < member->quota_count;
+}
+
+const struct fleet_instance *jobs_find_place(struct jobs *jobs,
+					     const struct tracked *tracked,
+					     const struct fleet_job *job)
+{
+	const struct fleet_pool *pool =
+		fleet_pool(kernel_fleet(jobs->kernel), job->decl.pool);
+	uint32_t size = jobs_size_millislots(jobs, tracked, job);
+	const struct fleet_instance *best = NULL;
+	uint64_t best_load = UINT64_MAX;
+
+	if (!pool || !quota_allows(jobs, job))
+		return NULL;
+	for (guint i = 0; i < pool->instances->len; i++) {
+		const struct fleet_instance *instance =
+			pool->instances->pdata[i];
+		uint64_t load;
+
+		if (instance->phase != INSTANCE_ACTIVE || instance->down ||
+		    has_failed_on(job, instance) || !fits(jobs, instance, size))
+			continue;
+		/* The least used rack first, and there the least used one. */
+		load = rack_millislots(jobs, pool, instance) << 32 |
+		       count_of(jobs->charges, instance->decl.name);
+		if (load >= best_load)
+			continue;
+		best_load = load;
+		best = instance;
+	}
+	return best;
+}
+
+const char *jobs_never_runs(struct jobs *jobs, const struct tracked *tracked,
+			    const struct fleet_job *job)
+{
+	const struct fleet_pool *pool =
+		fleet_pool(kernel_fleet(jobs->kernel), job->decl.pool);
+	uint32_t size = jobs_size_millislots(jobs, tracked, job);
+	bool too_large = true;
+	bool all_failed = true;
+
+	if (!pool)
+		return "its pool is no longer declared";
+	/* An empty pool may get instances again. */
+	if (!pool->instances->len)
+		return NULL;
+	for (guint i = 0; i < pool->instances->len; i++) {
+		const struct fleet_instance *instance =
+			pool->instances->pdata[i];
+
+		too_large =
+			too_large &&
+			size > (uint64_t)instance->decl.slot_count * MILLISLOTS;
+		all_failed = all_failed && has_failed_on(job, instance);
+	}
+	if (too_large)
+		return "it needs more slots than any instance of its pool has";
+	return all_failed ? "it failed on every instance of its pool" : NULL;
+}
--- a/src/decide/pending.h
+++ b/src/decide/pending.h
@@ -5,6 +5,9 @@
 
 #include "kernel/kernel.h"
 
+/* The planner lease is vacant when no planner record was seen for so long. */
+#define LEASE_US (6 * USEC_PER_SEC)
+
 struct pending;
 
 struct pending *pending_new(struct kernel *kernel);
--- a/src/decide/planner.h
+++ b/src/decide/planner.h
@@ -11,8 +11,6 @@
 #include "policy/moves.h"
 #include "policy/waves.h"
 
-#define LEASE_US (6 * USEC_PER_SEC)
-
 /* What this entry instance has seen of one instance. */
 struct watched {
 	char name[NAME_SIZE_BYTES];
--- a/src/policy/plan.c
+++ b/src/policy/plan.c
@@ -59,7 +59,8 @@
 	       minute < service->gentle_until_min;
 }
 
-bool plan_gentle(const struct plan_view *view, const char *pool)
+bool plan_member_gentle(const struct plan_view *view, const char *member,
+			const char *pool)
 {
 	const GPtrArray *services = fleet_services(view->fleet);
 
@@ -67,12 +68,18 @@
 		const struct decl_service *service = services->pdata[i];
 
 		if (!strcmp(service->pool, pool) &&
+		    (!member || !strcmp(service->member, member)) &&
 		    window_open(service, view->wall_us))
 			return true;
 	}
 	return false;
 }
 
+bool plan_gentle(const struct plan_view *view, const char *pool)
+{
+	return plan_member_gentle(view, NULL, pool);
+}
+
 bool plan_may_take(const struct plan_view *view,
 		   const struct fleet_instance *instance)
 {
--- a/src/policy/plan.h
+++ b/src/policy/plan.h
@@ -30,6 +30,10 @@
 /* Whether the gentle window of any service of a pool is open. */
 bool plan_gentle(const struct plan_view *view, const char *pool);
 
+/* Whether that of a service of a member in a pool is open. */
+bool plan_member_gentle(const struct plan_view *view, const char *member,
+			const char *pool);
+
 /*
  * Whether a planned step may take an instance out of service now: it is in
  * service, the budget allows it and no gentle window forbids it.
