--- a/src/decide/jobs.c
+++ b/src/decide/jobs.c
@@ -38,7 +38,6 @@
 	struct jobs *jobs = g_new0(struct jobs, 1);
 
 	jobs->kernel = kernel;
-	jobs->awake_us = kernel_now_us(kernel);
 	jobs->pending = pending_new(kernel);
 	jobs->tracked =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -454,21 +453,10 @@
 	enqueue(jobs, tracked);
 }
 
-static void check_jump(struct jobs *jobs)
-{
-	int64_t now_us = kernel_now_us(jobs->kernel);
-
-	/* The planner plug-in gives the role up as well and says so later. */
-	if (jobs->token && now_us - jobs->awake_us > LEASE_US)
-		stop_planning(jobs);
-	jobs->awake_us = now_us;
-}
-
 static void jobs_handle(void *self, const struct event *event)
 {
 	struct jobs *jobs = self;
 
-	check_jump(jobs);
 	switch (event->type) {
 	case EVENT_ROLE_CHANGED:
 		if (event->name.value)
@@ -476,6 +464,10 @@
 		else
 			stop_planning(jobs);
 		break;
+	case EVENT_RESUMED:
+		/* The planner plug-in gives the role up and says so later. */
+		stop_planning(jobs);
+		break;
 	case EVENT_FLEET_CHANGED:
 		take_change(jobs, event);
 		break;
@@ -502,7 +494,8 @@
 static const struct plugin jobs_plugin = {
 	.name = "jobs",
 	.kind = PLUGIN_DECIDE,
-	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_ROLE_CHANGED) |
+	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_RESUMED) |
+		 EVENT_BIT(EVENT_ROLE_CHANGED) |
 		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
 		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
 		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_TASK_REPORT),
--- a/src/decide/jobs.h
+++ b/src/decide/jobs.h
@@ -28,7 +28,6 @@
 struct jobs {
 	struct kernel *kernel;
 	uint64_t token; /* of the planner lease; 0: we do not hold it */
-	int64_t awake_us;
 	int64_t tick_at_us;
 	bool log_reachable;
 	uint64_t log_next_offset;
--- a/src/decide/planner.c
+++ b/src/decide/planner.c
@@ -37,11 +37,9 @@
 	planner->moves_self = planner->moves->new ();
 	planner->waves_self = planner->waves->new ();
 	planner->pending = pending_new(kernel);
-	planner->awake_us = kernel_now_us(kernel);
-	planner->heard_us = planner->awake_us;
+	planner->heard_us = kernel_now_us(kernel);
 	planner_watch_init(planner);
 	draw_spread(planner);
-	kernel_wake_at(kernel, planner->awake_us + RENEW_US);
 	return planner;
 }
 
@@ -104,17 +102,12 @@
 	announce(planner, true);
 }
 
-/* A process that slept past its lease must not act on what it knew. */
-static void check_jump(struct planner *planner)
+/* A process that was paused must not act on what it knew. */
+static void take_pause(struct planner *planner)
 {
-	int64_t now_us = kernel_now_us(planner->kernel);
-
-	if (now_us - planner->awake_us > LEASE_US) {
-		lose(planner);
-		planner->heard_us = now_us;
-		draw_spread(planner);
-	}
-	planner->awake_us = now_us;
+	lose(planner);
+	planner->heard_us = kernel_now_us(planner->kernel);
+	draw_spread(planner);
 }
 
 static bool is_me(const struct planner *planner, const char *entry,
@@ -180,8 +173,6 @@
 
 	if (!planner->token) {
 		try_claim(planner);
-		/* Often enough that only a real pause looks like one. */
-		kernel_wake_at(planner->kernel, now_us + RENEW_US);
 		if (now_us < planner->heard_us + LEASE_US + planner->spread_us)
 			kernel_wake_at(planner->kernel,
 				       planner->heard_us + LEASE_US +
@@ -297,8 +288,10 @@
 {
 	struct planner *planner = self;
 
-	check_jump(planner);
 	switch (event->type) {
+	case EVENT_RESUMED:
+		take_pause(planner);
+		break;
 	case EVENT_FLEET_CHANGED:
 		take_change(planner, event);
 		break;
@@ -331,7 +324,8 @@
 	.name = "planner",
 	.kind = PLUGIN_DECIDE,
 	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_STARTED) |
-		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
+		 EVENT_BIT(EVENT_RESUMED) | EVENT_BIT(EVENT_FLEET_CHANGED) |
+		 EVENT_BIT(EVENT_FLEET_RESET) |
 		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
 		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_INSTANCE_LIST) |
 		 EVENT_BIT(EVENT_PEER_STATE) | EVENT_BIT(EVENT_PEER_RECEIVED),
--- a/src/decide/planner.h
+++ b/src/decide/planner.h
@@ -28,8 +28,7 @@
 
 struct planner {
 	struct kernel *kernel;
-	uint64_t token; /* of the lease; 0: we are not the planner */
-	int64_t awake_us;
+	uint64_t token;	  /* of the lease; 0: we are not the planner */
 	int64_t heard_us; /* latest record of any planner */
 	int64_t spread_us;
 	int64_t renew_at_us;
@@ -49,7 +48,7 @@
 	GHashTable *served;   /* set of data centres that had an entry */
 	GHashTable *holds_us; /* data centre -> int64_t: no commit before */
 	int64_t hold_all_until_us;
-	GHashTable *loads;   /* entry -> struct peer_loads */
+	GHashTable *loads;   /* "sender/pool" -> struct load */
 	GHashTable *demands; /* pool -> int64_t, at the latest tick */
 };
 
--- a/src/decide/planner_watch.c
+++ b/src/decide/planner_watch.c
@@ -8,23 +8,17 @@
 #define LOG_PREFIX "planner"
 /* Proposals in progress; the proposer's queue must not fill up. */
 #define PENDING_MAX_COUNT 64
-/* Loads that are older say nothing; the failure detector's limit. */
-#define LOAD_LIFE_US (6 * USEC_PER_SEC)
+/* Heartbeats repeat the load of each pool every 10 s or a little later. */
+#define LOAD_LIFE_US (30 * USEC_PER_SEC)
 
-/* The latest load of an entry, or of another data centre. */
-struct peer_loads {
+/* The latest load of a pool at an entry, or in another data centre. */
+struct load {
+	char pool[NAME_SIZE_BYTES];
+	char dc[NAME_SIZE_BYTES]; /* empty: our own */
 	int64_t at_us;
-	GArray *loads; /* of struct peer_pool_load */
+	int64_t demand_us_per_s;
 };
 
-static void loads_free(gpointer data)
-{
-	struct peer_loads *loads = data;
-
-	g_array_unref(loads->loads);
-	g_free(loads);
-}
-
 static GHashTable *set_new(void)
 {
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -44,8 +38,7 @@
 	planner->roster = map_new();
 	planner->holds_us = map_new();
 	planner->demands = map_new();
-	planner->loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       loads_free);
+	planner->loads = map_new();
 }
 
 void planner_watch_free(struct planner *planner)
@@ -155,24 +148,35 @@
 		g_hash_table_remove(planner->dead, peer->peer);
 }
 
+static void take_load(struct planner *planner, const struct event_peer *peer,
+		      const struct peer_pool_load *from)
+{
+	const char *dc = peer->msg->dc;
+	bool mate = !strcmp(dc, kernel_settings(planner->kernel)->dc);
+	struct load *load = g_new0(struct load, 1);
+
+	load->at_us = kernel_now_us(planner->kernel);
+	load->demand_us_per_s = from->demand_us_per_s;
+	name_copy(load->pool, NAME_SIZE_BYTES, from->pool);
+	name_copy(load->dc, NAME_SIZE_BYTES, mate ? "" : dc);
+	/* Another data centre has one sender at a time, which may change. */
+	g_hash_table_replace(planner->loads,
+			     g_strdup_printf("%s/%s/%s", dc,
+					     mate ? peer->peer : "",
+					     from->pool),
+			     load);
+}
+
 void planner_take_peer_msg(struct planner *planner,
 			   const struct event_peer *peer)
 {
 	const struct peer_msg *msg = peer->msg;
-	const char *dc = kernel_settings(planner->kernel)->dc;
-	struct peer_loads *loads;
 
 	if (msg->kind != PEER_MSG_HEARTBEAT || !msg->loads)
 		return;
-	loads = g_new0(struct peer_loads, 1);
-	loads->at_us = kernel_now_us(planner->kernel);
-	loads->loads = g_array_ref(msg->loads);
-	/* Another data centre has one sender at a time, which may change. */
-	g_hash_table_replace(
-		planner->loads,
-		g_strdup_printf("%s/%s", msg->dc,
-				strcmp(msg->dc, dc) != 0 ? "" : peer->peer),
-		loads);
+	for (guint i = 0; i < msg->loads->len; i++)
+		take_load(planner, peer,
+			  &g_array_index(msg->loads, struct peer_pool_load, i));
 }
 
 static void add_demand(struct planner *planner, const char *pool,
@@ -187,14 +191,49 @@
 	*sum += demand_us_per_s;
 }
 
-void planner_sum_demands(struct planner *planner)
+/* Entries of a data centre for which the sender of its digest stands. */
+static uint32_t entries_in(struct planner *planner, const char *dc)
+{
+	const GPtrArray *entries = fleet_entries(kernel_fleet(planner->kernel));
+	uint32_t count = 0;
+
+	for (guint i = 0; i < entries->len; i++) {
+		const struct fleet_entry *entry = entries->pdata[i];
+
+		count += !strcmp(entry->decl.dc, dc);
+	}
+	return MAX(count, 1);
+}
+
+/*
+ * Another data centre reports what its lowest entry sees; the platform's load
+ * balancer gives the others there about as much.
+ */
+static void add_loads(struct planner *planner)
 {
-	struct endpoint_table *table = kernel_endpoints(planner->kernel);
-	const GPtrArray *pools = fleet_pools(kernel_fleet(planner->kernel));
 	int64_t now_us = kernel_now_us(planner->kernel);
 	GHashTableIter iter;
 	gpointer value;
 
+	g_hash_table_iter_init(&iter, planner->loads);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct load *load = value;
+		uint32_t count =
+			load->dc[0] ? entries_in(planner, load->dc) : 1;
+
+		if (now_us - load->at_us > LOAD_LIFE_US)
+			g_hash_table_iter_remove(&iter);
+		else
+			add_demand(planner, load->pool,
+				   load->demand_us_per_s * count);
+	}
+}
+
+void planner_sum_demands(struct planner *planner)
+{
+	struct endpoint_table *table = kernel_endpoints(planner->kernel);
+	const GPtrArray *pools = fleet_pools(kernel_fleet(planner->kernel));
+
 	g_hash_table_remove_all(planner->demands);
 	for (guint i = 0; i < pools->len; i++) {
 		const struct fleet_pool *pool = pools->pdata[i];
@@ -203,21 +242,7 @@
 			   endpoint_table_pool(table, pool->decl.name)
 				   ->demand_us_per_s);
 	}
-	g_hash_table_iter_init(&iter, planner->loads);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer_loads *loads = value;
-
-		if (now_us - loads->at_us > LOAD_LIFE_US) {
-			g_hash_table_iter_remove(&iter);
-			continue;
-		}
-		for (guint i = 0; i < loads->loads->len; i++) {
-			const struct peer_pool_load *load = &g_array_index(
-				loads->loads, struct peer_pool_load, i);
-
-			add_demand(planner, load->pool, load->demand_us_per_s);
-		}
-	}
+	add_loads(planner);
 }
 
 static void hold_dc(struct planner *planner, const char *dc)
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -753,7 +753,8 @@
 		g_strfreev(script->words);
 		return;
 	}
-	if (!script_feed(script->world, script->dir, script->words,
+	if (!script_plan(script->world, script->words, script->errors) &&
+	    !script_feed(script->world, script->dir, script->words,
 			 script->errors))
 		fail(script, "no command is called \"%s\"", script->words[0]);
 	g_strfreev(script->words);
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -63,6 +63,8 @@
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
 	uint64_t printed;	 /* EVENT_BIT() of the types that are printed */
+	uint64_t skipped; /* bits of the record kinds that are not printed */
+	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
 	bool quiet;
 	GString *output;
 	uint32_t violation_count;
@@ -133,6 +135,12 @@
 bool script_feed(struct world *world, const char *dir, gchar **words,
 		 GPtrArray *errors);
 
+/*
+ * script_plan.c: runs a command about planning. Returns false if there is
+ * none of that name.
+ */
+bool script_plan(struct world *world, gchar **words, GPtrArray *errors);
+
 /* script.c: runs a script; the output is in world->output. */
 struct world *script_run(const char *path, GPtrArray *errors);
 
