Draw the spread of a claim only when the lease has lapsed

Cause: each draw at the start shifted the random numbers of all other plug-ins, so that scripts which never reach a claim changed.

Change: the spread is drawn once the lease has lapsed.

Conclusion: a plug-in that does nothing yet draws nothing.

--- a/src/decide/planner.c
+++ b/src/decide/planner.c
@@ -16,10 +16,11 @@
 #define SPREAD_US (1 * USEC_PER_SEC)
 #define LEASE_KEY "=lease" /* not a name that a declaration allows */
 
-static void draw_spread(struct planner *planner)
+/* A planner was heard, or must be given time: claims start to wait anew. */
+static void wait_from(struct planner *planner, int64_t heard_us)
 {
-	planner->spread_us =
-		g_rand_int_range(kernel_random(planner->kernel), 0, SPREAD_US);
+	planner->heard_us = heard_us;
+	planner->claim_at_us = 0;
 }
 
 static void *planner_init(struct kernel *kernel)
@@ -39,7 +40,6 @@
 	planner->pending = pending_new(kernel);
 	planner->heard_us = kernel_now_us(kernel);
 	planner_watch_init(planner);
-	draw_spread(planner);
 	return planner;
 }
 
@@ -106,8 +106,7 @@
 static void take_pause(struct planner *planner)
 {
 	lose(planner);
-	planner->heard_us = kernel_now_us(planner->kernel);
-	draw_spread(planner);
+	wait_from(planner, kernel_now_us(planner->kernel));
 }
 
 static bool is_me(const struct planner *planner, const char *entry,
@@ -124,6 +123,21 @@
 		       planner->log_next_offset;
 }
 
+/* When the lease may be claimed; the spread is drawn when it has lapsed. */
+static int64_t claim_time(struct planner *planner)
+{
+	int64_t lapse_us = planner->heard_us + LEASE_US;
+
+	if (kernel_now_us(planner->kernel) < lapse_us)
+		return lapse_us;
+	if (!planner->claim_at_us)
+		planner->claim_at_us =
+			lapse_us +
+			g_rand_int_range(kernel_random(planner->kernel), 0,
+					 SPREAD_US);
+	return planner->claim_at_us;
+}
+
 static void try_claim(struct planner *planner)
 {
 	struct fleet *fleet = kernel_fleet(planner->kernel);
@@ -132,8 +146,7 @@
 	int64_t now_us = kernel_now_us(planner->kernel);
 	struct record *record;
 
-	if (now_us < planner->heard_us + LEASE_US + planner->spread_us ||
-	    !may_propose(planner) || !entry ||
+	if (now_us < claim_time(planner) || !may_propose(planner) || !entry ||
 	    !is_me(planner, entry->decl.name, entry->decl.incarnation) ||
 	    pending_has(planner->pending, LEASE_KEY))
 		return;
@@ -173,10 +186,8 @@
 
 	if (!planner->token) {
 		try_claim(planner);
-		if (now_us < planner->heard_us + LEASE_US + planner->spread_us)
-			kernel_wake_at(planner->kernel,
-				       planner->heard_us + LEASE_US +
-					       planner->spread_us);
+		if (now_us < claim_time(planner))
+			kernel_wake_at(planner->kernel, claim_time(planner));
 		return;
 	}
 	try_renew(planner);
@@ -223,9 +234,8 @@
 {
 	int64_t now_us = kernel_now_us(planner->kernel);
 
-	planner->heard_us =
-		MAX(planner->heard_us, now_us - LEASE_US + RENEW_US);
-	draw_spread(planner);
+	wait_from(planner,
+		  MAX(planner->heard_us, now_us - LEASE_US + RENEW_US));
 }
 
 static void take_claim(struct planner *planner, const struct event *event,
@@ -248,7 +258,7 @@
 	const struct fleet_instance *instance = NULL;
 
 	if (event->record.accepted && by_planner(record))
-		planner->heard_us = kernel_now_us(planner->kernel);
+		wait_from(planner, kernel_now_us(planner->kernel));
 	if (record->kind == RECORD_LEASE_CLAIM)
 		take_claim(planner, event, ours);
 	if (record->kind >= RECORD_ENTRY_JOIN &&
@@ -276,10 +286,8 @@
 static void take_log_state(struct planner *planner, const struct event *event)
 {
 	/* While the log was away, no record of a planner could be seen. */
-	if (event->log.reachable && !planner->log_reachable) {
-		planner->heard_us = kernel_now_us(planner->kernel);
-		draw_spread(planner);
-	}
+	if (event->log.reachable && !planner->log_reachable)
+		wait_from(planner, kernel_now_us(planner->kernel));
 	planner->log_reachable = event->log.reachable;
 	planner->log_next_offset = event->log.next_offset;
 }
--- a/src/decide/planner.h
+++ b/src/decide/planner.h
@@ -28,9 +28,9 @@
 
 struct planner {
 	struct kernel *kernel;
-	uint64_t token;	  /* of the lease; 0: we are not the planner */
-	int64_t heard_us; /* latest record of any planner */
-	int64_t spread_us;
+	uint64_t token;	     /* of the lease; 0: we are not the planner */
+	int64_t heard_us;    /* latest record of any planner */
+	int64_t claim_at_us; /* with its spread; 0: not drawn yet */
 	int64_t renew_at_us;
 	int64_t tick_at_us;
 	bool log_reachable;
