--- a/src/decide/jobs.c
+++ b/src/decide/jobs.c
@@ -122,6 +122,7 @@
 		return;
 	}
 	tracked = track(jobs, job);
+	tracked->since_offset = job->changed_offset;
 	if (strcmp(tracked->charged_to, job->instance) != 0) {
 		tracked->ended = false;
 		tracked->asked_us = 0;
@@ -356,19 +357,33 @@
 	}
 }
 
+static gint compare_ages(gconstpointer a, gconstpointer b)
+{
+	const struct tracked *const *left = a;
+	const struct tracked *const *right = b;
+
+	if ((*left)->since_offset != (*right)->since_offset)
+		return (*left)->since_offset < (*right)->since_offset ? -1 : 1;
+	return strcmp((*left)->name, (*right)->name);
+}
+
+/* What has waited longest is first, so that no job starves. */
 static void enqueue_due(struct jobs *jobs)
 {
 	int64_t now_us = kernel_now_us(jobs->kernel);
+	GPtrArray *due = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, jobs->tracked);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct tracked *tracked = value;
-
-		if (tracked->next_us <= now_us)
-			enqueue(jobs, tracked);
+		if (((struct tracked *)value)->next_us <= now_us)
+			g_ptr_array_add(due, value);
 	}
+	g_ptr_array_sort(due, compare_ages);
+	for (guint i = 0; i < due->len; i++)
+		enqueue(jobs, due->pdata[i]);
+	g_ptr_array_unref(due);
 }
 
 static void run_due(struct jobs *jobs)
@@ -382,12 +397,16 @@
 		jobs->renewed_count = 0;
 		enqueue_due(jobs);
 	}
-	if (may_propose(jobs))
+	/* Thousands of changes can arrive at once; that is still one slice. */
+	if (jobs->todo->length && may_propose(jobs) &&
+	    now_us >= jobs->slice_at_us) {
+		jobs->slice_at_us = now_us + SLICE_GAP_US;
 		run_slice(jobs);
+	}
 	kernel_wake_at(jobs->kernel, jobs->tick_at_us);
 	/* Without room, the outcome of a proposal is the next event. */
 	if (jobs->todo->length && may_propose(jobs) && !is_full(jobs))
-		kernel_wake_at(jobs->kernel, now_us + SLICE_GAP_US);
+		kernel_wake_at(jobs->kernel, jobs->slice_at_us);
 }
 
 /* Jobs on an instance whose state changed are looked at again. */
--- a/src/decide/jobs.h
+++ b/src/decide/jobs.h
@@ -18,17 +18,19 @@
 	bool ended;		  /* the platform has reported the end */
 	enum task_report outcome;
 	char reason[REASON_SIZE_BYTES];
-	bool queued;	     /* in todo */
-	int64_t next_us;     /* attend to it again at this time */
-	int64_t asked_us;    /* latest checkpoint or stop; 0: none */
-	int64_t down_us;     /* since when its instance is down; 0: is up */
-	int64_t renew_at_us; /* of the job's lease; 0: not set yet */
+	uint64_t since_offset; /* of its latest change of state */
+	bool queued;	       /* in todo */
+	int64_t next_us;       /* attend to it again at this time */
+	int64_t asked_us;      /* latest checkpoint or stop; 0: none */
+	int64_t down_us;       /* since when its instance is down; 0: is up */
+	int64_t renew_at_us;   /* of the job's lease; 0: not set yet */
 };
 
 struct jobs {
 	struct kernel *kernel;
 	uint64_t token; /* of the planner lease; 0: we do not hold it */
 	int64_t tick_at_us;
+	int64_t slice_at_us; /* earliest time of the next slice */
 	bool log_reachable;
 	uint64_t log_next_offset;
 	uint32_t renewed_count; /* since the last tick */
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -413,6 +413,14 @@
 	case EVENT_INSTANCE_REBOOT:
 		check_reboot(world, node, event);
 		break;
+	case EVENT_TASK_START:
+	case EVENT_TASK_CHECKPOINT:
+	case EVENT_TASK_STOP:
+		check_order(world, node);
+		break;
+	case EVENT_LOG_RECORD:
+		check_applied(world, node, event);
+		break;
 	case EVENT_FLEET_CHANGED:
 		check_fleet(world, node, event);
 		break;
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -22,6 +22,8 @@
 	bool log_cut;	       /* can't reach the log or the list */
 	int64_t skew_us;       /* wall clock ahead of the world's */
 	uint64_t read_offset;  /* next offset that the log client hands out */
+	int64_t ordered_us;    /* when it last told the platform of tasks */
+	uint32_t order_count;  /* how often at that time */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
 };
@@ -125,6 +127,9 @@
 		 const struct event *event);
 void check_reboot(struct world *world, struct node *node,
 		  const struct event *event);
+void check_applied(struct world *world, struct node *node,
+		   const struct event *event);
+void check_order(struct world *world, struct node *node);
 void check_fleet(struct world *world, struct node *node,
 		 const struct event *event);
 
