--- a/src/decide/cluster_digest.c
+++ b/src/decide/cluster_digest.c
@@ -9,7 +9,7 @@
 #define BUDGET_BYTES_PER_S 2500
 /* Upper bounds for names of up to 20 bytes; see heartbeat_size_bytes(). */
 #define BASE_SIZE_BYTES 84
-#define LOAD_SIZE_BYTES 40
+#define LOAD_SIZE_BYTES 46
 /* Digests to entries of other data centres, a second. */
 #define REMOTE_PER_S 8
 #define RESEND_US (10 * USEC_PER_SEC)
@@ -112,6 +112,7 @@
 			free_slots(kernel, pool, &endpoint_count);
 		candidate.load.queued_count = state->queued_count;
 		candidate.load.wait_us = state->wait_us;
+		candidate.load.demand_us_per_s = state->demand_us_per_s;
 		name_copy(candidate.load.pool, NAME_SIZE_BYTES,
 			  pool->decl.name);
 		if (sent)
@@ -187,6 +188,8 @@
 		size_bytes += varint_size_bytes(load->free_slots_count);
 		size_bytes += varint_size_bytes(load->queued_count);
 		size_bytes += varint_size_bytes((uint64_t)load->wait_us);
+		size_bytes +=
+			varint_size_bytes((uint64_t)load->demand_us_per_s);
 	}
 	return size_bytes;
 }
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -177,6 +177,19 @@
 	g_array_append_val(node->settings->peers, peer);
 }
 
+/* only PLUGIN ...: nodes started later run these decision plug-ins alone. */
+static void cmd_only(struct script *script)
+{
+	for (uint32_t i = 1; i < script->word_count; i++) {
+		if (!plugin_find(PLUGIN_DECIDE, script->words[i]))
+			fail(script, "no decision plug-in is called \"%s\"",
+			     script->words[i]);
+		else
+			g_ptr_array_add(script->world->only,
+					g_strdup(script->words[i]));
+	}
+}
+
 static void cmd_start(struct script *script)
 {
 	struct node *node = node_at(script, 1);
@@ -776,6 +789,7 @@
 }
 
 static const struct command commands[] = {
+	{ "only", 1, cmd_only },
 	{ "agree", 0, cmd_agree },
 	{ "apply", 2, cmd_apply },
 	{ "at", 1, cmd_at },
@@ -830,7 +844,8 @@
 		g_strfreev(script->words);
 		return;
 	}
-	if (!script_feed(script->world, script->dir, script->words,
+	if (!script_plan(script->world, script->words, script->errors) &&
+	    !script_feed(script->world, script->dir, script->words,
 			 script->errors))
 		fail(script, "no command is called \"%s\"", script->words[0]);
 	g_strfreev(script->words);
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -71,6 +71,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->member_counts =
 		g_tree_new_full(compare_names, NULL, g_free, g_free);
+	world->only = g_ptr_array_new_with_free_func(g_free);
 	world->output = g_string_new(NULL);
 	return world;
 }
@@ -94,6 +95,7 @@
 	g_hash_table_unref(world->key_runs);
 	g_hash_table_unref(world->started);
 	g_tree_unref(world->member_counts);
+	g_ptr_array_unref(world->only);
 	g_string_free(world->output, TRUE);
 	g_free(world);
 }
@@ -438,6 +440,14 @@
 	case EVENT_INSTANCE_REBOOT:
 		check_reboot(world, node, event);
 		break;
+	case EVENT_TASK_START:
+	case EVENT_TASK_CHECKPOINT:
+	case EVENT_TASK_STOP:
+		check_order(world, node);
+		break;
+	case EVENT_LOG_RECORD:
+		check_applied(world, node, event);
+		break;
 	case EVENT_FLEET_CHANGED:
 		check_fleet(world, node, event);
 		break;
@@ -453,6 +463,16 @@
 	.handle = fakes_handle,
 };
 
+static void start_decisions(const struct world *world, struct node *node)
+{
+	if (!world->only->len)
+		kernel_start_kind(node->kernel, PLUGIN_DECIDE);
+	for (guint i = 0; i < world->only->len; i++)
+		kernel_start_plugin(node->kernel,
+				    plugin_find(PLUGIN_DECIDE,
+						world->only->pdata[i]));
+}
+
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc)
 {
@@ -480,7 +500,7 @@
 				  world->seed + world->nodes->len);
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
-	kernel_start_kind(node->kernel, PLUGIN_DECIDE);
+	start_decisions(world, node);
 	kernel_start_plugin_with(node->kernel, &fakes_plugin, node);
 	world_inject(world, node, &(struct event){ .type = EVENT_STARTED });
 	world_announce_log(world);
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -22,6 +22,8 @@
 	bool log_cut;	       /* can't reach the log or the list */
 	int64_t skew_us;       /* wall clock ahead of the world's */
 	uint64_t read_offset;  /* next offset that the log client hands out */
+	int64_t ordered_us;    /* when it last told the platform of tasks */
+	uint32_t order_count;  /* how often at that time */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
 	GHashTable *relays;	   /* request id -> struct relay */
@@ -63,7 +65,10 @@
 	enum endpoint_mode mode; /* default mode */
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
+	GPtrArray *only; /* of char *: decision plug-ins to start; empty: all */
 	uint64_t printed;	 /* EVENT_BIT() of the types that are printed */
+	uint64_t skipped; /* bits of the record kinds that are not printed */
+	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
 	bool quiet;
 	GString *output;
 	uint32_t violation_count;
@@ -133,6 +138,9 @@
 		 const struct event *event);
 void check_reboot(struct world *world, struct node *node,
 		  const struct event *event);
+void check_applied(struct world *world, struct node *node,
+		   const struct event *event);
+void check_order(struct world *world, struct node *node);
 void check_fleet(struct world *world, struct node *node,
 		 const struct event *event);
 
@@ -143,6 +151,12 @@
 bool script_feed(struct world *world, const char *dir, gchar **words,
 		 GPtrArray *errors);
 
+/*
+ * script_plan.c: runs a command about planning. Returns false if there is
+ * none of that name.
+ */
+bool script_plan(struct world *world, gchar **words, GPtrArray *errors);
+
 /* script.c: runs a script; the output is in world->output. */
 struct world *script_run(const char *path, GPtrArray *errors);
 
