--- a/test/runner/checks.c
+++ b/test/runner/checks.c
@@ -118,6 +118,7 @@
 {
 	struct endpoint *endpoint = world_endpoint(world, event->name.name);
 
+	endpoint->rebooted_us = world->now_us;
 	if (endpoint->running_count)
 		world_violation(world, "%s reboots %s, which runs %u requests",
 				node->name, endpoint->name,
--- a/test/runner/script_plan.c
+++ b/test/runner/script_plan.c
@@ -99,29 +99,75 @@
 	}
 }
 
-/* acks NODE: acknowledges every drain in its data centre, as slots would. */
-static void plan_acks(struct plan *plan)
+/* off NAME ... and on NAME ...: takes instances off the platform's list. */
+static void set_off(struct plan *plan, bool off)
 {
-	struct node *node = running_node(plan);
-	const GPtrArray *instances;
+	for (uint32_t i = 1; i < plan->word_count; i++)
+		world_endpoint(plan->world, plan->words[i])->off = off;
+}
+
+static void plan_off(struct plan *plan)
+{
+	set_off(plan, true);
+}
+
+static void plan_on(struct plan *plan)
+{
+	set_off(plan, false);
+}
+
+static void add_item(GArray *items, const char *name)
+{
+	struct list_item item = { .state = LIST_LIVE };
+
+	name_copy(item.name, NAME_SIZE_BYTES, name);
+	g_array_append_val(items, item);
+}
+
+/* The platform's list: nodes that run, and instances that do not reboot. */
+static GArray *list_items(struct world *world, struct node *to,
+			  int64_t reboot_us)
+{
+	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct list_item));
+	const GPtrArray *instances = fleet_instances(kernel_fleet(to->kernel));
 
-	if (!node)
-		return;
-	instances = fleet_instances(kernel_fleet(node->kernel));
 	for (guint i = 0; i < instances->len; i++) {
 		const struct fleet_instance *instance = instances->pdata[i];
-		struct event event = { .type = EVENT_PROPOSE };
+		const struct endpoint *endpoint =
+			world_endpoint(world, instance->decl.name);
 
-		if (!instance->drain_offset ||
-		    strcmp(instance->decl.dc, node->settings->dc) != 0)
-			continue;
-		event.record.record = record_new(RECORD_DRAIN_ACK);
-		name_copy(event.record.record->instance.instance,
-			  NAME_SIZE_BYTES, instance->decl.name);
-		event.record.record->instance.drain_offset =
-			instance->drain_offset;
-		event.record.record->instance.incarnation = node->incarnation;
-		kernel_emit(node->kernel, &event);
+		if (!endpoint->off &&
+		    (!endpoint->rebooted_us ||
+		     world->now_us >= endpoint->rebooted_us + reboot_us))
+			add_item(items, instance->decl.name);
+	}
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *node = world->nodes->pdata[i];
+
+		if (node->kernel)
+			add_item(items, node->name);
+	}
+	return items;
+}
+
+/* lists COUNT [reboot=SECONDS]: one list a second, after which time passes. */
+static void plan_lists(struct plan *plan)
+{
+	struct world *world = plan->world;
+	uint64_t count = g_ascii_strtoull(plan->words[1], NULL, 10);
+	int64_t reboot_us = number(plan, "reboot", 5) * USEC_PER_SEC;
+
+	for (uint64_t i = 0; i < count; i++) {
+		for (guint k = 0; k < world->nodes->len; k++) {
+			struct node *node = world->nodes->pdata[k];
+			struct event event = { .type = EVENT_INSTANCE_LIST };
+
+			if (!node->kernel || node->log_cut)
+				continue;
+			event.list.items = list_items(world, node, reboot_us);
+			world_schedule(world, world->now_us, node, &event);
+		}
+		world_run_until(world, world->now_us + USEC_PER_SEC);
 	}
 }
 
@@ -234,9 +280,10 @@
 	uint32_t least_count; /* words after the name */
 	void (*run)(struct plan *plan);
 } commands[] = {
-	{ "acks", 1, plan_acks },     { "bulk", 3, plan_bulk },
-	{ "demand", 3, plan_demand }, { "from", 1, plan_from },
-	{ "jobs", 1, plan_jobs },     { "report", 3, plan_report },
+	{ "bulk", 3, plan_bulk },   { "demand", 3, plan_demand },
+	{ "from", 1, plan_from },   { "jobs", 1, plan_jobs },
+	{ "lists", 1, plan_lists }, { "off", 1, plan_off },
+	{ "on", 1, plan_on },	    { "report", 3, plan_report },
 	{ "skip", 1, plan_skip },
 };
 
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -44,6 +44,8 @@
 	int64_t service_us;
 	uint32_t running_count;
 	int64_t leaving_since_us; /* 0: not leaving */
+	int64_t rebooted_us;	  /* latest order to reboot; 0: none */
+	bool off;		  /* not on the platform's list */
 };
 
 struct world {
