--- a/src/decide/router.h
+++ b/src/decide/router.h
@@ -10,12 +10,33 @@
 
 #define ROUTER_RETRY_AFTER_US USEC_PER_SEC
 
+/* Retries of one request, so that it can't use up the budget of others. */
+#define ROUTER_RETRY_MAX_COUNT 2
+
 enum route_phase {
 	ROUTE_CLAIMING, /* waits for EVENT_CLAIM_DECIDED */
 	ROUTE_QUEUED,
 	ROUTE_RUNNING, /* an attempt is in flight */
 };
 
+enum refusal {
+	REFUSAL_NO_CONFIG,
+	REFUSAL_NO_SERVICE,
+	REFUSAL_MEMBER_LEFT,
+	REFUSAL_QUOTA,
+	REFUSAL_NO_KEY,
+	REFUSAL_DRAINING,
+	REFUSAL_QUEUE_FULL,
+	REFUSAL_DROPPED,
+	REFUSAL_TOO_LATE,
+	REFUSAL_DEADLINE,
+	REFUSAL_HOPELESS,
+	REFUSAL_NO_ENDPOINT,
+	REFUSAL_CLAIM,
+	REFUSAL_GONE,
+	REFUSAL_COUNT,
+};
+
 struct router_member {
 	char name[NAME_SIZE_BYTES];
 	uint32_t weight;
@@ -54,6 +75,7 @@
 	char address[ADDRESS_SIZE_BYTES]; /* for callers */
 	bool remote;			  /* in another data centre */
 	uint32_t state;			  /* enum peer_state */
+	int64_t heard_us;		  /* latest heartbeat */
 	int64_t trip_us;   /* smoothed time that a relay adds; 0: unknown */
 	GHashTable *loads; /* pool -> struct known_load */
 };
@@ -64,36 +86,27 @@
 	struct router_service *service;
 	struct router_pool *pool;
 	struct router_member *member;
+	/* Retries of one request, so that it can't use up the budget of others.
+	 */
+#define ROUTER_RETRY_MAX_COUNT 2
+
 	enum route_phase phase;
-	bool relayed; /* came from another entry instance */
+	int64_t queued_us; /* when it was put into the queue */
+	bool relayed;	   /* came from another entry instance */
 	char key[KEY_SIZE_BYTES];
 	GSequenceIter *deadline_at; /* NULL while it runs */
 	/* The latest attempt: */
 	uint32_t attempt;
 	char endpoint[NAME_SIZE_BYTES];
 	bool attempt_relayed;
+	/* Endpoints of earlier attempts, which a retry avoids. */
+	char tried[ROUTER_RETRY_MAX_COUNT][NAME_SIZE_BYTES];
+	uint32_t retry_count;
 	uint32_t relay_count; /* attempts that were relayed */
 	/* Of all attempts that have ended: */
 	enum verdict verdict; /* VERDICT_NONE before the first */
 	bool cancelled;
-	const char *cancel_reason;
-};
-
-enum refusal {
-	REFUSAL_NO_CONFIG,
-	REFUSAL_NO_SERVICE,
-	REFUSAL_MEMBER_LEFT,
-	REFUSAL_QUOTA,
-	REFUSAL_NO_KEY,
-	REFUSAL_DRAINING,
-	REFUSAL_QUEUE_FULL,
-	REFUSAL_DROPPED,
-	REFUSAL_TOO_LATE,
-	REFUSAL_DEADLINE,
-	REFUSAL_NO_ENDPOINT,
-	REFUSAL_CLAIM,
-	REFUSAL_GONE,
-	REFUSAL_COUNT,
+	enum refusal cancel_cause;
 };
 
 /* Longest wait that is published; also stands for one without end. */
@@ -142,7 +155,7 @@
 void router_slots_changed(struct router *router, struct router_pool *pool);
 void router_attempt_done(struct router *router, const struct event *event);
 void router_cancel(struct router *router, struct route *route,
-		   const char *reason);
+		   enum refusal cause);
 
 /* router_lend.c: idle slots of one pool for short requests of another. */
 void router_lend_note(struct router *router, struct router_pool *pool);
--- a/src/decide/router_reply.c
+++ b/src/decide/router_reply.c
@@ -52,6 +52,9 @@
 	[REFUSAL_DEADLINE] = { HTTP_UNAVAILABLE, true,
 			       "the deadline passed in the queue",
 			       "refused_total{reason=\"deadline\"}" },
+	[REFUSAL_HOPELESS] = { HTTP_UNAVAILABLE, true,
+			       "too little time is left to run it",
+			       "refused_total{reason=\"too-little-time\"}" },
 	[REFUSAL_NO_ENDPOINT] = { HTTP_UNAVAILABLE, true,
 				  "no endpoint here can take it",
 				  "refused_total{reason=\"no-endpoint\"}" },
@@ -207,8 +210,6 @@
 	} else {
 		describe_failure(&reply, done);
 	}
-	if (route->cancel_reason)
-		set_reason(&reply, route->cancel_reason);
 	finish(router, route, &reply);
 }
 
