--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -468,9 +468,9 @@
 	if (!world->only->len)
 		kernel_start_kind(node->kernel, PLUGIN_DECIDE);
 	for (guint i = 0; i < world->only->len; i++)
-		kernel_start_plugin(node->kernel,
-				    plugin_find(PLUGIN_DECIDE,
-						world->only->pdata[i]));
+		kernel_start_plugin(
+			node->kernel,
+			plugin_find(PLUGIN_DECIDE, world->only->pdata[i]));
 }
 
 struct node *world_start_node(struct world *world, const char *name,
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -45,6 +45,8 @@
 	int64_t service_us;
 	uint32_t running_count;
 	int64_t leaving_since_us; /* 0: not leaving */
+	int64_t rebooted_us;	  /* latest order to reboot; 0: none */
+	bool off;		  /* not on the platform's list */
 };
 
 struct world {
@@ -66,7 +68,7 @@
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
 	GPtrArray *only; /* of char *: decision plug-ins to start; empty: all */
-	uint64_t printed;	 /* EVENT_BIT() of the types that are printed */
+	uint64_t printed; /* EVENT_BIT() of the types that are printed */
 	uint64_t skipped; /* bits of the record kinds that are not printed */
 	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
 	bool quiet;
