Add the operator interface and the client commands

Cause: operators had no way to change or to see the fleet.

Change: the plug-in operator_http serves apply, status, timeline and drain by bearer token, and health, readiness and metrics without one. Several files of one apply are checked together, then proposed one after the other up to the first that is not accepted; the answer says so and reports each.

A suspended connection was not resumed until the next input: with external polling libmicrohttpd does not wake its epoll descriptor. The binding arms its timer with 0 after each resume.

--- /dev/null
+++ b/src/cmd/client.c
@@ -0,0 +1,270 @@
+#include "cmd/client.h"
+
+#include <ev.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "io/curl_loop.h"
+
+#define CONNECT_MAX_MS 2000L
+#define OPTION_TOKEN_FILE 't'
+#define OPTION_SERVER 's'
+
+struct running {
+	struct client_call *call;
+	CURL *easy;
+	GByteArray *received;
+	bool connected;
+	uint32_t *left_count;
+	struct ev_loop *ev;
+};
+
+static void read_token(struct argp_state *state, const char *path,
+		       struct client_options *options)
+{
+	GError *error = NULL;
+	gchar *text;
+
+	if (!g_file_get_contents(path, &text, NULL, &error)) {
+		argp_error(state, "token file: %s", error->message);
+		g_error_free(error);
+		return;
+	}
+	g_free(options->token);
+	options->token = g_strstrip(text);
+}
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct client_options *options = state->input;
+
+	switch (key) {
+	case ARGP_KEY_INIT:
+		options->servers = g_ptr_array_new_with_free_func(g_free);
+		return 0;
+	case OPTION_SERVER:
+		g_ptr_array_add(options->servers, g_strdup(arg));
+		return 0;
+	case OPTION_TOKEN_FILE:
+		read_token(state, arg, options);
+		return 0;
+	case ARGP_KEY_END:
+		if (!options->servers->len)
+			argp_error(state, "--server is missing");
+		if (!options->token)
+			argp_error(state, "--token-file is missing");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_option options_list[] = {
+	{ "server", OPTION_SERVER, "IP:PORT", 0,
+	  "operator address of an entry instance; may be repeated", 0 },
+	{ "token-file", OPTION_TOKEN_FILE, "FILE", 0,
+	  "file with the operators' bearer token", 0 },
+	{ 0 },
+};
+
+const struct argp client_argp = {
+	.options = options_list,
+	.parser = parse,
+};
+
+void client_options_clear(struct client_options *options)
+{
+	if (options->servers)
+		g_ptr_array_unref(options->servers);
+	g_free(options->token);
+}
+
+void client_call_free(gpointer data)
+{
+	struct client_call *call = data;
+
+	if (!call)
+		return;
+	g_free(call->server);
+	json_decref(call->answer);
+	g_free(call->error);
+	g_free(call);
+}
+
+static size_t on_body(char *data, size_t size, size_t count, void *self)
+{
+	struct running *running = self;
+
+	g_byte_array_append(running->received, (const guint8 *)data,
+			    (guint)(size * count));
+	return size * count;
+}
+
+static int on_before_request(void *self, char *remote_ip, char *local_ip,
+			     int remote_port, int local_port)
+{
+	struct running *running = self;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	running->connected = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void on_done(void *data, CURL *easy, CURLcode code)
+{
+	struct running *running = data;
+	struct client_call *call = running->call;
+	long status = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code == CURLE_OK) {
+		call->result = CLIENT_ANSWERED;
+		call->status = (uint32_t)status;
+		call->answer = json_loadb((const char *)running->received->data,
+					  running->received->len, 0, NULL);
+	} else {
+		call->result =
+			running->connected ? CLIENT_LOST : CLIENT_UNREACHABLE;
+		call->error = g_strdup(curl_easy_strerror(code));
+	}
+	if (--*running->left_count == 0)
+		ev_break(running->ev, EVBREAK_ALL);
+}
+
+static void set_request(struct running *running, const char *method,
+			const char *target, const char *body,
+			struct curl_slist *headers, int64_t timeout_us)
+{
+	CURL *easy = running->easy;
+	char *url =
+		g_strdup_printf("http://%s%s", running->call->server, target);
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	if (!strcmp(method, "POST")) {
+		curl_easy_setopt(easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
+				 body ? body : "");
+	}
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)(timeout_us / USEC_PER_MSEC));
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MAX_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, running);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, running);
+	g_free(url);
+}
+
+static struct curl_slist *make_headers(const struct client_options *options)
+{
+	char *line =
+		g_strdup_printf("Authorization: Bearer %s", options->token);
+	struct curl_slist *headers = curl_slist_append(NULL, line);
+
+	g_free(line);
+	headers = curl_slist_append(headers, "Expect:");
+	return curl_slist_append(headers, "Content-Type: application/json");
+}
+
+GPtrArray *client_call_all(const struct client_options *options,
+			   const GPtrArray *servers, const char *method,
+			   const char *target, const char *body,
+			   int64_t timeout_us)
+{
+	GPtrArray *calls = g_ptr_array_new_with_free_func(client_call_free);
+	struct running *running = g_new0(struct running, servers->len);
+	struct curl_slist *headers = make_headers(options);
+	struct ev_loop *ev = ev_loop_new(EVFLAG_AUTO);
+	struct curl_loop *loop = curl_loop_new(ev);
+	uint32_t left_count = 0;
+
+	for (guint i = 0; i < servers->len; i++) {
+		struct client_call *call = g_new0(struct client_call, 1);
+
+		call->server = g_strdup(servers->pdata[i]);
+		call->result = CLIENT_UNREACHABLE;
+		g_ptr_array_add(calls, call);
+		running[i].call = call;
+		running[i].easy = curl_loop_easy_new();
+		running[i].received = g_byte_array_new();
+		running[i].left_count = &left_count;
+		running[i].ev = ev;
+		set_request(&running[i], method, target, body, headers,
+			    timeout_us);
+		if (curl_loop_submit(loop, running[i].easy, on_done,
+				     &running[i]))
+			left_count++;
+	}
+	if (left_count)
+		ev_run(ev, 0);
+	for (guint i = 0; i < servers->len; i++) {
+		curl_easy_cleanup(running[i].easy);
+		g_byte_array_unref(running[i].received);
+	}
+	curl_loop_free(loop);
+	ev_loop_destroy(ev);
+	curl_slist_free_all(headers);
+	g_free(running);
+	return calls;
+}
+
+struct client_call *client_call_first(const struct client_options *options,
+				      const char *method, const char *target,
+				      const char *body, int64_t timeout_us)
+{
+	struct client_call *call = NULL;
+
+	for (guint i = 0; i < options->servers->len; i++) {
+		GPtrArray *one = g_ptr_array_new();
+		GPtrArray *calls;
+
+		client_call_free(call);
+		g_ptr_array_add(one, options->servers->pdata[i]);
+		calls = client_call_all(options, one, method, target, body,
+					timeout_us);
+		call = g_ptr_array_steal_index(calls, 0);
+		g_ptr_array_unref(calls);
+		g_ptr_array_unref(one);
+		if (call->result != CLIENT_UNREACHABLE)
+			break;
+	}
+	return call;
+}
+
+static void print_reasons(const struct client_call *call)
+{
+	const json_t *reasons = json_object_get(call->answer, "reasons");
+	const char *reason =
+		json_string_value(json_object_get(call->answer, "reason"));
+
+	for (size_t i = 0; i < json_array_size(reasons); i++)
+		fprintf(stderr, "%s\n",
+			json_string_value(json_array_get(reasons, i)));
+	if (reason)
+		fprintf(stderr, "%s\n", reason);
+	if (!reason && !json_array_size(reasons))
+		fprintf(stderr, "%s: status %u\n", call->server, call->status);
+}
+
+enum exit_code client_report(const struct client_call *call)
+{
+	const char *outcome =
+		json_string_value(json_object_get(call->answer, "outcome"));
+
+	if (call->result != CLIENT_ANSWERED) {
+		fprintf(stderr, "%s: %s\n", call->server,
+			call->error ? call->error : "no call was made");
+		return call->result == CLIENT_LOST ? EXIT_UNKNOWN
+						   : EXIT_UNREACHABLE;
+	}
+	if (call->status / 100 == 2 && call->answer)
+		return EXIT_DONE;
+	print_reasons(call);
+	if (outcome && !strcmp(outcome, "rejected"))
+		return EXIT_REJECTED;
+	return call->status / 100 == 4 ? EXIT_REJECTED : EXIT_UNKNOWN;
+}
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -24,6 +24,7 @@
 	ev_signal signals[2];
 	ev_timer end_timer; /* armed for end_us */
 	int64_t end_us;	    /* ends even if not drained; 0: not draining */
+	bool signalled;
 	bool drained;
 };
 
@@ -80,14 +81,17 @@
 
 	(void)ev;
 	(void)revents;
-	if (serve->end_us) {
+	if (serve->signalled) {
 		klog_warn(LOG_PREFIX,
 			  "second signal: unfinished requests end now");
 		emit_drain(serve, now_us);
 		return;
 	}
+	serve->signalled = true;
 	klog_info(LOG_PREFIX, "signal %d: draining", watcher->signum);
-	emit_drain(serve, now_us + serve->settings->drain_us);
+	/* An operator may have asked for it before. */
+	if (!serve->end_us)
+		emit_drain(serve, now_us + serve->settings->drain_us);
 }
 
 static void on_end(struct ev_loop *ev, ev_timer *watcher, int revents)
--- /dev/null
+++ b/src/cmd/status.c
@@ -0,0 +1,221 @@
+/* The status command: what entry instances know of the fleet. */
+
+#include <stdio.h>
+
+#include "cmd/client.h"
+#include "kernel/plugin.h"
+
+#define WAIT_US (5 * USEC_PER_SEC)
+
+struct status_arguments {
+	struct client_options client;
+	int json;
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct status_arguments *arguments = state->input;
+
+	(void)arg;
+	switch (key) {
+	case ARGP_KEY_INIT:
+		state->child_inputs[0] = &arguments->client;
+		return 0;
+	case 'j':
+		arguments->json = 1;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const char *text_of(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
+
+static json_int_t number_of(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+static const char *flag(const json_t *object, const char *key, const char *text)
+{
+	return json_is_true(json_object_get(object, key)) ? text : "";
+}
+
+static void print_entries(const json_t *entries)
+{
+	for (size_t i = 0; i < json_array_size(entries); i++) {
+		const json_t *entry = json_array_get(entries, i);
+
+		printf("entry %s: dc %s, incarnation %" JSON_INTEGER_FORMAT
+		       ", callers %s, operators %s\n",
+		       text_of(entry, "name"), text_of(entry, "dc"),
+		       number_of(entry, "incarnation"),
+		       text_of(entry, "caller_address"),
+		       text_of(entry, "operator_address"));
+	}
+}
+
+static void print_instance(const json_t *instance)
+{
+	const json_t *endpoint = json_object_get(instance, "endpoint");
+
+	printf("  %s: %s%s, dc %s, rack %s, %" JSON_INTEGER_FORMAT " slots",
+	       text_of(instance, "name"), text_of(instance, "phase"),
+	       flag(instance, "down", ", down"), text_of(instance, "dc"),
+	       text_of(instance, "rack"), number_of(instance, "slots"));
+	if (*text_of(instance, "to_pool"))
+		printf(", to pool %s", text_of(instance, "to_pool"));
+	if (*text_of(instance, "wave"))
+		printf(", wave %s", text_of(instance, "wave"));
+	if (json_is_object(endpoint))
+		printf(", %" JSON_INTEGER_FORMAT " of %" JSON_INTEGER_FORMAT
+		       " in flight here, %" JSON_INTEGER_FORMAT " us%s%s%s",
+		       number_of(endpoint, "in_flight"),
+		       number_of(endpoint, "allowed"),
+		       number_of(endpoint, "latency_us"),
+		       flag(endpoint, "leaving", ", leaving"),
+		       flag(endpoint, "ejected", ", ejected"),
+		       flag(endpoint, "probing", ", probing"));
+	putchar('\n');
+}
+
+static void print_pools(const json_t *pools)
+{
+	for (size_t i = 0; i < json_array_size(pools); i++) {
+		const json_t *pool = json_array_get(pools, i);
+		const json_t *instances = json_object_get(pool, "instances");
+
+		printf("pool %s: %zu instances, %" JSON_INTEGER_FORMAT
+		       " unavailable (at most %" JSON_INTEGER_FORMAT
+		       "), %" JSON_INTEGER_FORMAT
+		       " queued, wait %" JSON_INTEGER_FORMAT " us%s\n",
+		       text_of(pool, "name"), json_array_size(instances),
+		       number_of(pool, "unavailable"),
+		       number_of(pool, "max_unavailable"),
+		       number_of(pool, "queued"), number_of(pool, "wait_us"),
+		       flag(pool, "spare", ", spare"));
+		for (size_t k = 0; k < json_array_size(instances); k++)
+			print_instance(json_array_get(instances, k));
+	}
+}
+
+static void print_waves(const json_t *waves)
+{
+	for (size_t i = 0; i < json_array_size(waves); i++) {
+		const json_t *wave = json_array_get(waves, i);
+
+		printf("wave %s: %" JSON_INTEGER_FORMAT " instances done%s\n",
+		       text_of(wave, "name"), number_of(wave, "done"),
+		       flag(wave, "halted", ", halted"));
+	}
+}
+
+static void print_jobs(const json_t *jobs)
+{
+	for (size_t i = 0; i < json_array_size(jobs); i++) {
+		const json_t *job = json_array_get(jobs, i);
+
+		printf("job %s: %s, pool %s, instance %s %s\n",
+		       text_of(job, "name"), text_of(job, "state"),
+		       text_of(job, "pool"), text_of(job, "instance"),
+		       text_of(job, "reason"));
+	}
+}
+
+static void print_files(const json_t *files)
+{
+	for (size_t i = 0; i < json_array_size(files); i++) {
+		const json_t *file = json_array_get(files, i);
+
+		printf("file %s: offset %" JSON_INTEGER_FORMAT "\n",
+		       text_of(file, "name"), number_of(file, "offset"));
+	}
+}
+
+static void print_status(const json_t *status)
+{
+	const json_t *lease = json_object_get(status, "lease");
+
+	printf("this is %s: dc %s, incarnation %" JSON_INTEGER_FORMAT
+	       ", offset %" JSON_INTEGER_FORMAT ", %" JSON_INTEGER_FORMAT
+	       " requests%s\n",
+	       text_of(status, "entry"), text_of(status, "dc"),
+	       number_of(status, "incarnation"), number_of(status, "offset"),
+	       number_of(status, "requests"),
+	       flag(status, "draining", ", draining"));
+	if (*text_of(lease, "holder"))
+		printf("planner %s: token %" JSON_INTEGER_FORMAT "\n",
+		       text_of(lease, "holder"), number_of(lease, "token"));
+	print_entries(json_object_get(status, "entries"));
+	print_files(json_object_get(status, "files"));
+	print_pools(json_object_get(status, "pools"));
+	print_waves(json_object_get(status, "waves"));
+	print_jobs(json_object_get(status, "jobs"));
+}
+
+static enum exit_code report(const struct client_call *call, int as_json)
+{
+	enum exit_code code = client_report(call);
+
+	if (code != EXIT_DONE)
+		return code;
+	if (!as_json) {
+		print_status(call->answer);
+		return code;
+	}
+	json_dumpf(call->answer, stdout, JSON_COMPACT);
+	putchar('\n');
+	return code;
+}
+
+static int status_run(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{ "json", 'j', NULL, 0, "print one JSON object per server", 0 },
+		{ 0 },
+	};
+	static const struct argp_child children[] = {
+		{ &client_argp, 0, NULL, 0 },
+		{ 0 },
+	};
+	const struct argp argp = {
+		.options = options,
+		.parser = parse,
+		.doc = "Prints what each given entry instance knows of the "
+		       "fleet.",
+		.children = children,
+	};
+	struct status_arguments arguments = { .json = 0 };
+	enum exit_code worst = EXIT_DONE;
+	GPtrArray *calls;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	calls = client_call_all(&arguments.client, arguments.client.servers,
+				"GET", "/v1/status", NULL, WAIT_US);
+	for (guint i = 0; i < calls->len; i++) {
+		enum exit_code code = report(calls->pdata[i], arguments.json);
+
+		worst = MAX(worst, code);
+	}
+	g_ptr_array_unref(calls);
+	client_options_clear(&arguments.client);
+	return worst;
+}
+
+static const struct command_ops status_ops = {
+	.summary = "print the state of the fleet",
+	.run = status_run,
+};
+
+static const struct plugin status_plugin = {
+	.name = "status",
+	.kind = PLUGIN_COMMAND,
+	.ops = &status_ops,
+};
+
+PLUGIN_REGISTER(status_plugin)
--- a/src/io/endpoint_curl.c
+++ b/src/io/endpoint_curl.c
@@ -5,7 +5,7 @@
 #include "io/curl_loop.h"
 #include "kernel/kernel.h"
 
-#define ANSWER_MAX_BYTES (4 * 1024 * 1024)
+#define ANSWER_MAX_BYTES (UINT64_C(4) * 1024 * 1024)
 /* A connect inside a data centre takes about a millisecond; an endpoint that
  * does not accept within this time is treated as one that refuses.
  */
--- a/src/io/front_http.c
+++ b/src/io/front_http.c
@@ -7,9 +7,9 @@
 #include "kernel/klog.h"
 
 #define LOG_PREFIX "front"
-#define BODY_MAX_BYTES (1024 * 1024)
+#define BODY_MAX_BYTES (UINT64_C(1024) * 1024)
 #define CONNECTIONS_MAX_COUNT 1024
-#define DEADLINE_MAX_MS (24 * 3600 * 1000)
+#define DEADLINE_MAX_MS (UINT64_C(24) * 3600 * 1000)
 #define DRAIN_RETRY_AFTER_US USEC_PER_SEC
 
 struct front {
--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -24,7 +24,7 @@
 /* A body over the bound is read and dropped up to here, so that a client that
  * sends it all before it reads gets the answer and not a reset connection.
  */
-#define DISCARD_MAX_BYTES (8 * 1024 * 1024)
+#define DISCARD_MAX_BYTES (UINT64_C(8) * 1024 * 1024)
 #define FLUSH_MAX_US (5 * USEC_PER_SEC)
 #define DISCONNECTS_AT_ONCE_COUNT 64
 
@@ -160,12 +160,13 @@
 static char *refusal_text(const char *reason, enum verdict verdict,
 			  const char *request)
 {
-	json_t *json =
-		json_pack("{s:s, s:s, s:s?}", "reason", reason, "verdict",
-			  verdict_name(verdict), "request", request);
+	gchar *valid = g_utf8_make_valid(reason, -1);
+	json_t *json = json_pack("{s:s, s:s, s:s?}", "reason", valid, "verdict",
+				 verdict_name(verdict), "request", request);
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 
 	json_decref(json);
+	g_free(valid);
 	return text;
 }
 
@@ -246,11 +247,18 @@
 
 static void resume(struct exchange *exchange)
 {
+	struct httpd *httpd = exchange->conn->httpd;
+
 	unwatch_disconnect(exchange->conn);
 	if (!exchange->suspended)
 		return;
 	exchange->suspended = false;
 	MHD_resume_connection(exchange->conn->mhd);
+	/* With external polling, a resumed connection does not wake the loop.
+	 */
+	ev_timer_stop(httpd->ev, &httpd->timer);
+	ev_timer_set(&httpd->timer, 0., 0.);
+	ev_timer_start(httpd->ev, &httpd->timer);
 }
 
 static void give_up(struct exchange *exchange)
--- /dev/null
+++ b/src/io/operator_http.c
@@ -0,0 +1,447 @@
+/* The operator interface: HTTP on an address of its own, by bearer token. */
+
+#include <string.h>
+
+#include "io/mhd_loop.h"
+#include "io/operator_json.h"
+#include "kernel/kernel.h"
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "operator"
+#define BODY_MAX_BYTES (UINT64_C(1024) * 1024)
+#define CONNECTIONS_MAX_COUNT 64
+
+struct operator
+{
+	struct kernel *kernel;
+	struct httpd *httpd;
+	char *token;
+	GPtrArray *changes; /* of struct change, owned */
+	bool draining;
+	int64_t drain_deadline_us;
+};
+
+/* An apply request that waits for the log. */
+struct change {
+	struct operator* operator;
+	struct exchange *exchange;
+	struct apply *apply;
+	bool done;
+};
+
+struct route {
+	const char *method;
+	const char *path;
+	bool is_open; /* needs no token */
+	void (*serve)(struct operator* operator, struct exchange * exchange);
+};
+
+static void reply_json(struct exchange *exchange, uint32_t status, json_t *json)
+{
+	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
+	GBytes *body;
+
+	json_decref(json);
+	if (!text) {
+		exchange_reply(exchange, 500, "", NULL);
+		return;
+	}
+	body = g_bytes_new_with_free_func(text, strlen(text), free, text);
+	exchange_reply(exchange, status, "application/json", body);
+	g_bytes_unref(body);
+}
+
+static void reply_outcome(struct exchange *exchange, uint32_t status,
+			  const char *outcome, const char *reason)
+{
+	reply_json(exchange, status,
+		   json_pack("{s:s, s:[s]}", "outcome", outcome, "reasons",
+			     reason));
+}
+
+static void reply_error(struct exchange *exchange, uint32_t status,
+			const char *reason)
+{
+	reply_outcome(exchange, status, "rejected", reason);
+}
+
+static void reply_text(struct exchange *exchange, uint32_t status,
+		       const char *text)
+{
+	GBytes *body = g_bytes_new(text, strlen(text));
+
+	exchange_reply(exchange, status, "text/plain; charset=utf-8", body);
+	g_bytes_unref(body);
+}
+
+/* Apply */
+
+static void change_free(gpointer data)
+{
+	struct change *change = data;
+
+	apply_free(change->apply);
+	g_free(change);
+}
+
+static uint32_t status_of(enum apply_outcome outcome)
+{
+	switch (outcome) {
+	case APPLY_ACCEPTED:
+		return 200;
+	case APPLY_REJECTED:
+		return 409;
+	default:
+		return 504;
+	}
+}
+
+static void on_applied(void *data, struct apply *apply)
+{
+	struct change *change = data;
+
+	change->done = true;
+	if (change->exchange)
+		reply_json(change->exchange, status_of(apply_outcome(apply)),
+			   operator_apply_json(apply));
+	change->exchange = NULL;
+}
+
+static void start_change(struct operator* operator, struct change * change)
+{
+	exchange_set_data(change->exchange, change);
+	g_ptr_array_add(operator->changes, change);
+	apply_start(change->apply, g_get_monotonic_time());
+}
+
+static void serve_apply(struct operator* operator, struct exchange * exchange)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	struct change *change = g_new0(struct change, 1);
+	uint32_t status = 400;
+	bool dry_run = false;
+
+	change->operator= operator;
+	change->exchange = exchange;
+	change->apply = apply_new(operator->kernel, on_applied, change);
+	operator_apply_read(exchange_body(exchange), change->apply, &dry_run,
+			    errors);
+	if (!errors->len) {
+		status = 409;
+		apply_check(change->apply, errors);
+	}
+	if (errors->len) {
+		reply_json(exchange, status, operator_errors_json(errors));
+		change_free(change);
+	} else if (dry_run) {
+		reply_json(
+			exchange, 200,
+			operator_dry_run_json(change->apply,
+					      kernel_fleet(operator->kernel)));
+		change_free(change);
+	} else {
+		start_change(operator, change);
+	}
+	g_ptr_array_unref(errors);
+}
+
+/* Status, timeline, drain */
+
+static void serve_status(struct operator* operator, struct exchange * exchange)
+{
+	reply_json(exchange, 200,
+		   operator_status_json(operator->kernel, operator->draining));
+}
+
+static bool read_number(const struct exchange *exchange, const char *name,
+			uint64_t *number)
+{
+	const char *value = exchange_argument(exchange, name);
+	guint64 parsed;
+
+	if (!value || !value[0])
+		return true;
+	if (!g_ascii_string_to_unsigned(value, 10, 1, UINT64_MAX, &parsed,
+					NULL))
+		return false;
+	*number = parsed;
+	return true;
+}
+
+/* "ID" or "ENTRY/ID", as in the Pl-Request header. */
+static bool read_request(const struct operator* operator,
+			 const struct exchange * exchange, uint64_t *request_id)
+{
+	const char *value = exchange_argument(exchange, "request");
+	const char *slash = value ? strchr(value, '/') : NULL;
+	const char *entry = kernel_settings(operator->kernel)->entry;
+	guint64 parsed;
+
+	if (!slash)
+		return read_number(exchange, "request", request_id);
+	if (!g_ascii_string_to_unsigned(slash + 1, 10, 1, UINT64_MAX, &parsed,
+					NULL))
+		return false;
+	/* No request has the highest id, so nothing of ours matches. */
+	*request_id = UINT64_MAX;
+	if (strlen(entry) == (size_t)(slash - value) &&
+	    !strncmp(entry, value, strlen(entry)))
+		*request_id = parsed;
+	return true;
+}
+
+static const char *non_empty(const char *text)
+{
+	return text && text[0] ? text : NULL;
+}
+
+static void serve_timeline(struct operator* operator,
+			   struct exchange * exchange)
+{
+	struct timeline_filter filter = {
+		.instance = non_empty(exchange_argument(exchange, "instance")),
+		.pool = non_empty(exchange_argument(exchange, "pool")),
+	};
+
+	if (!read_request(operator, exchange, &filter.request_id)) {
+		reply_error(exchange, 400, "request: expected ID or ENTRY/ID");
+		return;
+	}
+	if (!read_number(exchange, "offset", &filter.offset)) {
+		reply_error(exchange, 400, "offset: expected an offset");
+		return;
+	}
+	reply_json(exchange, 200,
+		   operator_timeline_json(operator->kernel, &filter));
+}
+
+static void serve_drain(struct operator* operator, struct exchange * exchange)
+{
+	struct event event = { .type = EVENT_DRAIN };
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!operator->draining) {
+		operator->draining = true;
+		operator->drain_deadline_us =
+			now_us + kernel_settings(operator->kernel)
+				->drain_us;
+		event.drain.deadline_us = operator->drain_deadline_us;
+		kernel_emit(operator->kernel, &event);
+		klog_info(LOG_PREFIX, "draining at an operator's request");
+	}
+	reply_json(
+		exchange, 202,
+		json_pack("{s:s, s:s, s:I}", "outcome", "accepted", "entry",
+			  kernel_settings(operator->kernel)->entry,
+			  "deadline_ms",
+			  (json_int_t)((operator->drain_deadline_us - now_us) /
+				       USEC_PER_MSEC)));
+}
+
+/* Open paths */
+
+static void serve_health(struct operator* operator, struct exchange * exchange)
+{
+	(void)operator;
+	reply_text(exchange, 200, "ok\n");
+}
+
+static const char *not_ready(const struct operator* operator)
+{
+	struct kernel *kernel = operator->kernel;
+	const struct fleet_entry *entry = fleet_entry(
+		kernel_fleet(kernel), kernel_settings(kernel)->entry);
+
+	if (operator->draining)
+		return "draining\n";
+	if (!entry || entry->decl.incarnation != kernel_incarnation(kernel))
+		return "this entry instance has not joined the fleet\n";
+	return NULL;
+}
+
+static void serve_ready(struct operator* operator, struct exchange * exchange)
+{
+	const char *reason = not_ready(operator);
+
+	reply_text(exchange, reason ? 503 : 200, reason ? reason : "ready\n");
+}
+
+static void serve_metrics(struct operator* operator, struct exchange * exchange)
+{
+	struct counters *counters = kernel_counters(operator->kernel);
+	GString *text;
+
+	counter_set(counters, "requests_in_progress",
+		    request_count(kernel_requests(operator->kernel)));
+	counter_set(counters, "timeline_lost_total",
+		    timeline_lost_count(kernel_timeline(operator->kernel)));
+	text = counters_text(counters);
+	reply_text(exchange, 200, text->str);
+	g_string_free(text, TRUE);
+}
+
+static const struct route routes[] = {
+	{ "POST", "/v1/apply", false, serve_apply },
+	{ "GET", "/v1/status", false, serve_status },
+	{ "GET", "/v1/timeline", false, serve_timeline },
+	{ "POST", "/v1/drain", false, serve_drain },
+	{ "GET", "/healthz", true, serve_health },
+	{ "GET", "/readyz", true, serve_ready },
+	{ "GET", "/metrics", true, serve_metrics },
+};
+
+/* Takes the same time wherever the two differ. */
+static bool token_equal(const char *given, const char *token)
+{
+	size_t given_bytes = strlen(given);
+	size_t token_bytes = strlen(token);
+	size_t difference = given_bytes ^ token_bytes;
+
+	for (size_t i = 0; i < given_bytes; i++)
+		difference |= (unsigned char)given[i] ^
+			      (unsigned char)token[i % token_bytes];
+	return difference == 0;
+}
+
+static bool is_authorised(const struct operator* operator,
+			  const struct exchange * exchange)
+{
+	static const char scheme[] = "Bearer ";
+	const char *value = exchange_header(exchange, "Authorization");
+
+	return value &&
+	       !g_ascii_strncasecmp(value, scheme, sizeof(scheme) - 1) &&
+	       token_equal(value + sizeof(scheme) - 1, operator->token);
+}
+
+static void operator_request(void *self, struct exchange *exchange)
+{
+	struct operator* operator= self;
+	const struct route *route = NULL;
+
+	for (gsize i = 0; !route && i < G_N_ELEMENTS(routes); i++) {
+		if (!strcmp(exchange_path(exchange), routes[i].path))
+			route = &routes[i];
+	}
+	if ((!route || !route->is_open) && !is_authorised(operator, exchange)) {
+		counter_add(kernel_counters(operator->kernel),
+			    "operator_unauthorised_total", 1);
+		exchange_add_header(exchange, "WWW-Authenticate", "Bearer");
+		reply_error(exchange, 401, "a valid bearer token is required");
+	} else if (!route) {
+		reply_error(exchange, 404, "there is no such path");
+	} else if (strcmp(exchange_method(exchange), route->method) != 0) {
+		exchange_add_header(exchange, "Allow", route->method);
+		reply_error(exchange, 405, "the path has another method");
+	} else {
+		route->serve(operator, exchange);
+	}
+}
+
+static void operator_gone(void *self, struct exchange *exchange)
+{
+	struct operator* operator= self;
+	struct change *change = exchange_data(exchange);
+
+	/* Its record may be in the log by now; no further file is proposed. */
+	g_ptr_array_remove(operator->changes, change);
+}
+
+static const struct httpd_ops operator_ops = {
+	.request = operator_request,
+	.gone = operator_gone,
+};
+
+static void operator_handle(void *self, const struct event *event)
+{
+	struct operator* operator= self;
+
+	if (event->type == EVENT_DRAIN) {
+		operator->draining = true;
+		operator->drain_deadline_us = event->drain.deadline_us;
+		return;
+	}
+	for (guint i = operator->changes->len; i > 0; i--) {
+		struct change *change = operator->changes->pdata[i - 1];
+
+		apply_handle(change->apply, event);
+		if (change->done)
+			g_ptr_array_remove_index(operator->changes, i - 1);
+	}
+}
+
+static char *read_token(const char *path)
+{
+	GError *error = NULL;
+	gchar *text;
+
+	if (!g_file_get_contents(path, &text, NULL, &error)) {
+		klog_error(LOG_PREFIX, "token file: %s", error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	g_strstrip(text);
+	if (text[0])
+		return text;
+	klog_error(LOG_PREFIX, "token file %s is empty", path);
+	g_free(text);
+	return NULL;
+}
+
+static void operator_fini(void *self)
+{
+	struct operator* operator= self;
+
+	for (guint i = 0; operator->changes && i<operator->changes->len; i++) {
+		struct change *change = operator->changes->pdata[i];
+
+		reply_outcome(change->exchange, 504, "unknown",
+			      "this entry instance has ended; GET /v1/status "
+			      "of another one lists the offset of each file");
+	}
+	httpd_free(operator->httpd);
+	if (operator->changes)
+		g_ptr_array_unref(operator->changes);
+	g_free(operator->token);
+	g_free(operator);
+}
+
+static void *operator_init(struct kernel *kernel)
+{
+	const struct settings *settings = kernel_settings(kernel);
+	const struct httpd_limits limits = {
+		.body_max_bytes = BODY_MAX_BYTES,
+		.connections_max_count = CONNECTIONS_MAX_COUNT,
+	};
+	struct operator* operator= g_new0(struct operator, 1);
+
+	operator->kernel = kernel;
+	operator->token = read_token(settings->token_file);
+	if (!operator->token)
+		goto fail;
+	operator->httpd =
+		httpd_new(kernel_loop(kernel), settings->operator_address,
+			  &limits, &operator_ops, operator);
+	if (!operator->httpd)
+		goto fail;
+	operator->changes = g_ptr_array_new_with_free_func(change_free);
+	klog_info(LOG_PREFIX, "operators are served on port %u",
+		  httpd_port(operator->httpd));
+	return operator;
+fail:
+	operator_fini(operator);
+	return NULL;
+}
+
+static const struct plugin operator_plugin = {
+	.name = "operator_http",
+	.kind = PLUGIN_FRONT,
+	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_DRAIN) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) |
+		 EVENT_BIT(EVENT_PROPOSAL_DROPPED),
+	.init = operator_init,
+	.handle = operator_handle,
+	.fini = operator_fini,
+};
+
+PLUGIN_REGISTER(operator_plugin)
