Add the clients of the platform's log and list

Records and lists had no way in or out of a process.

log_http: one append takes one offset of the platform, counted from 1. Each stands for a block of 128 record offsets, of which the append's records take the last ones, so the last record of an append comes just before the next block. An append is not taken only if no byte was sent, on 4xx, or on 503 with {"taken": false}; a lost, broken or other answer is unknown. libcurl's own repetition on a broken reused connection is stopped, since it could append twice. A long poll of 2 s reads; two failures in a row are an outage. An append that can't be decoded keeps its place as an unknown record.

list_http: polls every second and drops invalid answers as a whole. A reboot is repeated only while the instance still waits for it.

--- /dev/null
+++ b/src/io/http_call.c
@@ -0,0 +1,134 @@
+#include "io/http_call.h"
+
+#define CONNECT_MAX_MS 1000L
+
+struct http_call {
+	struct curl_loop *loop;
+	CURL *easy;
+	struct curl_slist *headers;
+	GBytes *body;
+	GByteArray *answer;
+	size_t answer_max_bytes;
+	bool sent;
+	http_done_fn *done;
+	void *data;
+};
+
+static void call_free(struct http_call *call)
+{
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	if (call->body)
+		g_bytes_unref(call->body);
+	g_byte_array_unref(call->answer);
+	g_free(call);
+}
+
+static size_t on_body(char *data, size_t size, size_t count, void *self)
+{
+	struct http_call *call = self;
+	size_t size_bytes = size * count;
+
+	if (call->answer->len + size_bytes > call->answer_max_bytes)
+		return 0;
+	g_byte_array_append(call->answer, (const guint8 *)data,
+			    (guint)size_bytes);
+	return size_bytes;
+}
+
+/*
+ * libcurl repeats a request by itself when a reused connection breaks. An
+ * append could then take effect twice, so that is left to the caller.
+ */
+static int on_before_request(void *self, char *remote_ip, char *local_ip,
+			     int remote_port, int local_port)
+{
+	struct http_call *call = self;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (call->sent)
+		return CURL_PREREQFUNC_ABORT;
+	call->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void on_done(void *data, CURL *easy, CURLcode code)
+{
+	struct http_call *call = data;
+	long status = 0;
+	struct http_result result = {
+		.sent = call->sent,
+		.answered = code == CURLE_OK,
+		.body = call->answer,
+	};
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	if (result.answered)
+		result.status = (uint32_t)status;
+	call->done(call->data, &result);
+	call_free(call);
+}
+
+static void set_body(struct http_call *call, const struct http_spec *spec)
+{
+	gsize size_bytes;
+	const void *data;
+	char *type;
+
+	/* Without a value, libcurl leaves its own header out. */
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	if (spec->body) {
+		call->body = g_bytes_ref(spec->body);
+		data = g_bytes_get_data(call->body, &size_bytes);
+		type = g_strdup_printf("Content-Type: %s", spec->content_type);
+		call->headers = curl_slist_append(call->headers, type);
+		g_free(type);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)size_bytes);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS,
+				 data ? data : "");
+	}
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+struct http_call *http_call_start(struct curl_loop *loop,
+				  const struct http_spec *spec,
+				  http_done_fn *done, void *data)
+{
+	CURL *easy = curl_loop_easy_new();
+	struct http_call *call;
+
+	if (!easy)
+		return NULL;
+	call = g_new0(struct http_call, 1);
+	call->loop = loop;
+	call->easy = easy;
+	call->answer = g_byte_array_new();
+	call->answer_max_bytes = spec->answer_max_bytes;
+	call->done = done;
+	call->data = data;
+	curl_easy_setopt(easy, CURLOPT_URL, spec->url);
+	set_body(call, spec);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)(spec->timeout_us / USEC_PER_MSEC));
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MAX_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	if (curl_loop_submit(loop, easy, on_done, call))
+		return call;
+	call_free(call);
+	return NULL;
+}
+
+void http_call_cancel(struct http_call *call)
+{
+	if (!call)
+		return;
+	curl_loop_cancel(call->loop, call->easy);
+	call_free(call);
+}
--- /dev/null
+++ b/src/io/http_call.h
@@ -0,0 +1,39 @@
+#ifndef IO_HTTP_CALL_H
+#define IO_HTTP_CALL_H
+
+/* One HTTP request to the platform, with a bounded answer. */
+
+#include <glib.h>
+
+#include "core/types.h"
+#include "io/curl_loop.h"
+
+struct http_call;
+
+struct http_spec {
+	const char *url;
+	GBytes *body; /* of a POST; NULL: GET */
+	const char *content_type;
+	int64_t timeout_us; /* of the whole exchange */
+	size_t answer_max_bytes;
+};
+
+struct http_result {
+	bool sent;     /* the server may have read the request */
+	bool answered; /* the answer is whole */
+	uint32_t status;
+	const GByteArray *body;
+};
+
+typedef void http_done_fn(void *data, const struct http_result *result);
+
+/*
+ * done() is called once from the loop, unless the call is cancelled; then the
+ * call is gone. Returns NULL if the request can't start.
+ */
+struct http_call *http_call_start(struct curl_loop *loop,
+				  const struct http_spec *spec,
+				  http_done_fn *done, void *data);
+void http_call_cancel(struct http_call *call);
+
+#endif
--- /dev/null
+++ b/src/io/list_http.c
@@ -0,0 +1,285 @@
+/* The client of the platform's list: polling and reboots, over HTTP. */
+
+#include <jansson.h>
+#include <string.h>
+
+#include "io/http_call.h"
+#include "kernel/kernel.h"
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "list"
+#define POLL_EVERY_US (1 * USEC_PER_SEC)
+#define CALL_TIMEOUT_US (5 * USEC_PER_SEC)
+#define REBOOT_RETRY_US (1 * USEC_PER_SEC)
+#define REBOOTS_MAX_COUNT 64
+/* 100 bytes for each of 10,000 instances. */
+#define LIST_MAX_BYTES (1024 * 1024)
+#define REBOOT_ANSWER_MAX_BYTES (16 * 1024)
+
+struct list_client {
+	struct kernel *kernel;
+	struct curl_loop *loop;
+	struct http_call *poll;
+	int64_t poll_at_us;
+	GHashTable *reboots; /* name -> struct reboot */
+};
+
+/* A reboot that the platform has not confirmed. */
+struct reboot {
+	struct list_client *client;
+	char name[NAME_SIZE_BYTES];
+	uint64_t drain_offset; /* of the instance when it was asked for */
+	struct http_call *call;
+	int64_t retry_at_us;
+};
+
+static void count(struct list_client *client, const char *counter)
+{
+	counter_add(kernel_counters(client->kernel), counter, 1);
+}
+
+static bool read_item(GArray *items, const json_t *instance)
+{
+	const char *name = json_string_value(json_object_get(instance, "name"));
+	const char *state =
+		json_string_value(json_object_get(instance, "state"));
+	struct list_item item = { .state = LIST_LIVE };
+
+	if (!name || !name[0] || !state ||
+	    !name_copy(item.name, sizeof(item.name), name))
+		return false;
+	if (!strcmp(state, "leaving"))
+		item.state = LIST_LEAVING;
+	else if (strcmp(state, "live") != 0)
+		return false;
+	g_array_append_val(items, item);
+	return true;
+}
+
+/*
+ * Reads {"instances":[{"name","state"}]}. A list with one invalid item is
+ * refused as a whole: an instance that is missing from it looks gone.
+ */
+static GArray *read_list(const GByteArray *body)
+{
+	json_t *root = json_loadb((const char *)body->data, body->len, 0, NULL);
+	const json_t *instances = json_object_get(root, "instances");
+	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct list_item));
+	bool valid = json_is_array(instances);
+
+	for (size_t i = 0; valid && i < json_array_size(instances); i++)
+		valid = read_item(items, json_array_get(instances, i));
+	json_decref(root);
+	if (valid)
+		return items;
+	g_array_unref(items);
+	return NULL;
+}
+
+static void poll_done(void *data, const struct http_result *result)
+{
+	struct list_client *client = data;
+	struct event event = { .type = EVENT_INSTANCE_LIST };
+
+	client->poll = NULL;
+	if (!result->answered || result->status != 200) {
+		count(client, "list_polls_total{result=\"failed\"}");
+		return;
+	}
+	event.list.items = read_list(result->body);
+	if (!event.list.items) {
+		klog_warn(LOG_PREFIX, "the list's answer is invalid");
+		count(client, "list_polls_total{result=\"invalid\"}");
+		return;
+	}
+	count(client, "list_polls_total{result=\"ok\"}");
+	kernel_emit(client->kernel, &event);
+}
+
+static void poll_now(struct list_client *client)
+{
+	const struct settings *settings = kernel_settings(client->kernel);
+	char *url =
+		g_strdup_printf("http://%s/instances", settings->list_address);
+	struct http_spec spec = {
+		.url = url,
+		.timeout_us = CALL_TIMEOUT_US,
+		.answer_max_bytes = LIST_MAX_BYTES,
+	};
+
+	client->poll = http_call_start(client->loop, &spec, poll_done, client);
+	g_free(url);
+}
+
+/* Whether the instance still waits for the reboot that was asked for. */
+static bool is_wanted(const struct reboot *reboot)
+{
+	const struct fleet_instance *instance = fleet_instance(
+		kernel_fleet(reboot->client->kernel), reboot->name);
+
+	return instance && instance->phase == INSTANCE_REBOOTING &&
+	       instance->drain_offset == reboot->drain_offset;
+}
+
+static void reboot_done(void *data, const struct http_result *result)
+{
+	struct reboot *reboot = data;
+	struct list_client *client = reboot->client;
+	bool refused = result->answered && result->status >= 400 &&
+		       result->status < 500;
+
+	reboot->call = NULL;
+	if (result->answered && result->status >= 200 && result->status < 300) {
+		count(client, "reboots_total{result=\"ok\"}");
+		g_hash_table_remove(client->reboots, reboot->name);
+		return;
+	}
+	if (refused) {
+		klog_error(LOG_PREFIX, "reboot of %s was refused with %u",
+			   reboot->name, result->status);
+		count(client, "reboots_total{result=\"refused\"}");
+		g_hash_table_remove(client->reboots, reboot->name);
+		return;
+	}
+	count(client, "reboots_total{result=\"failed\"}");
+	reboot->retry_at_us = g_get_monotonic_time() + REBOOT_RETRY_US;
+	kernel_wake_at(client->kernel, reboot->retry_at_us);
+}
+
+static void reboot_now(struct reboot *reboot)
+{
+	struct list_client *client = reboot->client;
+	const struct settings *settings = kernel_settings(client->kernel);
+	char *url = g_strdup_printf("http://%s/instances/%s/reboot",
+				    settings->list_address, reboot->name);
+	GBytes *body = g_bytes_new_static("", 0);
+	struct http_spec spec = {
+		.url = url,
+		.body = body,
+		.content_type = "application/json",
+		.timeout_us = CALL_TIMEOUT_US,
+		.answer_max_bytes = REBOOT_ANSWER_MAX_BYTES,
+	};
+
+	reboot->retry_at_us = DEADLINE_NEVER_US;
+	reboot->call =
+		http_call_start(client->loop, &spec, reboot_done, reboot);
+	if (!reboot->call) {
+		reboot->retry_at_us = g_get_monotonic_time() + REBOOT_RETRY_US;
+		kernel_wake_at(client->kernel, reboot->retry_at_us);
+	}
+	g_bytes_unref(body);
+	g_free(url);
+}
+
+static void reboot_wanted(struct list_client *client, const char *name)
+{
+	const struct fleet_instance *instance =
+		fleet_instance(kernel_fleet(client->kernel), name);
+	struct reboot *reboot = g_hash_table_lookup(client->reboots, name);
+
+	if (reboot)
+		return;
+	if (!instance ||
+	    g_hash_table_size(client->reboots) >= REBOOTS_MAX_COUNT) {
+		count(client, "reboots_total{result=\"dropped\"}");
+		return;
+	}
+	reboot = g_new0(struct reboot, 1);
+	reboot->client = client;
+	name_copy(reboot->name, sizeof(reboot->name), name);
+	reboot->drain_offset = instance->drain_offset;
+	g_hash_table_insert(client->reboots, reboot->name, reboot);
+	reboot_now(reboot);
+}
+
+/* A second reboot must not reach an instance that is in service again. */
+static void retry_reboots(struct list_client *client, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, client->reboots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct reboot *reboot = value;
+
+		if (reboot->call)
+			continue;
+		if (!is_wanted(reboot))
+			g_hash_table_iter_remove(&iter);
+		else if (now_us >= reboot->retry_at_us)
+			reboot_now(reboot);
+		else
+			kernel_wake_at(client->kernel, reboot->retry_at_us);
+	}
+}
+
+static void wake(struct list_client *client)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (now_us >= client->poll_at_us) {
+		client->poll_at_us = now_us + POLL_EVERY_US;
+		if (!client->poll)
+			poll_now(client);
+	}
+	kernel_wake_at(client->kernel, client->poll_at_us);
+	retry_reboots(client, now_us);
+}
+
+static void list_handle(void *self, const struct event *event)
+{
+	struct list_client *client = self;
+
+	if (event->type == EVENT_INSTANCE_REBOOT)
+		reboot_wanted(client, event->name.name);
+	else
+		wake(client);
+}
+
+static void reboot_free(gpointer data)
+{
+	struct reboot *reboot = data;
+
+	http_call_cancel(reboot->call);
+	g_free(reboot);
+}
+
+static void *list_init(struct kernel *kernel)
+{
+	struct list_client *client;
+
+	if (!kernel_settings(kernel)->list_address[0]) {
+		klog_error(LOG_PREFIX, "the settings have no list_address");
+		return NULL;
+	}
+	client = g_new0(struct list_client, 1);
+	client->kernel = kernel;
+	client->loop = curl_loop_new(kernel_loop(kernel));
+	client->reboots = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						reboot_free);
+	return client;
+}
+
+static void list_fini(void *self)
+{
+	struct list_client *client = self;
+
+	g_hash_table_unref(client->reboots);
+	http_call_cancel(client->poll);
+	curl_loop_free(client->loop);
+	g_free(client);
+}
+
+static const struct plugin list_plugin = {
+	.name = "http",
+	.kind = PLUGIN_LIST,
+	.preferred = true,
+	.takes = EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_WAKE) |
+		 EVENT_BIT(EVENT_INSTANCE_REBOOT),
+	.init = list_init,
+	.handle = list_handle,
+	.fini = list_fini,
+};
+
+PLUGIN_REGISTER(list_plugin)
--- /dev/null
+++ b/src/io/log_http.c
@@ -0,0 +1,484 @@
+/* The client of the platform's log: appends and one long poll, over HTTP. */
+
+#include <string.h>
+
+#include "codec/record_codec.h"
+#include "io/http_call.h"
+#include "io/log_wire.h"
+#include "kernel/kernel.h"
+#include "kernel/klog.h"
+
+#define LOG_PREFIX "log"
+/* An outage is noticed within this time and the time left for the answer. */
+#define POLL_WAIT_MS 2000
+#define READ_LEFT_US (3 * USEC_PER_SEC)
+#define APPEND_TIMEOUT_US (5 * USEC_PER_SEC)
+/* The largest snapshot of 32 MiB in base64, and the records since. */
+#define READ_MAX_BYTES (64 * 1024 * 1024)
+#define APPEND_ANSWER_MAX_BYTES (16 * 1024)
+#define BACKOFF_MIN_US (50 * USEC_PER_MSEC)
+#define BACKOFF_MAX_US (1 * USEC_PER_SEC)
+/* A long poll that ends sooner without records must not become a busy loop. */
+#define EMPTY_POLL_MIN_US (100 * USEC_PER_MSEC)
+/* One broken long poll may be a restart of a proxy; two are an outage. */
+#define FAILURES_OF_OUTAGE_COUNT 2
+
+struct log_client {
+	struct kernel *kernel;
+	struct curl_loop *loop;
+	GHashTable *appends; /* set of struct append */
+	struct http_call *read;
+	struct http_call *ask;
+	int64_t read_at_us; /* DEADLINE_NEVER_US while a read is under way */
+	int64_t read_started_us;
+	int64_t backoff_us;
+	uint32_t failure_count;
+	uint64_t from;	    /* platform offset to be read next */
+	uint64_t read_from; /* of the read under way */
+	uint64_t ask_from;
+	bool ask_wanted;
+	int64_t ask_at_us;
+	bool reachable;
+	bool reported;	       /* the state was emitted once */
+	uint64_t first_offset; /* platform offsets, as last heard */
+	uint64_t next_offset;
+	uint64_t reported_first_offset;
+};
+
+struct append {
+	struct log_client *client;
+	struct http_call *call;
+	uint64_t append_id;
+	uint32_t record_count;
+};
+
+static void count(struct log_client *client, const char *counter)
+{
+	counter_add(kernel_counters(client->kernel), counter, 1);
+}
+
+static void emit_state(struct log_client *client)
+{
+	struct event event = { .type = EVENT_LOG_STATE };
+
+	client->reported = true;
+	client->reported_first_offset = client->first_offset;
+	event.log.reachable = client->reachable;
+	event.log.first_offset = log_block_end(client->first_offset - 1) + 1;
+	event.log.next_offset = log_block_end(client->next_offset - 1) + 1;
+	kernel_emit(client->kernel, &event);
+}
+
+static void trace(struct log_client *client, const char *text)
+{
+	struct timeline_entry entry = { .kind = TIMELINE_LOG };
+
+	g_strlcpy(entry.text, text, sizeof(entry.text));
+	timeline_add(kernel_timeline(client->kernel), &entry);
+}
+
+static void set_reachable(struct log_client *client, bool reachable)
+{
+	if (client->reported && client->reachable == reachable)
+		return;
+	client->reachable = reachable;
+	counter_set(kernel_counters(client->kernel), "log_reachable",
+		    reachable);
+	trace(client, reachable ? "log is reachable" : "log is unreachable");
+	klog_info(LOG_PREFIX, "log is %s",
+		  reachable ? "reachable" : "unreachable");
+	emit_state(client);
+}
+
+/*
+ * Takes up the bounds of an answer. Answers of two connections may come out of
+ * order, so only one that ends before what was asked for is refused.
+ */
+static bool take_bounds(struct log_client *client,
+			const struct log_answer *answer, uint64_t asked_from)
+{
+	if (answer->next_offset < asked_from) {
+		klog_error(LOG_PREFIX,
+			   "log went back from %" G_GUINT64_FORMAT
+			   " to %" G_GUINT64_FORMAT,
+			   asked_from, answer->next_offset);
+		count(client, "log_went_back_total");
+		return false;
+	}
+	client->first_offset = MAX(client->first_offset, answer->first_offset);
+	client->next_offset = MAX(client->next_offset, answer->next_offset);
+	return true;
+}
+
+static void emit_record(struct log_client *client, uint64_t offset,
+			uint64_t previous_offset, struct record *record)
+{
+	struct event event = { .type = EVENT_LOG_RECORD };
+
+	event.record.offset = offset;
+	event.record.previous_offset = previous_offset;
+	event.record.record = record;
+	kernel_emit(client->kernel, &event);
+}
+
+/*
+ * An append that can't be decoded still takes its place, so that its readers
+ * see no gap.
+ */
+static void emit_item(struct log_client *client, const struct log_item *item,
+		      uint64_t previous_offset)
+{
+	char reason[REASON_SIZE_BYTES] = "";
+	gsize size_bytes;
+	const void *data = g_bytes_get_data(item->data, &size_bytes);
+	GPtrArray *records = batch_decode(data, size_bytes, reason);
+	uint64_t offset;
+
+	if (reason[0]) {
+		klog_warn(LOG_PREFIX, "append %" G_GUINT64_FORMAT ": %s",
+			  item->platform_offset, reason);
+		count(client, "log_damaged_total");
+	}
+	if (!records) {
+		emit_record(client, log_block_end(item->platform_offset),
+			    previous_offset, record_new(RECORD_UNKNOWN));
+		return;
+	}
+	offset = log_block_first(item->platform_offset, records->len);
+	for (guint i = 0; i < records->len; i++) {
+		emit_record(client, offset + i,
+			    i ? offset + i - 1 : previous_offset,
+			    record_ref(records->pdata[i]));
+	}
+	g_ptr_array_unref(records);
+}
+
+static void emit_items(struct log_client *client,
+		       const struct log_answer *answer)
+{
+	/* No record lies before this that the answer would not have. */
+	uint64_t from = MAX(client->from, answer->first_offset);
+
+	for (guint i = 0; i < answer->items->len; i++) {
+		const struct log_item *item =
+			&g_array_index(answer->items, struct log_item, i);
+
+		if (item->platform_offset < client->from)
+			continue;
+		emit_item(client, item, log_block_end(from - 1));
+		from = item->platform_offset + 1;
+		client->from = from;
+	}
+	counter_set(kernel_counters(client->kernel), "log_read_offset",
+		    client->from - 1);
+}
+
+static void read_later(struct log_client *client, int64_t at_us)
+{
+	client->read_at_us = at_us;
+	kernel_wake_at(client->kernel, at_us);
+}
+
+static void failed(struct log_client *client)
+{
+	client->failure_count++;
+	client->backoff_us =
+		CLAMP(client->backoff_us * 2, BACKOFF_MIN_US, BACKOFF_MAX_US);
+	if (client->failure_count >= FAILURES_OF_OUTAGE_COUNT)
+		set_reachable(client, false);
+}
+
+static void succeeded(struct log_client *client)
+{
+	client->failure_count = 0;
+	client->backoff_us = 0;
+	set_reachable(client, true);
+	if (client->first_offset != client->reported_first_offset)
+		emit_state(client);
+}
+
+/* Parses the answer of a read; false, after counting, if it is no answer. */
+static bool parse(struct log_client *client, const struct http_result *result,
+		  uint64_t asked_from, struct log_answer *answer)
+{
+	char reason[REASON_SIZE_BYTES];
+
+	*answer = (struct log_answer){ 0 };
+	if (!result->answered || result->status != 200) {
+		count(client, "log_read_failed_total");
+		return false;
+	}
+	if (log_answer_parse(answer, result->body->data, result->body->len,
+			     reason))
+		return take_bounds(client, answer, asked_from);
+	klog_warn(LOG_PREFIX, "%s", reason);
+	count(client, "log_answer_invalid_total");
+	return false;
+}
+
+static void read_done(void *data, const struct http_result *result)
+{
+	struct log_client *client = data;
+	int64_t now_us = g_get_monotonic_time();
+	int64_t next_us = now_us;
+	struct log_answer answer;
+
+	client->read = NULL;
+	if (parse(client, result, client->read_from, &answer)) {
+		emit_items(client, &answer);
+		if (!answer.items->len)
+			next_us = MAX(now_us, client->read_started_us +
+						      EMPTY_POLL_MIN_US);
+		succeeded(client);
+	} else {
+		failed(client);
+		next_us = now_us + client->backoff_us;
+	}
+	log_answer_clear(&answer);
+	read_later(client, next_us);
+}
+
+static struct http_call *get(struct log_client *client, uint64_t from,
+			     int64_t wait_ms, http_done_fn *done)
+{
+	const struct settings *settings = kernel_settings(client->kernel);
+	char *url = g_strdup_printf("http://%s/read?from=%" G_GUINT64_FORMAT
+				    "&wait_ms=%" G_GINT64_FORMAT,
+				    settings->log_address, from, wait_ms);
+	struct http_spec spec = {
+		.url = url,
+		.timeout_us = wait_ms * USEC_PER_MSEC + READ_LEFT_US,
+		.answer_max_bytes = READ_MAX_BYTES,
+	};
+	struct http_call *call =
+		http_call_start(client->loop, &spec, done, client);
+
+	g_free(url);
+	return call;
+}
+
+static void read_now(struct log_client *client)
+{
+	client->read_started_us = g_get_monotonic_time();
+	client->read_at_us = DEADLINE_NEVER_US;
+	client->read_from = client->from;
+	client->read = get(client, client->from,
+			   client->reachable ? POLL_WAIT_MS : 0, read_done);
+	if (client->read)
+		return;
+	failed(client);
+	read_later(client, client->read_started_us + client->backoff_us);
+}
+
+/* A question that fails is repeated, unless the log is unreachable. */
+static void ask_done(void *data, const struct http_result *result)
+{
+	struct log_client *client = data;
+	struct log_answer answer;
+
+	client->ask = NULL;
+	if (parse(client, result, client->ask_from, &answer)) {
+		client->ask_wanted = false;
+		if (client->reachable)
+			emit_state(client);
+	} else {
+		client->ask_at_us = g_get_monotonic_time() + BACKOFF_MAX_US;
+		kernel_wake_at(client->kernel, client->ask_at_us);
+	}
+	log_answer_clear(&answer);
+}
+
+static void ask_now(struct log_client *client)
+{
+	/* The answer under way may be older than this question. */
+	http_call_cancel(client->ask);
+	client->ask = NULL;
+	if (!client->ask_wanted || !client->reachable)
+		return;
+	/* Only the bounds are wanted, so no known record is asked for. */
+	client->ask_from = client->next_offset;
+	client->ask = get(client, client->ask_from, 0, ask_done);
+	client->ask_at_us = DEADLINE_NEVER_US;
+	if (client->ask)
+		return;
+	client->ask_at_us = g_get_monotonic_time() + BACKOFF_MAX_US;
+	kernel_wake_at(client->kernel, client->ask_at_us);
+}
+
+static void emit_appended(struct log_client *client, uint64_t append_id,
+			  enum append_result result, uint64_t first_offset)
+{
+	struct event event = { .type = EVENT_LOG_APPENDED };
+
+	event.append.append_id = append_id;
+	event.append.result = result;
+	event.append.first_offset = first_offset;
+	kernel_emit(client->kernel, &event);
+}
+
+static enum append_result append_result(const struct http_result *result,
+					uint64_t *platform_offset)
+{
+	const GByteArray *body = result->body;
+
+	if (!result->sent)
+		return APPEND_NOT_TAKEN;
+	if (!result->answered)
+		return APPEND_UNKNOWN;
+	if (result->status == 200 &&
+	    log_appended_parse(body->data, body->len, platform_offset))
+		return APPEND_OK;
+	if (result->status >= 400 && result->status < 500)
+		return APPEND_NOT_TAKEN;
+	/* Other failures may come from a proxy in front of the log. */
+	if (result->status == 503 && log_refused_parse(body->data, body->len))
+		return APPEND_NOT_TAKEN;
+	return APPEND_UNKNOWN;
+}
+
+static void append_done(void *data, const struct http_result *result)
+{
+	static const char *const counters[] = {
+		[APPEND_OK] = "log_appends_total{result=\"ok\"}",
+		[APPEND_NOT_TAKEN] = "log_appends_total{result=\"not-taken\"}",
+		[APPEND_UNKNOWN] = "log_appends_total{result=\"unknown\"}",
+	};
+	struct append *append = data;
+	struct log_client *client = append->client;
+	uint64_t platform_offset = 0;
+	uint64_t first_offset = 0;
+	enum append_result taken = append_result(result, &platform_offset);
+
+	if (taken == APPEND_OK)
+		first_offset =
+			log_block_first(platform_offset, append->record_count);
+	count(client, counters[taken]);
+	emit_appended(client, append->append_id, taken, first_offset);
+	g_hash_table_remove(client->appends, append);
+}
+
+static void append_free(gpointer data)
+{
+	g_free(data);
+}
+
+static void append_now(struct log_client *client,
+		       const struct event_append *asked)
+{
+	const struct settings *settings = kernel_settings(client->kernel);
+	char *url = g_strdup_printf("http://%s/append", settings->log_address);
+	GBytes *body = batch_encode(asked->records);
+	struct http_spec spec = {
+		.url = url,
+		.body = body,
+		.content_type = "application/octet-stream",
+		.timeout_us = APPEND_TIMEOUT_US,
+		.answer_max_bytes = APPEND_ANSWER_MAX_BYTES,
+	};
+	struct append *append = g_new0(struct append, 1);
+
+	append->client = client;
+	append->append_id = asked->append_id;
+	append->record_count = asked->records->len;
+	append->call =
+		http_call_start(client->loop, &spec, append_done, append);
+	if (append->call) {
+		g_hash_table_add(client->appends, append);
+	} else {
+		emit_appended(client, asked->append_id, APPEND_NOT_TAKEN, 0);
+		g_free(append);
+	}
+	g_bytes_unref(body);
+	g_free(url);
+}
+
+static void wake(struct log_client *client)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!client->read && now_us >= client->read_at_us)
+		read_now(client);
+	else if (client->read_at_us != DEADLINE_NEVER_US)
+		kernel_wake_at(client->kernel, client->read_at_us);
+	if (now_us >= client->ask_at_us)
+		ask_now(client);
+	else if (client->ask_at_us != DEADLINE_NEVER_US)
+		kernel_wake_at(client->kernel, client->ask_at_us);
+}
+
+static void log_handle(void *self, const struct event *event)
+{
+	struct log_client *client = self;
+
+	switch (event->type) {
+	case EVENT_STARTED:
+		read_now(client);
+		break;
+	case EVENT_WAKE:
+		wake(client);
+		break;
+	case EVENT_LOG_APPEND:
+		append_now(client, &event->append);
+		break;
+	case EVENT_LOG_ASK:
+		client->ask_wanted = true;
+		ask_now(client);
+		break;
+	case EVENT_FLEET_RESET:
+		client->from =
+			MAX(client->from, log_block_after(event->name.offset));
+		break;
+	default:
+		break;
+	}
+}
+
+static void *log_init(struct kernel *kernel)
+{
+	struct log_client *client;
+
+	if (!kernel_settings(kernel)->log_address[0]) {
+		klog_error(LOG_PREFIX, "the settings have no log_address");
+		return NULL;
+	}
+	client = g_new0(struct log_client, 1);
+	client->kernel = kernel;
+	client->loop = curl_loop_new(kernel_loop(kernel));
+	client->appends = g_hash_table_new_full(NULL, NULL, append_free, NULL);
+	client->read_at_us = DEADLINE_NEVER_US;
+	client->ask_at_us = DEADLINE_NEVER_US;
+	client->from = 1;
+	client->first_offset = 1;
+	client->next_offset = 1;
+	return client;
+}
+
+static void log_fini(void *self)
+{
+	struct log_client *client = self;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, client->appends);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		http_call_cancel(((struct append *)key)->call);
+	g_hash_table_unref(client->appends);
+	http_call_cancel(client->read);
+	http_call_cancel(client->ask);
+	curl_loop_free(client->loop);
+	g_free(client);
+}
+
+static const struct plugin log_plugin = {
+	.name = "http",
+	.kind = PLUGIN_LOG,
+	.preferred = true,
+	.takes = EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_WAKE) |
+		 EVENT_BIT(EVENT_LOG_APPEND) | EVENT_BIT(EVENT_LOG_ASK) |
+		 EVENT_BIT(EVENT_FLEET_RESET),
+	.init = log_init,
+	.handle = log_handle,
+	.fini = log_fini,
+};
+
+PLUGIN_REGISTER(log_plugin)
--- /dev/null
+++ b/src/io/log_wire.c
@@ -0,0 +1,143 @@
+#include "io/log_wire.h"
+
+#include <jansson.h>
+
+/* Record offsets must fit into 64 bits. */
+#define PLATFORM_OFFSET_MAX (INT64_MAX / LOG_BLOCK_COUNT - 1)
+
+uint64_t log_block_end(uint64_t platform_offset)
+{
+	return platform_offset * LOG_BLOCK_COUNT;
+}
+
+uint64_t log_block_first(uint64_t platform_offset, uint32_t record_count)
+{
+	return log_block_end(platform_offset) - record_count + 1;
+}
+
+uint64_t log_block_after(uint64_t record_offset)
+{
+	return record_offset / LOG_BLOCK_COUNT + 1;
+}
+
+static bool read_offset(const json_t *object, const char *key, uint64_t *offset)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (!json_is_integer(value) || json_integer_value(value) < 1 ||
+	    json_integer_value(value) > PLATFORM_OFFSET_MAX)
+		return false;
+	*offset = (uint64_t)json_integer_value(value);
+	return true;
+}
+
+static void item_clear(gpointer data)
+{
+	struct log_item *item = data;
+
+	g_bytes_unref(item->data);
+}
+
+/* Only the alphabet and its padding; GLib skips other characters. */
+static bool is_base64(const char *text, size_t size_bytes)
+{
+	size_t end = size_bytes;
+
+	if (size_bytes % 4)
+		return false;
+	while (end > 0 && text[end - 1] == '=' && size_bytes - end < 2)
+		end--;
+	for (size_t i = 0; i < end; i++) {
+		if (!g_ascii_isalnum(text[i]) && text[i] != '+' &&
+		    text[i] != '/')
+			return false;
+	}
+	return true;
+}
+
+static bool read_item(struct log_answer *answer, const json_t *record)
+{
+	const json_t *text = json_object_get(record, "data");
+	struct log_item item;
+	const struct log_item *last;
+	gsize size_bytes;
+	guchar *data;
+
+	if (!read_offset(record, "offset", &item.platform_offset) ||
+	    item.platform_offset >= answer->next_offset ||
+	    item.platform_offset < answer->first_offset ||
+	    !json_is_string(text) ||
+	    !is_base64(json_string_value(text), json_string_length(text)))
+		return false;
+	if (answer->items->len) {
+		last = &g_array_index(answer->items, struct log_item,
+				      answer->items->len - 1);
+		if (item.platform_offset <= last->platform_offset)
+			return false;
+	}
+	data = g_base64_decode(json_string_value(text), &size_bytes);
+	item.data = g_bytes_new_take(data, size_bytes);
+	g_array_append_val(answer->items, item);
+	return true;
+}
+
+static const char *read_answer(struct log_answer *answer, const json_t *root)
+{
+	const json_t *records = json_object_get(root, "records");
+
+	if (!read_offset(root, "first", &answer->first_offset) ||
+	    !read_offset(root, "next", &answer->next_offset) ||
+	    answer->first_offset > answer->next_offset)
+		return "answer has no valid bounds";
+	if (!json_is_array(records))
+		return "answer has no list of records";
+	for (size_t i = 0; i < json_array_size(records); i++) {
+		if (!read_item(answer, json_array_get(records, i)))
+			return "answer has an invalid record";
+	}
+	return NULL;
+}
+
+bool log_answer_parse(struct log_answer *answer, const void *data,
+		      size_t size_bytes, char reason[REASON_SIZE_BYTES])
+{
+	json_t *root = json_loadb(data, size_bytes, 0, NULL);
+	const char *error = "answer is no JSON";
+
+	answer->first_offset = 0;
+	answer->next_offset = 0;
+	answer->items = g_array_new(FALSE, TRUE, sizeof(struct log_item));
+	g_array_set_clear_func(answer->items, item_clear);
+	if (root) {
+		error = read_answer(answer, root);
+		json_decref(root);
+	}
+	if (!error)
+		return true;
+	g_strlcpy(reason, error, REASON_SIZE_BYTES);
+	g_array_set_size(answer->items, 0);
+	return false;
+}
+
+void log_answer_clear(struct log_answer *answer)
+{
+	g_clear_pointer(&answer->items, g_array_unref);
+}
+
+bool log_appended_parse(const void *data, size_t size_bytes, uint64_t *offset)
+{
+	json_t *root = json_loadb(data, size_bytes, 0, NULL);
+	bool valid = root && read_offset(root, "offset", offset);
+
+	json_decref(root);
+	return valid;
+}
+
+bool log_refused_parse(const void *data, size_t size_bytes)
+{
+	json_t *root = json_loadb(data, size_bytes, 0, NULL);
+	bool refused = root && json_is_false(json_object_get(root, "taken"));
+
+	json_decref(root);
+	return refused;
+}
--- /dev/null
+++ b/test/contract/fake_http.h
@@ -0,0 +1,45 @@
+#ifndef CONTRACT_FAKE_HTTP_H
+#define CONTRACT_FAKE_HTTP_H
+
+/* A small HTTP/1.1 server on the loopback, whose answers a test chooses. */
+
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+
+enum fake_action {
+	FAKE_ANSWER,
+	FAKE_CLOSE,    /* closes the connection without an answer */
+	FAKE_TRUNCATE, /* announces more than it sends, then closes */
+	FAKE_HANG,     /* never answers */
+};
+
+struct fake_request {
+	const char *method;
+	const char *target;
+	const guint8 *body;
+	gsize body_size_bytes;
+};
+
+struct fake_reply {
+	enum fake_action action;
+	unsigned int status;
+	char *body; /* freed by the server */
+};
+
+typedef void fake_handler_fn(void *data, const struct fake_request *request,
+			     struct fake_reply *reply);
+
+struct fake_http;
+
+struct fake_http *fake_http_new(struct ev_loop *ev, fake_handler_fn *handler,
+				void *data);
+void fake_http_free(struct fake_http *fake);
+
+/* "127.0.0.1:port" */
+const char *fake_http_address(const struct fake_http *fake);
+
+/* Refuses connections until it is called with true again. */
+void fake_http_listen(struct fake_http *fake, bool listens);
+
+#endif
--- /dev/null
+++ b/test/contract/list_http.c
@@ -0,0 +1,169 @@
+/* The client of the platform's list against a server that misbehaves. */
+
+#include <string.h>
+
+#include "contract/bench.h"
+#include "core/fleet_state.h"
+#include "runner/suite.h"
+
+struct list_test {
+	struct bench *bench;
+	struct fake_http *fake;
+	const char *const *polls; /* one after another; the last one repeats */
+	uint32_t poll_count;
+	const unsigned int *reboot_statuses;
+	uint32_t reboot_count;
+	char *reboot_target;
+	struct fleet_instance *serves_again; /* once a reboot was asked for */
+};
+
+static void handle(void *data, const struct fake_request *request,
+		   struct fake_reply *reply)
+{
+	struct list_test *test = data;
+
+	if (!strcmp(request->method, "POST")) {
+		g_free(test->reboot_target);
+		test->reboot_target = g_strdup(request->target);
+		reply->status = test->reboot_statuses[test->reboot_count++];
+		if (test->serves_again)
+			test->serves_again->phase = INSTANCE_ACTIVE;
+		return;
+	}
+	CU_ASSERT_STRING_EQUAL(request->target, "/instances");
+	reply->body = g_strdup(test->polls[test->poll_count]);
+	if (test->polls[test->poll_count + 1])
+		test->poll_count++;
+	if (!strcmp(reply->body, "500"))
+		reply->status = 500;
+}
+
+static struct list_test *test_new(const char *const *polls)
+{
+	struct list_test *test = g_new0(struct list_test, 1);
+
+	test->bench = bench_new("e1");
+	test->fake = fake_http_new(test->bench->ev, handle, test);
+	test->polls = polls;
+	name_copy(test->bench->settings->list_address, ADDRESS_SIZE_BYTES,
+		  fake_http_address(test->fake));
+	bench_start(test->bench, PLUGIN_LIST, "http");
+	return test;
+}
+
+static void test_free(struct list_test *test)
+{
+	kernel_free(test->bench->kernel);
+	test->bench->kernel = NULL;
+	fake_http_free(test->fake);
+	bench_free(test->bench);
+	g_free(test->reboot_target);
+	g_free(test);
+}
+
+static uint64_t counted(const struct list_test *test, const char *name)
+{
+	return counter_get(kernel_counters(test->bench->kernel), name);
+}
+
+/*
+ * Guards against a broken answer that is taken as an empty list, by which
+ * every entry would look gone.
+ */
+static void test_polls(void)
+{
+	static const char *const polls[] = {
+		"{\"instances\":[{\"name\":\"i1\",\"state\":\"live\"},"
+		"{\"name\":\"i2\",\"state\":\"leaving\"}]}",
+		"{\"instances\":[{\"name\":\"i1\",\"state\":\"odd\"}]}",
+		"500",
+		"{}",
+		"{\"instances\":[]}",
+		NULL,
+	};
+	struct list_test *test = test_new(polls);
+	const struct event *event;
+
+	bench_run(test->bench, EVENT_INSTANCE_LIST, 2);
+	event = bench_event(test->bench, EVENT_INSTANCE_LIST, 0);
+	CU_ASSERT_EQUAL_FATAL(event->list.items->len, 2);
+	CU_ASSERT_STRING_EQUAL(
+		g_array_index(event->list.items, struct list_item, 0).name,
+		"i1");
+	CU_ASSERT_EQUAL(
+		g_array_index(event->list.items, struct list_item, 1).state,
+		LIST_LEAVING);
+	event = bench_event(test->bench, EVENT_INSTANCE_LIST, 1);
+	CU_ASSERT_EQUAL(event->list.items->len, 0);
+	CU_ASSERT_EQUAL(counted(test, "list_polls_total{result=\"invalid\"}"),
+			2);
+	CU_ASSERT_EQUAL(counted(test, "list_polls_total{result=\"failed\"}"),
+			1);
+	test_free(test);
+}
+
+static struct fleet_instance *add_instance(struct list_test *test)
+{
+	struct fleet *fleet = kernel_fleet(test->bench->kernel);
+	struct fleet_instance *instance = fleet_instance_new();
+
+	name_copy(instance->decl.name, NAME_SIZE_BYTES, "i1");
+	instance->phase = INSTANCE_REBOOTING;
+	instance->drain_offset = 7;
+	g_hash_table_insert(fleet->instances, instance->decl.name, instance);
+	return instance;
+}
+
+static void ask_reboot(struct list_test *test)
+{
+	struct event event = { .type = EVENT_INSTANCE_REBOOT };
+
+	name_copy(event.name.name, NAME_SIZE_BYTES, "i1");
+	bench_emit(test->bench, &event);
+}
+
+/* Guards against a reboot that is lost with its request. */
+static void test_reboot_retried(void)
+{
+	static const char *const polls[] = { "{\"instances\":[]}", NULL };
+	static const unsigned int statuses[] = { 500, 200 };
+	struct list_test *test = test_new(polls);
+
+	test->reboot_statuses = statuses;
+	add_instance(test);
+	ask_reboot(test);
+	ask_reboot(test);
+	while (!counted(test, "reboots_total{result=\"ok\"}"))
+		bench_run(test->bench, EVENT_INSTANCE_LIST,
+			  test->bench->seen_counts[EVENT_INSTANCE_LIST] + 1);
+	CU_ASSERT_EQUAL(test->reboot_count, 2);
+	CU_ASSERT_STRING_EQUAL(test->reboot_target, "/instances/i1/reboot");
+	test_free(test);
+}
+
+/* Guards against a second reboot of an instance that is in service again. */
+static void test_reboot_given_up(void)
+{
+	static const char *const polls[] = { "{\"instances\":[]}", NULL };
+	static const unsigned int statuses[] = { 500, 200 };
+	struct list_test *test = test_new(polls);
+
+	test->serves_again = add_instance(test);
+	test->reboot_statuses = statuses;
+	ask_reboot(test);
+	bench_run(test->bench, EVENT_INSTANCE_LIST, 4);
+	CU_ASSERT_EQUAL(counted(test, "reboots_total{result=\"failed\"}"), 1);
+	CU_ASSERT_EQUAL(test->reboot_count, 1);
+	test_free(test);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "polls", test_polls },
+	{ "reboot_retried", test_reboot_retried },
+	{ "reboot_given_up", test_reboot_given_up },
+	CU_TEST_INFO_NULL,
+};
+
+static struct suite list_suite = { .name = "list_http", .tests = tests };
+
+SUITE_REGISTER(list_suite)
