--- a/src/decide/replay.c
+++ b/src/decide/replay.c
@@ -88,7 +88,8 @@
 		klog_debug(LOG_PREFIX,
 			   "record %" G_GUINT64_FORMAT " ignored: %s", offset,
 			   outcome.reason);
-	kernel_emit(replay->kernel, &changed);
+	/* Before the next record, which may be queued already, is applied. */
+	kernel_emit_next(replay->kernel, &changed);
 }
 
 static void count_waiting(struct replay *replay)
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -138,11 +138,17 @@
 	g_free(text);
 }
 
+/* node NAME [dc=DC] [only=PLUGIN,...]: all decision plug-ins, or some. */
 static void cmd_node(struct script *script)
 {
 	const char *dc = option(script, "dc");
+	const char *only = option(script, "only");
+	struct node *node =
+		world_add_node(script->world, word(script, 1), dc ? dc : "dc1");
 
-	world_start_node(script->world, word(script, 1), dc ? dc : "dc1");
+	if (only && !node->only)
+		node->only = g_strsplit(only, ",", -1);
+	world_start_node(script->world, node->name, "");
 }
 
 /* use NODE KIND PLUGIN: must come before the node is started again. */
@@ -177,19 +183,6 @@
 	g_array_append_val(node->settings->peers, peer);
 }
 
-/* only PLUGIN ...: nodes started later run these decision plug-ins alone. */
-static void cmd_only(struct script *script)
-{
-	for (uint32_t i = 1; i < script->word_count; i++) {
-		if (!plugin_find(PLUGIN_DECIDE, script->words[i]))
-			fail(script, "no decision plug-in is called \"%s\"",
-			     script->words[i]);
-		else
-			g_ptr_array_add(script->world->only,
-					g_strdup(script->words[i]));
-	}
-}
-
 static void cmd_start(struct script *script)
 {
 	struct node *node = node_at(script, 1);
@@ -451,13 +444,6 @@
 {
 	struct world *world = script->world;
 
-	for (uint32_t i = 1; i < script->word_count; i++) {
-		char **pair = g_strsplit(script->words[i], "=", 2);
-		struct endpoint *endpoint = world_endpoint(world, pair[0]);
-
-		endpoint->leaving_since_us = MAX(world->now_us, 1);
-		g_strfreev(pair);
-	}
 	for (guint i = 0; i < world->nodes->len; i++) {
 		struct node *node = world->nodes->pdata[i];
 		struct event event = { .type = EVENT_INSTANCE_LIST };
@@ -789,7 +775,7 @@
 }
 
 static const struct command commands[] = {
-	{ "only", 1, cmd_only },       { "agree", 0, cmd_agree },
+	{ "agree", 0, cmd_agree },
 	{ "apply", 2, cmd_apply },     { "at", 1, cmd_at },
 	{ "burst", 2, cmd_burst },     { "counter", 2, cmd_counter },
 	{ "cut", 2, cmd_cut },	       { "done", 3, cmd_done },
@@ -829,6 +815,7 @@
 		return;
 	}
 	if (!script_plan(script->world, script->words, script->errors) &&
+	    !script_slots(script->world, script->words) &&
 	    !script_feed(script->world, script->dir, script->words,
 			 script->errors))
 		fail(script, "no command is called \"%s\"", script->words[0]);
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -71,23 +71,14 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->member_counts =
 		g_tree_new_full(compare_names, NULL, g_free, g_free);
-	world->only = g_ptr_array_new_with_free_func(g_free);
 	world->output = g_string_new(NULL);
 	return world;
 }
 
 void world_free(struct world *world)
 {
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *node = world->nodes->pdata[i];
-
-		kernel_free(node->kernel);
-		settings_free(node->settings);
-		g_hash_table_unref(node->peer_cuts);
-		g_hash_table_unref(node->request_names);
-		g_hash_table_unref(node->relays);
-		g_free(node);
-	}
+	for (guint i = 0; i < world->nodes->len; i++)
+		node_free(world->nodes->pdata[i]);
 	g_ptr_array_unref(world->nodes);
 	g_sequence_free(world->schedule);
 	g_ptr_array_unref(world->log);
@@ -95,7 +86,6 @@
 	g_hash_table_unref(world->key_runs);
 	g_hash_table_unref(world->started);
 	g_tree_unref(world->member_counts);
-	g_ptr_array_unref(world->only);
 	g_string_free(world->output, TRUE);
 	g_free(world);
 }
@@ -123,17 +113,6 @@
 	g_string_append_c(world->output, '\n');
 }
 
-struct node *world_node(struct world *world, const char *name)
-{
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *node = world->nodes->pdata[i];
-
-		if (!strcmp(node->name, name))
-			return node;
-	}
-	return NULL;
-}
-
 struct endpoint *world_endpoint(struct world *world, const char *name)
 {
 	struct endpoint *endpoint = g_hash_table_lookup(world->endpoints, name);
@@ -174,6 +153,8 @@
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
 	kernel_run(node->kernel);
+	if (node->left)
+		world_kill_node(world, node);
 }
 
 void world_inject(struct world *world, struct node *node,
@@ -437,6 +418,15 @@
 		request_remove(kernel_requests(node->kernel),
 			       event->request.request_id);
 		break;
+	case EVENT_LEFT:
+		node->left = true;
+		break;
+	case EVENT_INSTANCE_LIST:
+		check_list(world, node, event);
+		break;
+	case EVENT_SLOTS_CHANGED:
+		check_allowed(world, event->name.name);
+		break;
 	case EVENT_INSTANCE_REBOOT:
 		check_reboot(world, node, event);
 		break;
@@ -463,44 +453,20 @@
 	.handle = fakes_handle,
 };
 
-static void start_decisions(const struct world *world, struct node *node)
-{
-	if (!world->only->len)
-		kernel_start_kind(node->kernel, PLUGIN_DECIDE);
-	for (guint i = 0; i < world->only->len; i++)
-		kernel_start_plugin(
-			node->kernel,
-			plugin_find(PLUGIN_DECIDE, world->only->pdata[i]));
-}
-
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc)
 {
-	struct node *node = world_node(world, name);
-
-	if (!node) {
-		node = g_new0(struct node, 1);
-		node->world = world;
-		name_copy(node->name, sizeof(node->name), name);
-		node->settings = settings_new();
-		name_copy(node->settings->entry, NAME_SIZE_BYTES, name);
-		name_copy(node->settings->dc, NAME_SIZE_BYTES, dc);
-		node->peer_cuts = g_hash_table_new_full(g_str_hash, g_str_equal,
-							g_free, NULL);
-		node->relays = g_hash_table_new_full(
-			g_int64_hash, g_int64_equal, g_free, g_free);
-		node->request_names = g_hash_table_new_full(
-			g_int64_hash, g_int64_equal, g_free, g_free);
-		g_ptr_array_add(world->nodes, node);
-	}
+	struct node *node = world_add_node(world, name, dc);
+
 	node->incarnation++;
 	node->read_offset = world->log_first_offset;
 	node->paused = false;
+	node->left = false;
 	node->kernel = kernel_new(node->settings, node->incarnation,
 				  world->seed + world->nodes->len);
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
-	start_decisions(world, node);
+	node_start_plugins(node);
 	kernel_start_plugin_with(node->kernel, &fakes_plugin, node);
 	world_inject(world, node, &(struct event){ .type = EVENT_STARTED });
 	world_announce_log(world);
@@ -513,6 +479,8 @@
 	kernel_free(node->kernel);
 	node->kernel = NULL;
 	g_hash_table_remove_all(node->request_names);
+	g_hash_table_remove_all(node->listed);
+	g_hash_table_remove_all(node->leaving);
 	g_hash_table_remove_all(node->relays);
 }
 
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -19,6 +19,7 @@
 	struct kernel *kernel; /* NULL after a kill */
 	uint64_t incarnation;
 	bool paused;
+	bool left; /* the process has ended itself; the kernel is freed next */
 	bool log_cut;	       /* can't reach the log or the list */
 	int64_t skew_us;       /* wall clock ahead of the world's */
 	uint64_t read_offset;  /* next offset that the log client hands out */
@@ -27,6 +28,9 @@
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
 	GHashTable *relays;	   /* request id -> struct relay */
+	GHashTable *listed;	   /* names that a list has shown to it */
+	GHashTable *leaving;	   /* name -> time since which it knows */
+	char **only; /* the decision plug-ins that it runs; NULL: all */
 };
 
 enum endpoint_mode {
@@ -44,7 +48,6 @@
 	enum endpoint_mode mode;
 	int64_t service_us;
 	uint32_t running_count;
-	int64_t leaving_since_us; /* 0: not leaving */
 	int64_t rebooted_us;	  /* latest order to reboot; 0: none */
 	bool off;		  /* not on the platform's list */
 };
@@ -67,7 +70,6 @@
 	enum endpoint_mode mode; /* default mode */
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
-	GPtrArray *only; /* of char *: decision plug-ins to start; empty: all */
 	uint64_t printed; /* EVENT_BIT() of the types that are printed */
 	uint64_t skipped; /* bits of the record kinds that are not printed */
 	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
@@ -84,6 +86,10 @@
 
 struct node *world_node(struct world *world, const char *name);
 
+/* Adds a node without starting it; an existing one is left as it is. */
+struct node *world_add_node(struct world *world, const char *name,
+			    const char *dc);
+
 /* Adds and starts a node, or starts a killed one again. */
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc);
@@ -121,6 +127,10 @@
 void world_print(struct world *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
+/* node.c */
+void node_free(struct node *node);
+void node_start_plugins(struct node *node);
+
 /* print.c: one line for an event that a node emitted. */
 void print_event(struct world *world, struct node *node,
 		 const struct event *event);
@@ -138,6 +148,9 @@
 		const struct event *event);
 void check_reply(struct world *world, struct node *node,
 		 const struct event *event);
+void check_list(struct world *world, struct node *node,
+		const struct event *event);
+void check_allowed(struct world *world, const char *endpoint);
 void check_reboot(struct world *world, struct node *node,
 		  const struct event *event);
 void check_applied(struct world *world, struct node *node,
@@ -158,6 +171,12 @@
  * none of that name.
  */
 bool script_plan(struct world *world, gchar **words, GPtrArray *errors);
+/* script_slots.c: like script_feed(). */
+bool script_slots(struct world *world, gchar **words);
+
+/* random.c: random faults and requests from a seed. */
+void random_run(struct world *world, uint32_t seed, uint32_t step_count,
+		bool trace);
 
 /* script.c: runs a script; the output is in world->output. */
 struct world *script_run(const char *path, GPtrArray *errors);
