--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -77,16 +77,8 @@
 
 void world_free(struct world *world)
 {
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *node = world->nodes->pdata[i];
-
-		kernel_free(node->kernel);
-		settings_free(node->settings);
-		g_hash_table_unref(node->peer_cuts);
-		g_hash_table_unref(node->request_names);
-		g_hash_table_unref(node->relays);
-		g_free(node);
-	}
+	for (guint i = 0; i < world->nodes->len; i++)
+		node_free(world->nodes->pdata[i]);
 	g_ptr_array_unref(world->nodes);
 	g_sequence_free(world->schedule);
 	g_ptr_array_unref(world->log);
@@ -121,17 +113,6 @@
 	g_string_append_c(world->output, '\n');
 }
 
-struct node *world_node(struct world *world, const char *name)
-{
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *node = world->nodes->pdata[i];
-
-		if (!strcmp(node->name, name))
-			return node;
-	}
-	return NULL;
-}
-
 struct endpoint *world_endpoint(struct world *world, const char *name)
 {
 	struct endpoint *endpoint = g_hash_table_lookup(world->endpoints, name);
@@ -464,23 +445,8 @@
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc)
 {
-	struct node *node = world_node(world, name);
-
-	if (!node) {
-		node = g_new0(struct node, 1);
-		node->world = world;
-		name_copy(node->name, sizeof(node->name), name);
-		node->settings = settings_new();
-		name_copy(node->settings->entry, NAME_SIZE_BYTES, name);
-		name_copy(node->settings->dc, NAME_SIZE_BYTES, dc);
-		node->peer_cuts = g_hash_table_new_full(g_str_hash, g_str_equal,
-							g_free, NULL);
-		node->relays = g_hash_table_new_full(
-			g_int64_hash, g_int64_equal, g_free, g_free);
-		node->request_names = g_hash_table_new_full(
-			g_int64_hash, g_int64_equal, g_free, g_free);
-		g_ptr_array_add(world->nodes, node);
-	}
+	struct node *node = world_add_node(world, name, dc);
+
 	node->incarnation++;
 	node->read_offset = world->log_first_offset;
 	node->paused = false;
@@ -488,7 +454,7 @@
 				  world->seed + world->nodes->len);
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
-	kernel_start_kind(node->kernel, PLUGIN_DECIDE);
+	node_start_plugins(node);
 	kernel_start_plugin_with(node->kernel, &fakes_plugin, node);
 	world_inject(world, node, &(struct event){ .type = EVENT_STARTED });
 	world_announce_log(world);
