--- a/src/codec/peer_codec.c
+++ b/src/codec/peer_codec.c
@@ -44,6 +44,7 @@
 		loads[i].free_slots_count = load->free_slots_count;
 		loads[i].queued_count = load->queued_count;
 		loads[i].wait_us = load->wait_us;
+		loads[i].demand_us_per_s = load->demand_us_per_s;
 		pointers[i] = &loads[i];
 	}
 	to->n_loads = from->len;
@@ -109,11 +110,12 @@
 			.free_slots_count = from->loads[i]->free_slots_count,
 			.queued_count = from->loads[i]->queued_count,
 			.wait_us = from->loads[i]->wait_us,
+			.demand_us_per_s = from->loads[i]->demand_us_per_s,
 		};
 
 		if (!body_name(load.pool, sizeof(load.pool),
 			       from->loads[i]->pool) ||
-		    load.wait_us < 0)
+		    load.wait_us < 0 || load.demand_us_per_s < 0)
 			return false;
 		g_array_append_val(to->loads, load);
 	}
--- a/src/codec/proto/peer.pb-c.c
+++ b/src/codec/proto/peer.pb-c.c
@@ -142,7 +142,7 @@
   assert(message->base.descriptor == &pl__peer_frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pl__pool_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pl__pool_load__field_descriptors[5] =
 {
   {
     "pool",
@@ -192,8 +192,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand_us_per_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pl__PoolLoad, demand_us_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pl__pool_load__field_indices_by_name[] = {
+  4,   /* field[4] = demand_us_per_s */
   1,   /* field[1] = free_slots_count */
   0,   /* field[0] = pool */
   2,   /* field[2] = queued_count */
@@ -202,7 +215,7 @@
 static const ProtobufCIntRange pl__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pl__pool_load__descriptor =
 {
@@ -212,7 +225,7 @@
   "Pl__PoolLoad",
   "pl",
   sizeof(Pl__PoolLoad),
-  4,
+  5,
   pl__pool_load__field_descriptors,
   pl__pool_load__field_indices_by_name,
   1,  pl__pool_load__number_ranges,
--- a/src/codec/proto/peer.pb-c.h
+++ b/src/codec/proto/peer.pb-c.h
@@ -32,10 +32,11 @@
   uint32_t free_slots_count;
   uint32_t queued_count;
   int64_t wait_us;
+  int64_t demand_us_per_s;
 };
 #define PL__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pl__pool_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Pl__PeerMsg
--- a/test/unit/codec.c
+++ b/test/unit/codec.c
@@ -509,6 +509,7 @@
 		.free_slots_count = 4,
 		.queued_count = 5,
 		.wait_us = 6,
+		.demand_us_per_s = 10,
 	};
 
 	name_copy(msg->from, sizeof(msg->from), "e1");
