--- a/test/runner/print.c
+++ b/test/runner/print.c
@@ -234,16 +234,16 @@
 	case EVENT_CLAIM_DECIDED:
 		add_claim(line, node, &event->claim);
 		break;
+	case EVENT_FLEET_RESET:
+		g_string_append_printf(line, " @%" G_GUINT64_FORMAT,
+				       event->name.offset);
+		break;
 	case EVENT_TASK_START:
 	case EVENT_TASK_CHECKPOINT:
 	case EVENT_TASK_STOP:
 	case EVENT_TASK_REPORT:
 		add_task(line, event);
 		break;
-	case EVENT_FLEET_RESET:
-		g_string_append_printf(line, " @%" G_GUINT64_FORMAT,
-				       event->name.offset);
-		break;
 	case EVENT_INSTANCE_REBOOT:
 	case EVENT_ROLE_CHANGED:
 	case EVENT_SLOTS_CHANGED:
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -183,6 +183,19 @@
 	g_array_append_val(node->settings->peers, peer);
 }
 
+/* only PLUGIN ...: nodes started later run these decision plug-ins alone. */
+static void cmd_only(struct script *script)
+{
+	for (uint32_t i = 1; i < script->word_count; i++) {
+		if (!plugin_find(PLUGIN_DECIDE, script->words[i]))
+			fail(script, "no decision plug-in is called \"%s\"",
+			     script->words[i]);
+		else
+			g_ptr_array_add(script->world->only,
+					g_strdup(script->words[i]));
+	}
+}
+
 static void cmd_start(struct script *script)
 {
 	struct node *node = node_at(script, 1);
@@ -782,37 +795,22 @@
 }
 
 static const struct command commands[] = {
-	{ "agree", 0, cmd_agree },
-	{ "apply", 2, cmd_apply },
-	{ "at", 1, cmd_at },
-	{ "burst", 2, cmd_burst },
-	{ "counter", 2, cmd_counter },
-	{ "cut", 2, cmd_cut },
-	{ "done", 3, cmd_done },
-	{ "drain", 1, cmd_drain },
-	{ "endpoint", 2, cmd_endpoint },
-	{ "gone", 2, cmd_gone },
-	{ "heal", 2, cmd_heal },
-	{ "hide", 0, cmd_hide },
-	{ "kill", 1, cmd_kill },
-	{ "know", 2, cmd_know },
-	{ "list", 0, cmd_list },
-	{ "log", 1, cmd_log },
-	{ "node", 1, cmd_node },
-	{ "members", 0, cmd_members },
-	{ "note", 1, cmd_note },
-	{ "pause", 1, cmd_pause },
-	{ "print", 1, cmd_print },
-	{ "propose", 2, cmd_propose },
-	{ "repeat", 3, cmd_repeat },
-	{ "request", 2, cmd_request },
-	{ "reset", 0, cmd_reset },
-	{ "resume", 1, cmd_resume },
-	{ "skew", 2, cmd_skew },
-	{ "start", 1, cmd_start },
-	{ "state", 1, cmd_state },
-	{ "totals", 0, cmd_totals },
-	{ "use", 3, cmd_use },
+	{ "only", 1, cmd_only },       { "agree", 0, cmd_agree },
+	{ "apply", 2, cmd_apply },     { "at", 1, cmd_at },
+	{ "burst", 2, cmd_burst },     { "counter", 2, cmd_counter },
+	{ "cut", 2, cmd_cut },	       { "done", 3, cmd_done },
+	{ "drain", 1, cmd_drain },     { "endpoint", 2, cmd_endpoint },
+	{ "gone", 2, cmd_gone },       { "heal", 2, cmd_heal },
+	{ "hide", 0, cmd_hide },       { "kill", 1, cmd_kill },
+	{ "know", 2, cmd_know },       { "list", 0, cmd_list },
+	{ "log", 1, cmd_log },	       { "node", 1, cmd_node },
+	{ "members", 0, cmd_members }, { "note", 1, cmd_note },
+	{ "pause", 1, cmd_pause },     { "print", 1, cmd_print },
+	{ "propose", 2, cmd_propose }, { "repeat", 3, cmd_repeat },
+	{ "request", 2, cmd_request }, { "reset", 0, cmd_reset },
+	{ "resume", 1, cmd_resume },   { "skew", 2, cmd_skew },
+	{ "start", 1, cmd_start },     { "state", 1, cmd_state },
+	{ "totals", 0, cmd_totals },   { "use", 3, cmd_use },
 	{ "wait", 1, cmd_wait },
 };
 
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -71,6 +71,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->member_counts =
 		g_tree_new_full(compare_names, NULL, g_free, g_free);
+	world->only = g_ptr_array_new_with_free_func(g_free);
 	world->output = g_string_new(NULL);
 	return world;
 }
@@ -86,6 +87,7 @@
 	g_hash_table_unref(world->key_runs);
 	g_hash_table_unref(world->started);
 	g_tree_unref(world->member_counts);
+	g_ptr_array_unref(world->only);
 	g_string_free(world->output, TRUE);
 	g_free(world);
 }
@@ -442,6 +444,16 @@
 	.handle = fakes_handle,
 };
 
+static void start_decisions(const struct world *world, struct node *node)
+{
+	if (!world->only->len)
+		kernel_start_kind(node->kernel, PLUGIN_DECIDE);
+	for (guint i = 0; i < world->only->len; i++)
+		kernel_start_plugin(
+			node->kernel,
+			plugin_find(PLUGIN_DECIDE, world->only->pdata[i]));
+}
+
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc)
 {
@@ -454,7 +466,10 @@
 				  world->seed + world->nodes->len);
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
-	node_start_plugins(node);
+	if (node->only)
+		node_start_plugins(node);
+	else
+		start_decisions(world, node);
 	kernel_start_plugin_with(node->kernel, &fakes_plugin, node);
 	world_inject(world, node, &(struct event){ .type = EVENT_STARTED });
 	world_announce_log(world);
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -68,7 +68,8 @@
 	enum endpoint_mode mode; /* default mode */
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
-	uint64_t printed;	 /* EVENT_BIT() of the types that are printed */
+	GPtrArray *only; /* of char *: decision plug-ins to start; empty: all */
+	uint64_t printed; /* EVENT_BIT() of the types that are printed */
 	uint64_t skipped; /* bits of the record kinds that are not printed */
 	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
 	bool quiet;
