--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -48,8 +48,8 @@
 	enum endpoint_mode mode;
 	int64_t service_us;
 	uint32_t running_count;
-	int64_t rebooted_us;	  /* latest order to reboot; 0: none */
-	bool off;		  /* not on the platform's list */
+	int64_t rebooted_us; /* latest order to reboot; 0: none */
+	bool off;	     /* not on the platform's list */
 };
 
 struct world {
@@ -70,7 +70,7 @@
 	enum endpoint_mode mode; /* default mode */
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
-	uint64_t printed; /* EVENT_BIT() of the types that are printed */
+	uint64_t printed;	 /* EVENT_BIT() of the types that are printed */
 	uint64_t skipped; /* bits of the record kinds that are not printed */
 	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
 	bool quiet;
