--- a/src/core/peer_msg.h
+++ b/src/core/peer_msg.h
@@ -32,7 +32,8 @@
 	char pool[NAME_SIZE_BYTES];
 	uint32_t free_slots_count;
 	uint32_t queued_count;
-	int64_t wait_us; /* expected wait of a new request */
+	int64_t wait_us;	 /* expected wait of a new request */
+	int64_t demand_us_per_s; /* slot time asked of the sender per second */
 };
 
 struct peer_msg {
--- a/test/runner/script_feed.c
+++ b/test/runner/script_feed.c
@@ -108,32 +108,6 @@
 	world_inject(feed->world, node, &event);
 }
 
-/* claim NODE REQUEST yes|no: decides as once would. */
-static void feed_claim(struct feed *feed)
-{
-	struct node *node = running_node(feed);
-	struct event event = { .type = EVENT_CLAIM_DECIDED };
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-
-	if (!node)
-		return;
-	g_hash_table_iter_init(&iter, node->request_names);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		if (!strcmp(value, feed->words[2]))
-			event.claim.request_id = *(uint64_t *)key;
-	}
-	event.claim.may_run = !strcmp(feed->words[3], "yes");
-	if (!event.claim.may_run) {
-		event.claim.verdict = VERDICT_MAY_HAVE_RUN;
-		event.claim.status = 409;
-		g_strlcpy(event.claim.reason, "the key is claimed",
-			  REASON_SIZE_BYTES);
-	}
-	world_inject(feed->world, node, &event);
-}
-
 /* load NODE PEER DC POOL free=N wait_ms=N: a heartbeat of the peer. */
 static void feed_load(struct feed *feed)
 {
@@ -209,9 +183,9 @@
 	uint32_t least_count; /* words after the name */
 	void (*run)(struct feed *feed);
 } commands[] = {
-	{ "claim", 3, feed_claim }, { "grant", 3, feed_grant },
-	{ "load", 4, feed_load },   { "mark", 2, feed_mark },
-	{ "peer", 3, feed_peer },   { "stream", 4, feed_stream },
+	{ "grant", 3, feed_grant },   { "load", 4, feed_load },
+	{ "mark", 2, feed_mark },     { "peer", 3, feed_peer },
+	{ "stream", 4, feed_stream },
 };
 
 bool script_feed(struct world *world, const char *dir, gchar **words,
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -182,6 +182,7 @@
 		struct event event = {
 			.type = EVENT_LOG_RECORD,
 			.record = { .offset = node->read_offset,
+				    .previous_offset = node->read_offset - 1,
 				    .record = record_ref(record) },
 		};
 
@@ -429,6 +430,14 @@
 	case EVENT_INSTANCE_REBOOT:
 		check_reboot(world, node, event);
 		break;
+	case EVENT_TASK_START:
+	case EVENT_TASK_CHECKPOINT:
+	case EVENT_TASK_STOP:
+		check_order(world, node);
+		break;
+	case EVENT_LOG_RECORD:
+		check_applied(world, node, event);
+		break;
 	case EVENT_FLEET_CHANGED:
 		check_fleet(world, node, event);
 		break;
