--- a/src/core/fleet_config.c
+++ b/src/core/fleet_config.c
@@ -293,7 +293,8 @@
 	bool valid = decl_check(files, errors);
 
 	if (!valid)
-		fleet_ignore(outcome, "%s", (const char *)errors->pdata[0]);
+		valid = fleet_ignore(outcome, "%s",
+				     (const char *)errors->pdata[0]);
 	else
 		valid = check_state(fleet, files, outcome);
 	g_ptr_array_unref(errors);
