--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -44,6 +44,12 @@
 	record_unref(data);
 }
 
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
 struct world *world_new(uint32_t seed)
 {
 	struct world *world = g_new0(struct world, 1);
@@ -63,27 +69,23 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->started =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->member_counts =
+		g_tree_new_full(compare_names, NULL, g_free, g_free);
 	world->output = g_string_new(NULL);
 	return world;
 }
 
 void world_free(struct world *world)
 {
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *node = world->nodes->pdata[i];
-
-		kernel_free(node->kernel);
-		settings_free(node->settings);
-		g_hash_table_unref(node->peer_cuts);
-		g_hash_table_unref(node->request_names);
-		g_free(node);
-	}
+	for (guint i = 0; i < world->nodes->len; i++)
+		node_free(world->nodes->pdata[i]);
 	g_ptr_array_unref(world->nodes);
 	g_sequence_free(world->schedule);
 	g_ptr_array_unref(world->log);
 	g_hash_table_unref(world->endpoints);
 	g_hash_table_unref(world->key_runs);
 	g_hash_table_unref(world->started);
+	g_tree_unref(world->member_counts);
 	g_string_free(world->output, TRUE);
 	g_free(world);
 }
@@ -111,17 +113,6 @@
 	g_string_append_c(world->output, '\n');
 }
 
-struct node *world_node(struct world *world, const char *name)
-{
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *node = world->nodes->pdata[i];
-
-		if (!strcmp(node->name, name))
-			return node;
-	}
-	return NULL;
-}
-
 struct endpoint *world_endpoint(struct world *world, const char *name)
 {
 	struct endpoint *endpoint = g_hash_table_lookup(world->endpoints, name);
@@ -162,6 +153,8 @@
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
 	kernel_run(node->kernel);
+	if (node->left)
+		world_kill_node(world, node);
 }
 
 void world_inject(struct world *world, struct node *node,
@@ -283,6 +276,10 @@
 		world_endpoint(world, event->attempt.endpoint);
 	int64_t left_us = event->attempt.deadline_us - world->now_us - 1;
 
+	if (event->attempt.relayed) {
+		relay_send(world, node, event);
+		return;
+	}
 	check_send(world, node, event);
 	if (endpoint->mode == ENDPOINT_REFUSE) {
 		end_attempt(world, node, event, FAIL_US, ATTEMPT_REFUSED, 0);
@@ -340,6 +337,15 @@
 {
 	GSequenceIter *at = g_sequence_get_begin_iter(world->schedule);
 
+	if (event->attempt.relayed) {
+		relay_cancel(world, node, event);
+		return;
+	}
+	if (world_endpoint(world, event->attempt.endpoint)->mode ==
+	    ENDPOINT_MANUAL) {
+		end_attempt(world, node, event, 0, ATTEMPT_CANCELLED, 0);
+		return;
+	}
 	for (; !g_sequence_iter_is_end(at); at = g_sequence_iter_next(at)) {
 		const struct scheduled *item = g_sequence_get(at);
 
@@ -408,9 +414,19 @@
 		break;
 	case EVENT_REQUEST_REPLY:
 		check_reply(world, node, event);
+		relay_reply(world, node, event);
 		request_remove(kernel_requests(node->kernel),
 			       event->request.request_id);
 		break;
+	case EVENT_LEFT:
+		node->left = true;
+		break;
+	case EVENT_INSTANCE_LIST:
+		check_list(world, node, event);
+		break;
+	case EVENT_SLOTS_CHANGED:
+		check_allowed(world, event->name.name);
+		break;
 	case EVENT_INSTANCE_REBOOT:
 		check_reboot(world, node, event);
 		break;
@@ -432,29 +448,17 @@
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc)
 {
-	struct node *node = world_node(world, name);
-
-	if (!node) {
-		node = g_new0(struct node, 1);
-		node->world = world;
-		name_copy(node->name, sizeof(node->name), name);
-		node->settings = settings_new();
-		name_copy(node->settings->entry, NAME_SIZE_BYTES, name);
-		name_copy(node->settings->dc, NAME_SIZE_BYTES, dc);
-		node->peer_cuts = g_hash_table_new_full(g_str_hash, g_str_equal,
-							g_free, NULL);
-		node->request_names = g_hash_table_new_full(
-			g_int64_hash, g_int64_equal, g_free, g_free);
-		g_ptr_array_add(world->nodes, node);
-	}
+	struct node *node = world_add_node(world, name, dc);
+
 	node->incarnation++;
 	node->read_offset = world->log_first_offset;
 	node->paused = false;
+	node->left = false;
 	node->kernel = kernel_new(node->settings, node->incarnation,
 				  world->seed + world->nodes->len);
 	kernel_set_time(node->kernel, world->now_us + 1,
 			world->wall_start_us + world->now_us + node->skew_us);
-	kernel_start_kind(node->kernel, PLUGIN_DECIDE);
+	node_start_plugins(node);
 	kernel_start_plugin_with(node->kernel, &fakes_plugin, node);
 	world_inject(world, node, &(struct event){ .type = EVENT_STARTED });
 	world_announce_log(world);
@@ -467,6 +471,9 @@
 	kernel_free(node->kernel);
 	node->kernel = NULL;
 	g_hash_table_remove_all(node->request_names);
+	g_hash_table_remove_all(node->listed);
+	g_hash_table_remove_all(node->leaving);
+	g_hash_table_remove_all(node->relays);
 }
 
 void world_set_paused(struct world *world, struct node *node, bool paused)
