Add contract tests of the callers' front end

Cause: the front end was only tried by hand.

Change: tests drive the real plug-in through raw sockets on one libev loop: a table of requests with parts of the expected answers, bounds, pipelining, disconnects, draining, unfinished requests, slow senders and readers, and the number of loop turns while idle. The time for slow clients became a limit that the front end gives, so that the tests use 50 ms. Ephemeral ports are found through the gauge listening_port.

--- a/src/io/front_http.c
+++ b/src/io/front_http.c
@@ -8,6 +8,7 @@
 
 #define LOG_PREFIX "front"
 #define BODY_MAX_BYTES (UINT64_C(1024) * 1024)
+#define SLOW_CLIENT_US (30 * USEC_PER_SEC)
 #define CONNECTIONS_MAX_COUNT 1024
 #define DEADLINE_MAX_MS (UINT64_C(24) * 3600 * 1000)
 #define DRAIN_RETRY_AFTER_US USEC_PER_SEC
@@ -232,6 +233,7 @@
 	const struct httpd_limits limits = {
 		.body_max_bytes = BODY_MAX_BYTES,
 		.connections_max_count = CONNECTIONS_MAX_COUNT,
+		.slow_client_us = SLOW_CLIENT_US,
 	};
 	struct front *front = g_new0(struct front, 1);
 
@@ -245,6 +247,9 @@
 	}
 	front->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, NULL);
+	counter_set(kernel_counters(kernel),
+		    "listening_port{interface=\"callers\"}",
+		    httpd_port(front->httpd));
 	klog_info(LOG_PREFIX, "callers are served on port %u",
 		  httpd_port(front->httpd));
 	return front;
--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -20,7 +20,6 @@
  * not libmicrohttpd's own.
  */
 #define CONNECTION_MEMORY_BYTES 49152
-#define SLOW_CLIENT_US (30 * USEC_PER_SEC)
 /* A body over the bound is read and dropped up to here, so that a client that
  * sends it all before it reads gets the answer and not a reset connection.
  */
@@ -152,7 +151,7 @@
 static void set_deadline(struct conn *conn)
 {
 	clear_deadline(conn);
-	conn->deadline_us = now_us() + SLOW_CLIENT_US;
+	conn->deadline_us = now_us() + conn->httpd->limits.slow_client_us;
 	g_queue_push_tail_link(&conn->httpd->deadlines, &conn->link);
 	arm_deadline(conn->httpd);
 }
@@ -174,24 +173,22 @@
  * libmicrohttpd takes no answer before a request is complete, so this one
  * goes to the socket directly. Nothing else was sent for this request.
  */
-static void send_timeout(const struct conn *conn)
+static void refuse_directly(const struct conn *conn, const char *status,
+			    const char *reason)
 {
-	char *body = refusal_text("the request took longer than 30 s",
-				  VERDICT_NOT_RUN, NULL);
+	char *body = refusal_text(reason, VERDICT_NOT_RUN, NULL);
 	char *text;
-	ssize_t sent;
 
 	if (!body)
 		return;
-	text = g_strdup_printf("HTTP/1.1 408 Request Timeout\r\n"
+	text = g_strdup_printf("HTTP/1.1 %s\r\n"
 			       "Connection: close\r\n"
 			       "Content-Type: application/json\r\n"
 			       "Pl-Verdict: not-run\r\n"
 			       "Content-Length: %zu\r\n\r\n%s",
-			       strlen(body), body);
-	sent = send(conn->fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL);
-	if (sent < 0)
-		klog_debug(LOG_PREFIX, "could not send status 408: %s",
+			       status, strlen(body), body);
+	if (send(conn->fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+		klog_debug(LOG_PREFIX, "could not send status %s: %s", status,
 			   g_strerror(errno));
 	g_free(text);
 	free(body);
@@ -205,7 +202,8 @@
 
 	clear_deadline(conn);
 	if (receiving)
-		send_timeout(conn);
+		refuse_directly(conn, "408 Request Timeout",
+				"the request took too long to arrive");
 	/* libmicrohttpd sees the end of the stream and closes it. */
 	shutdown(conn->fd, SHUT_RDWR);
 }
@@ -542,8 +540,11 @@
 			       size_t size_bytes)
 {
 	exchange->received_bytes += size_bytes;
-	if (exchange->received_bytes > DISCARD_MAX_BYTES)
+	if (exchange->received_bytes > DISCARD_MAX_BYTES) {
+		refuse_directly(exchange->conn, "413 Content Too Large",
+				"the body is far too large");
 		return MHD_NO;
+	}
 	if (exchange->received_bytes >
 	    exchange->conn->httpd->limits.body_max_bytes) {
 		exchange->too_large = true;
--- a/src/io/mhd_loop.h
+++ b/src/io/mhd_loop.h
@@ -18,6 +18,8 @@
 struct httpd_limits {
 	uint64_t body_max_bytes;
 	uint32_t connections_max_count;
+	/* Time to send the headers, the body, or to read the answer. */
+	int64_t slow_client_us;
 };
 
 struct httpd_ops {
--- a/src/io/operator_http.c
+++ b/src/io/operator_http.c
@@ -9,6 +9,7 @@
 
 #define LOG_PREFIX "operator"
 #define BODY_MAX_BYTES (UINT64_C(1024) * 1024)
+#define SLOW_CLIENT_US (30 * USEC_PER_SEC)
 #define CONNECTIONS_MAX_COUNT 64
 
 struct operator
@@ -412,6 +413,7 @@
 	const struct httpd_limits limits = {
 		.body_max_bytes = BODY_MAX_BYTES,
 		.connections_max_count = CONNECTIONS_MAX_COUNT,
+		.slow_client_us = SLOW_CLIENT_US,
 	};
 	struct operator* operator= g_new0(struct operator, 1);
 
@@ -425,6 +427,9 @@
 	if (!operator->httpd)
 		goto fail;
 	operator->changes = g_ptr_array_new_with_free_func(change_free);
+	counter_set(kernel_counters(kernel),
+		    "listening_port{interface=\"operators\"}",
+		    httpd_port(operator->httpd));
 	klog_info(LOG_PREFIX, "operators are served on port %u",
 		  httpd_port(operator->httpd));
 	return operator;
--- /dev/null
+++ b/test/contract/contract.c
@@ -0,0 +1,294 @@
+#include "contract/contract.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "codec/decl_yaml.h"
+
+#define SAFETY_STOP_S 60.
+#define IDLE_S 0.05
+
+struct contract *contract_new(void)
+{
+	struct contract *contract = g_new0(struct contract, 1);
+	struct settings *settings = settings_new();
+	int fd =
+		g_file_open_tmp("contract-XXXXXX", &contract->token_path, NULL);
+
+	CU_ASSERT_FATAL(fd >= 0);
+	close(fd);
+	g_file_set_contents(contract->token_path, CONTRACT_TOKEN "\n", -1,
+			    NULL);
+	name_copy(settings->entry, sizeof(settings->entry), "e1");
+	name_copy(settings->caller_address, sizeof(settings->caller_address),
+		  "127.0.0.1:0");
+	name_copy(settings->operator_address,
+		  sizeof(settings->operator_address), "127.0.0.1:0");
+	name_copy(settings->token_file, sizeof(settings->token_file),
+		  contract->token_path);
+	contract->settings = settings;
+	contract->kernel = kernel_new(settings, 7, 1);
+	contract->loop = loop_new(contract->kernel);
+	contract->ev = kernel_loop(contract->kernel);
+	return contract;
+}
+
+void contract_free(struct contract *contract)
+{
+	kernel_free(contract->kernel);
+	loop_free(contract->loop);
+	settings_free(contract->settings);
+	unlink(contract->token_path);
+	g_free(contract->token_path);
+	g_free(contract);
+}
+
+void contract_start(struct contract *contract, enum plugin_kind kind,
+		    const char *name)
+{
+	const struct plugin *plugin = plugin_find(kind, name);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(plugin);
+	CU_ASSERT_TRUE_FATAL(kernel_start_plugin(contract->kernel, plugin));
+}
+
+uint16_t contract_caller_port(struct contract *contract)
+{
+	return (uint16_t)counter_get(kernel_counters(contract->kernel),
+				     "listening_port{interface=\"callers\"}");
+}
+
+uint16_t contract_operator_port(struct contract *contract)
+{
+	return (uint16_t)counter_get(kernel_counters(contract->kernel),
+				     "listening_port{interface=\"operators\"}");
+}
+
+void contract_declare(struct contract *contract, const char *name,
+		      const char *text)
+{
+	struct fleet *fleet = kernel_fleet(contract->kernel);
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	struct record *record = record_new(RECORD_CONFIG_PUT);
+	struct fleet_outcome outcome;
+
+	name_copy(record->id.entry, sizeof(record->id.entry), "test");
+	record->id.incarnation = 1;
+	record->id.sequence = fleet_offset(fleet) + 1;
+	name_copy(record->config.file, sizeof(record->config.file), name);
+	fleet_file(fleet, name, &record->config.base_offset);
+	record->config.decl =
+		decl_parse(name, text, strlen(text), false, errors);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(record->config.decl);
+	CU_ASSERT_TRUE_FATAL(
+		fleet_apply(fleet, fleet_offset(fleet) + 1, record, &outcome));
+	record_unref(record);
+	g_ptr_array_unref(errors);
+}
+
+struct until {
+	bool (*holds)(const void *data);
+	const void *data;
+	bool held;
+};
+
+/* Runs after the kernel has delivered its events and before the loop waits. */
+static void on_prepare(struct ev_loop *ev, ev_prepare *watcher, int revents)
+{
+	struct until *until = watcher->data;
+
+	(void)revents;
+	until->held = until->holds(until->data);
+	if (until->held)
+		ev_break(ev, EVBREAK_ALL);
+}
+
+static void on_stop(struct ev_loop *ev, ev_timer *watcher, int revents)
+{
+	(void)watcher;
+	(void)revents;
+	ev_break(ev, EVBREAK_ALL);
+}
+
+static void run_for(struct ev_loop *ev, double time_s)
+{
+	ev_timer stop;
+
+	ev_timer_init(&stop, on_stop, time_s, 0.);
+	ev_now_update(ev);
+	ev_timer_start(ev, &stop);
+	ev_run(ev, 0);
+	ev_timer_stop(ev, &stop);
+}
+
+bool contract_until(struct ev_loop *ev, bool (*holds)(const void *data),
+		    const void *data)
+{
+	struct until until = { .holds = holds, .data = data };
+	ev_prepare prepare;
+
+	ev_prepare_init(&prepare, on_prepare);
+	ev_set_priority(&prepare, EV_MINPRI);
+	prepare.data = &until;
+	ev_prepare_start(ev, &prepare);
+	run_for(ev, SAFETY_STOP_S);
+	ev_prepare_stop(ev, &prepare);
+	return until.held;
+}
+
+uint32_t contract_idle_turns(struct ev_loop *ev)
+{
+	unsigned int before = ev_iteration(ev);
+
+	run_for(ev, IDLE_S);
+	return ev_iteration(ev) - before;
+}
+
+static void on_readable(struct ev_loop *ev, ev_io *watcher, int revents)
+{
+	struct wire *wire = watcher->data;
+	char data[65536];
+	ssize_t size = recv(watcher->fd, data, sizeof(data), 0);
+
+	(void)revents;
+	if (size > 0) {
+		g_string_append_len(wire->received, data, size);
+		return;
+	}
+	if (size < 0 && errno == EAGAIN)
+		return;
+	wire->closed = true;
+	ev_io_stop(ev, watcher);
+}
+
+static void on_writable(struct ev_loop *ev, ev_io *watcher, int revents)
+{
+	struct wire *wire = watcher->data;
+	ssize_t size = send(watcher->fd, wire->sent->str, wire->sent->len,
+			    MSG_NOSIGNAL);
+
+	(void)revents;
+	if (size > 0)
+		g_string_erase(wire->sent, 0, size);
+	else if (errno != EAGAIN)
+		g_string_truncate(wire->sent, 0);
+	if (!wire->sent->len)
+		ev_io_stop(ev, watcher);
+}
+
+struct wire *wire_new(struct ev_loop *ev, int fd)
+{
+	struct wire *wire = g_new0(struct wire, 1);
+
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+	wire->ev = ev;
+	wire->sent = g_string_new(NULL);
+	wire->received = g_string_new(NULL);
+	ev_io_init(&wire->reader, on_readable, fd, EV_READ);
+	wire->reader.data = wire;
+	ev_io_start(ev, &wire->reader);
+	ev_io_init(&wire->writer, on_writable, fd, EV_WRITE);
+	wire->writer.data = wire;
+	return wire;
+}
+
+static struct sockaddr_in loopback(uint16_t port)
+{
+	return (struct sockaddr_in){
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+}
+
+struct wire *wire_connect(struct ev_loop *ev, uint16_t port)
+{
+	struct sockaddr_in to = loopback(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	CU_ASSERT_FATAL(fd >= 0);
+	CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&to, sizeof(to)),
+			      0);
+	return wire_new(ev, fd);
+}
+
+void wire_free(struct wire *wire)
+{
+	ev_io_stop(wire->ev, &wire->reader);
+	ev_io_stop(wire->ev, &wire->writer);
+	close(wire->reader.fd);
+	g_string_free(wire->sent, TRUE);
+	g_string_free(wire->received, TRUE);
+	g_free(wire);
+}
+
+void wire_send(struct wire *wire, const char *data, size_t size_bytes)
+{
+	g_string_append_len(wire->sent, data, (gssize)size_bytes);
+	ev_io_start(wire->ev, &wire->writer);
+}
+
+bool wire_has_message(const struct wire *wire)
+{
+	const char *end = strstr(wire->received->str, "\r\n\r\n");
+	const char *length = strstr(wire->received->str, "Content-Length: ");
+	size_t head_bytes;
+
+	if (!end)
+		return false;
+	head_bytes = (size_t)(end + 4 - wire->received->str);
+	if (!length || length > end)
+		return true;
+	length += strlen("Content-Length: ");
+	return wire->received->len - head_bytes >=
+	       g_ascii_strtoull(length, NULL, 10);
+}
+
+static bool is_answered(const void *data)
+{
+	const struct wire *wire = data;
+
+	return wire->closed || wire_has_message(wire);
+}
+
+static bool is_closed(const void *data)
+{
+	return ((const struct wire *)data)->closed;
+}
+
+const char *wire_answer(struct wire *wire)
+{
+	CU_ASSERT_TRUE(contract_until(wire->ev, is_answered, wire));
+	return wire->received->str;
+}
+
+const char *wire_ask(struct wire *wire, const char *text)
+{
+	g_string_truncate(wire->received, 0);
+	wire_send(wire, text, strlen(text));
+	return wire_answer(wire);
+}
+
+bool wire_until_closed(struct wire *wire)
+{
+	return contract_until(wire->ev, is_closed, wire);
+}
+
+int contract_bind(uint16_t *port)
+{
+	struct sockaddr_in address = loopback(0);
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	CU_ASSERT_FATAL(fd >= 0);
+	CU_ASSERT_EQUAL_FATAL(
+		bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	CU_ASSERT_EQUAL_FATAL(
+		getsockname(fd, (struct sockaddr *)&address, &size), 0);
+	*port = ntohs(address.sin_port);
+	return fd;
+}
--- /dev/null
+++ b/test/contract/contract.h
@@ -0,0 +1,77 @@
+#ifndef CONTRACT_CONTRACT_H
+#define CONTRACT_CONTRACT_H
+
+/*
+ * Contract tests run the real I/O plug-ins on a libev loop, against raw
+ * sockets on loopback. Waiting is bounded only by a generous safety stop.
+ */
+
+#include <ev.h>
+
+#include "kernel/kernel.h"
+#include "kernel/loop.h"
+#include "runner/suite.h"
+
+#define CONTRACT_TOKEN "contract-token"
+
+struct contract {
+	struct settings *settings;
+	struct kernel *kernel;
+	struct loop *loop;
+	struct ev_loop *ev;
+	char *token_path;
+};
+
+/* A kernel whose listening addresses are ephemeral loopback ports. */
+struct contract *contract_new(void);
+void contract_free(struct contract *contract);
+
+/* Starts a plug-in of the product; fatal to the test if it fails. */
+void contract_start(struct contract *contract, enum plugin_kind kind,
+		    const char *name);
+
+/* Ports that the started front ends listen on. */
+uint16_t contract_caller_port(struct contract *contract);
+uint16_t contract_operator_port(struct contract *contract);
+
+/* Applies a declaration file to the replicated state. */
+void contract_declare(struct contract *contract, const char *name,
+		      const char *text);
+
+/* Runs the loop until the condition holds; false at the safety stop. */
+bool contract_until(struct ev_loop *ev, bool (*holds)(const void *data),
+		    const void *data);
+
+/* Turns that the loop makes within 50 ms; a loop that spins makes thousands. */
+uint32_t contract_idle_turns(struct ev_loop *ev);
+
+/* One end of a TCP connection that sends and receives raw bytes. */
+struct wire {
+	struct ev_loop *ev;
+	ev_io reader;
+	ev_io writer;
+	GString *sent; /* still to be sent */
+	GString *received;
+	bool closed; /* by the other side */
+};
+
+struct wire *wire_connect(struct ev_loop *ev, uint16_t port);
+/* Takes over a connected socket. */
+struct wire *wire_new(struct ev_loop *ev, int fd);
+void wire_free(struct wire *wire);
+void wire_send(struct wire *wire, const char *data, size_t size_bytes);
+
+/* Sends text and waits until a whole answer is there. */
+const char *wire_ask(struct wire *wire, const char *text);
+
+/* Waits for an answer, or for the end of the connection. */
+const char *wire_answer(struct wire *wire);
+bool wire_until_closed(struct wire *wire);
+
+/* Whether the received bytes hold a whole HTTP message. */
+bool wire_has_message(const struct wire *wire);
+
+/* A bound loopback socket that does not listen yet; sets *port. */
+int contract_bind(uint16_t *port);
+
+#endif
--- /dev/null
+++ b/test/contract/front.c
@@ -0,0 +1,578 @@
+/* The callers' front end against raw HTTP. */
+
+#include <string.h>
+
+#include "contract/contract.h"
+#include "io/mhd_loop.h"
+
+/* Stands in for the router: answers by path. */
+struct router {
+	struct kernel *kernel;
+	uint32_t new_count;
+	uint32_t gone_count;
+	uint64_t last_id;
+	struct request last; /* without what it points to */
+	char *last_path;
+};
+
+static void reply(struct router *router, uint64_t id, const char *path)
+{
+	struct event event = { .type = EVENT_REQUEST_REPLY };
+	const struct request *request =
+		request_get(kernel_requests(router->kernel), id);
+
+	event.request.request_id = id;
+	if (!strcmp(path, "/refuse")) {
+		event.request.status = 429;
+		event.request.verdict = VERDICT_NOT_RUN;
+		event.request.retry_after_us = 1200 * USEC_PER_MSEC;
+		g_strlcpy(event.request.reason, "the queue is full",
+			  sizeof(event.request.reason));
+	} else {
+		event.request.verdict = VERDICT_RAN;
+		event.answer = answer_new(
+			201, "text/x-echo",
+			request->body ? g_bytes_ref(request->body) : NULL);
+	}
+	kernel_emit(router->kernel, &event);
+}
+
+static void router_handle(void *self, const struct event *event)
+{
+	struct router *router = self;
+	const struct request *request;
+
+	if (event->type == EVENT_REQUEST_GONE) {
+		router->gone_count++;
+		reply(router, event->request.request_id, "/refuse");
+		return;
+	}
+	request = request_get(kernel_requests(router->kernel),
+			      event->request.request_id);
+	router->new_count++;
+	router->last_id = request->id;
+	router->last = *request;
+	g_free(router->last_path);
+	router->last_path = g_strdup(request->path);
+	if (strcmp(request->path, "/late") != 0)
+		reply(router, request->id, request->path);
+}
+
+static const struct plugin router_plugin = {
+	.name = "router",
+	.kind = PLUGIN_DECIDE,
+	.takes = EVENT_BIT(EVENT_REQUEST_NEW) | EVENT_BIT(EVENT_REQUEST_GONE),
+	.handle = router_handle,
+};
+
+struct front_test {
+	struct contract *contract;
+	struct router router;
+	struct wire *wire;
+};
+
+static void setup(struct front_test *test)
+{
+	*test = (struct front_test){ .contract = contract_new() };
+	test->router.kernel = test->contract->kernel;
+	contract_start(test->contract, PLUGIN_FRONT, "front_http");
+	kernel_start_plugin_with(test->contract->kernel, &router_plugin,
+				 &test->router);
+	test->wire = wire_connect(test->contract->ev,
+				  contract_caller_port(test->contract));
+}
+
+static void teardown(struct front_test *test)
+{
+	wire_free(test->wire);
+	contract_free(test->contract);
+	g_free(test->router.last_path);
+}
+
+static void expect(const char *name, const char *answer, const char *part)
+{
+	if (!strstr(answer, part))
+		printf("\n    %s: expected \"%s\" in: %s\n", name, part,
+		       answer);
+	CU_ASSERT_PTR_NOT_NULL(strstr(answer, part));
+}
+
+struct exchange_case {
+	const char *name;
+	const char *request;
+	const char *parts[6]; /* of the answer */
+	uint32_t new_count;   /* requests handed to the router */
+};
+
+#define LONG_50 "aaaaaaaaaabbbbbbbbbbccccccccccddddddddddeeeeeeeeee"
+#define LONG_150 LONG_50 LONG_50 LONG_50
+#define LONG_300 LONG_150 LONG_150
+
+static const struct exchange_case exchange_cases[] = {
+	{ "answer",
+	  "POST /echo?a=%20b HTTP/1.1\r\nHost: x\r\n"
+	  "Content-Length: 5\r\n\r\nhello",
+	  { "HTTP/1.1 201 ", "Content-Type: text/x-echo", "Pl-Verdict: ran",
+	    "Pl-Request: e1/1", "\r\n\r\nhello" },
+	  1 },
+	{ "chunked body",
+	  "POST /echo HTTP/1.1\r\nHost: x\r\n"
+	  "Transfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+	  { "HTTP/1.1 201 ", "\r\n\r\nhello" },
+	  1 },
+	{ "refusal",
+	  "GET /refuse HTTP/1.1\r\nHost: x\r\n\r\n",
+	  { "HTTP/1.1 429 ", "Content-Type: application/json",
+	    "Retry-After: 2\r\n", "Pl-Verdict: not-run",
+	    "{\"reason\":\"the queue is full\",\"verdict\":\"not-run\","
+	    "\"request\":\"e1/1\"}" },
+	  1 },
+	{ "deadline is no number",
+	  "GET / HTTP/1.1\r\nHost: x\r\nPl-Deadline-Ms: soon\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Pl-Verdict: not-run", "Pl-Deadline-Ms" },
+	  0 },
+	{ "deadline of zero",
+	  "GET / HTTP/1.1\r\nHost: x\r\nPl-Deadline-Ms: 0\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Pl-Deadline-Ms" },
+	  0 },
+	{ "negative deadline",
+	  "GET / HTTP/1.1\r\nHost: x\r\nPl-Deadline-Ms: -5\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Pl-Deadline-Ms" },
+	  0 },
+	{ "deadline past the bound",
+	  "GET / HTTP/1.1\r\nHost: x\r\nPl-Deadline-Ms: 86400001\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Pl-Deadline-Ms" },
+	  0 },
+	{ "key too long",
+	  "GET / HTTP/1.1\r\nHost: x\r\nIdempotency-Key: " LONG_150 "\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Pl-Verdict: not-run", "Idempotency-Key" },
+	  0 },
+	{ "empty key",
+	  "GET / HTTP/1.1\r\nHost: x\r\nIdempotency-Key:\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Idempotency-Key" },
+	  0 },
+	{ "key with a space",
+	  "GET / HTTP/1.1\r\nHost: x\r\nIdempotency-Key: 1 2\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Idempotency-Key" },
+	  0 },
+	{ "content type too long",
+	  "POST / HTTP/1.1\r\nHost: x\r\nContent-Type: " LONG_300
+	  "\r\nContent-Length: 0\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Content-Type" },
+	  0 },
+	{ "method too long",
+	  "ABCDEFGHIJKLMNOPQ / HTTP/1.1\r\nHost: x\r\n\r\n",
+	  { "HTTP/1.1 400 ", "method" },
+	  0 },
+	{ "target without a path",
+	  "GET http://elsewhere/ HTTP/1.1\r\nHost: x\r\n\r\n",
+	  { "HTTP/1.1 400 ", "target" },
+	  0 },
+	{ "announced body over the bound",
+	  "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+	  "Content-Length: 1048577\r\n\r\n",
+	  { "HTTP/1.1 413 ", "Pl-Verdict: not-run", "1048576" },
+	  0 },
+	{ "announced body far over the bound",
+	  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9000000000\r\n\r\n",
+	  { "HTTP/1.1 413 ", "Pl-Verdict: not-run" },
+	  0 },
+};
+
+/* Guards against an answer or a refusal that differs from the contract. */
+static void test_exchanges(void)
+{
+	for (gsize i = 0; i < G_N_ELEMENTS(exchange_cases); i++) {
+		const struct exchange_case *one = &exchange_cases[i];
+		struct front_test test;
+		const char *answer;
+
+		setup(&test);
+		answer = wire_ask(test.wire, one->request);
+		for (gsize k = 0; k < G_N_ELEMENTS(one->parts); k++) {
+			if (one->parts[k])
+				expect(one->name, answer, one->parts[k]);
+		}
+		CU_ASSERT_EQUAL(test.router.new_count, one->new_count);
+		CU_ASSERT_EQUAL(
+			request_count(kernel_requests(test.contract->kernel)),
+			0);
+		teardown(&test);
+	}
+}
+
+/* Guards against a request that reaches the router changed. */
+static void test_request_fields(void)
+{
+	struct front_test test;
+
+	setup(&test);
+	wire_ask(test.wire, "PUT /a%2Fb?q=%20&q=2 HTTP/1.1\r\nHost: x\r\n"
+			    "Pl-Deadline-Ms: 1500\r\nPl-Relay: 1\r\n"
+			    "Idempotency-Key: 1700000000000-abc\r\n"
+			    "Content-Type: text/plain; charset=utf-8\r\n"
+			    "Content-Length: 2\r\n\r\nhi");
+	CU_ASSERT_STRING_EQUAL(test.router.last.method, "PUT");
+	CU_ASSERT_STRING_EQUAL(test.router.last_path, "/a%2Fb?q=%20&q=2");
+	CU_ASSERT_STRING_EQUAL(test.router.last.key, "1700000000000-abc");
+	CU_ASSERT_STRING_EQUAL(test.router.last.content_type,
+			       "text/plain; charset=utf-8");
+	CU_ASSERT_TRUE(test.router.last.relayed);
+	CU_ASSERT_EQUAL(test.router.last.deadline_us -
+				test.router.last.arrived_us,
+			1500 * USEC_PER_MSEC);
+	wire_ask(test.wire, "GET /plain HTTP/1.1\r\nHost: x\r\n\r\n");
+	CU_ASSERT_FALSE(test.router.last.relayed);
+	CU_ASSERT_EQUAL(test.router.last.deadline_us, 0);
+	CU_ASSERT_STRING_EQUAL(test.router.last.key, "");
+	teardown(&test);
+}
+
+/* Guards against a body at the bound that is refused, or one over it that
+ * is taken, also when the client sends it all before it reads.
+ */
+static void test_body_bound(void)
+{
+	static const size_t sizes_bytes[] = { 1048576, 1048577, 3000000 };
+
+	for (gsize i = 0; i < G_N_ELEMENTS(sizes_bytes); i++) {
+		struct front_test test;
+		char *body = g_malloc0(sizes_bytes[i]);
+		char *head = g_strdup_printf("POST /echo HTTP/1.1\r\nHost: x"
+					     "\r\nContent-Length: %zu\r\n\r\n",
+					     sizes_bytes[i]);
+
+		setup(&test);
+		wire_send(test.wire, head, strlen(head));
+		wire_send(test.wire, body, sizes_bytes[i]);
+		expect("body bound", wire_answer(test.wire),
+		       sizes_bytes[i] <= 1048576 ? "HTTP/1.1 201 "
+						 : "HTTP/1.1 413 ");
+		CU_ASSERT_EQUAL(test.router.new_count,
+				sizes_bytes[i] <= 1048576);
+		g_free(head);
+		g_free(body);
+		teardown(&test);
+	}
+}
+
+/* Guards against headers over the bound that are taken. */
+static void test_header_bound(void)
+{
+	static const size_t sizes_bytes[] = { 15000, 17000, 30000 };
+
+	for (gsize i = 0; i < G_N_ELEMENTS(sizes_bytes); i++) {
+		struct front_test test;
+		char *value = g_strnfill(sizes_bytes[i], 'v');
+		char *text = g_strdup_printf("GET / HTTP/1.1\r\nHost: x\r\n"
+					     "X-Long: %s\r\n\r\n",
+					     value);
+
+		setup(&test);
+		expect("header bound", wire_ask(test.wire, text),
+		       sizes_bytes[i] <= 16384 ? "HTTP/1.1 201 "
+					       : "HTTP/1.1 431 ");
+		g_free(text);
+		g_free(value);
+		teardown(&test);
+	}
+}
+
+static bool has_second(const void *data)
+{
+	return strstr(((const struct wire *)data)->received->str, "two");
+}
+
+/* Guards against answers that are given to another request on the same
+ * connection.
+ */
+static void test_pipelined(void)
+{
+	static const char first[] = "POST /echo HTTP/1.1\r\nHost: x\r\n"
+				    "Content-Length: 3\r\n\r\none";
+	static const char second[] = "POST /echo HTTP/1.1\r\nHost: x\r\n"
+				     "Content-Length: 3\r\n\r\ntwo";
+	struct front_test test;
+	const char *one;
+	const char *two;
+
+	setup(&test);
+	wire_send(test.wire, first, strlen(first));
+	wire_send(test.wire, second, strlen(second));
+	wire_answer(test.wire);
+	CU_ASSERT_TRUE(
+		contract_until(test.contract->ev, has_second, test.wire));
+	one = strstr(test.wire->received->str, "\r\n\r\none");
+	two = strstr(test.wire->received->str, "\r\n\r\ntwo");
+	CU_ASSERT_PTR_NOT_NULL(one);
+	CU_ASSERT_TRUE(two > one);
+	teardown(&test);
+}
+
+static bool is_gone(const void *data)
+{
+	return ((const struct router *)data)->gone_count > 0;
+}
+
+static bool is_new(const void *data)
+{
+	return ((const struct router *)data)->new_count > 0;
+}
+
+/* Guards against work that goes on for callers who have left, and against a
+ * late answer to them that breaks the front end.
+ */
+static void test_disconnect(void)
+{
+	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct front_test test;
+	struct wire *other;
+
+	setup(&test);
+	other = wire_connect(test.contract->ev,
+			     contract_caller_port(test.contract));
+	wire_send(other, late, strlen(late));
+	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_new, &test.router));
+	wire_free(other);
+	CU_ASSERT_TRUE(
+		contract_until(test.contract->ev, is_gone, &test.router));
+	expect("after a disconnect",
+	       wire_ask(test.wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+	       "HTTP/1.1 201 ");
+	CU_ASSERT_EQUAL(test.router.gone_count, 1);
+	CU_ASSERT_EQUAL(request_count(kernel_requests(test.contract->kernel)),
+			0);
+	teardown(&test);
+}
+
+/* Guards against new work that is taken while draining, and against a request
+ * in flight that gets no answer then.
+ */
+static void test_drain(void)
+{
+	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct event drain = { .type = EVENT_DRAIN };
+	struct front_test test;
+	struct wire *other;
+	const char *answer;
+
+	setup(&test);
+	other = wire_connect(test.contract->ev,
+			     contract_caller_port(test.contract));
+	wire_send(other, late, strlen(late));
+	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_new, &test.router));
+	drain.drain.deadline_us = g_get_monotonic_time() + USEC_PER_SEC;
+	kernel_emit(test.contract->kernel, &drain);
+	kernel_run(test.contract->kernel);
+	answer = wire_ask(test.wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	expect("drain", answer, "HTTP/1.1 503 ");
+	expect("drain", answer, "Pl-Verdict: not-run");
+	expect("drain", answer, "Retry-After: 1");
+	CU_ASSERT_EQUAL(test.router.new_count, 1);
+	reply(&test.router, test.router.last_id, "/echo");
+	expect("in flight", wire_answer(other), "HTTP/1.1 201 ");
+	wire_free(other);
+	teardown(&test);
+}
+
+static bool is_sent(const void *data)
+{
+	return ((const struct wire *)data)->sent->len == 0;
+}
+
+/* Guards against a process that ends without a verdict for its callers. */
+static void test_unfinished(void)
+{
+	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct front_test test;
+	struct ev_loop *ev = ev_loop_new(EVFLAG_AUTO);
+	struct wire *other;
+
+	setup(&test);
+	other = wire_connect(ev, contract_caller_port(test.contract));
+	wire_send(other, late, strlen(late));
+	CU_ASSERT_TRUE(contract_until(ev, is_sent, other));
+	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_new, &test.router));
+	teardown(&test);
+	expect("unfinished", wire_answer(other), "HTTP/1.1 503 ");
+	expect("unfinished", other->received->str, "Pl-Verdict: may-have-run");
+	wire_free(other);
+	ev_loop_destroy(ev);
+}
+
+/* Guards against a front end that keeps the loop busy while it waits. */
+static void test_idle(void)
+{
+	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct front_test test;
+	struct wire *other;
+
+	setup(&test);
+	wire_ask(test.wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	CU_ASSERT_TRUE(contract_idle_turns(test.contract->ev) < 20);
+	other = wire_connect(test.contract->ev,
+			     contract_caller_port(test.contract));
+	wire_send(other, late, strlen(late));
+	CU_ASSERT_TRUE(contract_idle_turns(test.contract->ev) < 20);
+	wire_send(test.wire, "GET /par", 8);
+	CU_ASSERT_TRUE(contract_idle_turns(test.contract->ev) < 20);
+	wire_free(other);
+	teardown(&test);
+}
+
+/* The binding with a short time for slow clients. */
+struct slow_test {
+	struct ev_loop *ev;
+	struct httpd *httpd;
+	uint32_t request_count;
+	bool big; /* answer with more than the socket buffers hold */
+};
+
+static void slow_request(void *self, struct exchange *exchange)
+{
+	struct slow_test *test = self;
+	GBytes *body = NULL;
+
+	test->request_count++;
+	if (test->big)
+		body = g_bytes_new_take(g_malloc0(64 * 1024 * 1024),
+					64 * 1024 * 1024);
+	exchange_reply(exchange, 200, "", body);
+	if (body)
+		g_bytes_unref(body);
+}
+
+static void slow_gone(void *self, struct exchange *exchange)
+{
+	(void)self;
+	(void)exchange;
+}
+
+static const struct httpd_ops slow_ops = {
+	.request = slow_request,
+	.gone = slow_gone,
+};
+
+static void slow_setup(struct slow_test *test)
+{
+	const struct httpd_limits limits = {
+		.body_max_bytes = 1024,
+		.connections_max_count = 16,
+		.slow_client_us = 50 * USEC_PER_MSEC,
+	};
+
+	*test = (struct slow_test){ .ev = ev_loop_new(EVFLAG_AUTO) };
+	test->httpd =
+		httpd_new(test->ev, "127.0.0.1:0", &limits, &slow_ops, test);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(test->httpd);
+}
+
+static void slow_teardown(struct slow_test *test)
+{
+	httpd_free(test->httpd);
+	ev_loop_destroy(test->ev);
+}
+
+struct slow_case {
+	const char *name;
+	const char *sent;
+	const char *part; /* of the answer; NULL: closed without one */
+};
+
+static const struct slow_case slow_cases[] = {
+	{ "no request", "", "HTTP/1.1 408 " },
+	{ "half of the headers", "GET / HTTP/1.1\r\nHost:", "HTTP/1.1 408 " },
+	{ "half of the body",
+	  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf",
+	  "HTTP/1.1 408 " },
+	{ "an unfinished chunk",
+	  "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "9\r\nhalf",
+	  "HTTP/1.1 408 " },
+};
+
+/* Guards against clients that hold a connection without a whole request. */
+static void test_slow_sender(void)
+{
+	for (gsize i = 0; i < G_N_ELEMENTS(slow_cases); i++) {
+		struct slow_test test;
+		struct wire *wire;
+
+		slow_setup(&test);
+		wire = wire_connect(test.ev, httpd_port(test.httpd));
+		wire_send(wire, slow_cases[i].sent, strlen(slow_cases[i].sent));
+		CU_ASSERT_TRUE(wire_until_closed(wire));
+		expect(slow_cases[i].name, wire->received->str,
+		       slow_cases[i].part);
+		CU_ASSERT_EQUAL(test.request_count, 0);
+		wire_free(wire);
+		slow_teardown(&test);
+	}
+}
+
+/* Guards against an unasked 408 that a client takes for its next answer. */
+static void test_idle_connection(void)
+{
+	struct slow_test test;
+	struct wire *wire;
+
+	slow_setup(&test);
+	wire = wire_connect(test.ev, httpd_port(test.httpd));
+	expect("first", wire_ask(wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+	       "HTTP/1.1 200 ");
+	CU_ASSERT_TRUE(wire_until_closed(wire));
+	CU_ASSERT_PTR_NULL(strstr(wire->received->str, " 408 "));
+	wire_free(wire);
+	slow_teardown(&test);
+}
+
+static bool slow_is_asked(const void *data)
+{
+	return ((const struct slow_test *)data)->request_count > 0;
+}
+
+/* Guards against a client that never reads its answer. */
+static void test_slow_reader(void)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct slow_test test;
+	struct wire *reader;
+	struct wire *watcher;
+
+	slow_setup(&test);
+	test.big = true;
+	reader = wire_connect(test.ev, httpd_port(test.httpd));
+	ev_io_stop(test.ev, &reader->reader);
+	wire_send(reader, request, strlen(request));
+	/* A connection opened later is closed after the reader's. */
+	CU_ASSERT_TRUE(contract_until(test.ev, slow_is_asked, &test));
+	watcher = wire_connect(test.ev, httpd_port(test.httpd));
+	CU_ASSERT_TRUE(wire_until_closed(watcher));
+	ev_io_start(test.ev, &reader->reader);
+	CU_ASSERT_TRUE(wire_until_closed(reader));
+	CU_ASSERT_TRUE(reader->received->len < (gsize)64 * 1024 * 1024);
+	wire_free(watcher);
+	wire_free(reader);
+	slow_teardown(&test);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "exchanges", test_exchanges },
+	{ "request_fields", test_request_fields },
+	{ "body_bound", test_body_bound },
+	{ "header_bound", test_header_bound },
+	{ "pipelined", test_pipelined },
+	{ "disconnect", test_disconnect },
+	{ "drain", test_drain },
+	{ "unfinished", test_unfinished },
+	{ "idle", test_idle },
+	{ "slow_sender", test_slow_sender },
+	{ "idle_connection", test_idle_connection },
+	{ "slow_reader", test_slow_reader },
+	CU_TEST_INFO_NULL,
+};
+
+static struct suite front_suite = { .name = "front_http", .tests = tests };
+
+SUITE_REGISTER(front_suite)
