--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -20,11 +20,10 @@
  * not libmicrohttpd's own.
  */
 #define CONNECTION_MEMORY_BYTES 49152
-#define SLOW_CLIENT_US (30 * USEC_PER_SEC)
 /* A body over the bound is read and dropped up to here, so that a client that
  * sends it all before it reads gets the answer and not a reset connection.
  */
-#define DISCARD_MAX_BYTES (8 * 1024 * 1024)
+#define DISCARD_MAX_BYTES (UINT64_C(8) * 1024 * 1024)
 #define FLUSH_MAX_US (5 * USEC_PER_SEC)
 #define DISCONNECTS_AT_ONCE_COUNT 64
 
@@ -152,7 +151,7 @@
 static void set_deadline(struct conn *conn)
 {
 	clear_deadline(conn);
-	conn->deadline_us = now_us() + SLOW_CLIENT_US;
+	conn->deadline_us = now_us() + conn->httpd->limits.slow_client_us;
 	g_queue_push_tail_link(&conn->httpd->deadlines, &conn->link);
 	arm_deadline(conn->httpd);
 }
@@ -160,12 +159,13 @@
 static char *refusal_text(const char *reason, enum verdict verdict,
 			  const char *request)
 {
-	json_t *json =
-		json_pack("{s:s, s:s, s:s?}", "reason", reason, "verdict",
-			  verdict_name(verdict), "request", request);
+	gchar *valid = g_utf8_make_valid(reason, -1);
+	json_t *json = json_pack("{s:s, s:s, s:s?}", "reason", valid, "verdict",
+				 verdict_name(verdict), "request", request);
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
 
 	json_decref(json);
+	g_free(valid);
 	return text;
 }
 
@@ -173,24 +173,22 @@
  * libmicrohttpd takes no answer before a request is complete, so this one
  * goes to the socket directly. Nothing else was sent for this request.
  */
-static void send_timeout(const struct conn *conn)
+static void refuse_directly(const struct conn *conn, const char *status,
+			    const char *reason)
 {
-	char *body = refusal_text("the request took longer than 30 s",
-				  VERDICT_NOT_RUN, NULL);
+	char *body = refusal_text(reason, VERDICT_NOT_RUN, NULL);
 	char *text;
-	ssize_t sent;
 
 	if (!body)
 		return;
-	text = g_strdup_printf("HTTP/1.1 408 Request Timeout\r\n"
+	text = g_strdup_printf("HTTP/1.1 %s\r\n"
 			       "Connection: close\r\n"
 			       "Content-Type: application/json\r\n"
 			       "Pl-Verdict: not-run\r\n"
 			       "Content-Length: %zu\r\n\r\n%s",
-			       strlen(body), body);
-	sent = send(conn->fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL);
-	if (sent < 0)
-		klog_debug(LOG_PREFIX, "could not send status 408: %s",
+			       status, strlen(body), body);
+	if (send(conn->fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+		klog_debug(LOG_PREFIX, "could not send status %s: %s", status,
 			   g_strerror(errno));
 	g_free(text);
 	free(body);
@@ -204,7 +202,8 @@
 
 	clear_deadline(conn);
 	if (receiving)
-		send_timeout(conn);
+		refuse_directly(conn, "408 Request Timeout",
+				"the request took too long to arrive");
 	/* libmicrohttpd sees the end of the stream and closes it. */
 	shutdown(conn->fd, SHUT_RDWR);
 }
@@ -246,11 +245,18 @@
 
 static void resume(struct exchange *exchange)
 {
+	struct httpd *httpd = exchange->conn->httpd;
+
 	unwatch_disconnect(exchange->conn);
 	if (!exchange->suspended)
 		return;
 	exchange->suspended = false;
 	MHD_resume_connection(exchange->conn->mhd);
+	/* With external polling, a resumed connection does not wake the loop.
+	 */
+	ev_timer_stop(httpd->ev, &httpd->timer);
+	ev_timer_set(&httpd->timer, 0., 0.);
+	ev_timer_start(httpd->ev, &httpd->timer);
 }
 
 static void give_up(struct exchange *exchange)
@@ -534,8 +540,11 @@
 			       size_t size_bytes)
 {
 	exchange->received_bytes += size_bytes;
-	if (exchange->received_bytes > DISCARD_MAX_BYTES)
+	if (exchange->received_bytes > DISCARD_MAX_BYTES) {
+		refuse_directly(exchange->conn, "413 Content Too Large",
+				"the body is far too large");
 		return MHD_NO;
+	}
 	if (exchange->received_bytes >
 	    exchange->conn->httpd->limits.body_max_bytes) {
 		exchange->too_large = true;
