--- a/src/io/endpoint_curl.c
+++ b/src/io/endpoint_curl.c
@@ -27,10 +27,11 @@
 	GBytes *body; /* of the request */
 	GByteArray *answer;
 	int64_t started_us;
-	bool connected;	 /* from here on, bytes may have been sent */
-	bool too_large;	 /* the answer exceeds its bound */
-	bool has_excess; /* more bytes than announced */
-	bool no_body;	 /* the answer to a HEAD request has none */
+	bool connected;	  /* from here on, bytes may have been sent */
+	bool too_large;	  /* the answer exceeds its bound */
+	bool has_excess;  /* more bytes than announced */
+	bool has_headers; /* the whole of the final ones */
+	bool no_body;	  /* the answer to a HEAD request has none */
 };
 
 static const char *const result_counters[] = {
@@ -120,13 +121,15 @@
 }
 
 /*
- * An answer that ends with its connection and announces no length can't be
- * told from one that was cut off.
+ * libcurl takes the end of the connection for the end of the headers, or of a
+ * body without an announced length; the answer may have been cut off there.
  */
-static bool is_bounded(const struct attempt *attempt, long status)
+static bool is_whole(const struct attempt *attempt, long status)
 {
 	curl_off_t length_bytes = -1;
 
+	if (!attempt->has_headers)
+		return false;
 	if (attempt->no_body || status == STATUS_NO_CONTENT ||
 	    status == STATUS_NOT_MODIFIED)
 		return true;
@@ -174,7 +177,7 @@
 
 	info->result = result_of(attempt, code);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	if (info->result == ATTEMPT_ANSWERED && !is_bounded(attempt, status))
+	if (info->result == ATTEMPT_ANSWERED && !is_whole(attempt, status))
 		info->result = ATTEMPT_TRUNCATED;
 	info->status = info->result == ATTEMPT_ANSWERED ? (uint32_t)status : 0;
 	info->verdict = verdict_of(attempt);
@@ -201,6 +204,15 @@
 	return size_bytes;
 }
 
+static size_t on_header(char *data, size_t size, size_t count, void *self)
+{
+	struct attempt *attempt = self;
+
+	/* The empty line ends the headers; interim answers have their own. */
+	attempt->has_headers = data[0] == '\r' || data[0] == '\n';
+	return size * count;
+}
+
 /*
  * Called before each request that libcurl makes. It repeats a request by
  * itself when a reused connection breaks; that would run it twice unseen.
@@ -304,6 +316,8 @@
 
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, attempt);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, attempt);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, attempt);
 	curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_debug);
--- a/test/contract/contract.c
+++ b/test/contract/contract.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -68,25 +69,49 @@
 				     "listening_port{interface=\"operators\"}");
 }
 
+void contract_append(struct contract *contract, const char *writer,
+		     uint64_t incarnation, struct record *record)
+{
+	struct fleet *fleet = kernel_fleet(contract->kernel);
+	uint64_t offset = fleet_offset(fleet) + 1;
+	struct fleet_outcome outcome;
+
+	name_copy(record->id.entry, sizeof(record->id.entry), writer);
+	record->id.incarnation = incarnation;
+	record->id.sequence = offset;
+	if (!fleet_apply(fleet, offset, record, &outcome))
+		printf("\n    %s: %s\n", record_kind_name(record->kind),
+		       outcome.reason);
+	CU_ASSERT_TRUE_FATAL(outcome.accepted);
+	record_unref(record);
+}
+
+void contract_join(struct contract *contract, const char *name,
+		   uint64_t incarnation)
+{
+	struct record *record = record_new(RECORD_ENTRY_JOIN);
+
+	name_copy(record->entry.name, sizeof(record->entry.name), name);
+	name_copy(record->entry.dc, sizeof(record->entry.dc), "d");
+	record->entry.incarnation = incarnation;
+	contract_append(contract, name, incarnation, record);
+}
+
 void contract_declare(struct contract *contract, const char *name,
 		      const char *text)
 {
 	struct fleet *fleet = kernel_fleet(contract->kernel);
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
 	struct record *record = record_new(RECORD_CONFIG_PUT);
-	struct fleet_outcome outcome;
 
-	name_copy(record->id.entry, sizeof(record->id.entry), "test");
-	record->id.incarnation = 1;
-	record->id.sequence = fleet_offset(fleet) + 1;
+	if (!fleet_entry(fleet, "other"))
+		contract_join(contract, "other", 1);
 	name_copy(record->config.file, sizeof(record->config.file), name);
 	fleet_file(fleet, name, &record->config.base_offset);
 	record->config.decl =
 		decl_parse(name, text, strlen(text), false, errors);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(record->config.decl);
-	CU_ASSERT_TRUE_FATAL(
-		fleet_apply(fleet, fleet_offset(fleet) + 1, record, &outcome));
-	record_unref(record);
+	contract_append(contract, "other", 1, record);
 	g_ptr_array_unref(errors);
 }
 
--- a/test/contract/contract.h
+++ b/test/contract/contract.h
@@ -34,7 +34,15 @@
 uint16_t contract_caller_port(struct contract *contract);
 uint16_t contract_operator_port(struct contract *contract);
 
-/* Applies a declaration file to the replicated state. */
+/* Applies a record of a writer to the replicated state; takes it over. */
+void contract_append(struct contract *contract, const char *writer,
+		     uint64_t incarnation, struct record *record);
+
+/* Puts an entry instance on the roster. */
+void contract_join(struct contract *contract, const char *name,
+		   uint64_t incarnation);
+
+/* Applies a declaration file, written by the entry instance "other". */
 void contract_declare(struct contract *contract, const char *name,
 		      const char *text);
 
