--- a/src/io/operator_apply.h
+++ b/src/io/operator_apply.h
@@ -58,7 +58,7 @@
 /* Of struct apply_file, in the order in which they were added. */
 const GPtrArray *apply_files(const struct apply *apply);
 
-/* The worst outcome of the files. */
+/* Accepted if all files were, otherwise that of the first that was not. */
 enum apply_outcome apply_outcome(const struct apply *apply);
 
 const char *apply_outcome_name(enum apply_outcome outcome);
