--- a/test/contract/front.c
+++ b/test/contract/front.c
@@ -108,6 +108,10 @@
 #define LONG_150 LONG_50 LONG_50 LONG_50
 #define LONG_300 LONG_150 LONG_150
 
+static const char refusal[] =
+	"{\"reason\":\"the queue is full\",\"verdict\":\"not-run\","
+	"\"request\":\"e1/1\"}";
+
 static const struct exchange_case exchange_cases[] = {
 	{ "answer",
 	  "POST /echo?a=%20b HTTP/1.1\r\nHost: x\r\n"
@@ -124,9 +128,7 @@
 	{ "refusal",
 	  "GET /refuse HTTP/1.1\r\nHost: x\r\n\r\n",
 	  { "HTTP/1.1 429 ", "Content-Type: application/json",
-	    "Retry-After: 2\r\n", "Pl-Verdict: not-run",
-	    "{\"reason\":\"the queue is full\",\"verdict\":\"not-run\","
-	    "\"request\":\"e1/1\"}" },
+	    "Retry-After: 2\r\n", "Pl-Verdict: not-run", refusal },
 	  1 },
 	{ "deadline is no number",
 	  "GET / HTTP/1.1\r\nHost: x\r\nPl-Deadline-Ms: soon\r\n\r\n",
@@ -421,6 +423,8 @@
 	teardown(&test);
 }
 
+#define BIG_BYTES ((gsize)64 * 1024 * 1024)
+
 /* The binding with a short time for slow clients. */
 struct slow_test {
 	struct ev_loop *ev;
@@ -436,8 +440,7 @@
 
 	test->request_count++;
 	if (test->big)
-		body = g_bytes_new_take(g_malloc0(64 * 1024 * 1024),
-					64 * 1024 * 1024);
+		body = g_bytes_new_take(g_malloc0(BIG_BYTES), BIG_BYTES);
 	exchange_reply(exchange, 200, "", body);
 	if (body)
 		g_bytes_unref(body);
@@ -551,7 +554,7 @@
 	CU_ASSERT_TRUE(wire_until_closed(watcher));
 	ev_io_start(test.ev, &reader->reader);
 	CU_ASSERT_TRUE(wire_until_closed(reader));
-	CU_ASSERT_TRUE(reader->received->len < (gsize)64 * 1024 * 1024);
+	CU_ASSERT_TRUE(reader->received->len < BIG_BYTES);
 	wire_free(watcher);
 	wire_free(reader);
 	slow_teardown(&test);
