--- a/src/core/event.h
+++ b/src/core/event.h
@@ -4,6 +4,9 @@
 /*
  * Every message between plug-ins.
  *
+ * EVENT_REQUEST_REPLY ends each request, also one whose caller has
+ * disconnected; the front end keeps the request in the table until then.
+ *
  * A plug-in that proposes a record keeps a reference to it. The proposer sets
  * the record's id, and the plug-in finds the outcome by that id in
  * EVENT_FLEET_CHANGED or EVENT_PROPOSAL_DROPPED.
@@ -22,10 +25,14 @@
 	EVENT_WAKE,    /* a stored deadline has passed */
 	EVENT_STARTED, /* all plug-ins are initialised */
 	EVENT_DRAIN,   /* stop taking work, then leave */
-	EVENT_DRAINED, /* nothing is in flight any more; the process may end */
-	EVENT_REQUEST_NEW,	/* front end: a caller's request is complete */
-	EVENT_REQUEST_GONE,	/* front end: the caller has disconnected */
-	EVENT_REQUEST_REPLY,	/* to the front end */
+	EVENT_DRAINED, /* router: nothing is in flight any more */
+	EVENT_LEFT,    /* cluster: entry_leave was read back, or late */
+	EVENT_RESUMED, /* kernel: the process was paused; comes before others */
+	EVENT_REQUEST_NEW,  /* front end: a caller's request is complete */
+	EVENT_REQUEST_GONE, /* front end: the caller has disconnected */
+	/* To the front end: the end of each request, also of one that is gone;
+	 * the request stays in the table until then. */
+	EVENT_REQUEST_REPLY,
 	EVENT_ATTEMPT_SEND,	/* to the endpoint client */
 	EVENT_ATTEMPT_CANCEL,	/* to the endpoint client */
 	EVENT_ATTEMPT_DONE,	/* endpoint client: how an attempt ended */
@@ -50,6 +57,10 @@
 	EVENT_CLAIM_WANTED,  /* router: a request must be claimed first */
 	EVENT_ROLE_CHANGED,  /* planner lease gained or lost */
 	EVENT_ENDPOINT_HEALTH, /* health: ejected, probing or restored */
+	EVENT_TASK_START,      /* to the platform: idempotent by attempt */
+	EVENT_TASK_CHECKPOINT, /* to the platform: save its state, then stop */
+	EVENT_TASK_STOP,       /* to the platform: stop without a result */
+	EVENT_TASK_REPORT,     /* platform: how a task goes, or has ended */
 	EVENT_TYPE_COUNT,
 };
 
@@ -119,6 +130,11 @@
 
 struct event_record {
 	uint64_t offset;
+	/*
+	 * log_record: no record lies between this offset and the record's
+	 * own. Above the applied offset, some records were trimmed unread.
+	 */
+	uint64_t previous_offset;
 	struct record *record; /* owned */
 	bool accepted;	       /* fleet_changed */
 	/* fleet_changed: why it was ignored; proposal_dropped: why */
@@ -165,6 +181,25 @@
 	int64_t deadline_us;
 };
 
+enum task_report {
+	TASK_RUNNING,
+	TASK_SUCCEEDED,
+	TASK_FAILED,
+	TASK_CHECKPOINTED,
+	TASK_STOPPED,
+};
+
+/* A task is one attempt of a job on one instance. */
+struct event_task {
+	char job[NAME_SIZE_BYTES];
+	char instance[NAME_SIZE_BYTES];
+	uint32_t attempt;
+	uint32_t slots_count;		/* start: declared */
+	enum task_report report;	/* report */
+	uint32_t used_millislots;	/* report: 0 if not known */
+	char reason[REASON_SIZE_BYTES]; /* report: of a failure */
+};
+
 struct event {
 	enum event_type type;
 	union {
@@ -178,6 +213,7 @@
 		struct event_claim claim;
 		struct event_peer peer;
 		struct event_drain drain;
+		struct event_task task;
 	};
 	struct answer *answer; /* owned; attempt_done and request_reply */
 };
--- /dev/null
+++ b/src/decide/router_relay.c
@@ -0,0 +1,244 @@
+/* Passing requests on to entry instances of other data centres. */
+
+#include <string.h>
+
+#include "decide/router.h"
+
+/* A peer's wait must be shorter by more than the trip there and back. */
+#define RELAY_GAIN_US (5 * USEC_PER_MSEC)
+
+/* Loads are in force while heartbeats come: these carry what has changed. */
+#define HEARTBEAT_LIFE_US (6 * USEC_PER_SEC)
+
+/* A peer that refused is left alone until its next digest has come. */
+#define REFUSED_AVOID_US (1 * USEC_PER_SEC)
+
+/* Waiting pools that are tried when a digest has come. */
+#define WAITING_TRIES_COUNT 16
+
+/* Passes of one request, each of which was answered with not-run. */
+#define RELAY_MAX_COUNT 2
+
+/* A new measurement counts for a quarter of the smoothed trip. */
+#define TRIP_SHIFT 2
+
+static void peer_free(gpointer data)
+{
+	struct router_peer *peer = data;
+
+	g_hash_table_unref(peer->loads);
+	g_free(peer);
+}
+
+void router_relay_init(struct router *router)
+{
+	router->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+}
+
+void router_relay_free(struct router *router)
+{
+	g_hash_table_unref(router->peers);
+}
+
+static struct router_peer *peer_get(struct router *router, const char *name)
+{
+	struct router_peer *peer = g_hash_table_lookup(router->peers, name);
+
+	if (peer)
+		return peer;
+	peer = g_new0(struct router_peer, 1);
+	name_copy(peer->name, sizeof(peer->name), name);
+	peer->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g_hash_table_insert(router->peers, peer->name, peer);
+	return peer;
+}
+
+static gboolean has_left(gpointer key, gpointer value, gpointer data)
+{
+	(void)value;
+	return !fleet_entry(data, key);
+}
+
+/* Takes up the roster: only entries of other data centres are used. */
+void router_relay_rebuild(struct router *router)
+{
+	const struct settings *settings = kernel_settings(router->kernel);
+	struct fleet *fleet = kernel_fleet(router->kernel);
+	const GPtrArray *entries = fleet_entries(fleet);
+
+	g_hash_table_foreach_remove(router->peers, has_left, fleet);
+	for (guint i = 0; i < entries->len; i++) {
+		const struct fleet_entry *entry = entries->pdata[i];
+		struct router_peer *peer = peer_get(router, entry->decl.name);
+
+		name_copy(peer->address, sizeof(peer->address),
+			  entry->decl.caller_address);
+		peer->remote = strcmp(entry->decl.dc, settings->dc) != 0;
+	}
+}
+
+/* The latest load of a pool at a peer, corrected by what we sent since. */
+struct known_load {
+	struct peer_pool_load load;
+	int64_t avoid_until_us; /* after it did not run a request */
+};
+
+static void take_loads(struct router_peer *peer, const struct peer_msg *msg)
+{
+	for (guint i = 0; i < msg->loads->len; i++) {
+		struct known_load *known = g_new0(struct known_load, 1);
+
+		known->load =
+			g_array_index(msg->loads, struct peer_pool_load, i);
+		g_hash_table_replace(peer->loads, known->load.pool, known);
+	}
+}
+
+/* Dispatches what waits here, since a peer may have room now. */
+static void retry_waiting(struct router *router)
+{
+	uint32_t count = MIN(router->waiting->length, WAITING_TRIES_COUNT);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct router_pool *pool = g_queue_pop_head(router->waiting);
+
+		if (!pool)
+			return;
+		pool->listed_waiting = false;
+		router_dispatch(router, pool);
+	}
+}
+
+void router_relay_heard(struct router *router, const struct event_peer *event)
+{
+	const struct peer_msg *msg = event->msg;
+	struct router_peer *peer;
+
+	if (msg->kind != PEER_MSG_HEARTBEAT)
+		return;
+	peer = g_hash_table_lookup(router->peers, msg->from);
+	if (!peer || !peer->remote)
+		return;
+	peer->state = PEER_ALIVE;
+	peer->heard_us = kernel_now_us(router->kernel);
+	if (msg->loads)
+		take_loads(peer, msg);
+	retry_waiting(router);
+}
+
+void router_relay_state(struct router *router, const struct event_peer *event)
+{
+	struct router_peer *peer =
+		g_hash_table_lookup(router->peers, event->peer);
+
+	if (peer)
+		peer->state = event->state;
+}
+
+/* Our own expected wait for a slot; without endpoints it has no end. */
+static int64_t own_wait_us(const struct router *router,
+			   const struct router_pool *pool)
+{
+	struct admission_load load = router_pool_load(router, pool);
+
+	if (!load.slot_count)
+		return INT64_MAX;
+	return router->admission->wait_us(pool->queue, &load);
+}
+
+/*
+ * Time that a request would spend on the way to a peer and in its queue, or
+ * INT64_MAX if the peer is not known to run it sooner than we do.
+ */
+static int64_t relay_cost_us(const struct router *router,
+			     const struct router_peer *peer, const char *pool,
+			     int64_t own_us)
+{
+	const struct known_load *known = g_hash_table_lookup(peer->loads, pool);
+	int64_t now_us = kernel_now_us(router->kernel);
+
+	if (!known || !peer->remote || peer->state != PEER_ALIVE ||
+	    peer->heard_us + HEARTBEAT_LIFE_US < now_us ||
+	    known->avoid_until_us > now_us)
+		return INT64_MAX;
+	if (known->load.free_slots_count)
+		return peer->trip_us;
+	if (known->load.wait_us >= own_us - RELAY_GAIN_US ||
+	    known->load.wait_us >= ROUTER_WAIT_MAX_US)
+		return INT64_MAX;
+	return peer->trip_us + known->load.wait_us;
+}
+
+/*
+ * The nearest peer that can run a request of the pool sooner. Distances are
+ * measured on earlier relays; one that was never used is tried first.
+ */
+struct router_peer *router_relay_find(struct router *router,
+				      const struct route *route)
+{
+	int64_t own_us = own_wait_us(router, route->pool);
+	struct router_peer *nearest = NULL;
+	int64_t nearest_us = INT64_MAX;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (route->relayed || route->relay_count >= RELAY_MAX_COUNT)
+		return NULL;
+	g_hash_table_iter_init(&iter, router->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct router_peer *peer = value;
+		int64_t cost_us =
+			relay_cost_us(router, peer, route->pool->name, own_us);
+
+		if (cost_us < nearest_us ||
+		    (nearest && cost_us == nearest_us &&
+		     strcmp(peer->name, nearest->name) < 0)) {
+			nearest = peer;
+			nearest_us = cost_us;
+		}
+	}
+	return nearest;
+}
+
+/* Corrects the digest by what we send until the next one comes. */
+void router_relay_used(struct router_peer *peer, const struct route *route)
+{
+	struct known_load *known =
+		g_hash_table_lookup(peer->loads, route->pool->name);
+
+	if (!known)
+		return;
+	if (known->load.free_slots_count)
+		known->load.free_slots_count--;
+	else
+		known->load.wait_us += route->item.cost_us;
+}
+
+static void measure_trip(struct router_peer *peer, int64_t trip_us)
+{
+	trip_us = MAX(trip_us, 1);
+	if (!peer->trip_us)
+		peer->trip_us = trip_us;
+	else
+		peer->trip_us += (trip_us - peer->trip_us) / (1 << TRIP_SHIFT);
+}
+
+void router_relay_done(struct router *router, const struct route *route,
+		       const struct event_attempt *attempt)
+{
+	struct router_peer *peer =
+		g_hash_table_lookup(router->peers, attempt->endpoint);
+	struct known_load *known;
+
+	if (!peer)
+		return;
+	if (attempt->verdict == VERDICT_RAN)
+		measure_trip(peer,
+			     attempt->latency_us - route->service->service_us);
+	known = g_hash_table_lookup(peer->loads, route->pool->name);
+	if (known && attempt->verdict == VERDICT_NOT_RUN)
+		known->avoid_until_us =
+			kernel_now_us(router->kernel) + REFUSED_AVOID_US;
+}
--- /dev/null
+++ b/src/decide/snapshot_peer.c
@@ -0,0 +1,96 @@
+/* State from a peer, for a process that can't get it from the log. */
+
+#include <string.h>
+
+#include "decide/peer_out.h"
+#include "decide/snapshot.h"
+#include "kernel/klog.h"
+
+#define ASK_EVERY_US (1 * USEC_PER_SEC)
+
+/* The log client gets some time to report whether it reaches the log. */
+void snapshot_peer_start(struct snapshot *snapshot)
+{
+	snapshot->ask_at_us = kernel_now_us(snapshot->kernel) + ASK_EVERY_US;
+}
+
+void snapshot_peer_clear(struct snapshot *snapshot)
+{
+	g_clear_pointer(&snapshot->cached, g_bytes_unref);
+}
+
+static bool needs_state(const struct snapshot *snapshot)
+{
+	return snapshot_has_gap(snapshot) ||
+	       (!snapshot->log_reachable &&
+		!fleet_offset(kernel_fleet(snapshot->kernel)));
+}
+
+/* Peers of our data centre in turn; NULL if the settings name none. */
+static const char *next_peer(struct snapshot *snapshot)
+{
+	const struct settings *settings = kernel_settings(snapshot->kernel);
+
+	for (guint i = 0; i < settings->peers->len; i++) {
+		const struct settings_peer *peer = &g_array_index(
+			settings->peers, struct settings_peer,
+			snapshot->next_peer++ % settings->peers->len);
+
+		if (!strcmp(peer->dc, settings->dc) &&
+		    strcmp(peer->name, settings->entry) != 0)
+			return peer->name;
+	}
+	return NULL;
+}
+
+void snapshot_peer_advance(struct snapshot *snapshot)
+{
+	int64_t now_us = kernel_now_us(snapshot->kernel);
+	const char *peer;
+
+	if (!needs_state(snapshot))
+		return;
+	if (now_us >= snapshot->ask_at_us) {
+		peer = next_peer(snapshot);
+		if (!peer)
+			return;
+		snapshot->ask_at_us = now_us + ASK_EVERY_US;
+		peer_out_send(
+			snapshot->kernel, peer,
+			peer_out_new(snapshot->kernel, PEER_MSG_STATE_ASK));
+	}
+	kernel_wake_at(snapshot->kernel, snapshot->ask_at_us);
+}
+
+static void answer(struct snapshot *snapshot, const char *to)
+{
+	const struct fleet *fleet = kernel_fleet(snapshot->kernel);
+	struct peer_msg *msg;
+
+	if (!fleet_offset(fleet) || snapshot_has_gap(snapshot))
+		return;
+	if (!snapshot->cached ||
+	    snapshot->cached_offset != fleet_offset(fleet)) {
+		snapshot_peer_clear(snapshot);
+		snapshot->cached = snapshot->ops->encode(fleet);
+		snapshot->cached_offset = fleet_offset(fleet);
+	}
+	msg = peer_out_new(snapshot->kernel, PEER_MSG_STATE);
+	msg->state = g_bytes_ref(snapshot->cached);
+	peer_out_send(snapshot->kernel, to, msg);
+}
+
+void snapshot_peer_received(struct snapshot *snapshot,
+			    const struct event_peer *received)
+{
+	const struct peer_msg *msg = received->msg;
+
+	if (msg->kind == PEER_MSG_STATE_ASK)
+		answer(snapshot, msg->from);
+	else if (msg->kind == PEER_MSG_STATE && needs_state(snapshot) &&
+		 snapshot_install(snapshot, msg->state))
+		klog_info(SNAPSHOT_LOG_PREFIX,
+			  "state at %" G_GUINT64_FORMAT " taken from %s",
+			  fleet_offset(kernel_fleet(snapshot->kernel)),
+			  msg->from);
+}
--- a/test/runner/checks.c
+++ b/test/runner/checks.c
@@ -7,6 +7,9 @@
 /* Time for a node to learn that an endpoint leaves, and to act on it. */
 #define LEAVING_GRACE_US (2 * USEC_PER_SEC)
 
+/* Orders to the platform that a node may give without a pause. */
+#define ORDERS_PER_SLICE_COUNT 64
+
 static const char *request_name(struct node *node, uint64_t request_id)
 {
 	const char *name =
@@ -34,6 +37,79 @@
 				instance_phase_name(instance->phase));
 }
 
+/* What running nodes may use together fits, whether they use it or not. */
+void check_allowed(struct world *world, const char *endpoint)
+{
+	uint32_t allowed_count = 0;
+	uint32_t slot_count = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct node *node = world->nodes->pdata[i];
+		const struct fleet_instance *instance;
+		const struct endpoint_state *state;
+
+		/* A paused one sends nothing before it has read the log. */
+		if (!node->kernel || node->paused)
+			continue;
+		instance = fleet_instance(kernel_fleet(node->kernel), endpoint);
+		state = endpoint_table_find(kernel_endpoints(node->kernel),
+					    endpoint);
+		allowed_count += state ? state->allowed_count : 0;
+		if (instance)
+			slot_count = MAX(slot_count, instance->decl.slot_count);
+	}
+	if (slot_count && allowed_count > slot_count)
+		world_violation(world, "%u of the %u slots of %s are allowed",
+				allowed_count, slot_count, endpoint);
+}
+
+static void note_item(struct world *world, struct node *node, const char *name,
+		      const struct list_item *item)
+{
+	bool leaving = item ? item->state == LIST_LEAVING
+			    : g_hash_table_contains(node->listed, name);
+
+	if (item)
+		g_hash_table_add(node->listed, g_strdup(name));
+	if (!leaving)
+		g_hash_table_remove(node->leaving, name);
+	else if (!g_hash_table_contains(node->leaving, name))
+		g_hash_table_insert(
+			node->leaving, g_strdup(name),
+			g_memdup2(&world->now_us, sizeof(world->now_us)));
+}
+
+/* Notes which endpoints a node knows to be leaving, and since when. */
+void check_list(struct world *world, struct node *node,
+		const struct event *event)
+{
+	const GPtrArray *instances =
+		fleet_instances(kernel_fleet(node->kernel));
+	const GArray *items = event->list.items;
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+		const struct list_item *found = NULL;
+
+		for (guint k = 0; k < items->len; k++) {
+			const struct list_item *item =
+				&g_array_index(items, struct list_item, k);
+
+			if (!strcmp(item->name, instance->decl.name))
+				found = item;
+		}
+		note_item(world, node, instance->decl.name, found);
+	}
+}
+
+static bool knows_leaving(const struct world *world, const struct node *node,
+			  const char *endpoint)
+{
+	const int64_t *since_us = g_hash_table_lookup(node->leaving, endpoint);
+
+	return since_us && world->now_us - *since_us > LEAVING_GRACE_US;
+}
+
 /* A non-idempotent request runs at most once over all nodes. */
 static void check_once(struct world *world, struct node *node,
 		       const struct request *request)
@@ -65,8 +141,7 @@
 	if (attempt->relayed)
 		return;
 	check_slots(world, node, endpoint);
-	if (endpoint->leaving_since_us &&
-	    world->now_us - endpoint->leaving_since_us > LEAVING_GRACE_US)
+	if (knows_leaving(world, node, attempt->endpoint))
 		world_violation(world, "%s sends to %s, which is leaving",
 				node->name, endpoint->name);
 	if (!request) {
@@ -83,6 +158,32 @@
 				node->name, node->incarnation, request->id));
 }
 
+/* Counts a reply to a caller; a relayed request has none here. */
+static void count_reply(struct world *world, struct node *node,
+			const struct event_request *reply)
+{
+	const struct request *request =
+		request_get(kernel_requests(node->kernel), reply->request_id);
+	const struct decl_service *service;
+	uint32_t *counts;
+
+	if (request && request->relayed)
+		return;
+	world->reply_counts[reply->verdict]++;
+	service =
+		request ? fleet_route(kernel_fleet(node->kernel), request->path)
+			: NULL;
+	if (!service)
+		return;
+	counts = g_tree_lookup(world->member_counts, service->member);
+	if (!counts) {
+		counts = g_new0(uint32_t, VERDICT_COUNT);
+		g_tree_insert(world->member_counts, g_strdup(service->member),
+			      counts);
+	}
+	counts[reply->verdict]++;
+}
+
 void check_reply(struct world *world, struct node *node,
 		 const struct event *event)
 {
@@ -91,7 +192,7 @@
 		"%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, node->name,
 		node->incarnation, reply->request_id);
 
-	world->reply_counts[reply->verdict]++;
+	count_reply(world, node, reply);
 	world->reply_hash = world->reply_hash * UINT64_C(1099511628211) +
 			    reply->request_id * VERDICT_COUNT + reply->verdict;
 	if (!request_get(kernel_requests(node->kernel), reply->request_id))
@@ -115,26 +216,53 @@
 {
 	struct endpoint *endpoint = world_endpoint(world, event->name.name);
 
+	endpoint->rebooted_us = world->now_us;
 	if (endpoint->running_count)
 		world_violation(world, "%s reboots %s, which runs %u requests",
 				node->name, endpoint->name,
 				endpoint->running_count);
 }
 
-/* Planned steps keep every pool's availability budget. */
-static void check_budget(struct world *world, struct node *node,
-			 const struct record *record)
+/*
+ * Planned steps keep every pool's availability budget. This looks at the state
+ * right after the record was applied: when EVENT_FLEET_CHANGED arrives, later
+ * records may have been applied too, and more instances may be down.
+ */
+void check_applied(struct world *world, struct node *node,
+		   const struct event *event)
 {
+	const struct record *record = event->record.record;
 	const struct fleet *fleet = kernel_fleet(node->kernel);
-	const struct fleet_instance *instance =
-		fleet_instance(fleet, record->instance.instance);
-	const struct fleet_pool *pool =
-		instance ? fleet_pool(fleet, instance->pool) : NULL;
+	const struct fleet_instance *instance;
+	const struct fleet_pool *pool;
 
+	if (record->kind != RECORD_MOVE_START &&
+	    record->kind != RECORD_MAINT_START)
+		return;
+	instance = fleet_instance(fleet, record->instance.instance);
+	/* Only a step that was accepted starts a drain at its offset. */
+	if (!instance || instance->drain_offset != event->record.offset)
+		return;
+	pool = fleet_pool(fleet, instance->pool);
 	if (pool && pool->unavailable_count > pool->decl.max_unavailable_count)
 		world_violation(world, "budget of %s is exceeded: %u of %u",
 				pool->decl.name, pool->unavailable_count,
 				pool->decl.max_unavailable_count);
+	if (pool && pool->instances->len - pool->unavailable_count <
+			    pool->min_available_count)
+		world_violation(world, "%s has fewer than %u instances",
+				pool->decl.name, pool->min_available_count);
+}
+
+/* However many jobs change, a node handles them in slices. */
+void check_order(struct world *world, struct node *node)
+{
+	if (node->ordered_us != world->now_us)
+		node->order_count = 0;
+	node->ordered_us = world->now_us;
+	if (++node->order_count > ORDERS_PER_SLICE_COUNT)
+		world_violation(world, "%s tells the platform of %u tasks",
+				node->name, node->order_count);
 }
 
 /* Each instance is in the list of exactly one pool. */
@@ -170,19 +298,10 @@
 	if (!event->record.accepted)
 		return;
 	check_one_pool(world, node);
-	switch (record->kind) {
-	case RECORD_MOVE_START:
-	case RECORD_MAINT_START:
-		check_budget(world, node, record);
-		break;
-	case RECORD_MOVE_COMMIT:
-		endpoint = world_endpoint(world, record->instance.instance);
-		if (endpoint->running_count)
-			world_violation(world, "%s moves while it runs %u",
-					endpoint->name,
-					endpoint->running_count);
-		break;
-	default:
-		break;
-	}
+	if (record->kind != RECORD_MOVE_COMMIT)
+		return;
+	endpoint = world_endpoint(world, record->instance.instance);
+	if (endpoint->running_count)
+		world_violation(world, "%s moves while it runs %u",
+				endpoint->name, endpoint->running_count);
 }
--- a/test/runner/print.c
+++ b/test/runner/print.c
@@ -1,5 +1,7 @@
 /* One line for each event that a script has asked to see. */
 
+#include <string.h>
+
 #include "runner/world.h"
 
 static const char *request_name(const struct node *node, uint64_t request_id)
@@ -102,6 +104,12 @@
 			g_string_append_printf(line, " instance=%s",
 					       record->job.instance);
 		break;
+	case RECORD_SNAPSHOT_PART:
+		g_string_append_printf(
+			line, " base=%" G_GUINT64_FORMAT " part=%u/%u",
+			record->snapshot.base_offset, record->snapshot.part,
+			record->snapshot.part_count);
+		break;
 	default:
 		break;
 	}
@@ -141,12 +149,49 @@
 		g_string_append_printf(line, " reason=\"%s\"", claim->reason);
 }
 
+static void add_task(GString *line, const struct event *event)
+{
+	static const char *const reports[] = {
+		[TASK_RUNNING] = "running",
+		[TASK_SUCCEEDED] = "succeeded",
+		[TASK_FAILED] = "failed",
+		[TASK_CHECKPOINTED] = "checkpointed",
+		[TASK_STOPPED] = "stopped",
+	};
+	const struct event_task *task = &event->task;
+
+	g_string_append_printf(line, " %s on %s attempt=%u", task->job,
+			       task->instance, task->attempt);
+	if (event->type == EVENT_TASK_REPORT)
+		g_string_append_printf(line, " %s", reports[task->report]);
+}
+
+static bool carries_record(const struct event *event)
+{
+	return event->type == EVENT_PROPOSE ||
+	       event->type == EVENT_PROPOSAL_DROPPED ||
+	       event->type == EVENT_LOG_RECORD ||
+	       event->type == EVENT_FLEET_CHANGED;
+}
+
+static bool is_printed(const struct world *world, const struct node *node,
+		       const struct event *event)
+{
+	if (!(world->printed & EVENT_BIT(event->type)) || world->quiet)
+		return false;
+	if (world->printed_node[0] &&
+	    strcmp(world->printed_node, node->name) != 0)
+		return false;
+	return !carries_record(event) ||
+	       !(world->skipped & (UINT64_C(1) << event->record.record->kind));
+}
+
 void print_event(struct world *world, struct node *node,
 		 const struct event *event)
 {
 	GString *line;
 
-	if (!(world->printed & EVENT_BIT(event->type)) || world->quiet)
+	if (!is_printed(world, node, event))
 		return;
 	line = g_string_new(NULL);
 	switch (event->type) {
@@ -189,6 +234,16 @@
 	case EVENT_CLAIM_DECIDED:
 		add_claim(line, node, &event->claim);
 		break;
+	case EVENT_FLEET_RESET:
+		g_string_append_printf(line, " @%" G_GUINT64_FORMAT,
+				       event->name.offset);
+		break;
+	case EVENT_TASK_START:
+	case EVENT_TASK_CHECKPOINT:
+	case EVENT_TASK_STOP:
+	case EVENT_TASK_REPORT:
+		add_task(line, event);
+		break;
 	case EVENT_INSTANCE_REBOOT:
 	case EVENT_ROLE_CHANGED:
 	case EVENT_SLOTS_CHANGED:
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "codec/decl_yaml.h"
+#include "codec/snapshot_codec.h"
 #include "runner/world.h"
 
 #define WORDS_MAX_COUNT 64
@@ -137,11 +138,17 @@
 	g_free(text);
 }
 
+/* node NAME [dc=DC] [only=PLUGIN,...]: all decision plug-ins, or some. */
 static void cmd_node(struct script *script)
 {
 	const char *dc = option(script, "dc");
+	const char *only = option(script, "only");
+	struct node *node =
+		world_add_node(script->world, word(script, 1), dc ? dc : "dc1");
 
-	world_start_node(script->world, word(script, 1), dc ? dc : "dc1");
+	if (only && !node->only)
+		node->only = g_strsplit(only, ",", -1);
+	world_start_node(script->world, node->name, "");
 }
 
 /* use NODE KIND PLUGIN: must come before the node is started again. */
@@ -161,6 +168,21 @@
 				    g_strdup(word(script, 3)));
 }
 
+/* know NODE PEER: a peer in the settings; before the node is started again. */
+static void cmd_know(struct script *script)
+{
+	struct node *node = node_at(script, 1);
+	struct node *known = node_at(script, 2);
+	struct settings_peer peer = { 0 };
+
+	if (!node || !known)
+		return;
+	name_copy(peer.name, sizeof(peer.name), known->name);
+	name_copy(peer.dc, sizeof(peer.dc), known->settings->dc);
+	name_copy(peer.address, sizeof(peer.address), "127.0.0.1:1");
+	g_array_append_val(node->settings->peers, peer);
+}
+
 static void cmd_start(struct script *script)
 {
 	struct node *node = node_at(script, 1);
@@ -422,13 +444,6 @@
 {
 	struct world *world = script->world;
 
-	for (uint32_t i = 1; i < script->word_count; i++) {
-		char **pair = g_strsplit(script->words[i], "=", 2);
-		struct endpoint *endpoint = world_endpoint(world, pair[0]);
-
-		endpoint->leaving_since_us = MAX(world->now_us, 1);
-		g_strfreev(pair);
-	}
 	for (guint i = 0; i < world->nodes->len; i++) {
 		struct node *node = world->nodes->pdata[i];
 		struct event event = { .type = EVENT_INSTANCE_LIST };
@@ -636,7 +651,18 @@
 	}
 }
 
-/* agree: all running nodes have the same offset, lease and pools. */
+static bool same_state(struct node *a, struct node *b)
+{
+	GBytes *left = snapshot_encode(kernel_fleet(a->kernel));
+	GBytes *right = snapshot_encode(kernel_fleet(b->kernel));
+	bool same = g_bytes_equal(left, right);
+
+	g_bytes_unref(left);
+	g_bytes_unref(right);
+	return same;
+}
+
+/* agree: all running nodes have the same replicated state. */
 static void cmd_agree(struct script *script)
 {
 	struct world *world = script->world;
@@ -666,6 +692,9 @@
 						first->name, node->name,
 						a->decl.name);
 		}
+		if (!same_state(first, node))
+			world_violation(world, "%s and %s differ in state",
+					first->name, node->name);
 	}
 }
 
@@ -695,10 +724,54 @@
 		    world->reply_counts[VERDICT_MAY_HAVE_RUN]);
 }
 
+static gboolean print_member(gpointer key, gpointer value, gpointer data)
+{
+	const uint32_t *counts = value;
+	struct world *world = data;
+
+	world_print(world, "%10.3f %s not-run %u ran %u may-have-run %u",
+		    (double)world->now_us / USEC_PER_MSEC, (const char *)key,
+		    counts[VERDICT_NOT_RUN], counts[VERDICT_RAN],
+		    counts[VERDICT_MAY_HAVE_RUN]);
+	return FALSE;
+}
+
+/* members: replies to the callers of each member */
+static void cmd_members(struct script *script)
+{
+	g_tree_foreach(script->world->member_counts, print_member,
+		       script->world);
+}
+
 static void cmd_reset(struct script *script)
 {
 	memset(script->world->reply_counts, 0,
 	       sizeof(script->world->reply_counts));
+	g_tree_remove_all(script->world->member_counts);
+}
+
+static void run_line(struct script *script, char *line);
+
+/* repeat COUNT EVERY COMMAND...: runs a command several times. */
+static void cmd_repeat(struct script *script)
+{
+	struct world *world = script->world;
+	uint64_t count = g_ascii_strtoull(word(script, 1), NULL, 10);
+	int64_t every_us = duration_us(script, word(script, 2));
+	char *line = g_strjoinv(" ", script->words + 3);
+	gchar **words = script->words;
+	uint32_t word_count = script->word_count;
+
+	for (uint64_t i = 0; i < count; i++) {
+		char *copy = g_strdup(line);
+
+		run_line(script, copy);
+		g_free(copy);
+		world_run_until(world, world->now_us + every_us);
+	}
+	script->words = words;
+	script->word_count = word_count;
+	g_free(line);
 }
 
 static const struct command commands[] = {
@@ -715,13 +788,16 @@
 	{ "heal", 2, cmd_heal },
 	{ "hide", 0, cmd_hide },
 	{ "kill", 1, cmd_kill },
+	{ "know", 2, cmd_know },
 	{ "list", 0, cmd_list },
 	{ "log", 1, cmd_log },
 	{ "node", 1, cmd_node },
+	{ "members", 0, cmd_members },
 	{ "note", 1, cmd_note },
 	{ "pause", 1, cmd_pause },
 	{ "print", 1, cmd_print },
 	{ "propose", 2, cmd_propose },
+	{ "repeat", 3, cmd_repeat },
 	{ "request", 2, cmd_request },
 	{ "reset", 0, cmd_reset },
 	{ "resume", 1, cmd_resume },
@@ -753,7 +829,11 @@
 		g_strfreev(script->words);
 		return;
 	}
-	fail(script, "no command is called \"%s\"", script->words[0]);
+	if (!script_plan(script->world, script->words, script->errors) &&
+	    !script_slots(script->world, script->words) &&
+	    !script_feed(script->world, script->dir, script->words,
+			 script->errors))
+		fail(script, "no command is called \"%s\"", script->words[0]);
 	g_strfreev(script->words);
 }
 
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -19,11 +19,18 @@
 	struct kernel *kernel; /* NULL after a kill */
 	uint64_t incarnation;
 	bool paused;
+	bool left; /* the process has ended itself; the kernel is freed next */
 	bool log_cut;	       /* can't reach the log or the list */
 	int64_t skew_us;       /* wall clock ahead of the world's */
 	uint64_t read_offset;  /* next offset that the log client hands out */
+	int64_t ordered_us;    /* when it last told the platform of tasks */
+	uint32_t order_count;  /* how often at that time */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
+	GHashTable *relays;	   /* request id -> struct relay */
+	GHashTable *listed;	   /* names that a list has shown to it */
+	GHashTable *leaving;	   /* name -> time since which it knows */
+	char **only; /* the decision plug-ins that it runs; NULL: all */
 };
 
 enum endpoint_mode {
@@ -41,7 +48,8 @@
 	enum endpoint_mode mode;
 	int64_t service_us;
 	uint32_t running_count;
-	int64_t leaving_since_us; /* 0: not leaving */
+	int64_t rebooted_us; /* latest order to reboot; 0: none */
+	bool off;	     /* not on the platform's list */
 };
 
 struct world {
@@ -63,11 +71,14 @@
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
 	uint64_t printed;	 /* EVENT_BIT() of the types that are printed */
+	uint64_t skipped; /* bits of the record kinds that are not printed */
+	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
 	bool quiet;
 	GString *output;
 	uint32_t violation_count;
-	uint32_t reply_counts[VERDICT_COUNT];
-	uint64_t reply_hash; /* order of all replies, for repeatability */
+	uint32_t reply_counts[VERDICT_COUNT]; /* to callers */
+	GTree *member_counts; /* member -> uint32_t[VERDICT_COUNT] */
+	uint64_t reply_hash;  /* order of all replies, for repeatability */
 };
 
 struct world *world_new(uint32_t seed);
@@ -75,6 +86,10 @@
 
 struct node *world_node(struct world *world, const char *name);
 
+/* Adds a node without starting it; an existing one is left as it is. */
+struct node *world_add_node(struct world *world, const char *name,
+			    const char *dc);
+
 /* Adds and starts a node, or starts a killed one again. */
 struct node *world_start_node(struct world *world, const char *name,
 			      const char *dc);
@@ -112,20 +127,57 @@
 void world_print(struct world *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
+/* node.c */
+void node_free(struct node *node);
+void node_start_plugins(struct node *node);
+
 /* print.c: one line for an event that a node emitted. */
 void print_event(struct world *world, struct node *node,
 		 const struct event *event);
 
+/* relay.c: the hop between the nodes, as attempts of one of them. */
+void relay_send(struct world *world, struct node *node,
+		const struct event *event);
+void relay_reply(struct world *world, struct node *node,
+		 const struct event *event);
+void relay_cancel(struct world *world, struct node *node,
+		  const struct event *event);
+
 /* checks.c: invariants, on each event that a node emitted. */
 void check_send(struct world *world, struct node *node,
 		const struct event *event);
 void check_reply(struct world *world, struct node *node,
 		 const struct event *event);
+void check_list(struct world *world, struct node *node,
+		const struct event *event);
+void check_allowed(struct world *world, const char *endpoint);
 void check_reboot(struct world *world, struct node *node,
 		  const struct event *event);
+void check_applied(struct world *world, struct node *node,
+		   const struct event *event);
+void check_order(struct world *world, struct node *node);
 void check_fleet(struct world *world, struct node *node,
 		 const struct event *event);
 
+/*
+ * script_feed.c: runs a command that stands in for another plug-in. Returns
+ * false if there is none of that name.
+ */
+bool script_feed(struct world *world, const char *dir, gchar **words,
+		 GPtrArray *errors);
+
+/*
+ * script_plan.c: runs a command about planning. Returns false if there is
+ * none of that name.
+ */
+bool script_plan(struct world *world, gchar **words, GPtrArray *errors);
+/* script_slots.c: like script_feed(). */
+bool script_slots(struct world *world, gchar **words);
+
+/* random.c: random faults and requests from a seed. */
+void random_run(struct world *world, uint32_t seed, uint32_t step_count,
+		bool trace);
+
 /* script.c: runs a script; the output is in world->output. */
 struct world *script_run(const char *path, GPtrArray *errors);
 
