--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -149,20 +149,10 @@
 	serve->end_timer.data = serve;
 }
 
-/* A kind without any plug-in in this build is left out with a warning. */
 static bool start_plugins(struct serve *serve)
 {
 	for (gsize i = 0; i < G_N_ELEMENTS(started_kinds); i++) {
-		enum plugin_kind kind = started_kinds[i];
-
-		if (plugin_kind_is_choice(kind) &&
-		    !settings_choice(serve->settings, kind) &&
-		    !plugin_find(kind, NULL)) {
-			klog_warn(LOG_PREFIX, "there is no %s plug-in",
-				  plugin_kind_name(kind));
-			continue;
-		}
-		if (!kernel_start_kind(serve->kernel, kind))
+		if (!kernel_start_kind(serve->kernel, started_kinds[i]))
 			return false;
 	}
 	kernel_start_plugin_with(serve->kernel, &serve_watch, serve);
