--- a/src/decide/replay.c
+++ b/src/decide/replay.c
@@ -137,21 +137,22 @@
 		apply(replay, read->offset, read->record);
 }
 
-/* Goes on after a snapshot, unless it is too old to close the gap. */
+/*
+ * Goes on after a snapshot: the records that waited are taken as if they were
+ * read now, one by one, so that each is reported before the next is applied.
+ */
 static void fleet_reset(struct replay *replay)
 {
 	struct waiting *waiting;
 
-	while ((waiting = g_queue_peek_head(&replay->waiting))) {
-		uint64_t applied_offset =
-			fleet_offset(kernel_fleet(replay->kernel));
+	while ((waiting = g_queue_pop_tail(&replay->waiting))) {
+		struct event event = { .type = EVENT_LOG_RECORD };
 
-		if (waiting->offset > applied_offset) {
-			if (waiting->previous_offset > applied_offset)
-				break;
-			apply(replay, waiting->offset, waiting->record);
-		}
-		waiting_free(g_queue_pop_head(&replay->waiting));
+		event.record.offset = waiting->offset;
+		event.record.previous_offset = waiting->previous_offset;
+		event.record.record = record_ref(waiting->record);
+		kernel_emit_next(replay->kernel, &event);
+		waiting_free(waiting);
 	}
 	counter_set(kernel_counters(replay->kernel), "applied_offset",
 		    fleet_offset(kernel_fleet(replay->kernel)));
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -25,6 +25,7 @@
 	uint64_t read_offset;  /* next offset that the log client hands out */
 	int64_t ordered_us;    /* when it last told the platform of tasks */
 	uint32_t order_count;  /* how often at that time */
+	int64_t read_at_us;    /* when the last of them arrives */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
 	GHashTable *relays;	   /* request id -> struct relay */
