--- a/src/decide/replay.c
+++ b/src/decide/replay.c
@@ -137,13 +137,25 @@
 		apply(replay, read->offset, read->record);
 }
 
+<<<<<<< HEAD
 /* Reads what has waited once more, before what is queued already. */
+=======
+/*
+ * Goes on after a snapshot: the records that waited are taken as if they were
+ * read now, one by one, so that each is reported before the next is applied.
+ */
+>>>>>>> slots
 static void fleet_reset(struct replay *replay)
 {
 	struct event event = { .type = EVENT_LOG_RECORD };
 	struct waiting *waiting;
 
 	while ((waiting = g_queue_pop_tail(&replay->waiting))) {
+<<<<<<< HEAD
+=======
+		struct event event = { .type = EVENT_LOG_RECORD };
+
+>>>>>>> slots
 		event.record.offset = waiting->offset;
 		event.record.previous_offset = waiting->previous_offset;
 		event.record.record = record_ref(waiting->record);
