--- a/src/decide/replay.c
+++ b/src/decide/replay.c
@@ -122,6 +122,7 @@
 	count_waiting(replay);
 }
 
+<<<<<<< HEAD
 static void log_record(struct replay *replay, const struct event_record *read)
 {
 	uint64_t applied_offset = fleet_offset(kernel_fleet(replay->kernel));
@@ -146,25 +147,58 @@
  */
 >>>>>>> slots
 static void fleet_reset(struct replay *replay)
+=======
+/* Takes what has waited as if it were read now, one record after another. */
+static void take_waiting(struct replay *replay)
+>>>>>>> clients
 {
 	struct event event = { .type = EVENT_LOG_RECORD };
 	struct waiting *waiting;
 
 	while ((waiting = g_queue_pop_tail(&replay->waiting))) {
 <<<<<<< HEAD
+<<<<<<< HEAD
 =======
 		struct event event = { .type = EVENT_LOG_RECORD };
 
 >>>>>>> slots
+=======
+>>>>>>> clients
 		event.record.offset = waiting->offset;
 		event.record.previous_offset = waiting->previous_offset;
 		event.record.record = record_ref(waiting->record);
 		kernel_emit_next(replay->kernel, &event);
 		waiting_free(waiting);
 	}
+	count_waiting(replay);
+}
+
+static void log_record(struct replay *replay, const struct event_record *read)
+{
+	uint64_t applied_offset = fleet_offset(kernel_fleet(replay->kernel));
+	const struct waiting *oldest = g_queue_peek_head(&replay->waiting);
+	const struct waiting *newest = g_queue_peek_tail(&replay->waiting);
+
+	if (read->offset > applied_offset &&
+	    read->previous_offset <= applied_offset) {
+		/* Queued first, so that this record's report precedes them. */
+		if (oldest && oldest->previous_offset <= read->offset)
+			take_waiting(replay);
+		apply(replay, read->offset, read->record);
+	} else if (read->offset <= applied_offset ||
+		   (newest && read->offset <= newest->offset)) {
+		counter_add(kernel_counters(replay->kernel),
+			    "records_repeated_total", 1);
+	} else {
+		wait_for_snapshot(replay, read);
+	}
+}
+
+static void fleet_reset(struct replay *replay)
+{
+	take_waiting(replay);
 	counter_set(kernel_counters(replay->kernel), "applied_offset",
 		    fleet_offset(kernel_fleet(replay->kernel)));
-	count_waiting(replay);
 }
 
 static void replay_handle(void *self, const struct event *event)
