Measure buffer cost, roll-out time, moves and floods

Change: bench/measure.c runs the real decision plug-ins of all entry instances of both example deployments in the runner's virtual time, ours and the baselines with the same requests, and writes a table and data for gnuplot. The runner's check of a committed move looks at the first node that applies the record: work for the new pool that was sent right after it was counted as running before.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	./bench/run $(BUILD)
 
 measure: build
-	./$(BUILD)/bench-measure
+	./$(BUILD)/bench-measure $(BUILD)/measure.dat
 
 model:
 	./spec/run
--- /dev/null
+++ b/bench/measure.c
@@ -0,0 +1,377 @@
+/*
+ * The four measures of the design page at the sizes of both deployments: buffer
+ * cost, roll-out time, instance moves, and what other work keeps during a
+ * flood. The real decision plug-ins run in virtual time; ours and the baseline
+ * get the same requests.
+ *
+ * Arguments: [file for gnuplot's data].
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/klog.h"
+#include "measure/site.h"
+
+/* Mean of a queue against its pool; five times as much exceeds the pool. */
+#define MEAN_PERCENT 28
+#define BURST_TIMES 5
+#define QUIET_PART 20
+#define BURST_US (6 * USEC_PER_SEC)
+#define WARM_UP_US (10 * USEC_PER_SEC)
+#define ROTATIONS_COUNT 2
+#define SPARE_MAX_COUNT 8 /* today's */
+#define SPARE_STEP_COUNT 2
+#define SEEDS_COUNT 2
+#define FLOOD_US (20 * USEC_PER_SEC)
+#define MOVES_ROTATIONS_COUNT 10
+#define LASTING_TIMES 4.5 /* of its mean: more than the pool's capacity */
+#define LASTING_US (300 * USEC_PER_SEC)
+#define WAVE_PARALLEL_COUNT 4
+#define WAVE_LIMIT_US (INT64_C(12) * 3600 * USEC_PER_SEC)
+
+static const struct deployment deployments[] = {
+	{ "Andino", "examples/andino.yaml", 7 },
+	{ "Mreja", "examples/mreja.yaml", 6 },
+};
+
+static const struct variant ours = { .name = "ours", .lends = true };
+static const struct variant baseline = {
+	.name = "baseline",
+	.moves = "greedy",
+	.waves = "serial",
+	.admission = "fifo",
+	.choice = "round_robin",
+	.retry = "none",
+};
+static const struct variant fixed = {
+	.name = "static pools",
+	.moves = "none",
+	.waves = "serial",
+	.admission = "fifo",
+	.choice = "round_robin",
+	.retry = "none",
+};
+/* Ours but for one policy, which shows what that policy is worth. */
+static const struct variant ours_greedy = {
+	.name = "ours, greedy moves",
+	.moves = "greedy",
+	.lends = true,
+};
+
+static FILE *data;
+static uint32_t violation_count;
+
+static struct site *open_site(const struct deployment *deployment,
+			      const struct variant *variant,
+			      uint32_t spare_count, uint32_t seed)
+{
+	struct site *site = site_new(deployment, variant, spare_count, seed);
+
+	if (!site)
+		exit(EXIT_FAILURE);
+	return site;
+}
+
+static void close_site(struct site *site)
+{
+	if (site->world->violation_count)
+		fprintf(stderr, "%s", site->world->output->str);
+	violation_count += site->world->violation_count;
+	site_free(site);
+}
+
+static double mean_rate(const struct site *site, const struct stream *stream)
+{
+	return site_capacity(site, stream->queue) * MEAN_PERCENT / 100 *
+	       stream->share;
+}
+
+/* Each stream at its mean, times the factor of its queue. */
+static void run_factors(struct site *site, const double *factors,
+			int64_t duration_us)
+{
+	double *rates = g_new0(double, site->streams->len);
+
+	for (guint i = 0; i < site->streams->len; i++) {
+		const struct stream *stream = site->streams->pdata[i];
+
+		rates[i] = mean_rate(site, stream) * factors[stream->queue];
+	}
+	site_run(site, rates, duration_us);
+	g_free(rates);
+}
+
+static void run_even(struct site *site, double factor, int64_t duration_us)
+{
+	double *factors = g_new0(double, site->queues->len);
+
+	for (guint i = 0; i < site->queues->len; i++)
+		factors[i] = factor;
+	run_factors(site, factors, duration_us);
+	g_free(factors);
+}
+
+/* Each queue in turn has its burst, while the others are nearly idle. */
+static void run_turns(struct site *site, uint32_t rotation_count)
+{
+	double *factors = g_new0(double, site->queues->len);
+
+	for (uint32_t i = 0; i < rotation_count * site->queues->len; i++) {
+		for (guint k = 0; k < site->queues->len; k++)
+			factors[k] = k == i % site->queues->len
+					     ? BURST_TIMES
+					     : 1.0 / QUIET_PART;
+		run_factors(site, factors, BURST_US);
+	}
+	g_free(factors);
+}
+
+static double percent(const struct tally *tally)
+{
+	return tally->sent_count ? 100.0 * (double)tally->in_time_count /
+					   (double)tally->sent_count
+				 : 100;
+}
+
+/* Urgent requests, of all members or all but one. */
+static struct tally urgent_tally(const struct site *site, const char *without)
+{
+	struct tally sum = { 0 };
+
+	for (guint i = 0; i < site->streams->len; i++) {
+		const struct stream *stream = site->streams->pdata[i];
+
+		if (stream->service->urgency != URGENCY_URGENT ||
+		    (without && !strcmp(stream->service->member, without)))
+			continue;
+		sum.sent_count += stream->tally.sent_count;
+		sum.in_time_count += stream->tally.in_time_count;
+	}
+	return sum;
+}
+
+/* Share of urgent requests answered in time while the queues take turns. */
+static double protection(const struct deployment *deployment,
+			 const struct variant *variant, uint32_t spare_count)
+{
+	struct tally sum = { 0 };
+
+	for (uint32_t seed = 1; seed <= SEEDS_COUNT; seed++) {
+		struct site *site =
+			open_site(deployment, variant, spare_count, seed);
+		struct tally tally;
+
+		run_even(site, 1, WARM_UP_US);
+		site_reset_tallies(site);
+		run_turns(site, ROTATIONS_COUNT);
+		run_even(site, 1.0 / QUIET_PART, 2 * USEC_PER_SEC);
+		tally = urgent_tally(site, NULL);
+		sum.sent_count += tally.sent_count;
+		sum.in_time_count += tally.in_time_count;
+		close_site(site);
+	}
+	return percent(&sum);
+}
+
+static void measure_buffer(const struct deployment *deployment)
+{
+	const struct variant *const variants[] = { &ours, &baseline, &fixed };
+	double shares[G_N_ELEMENTS(variants)][SPARE_MAX_COUNT + 1];
+	uint32_t needed_count = 0;
+
+	fprintf(data, "# %s: urgent requests in time by spare instances\n",
+		deployment->name);
+	fprintf(data, "# spare \"ours\" \"baseline\" \"static pools\"\n");
+	for (uint32_t spare = 0; spare <= SPARE_MAX_COUNT;
+	     spare += SPARE_STEP_COUNT) {
+		fprintf(data, "%u", spare);
+		for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++) {
+			shares[i][spare] =
+				protection(deployment, variants[i], spare);
+			fprintf(data, " %.3f", shares[i][spare]);
+		}
+		fprintf(data, "\n");
+	}
+	fprintf(data, "\n\n");
+	while (needed_count < SPARE_MAX_COUNT &&
+	       shares[0][needed_count] < shares[1][SPARE_MAX_COUNT])
+		needed_count += SPARE_STEP_COUNT;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++)
+		printf("%-8s buffer    %-20s urgent in time %6.2f %% with 0 "
+		       "spare instances, %6.2f %% with %u\n",
+		       deployment->name, variants[i]->name, shares[i][0],
+		       shares[i][SPARE_MAX_COUNT], SPARE_MAX_COUNT);
+	printf("%-8s buffer    %-20s %u of %u spare instances protect no less "
+	       "than the baseline's %u\n",
+	       deployment->name, "ours", needed_count, SPARE_MAX_COUNT,
+	       SPARE_MAX_COUNT);
+}
+
+/* One member's urgent work in its first queue, with or without a flood. */
+static struct tally run_flood(const struct deployment *deployment,
+			      const struct variant *variant, uint32_t seed,
+			      bool floods)
+{
+	struct site *site =
+		open_site(deployment, variant, SPARE_MAX_COUNT, seed);
+	const struct stream *first = site->streams->pdata[0];
+	double *rates = g_new0(double, site->streams->len);
+	double flooding_share = 0;
+	struct tally tally;
+
+	for (guint i = 0; i < site->streams->len; i++) {
+		const struct stream *stream = site->streams->pdata[i];
+
+		if (stream->queue == first->queue &&
+		    !strcmp(stream->service->member, first->service->member))
+			flooding_share += stream->share;
+	}
+	for (guint i = 0; i < site->streams->len; i++) {
+		const struct stream *stream = site->streams->pdata[i];
+
+		rates[i] = mean_rate(site, stream);
+		if (floods && stream->queue == first->queue &&
+		    !strcmp(stream->service->member, first->service->member))
+			rates[i] *= 1 + (BURST_TIMES - 1) / flooding_share;
+	}
+	run_even(site, 1, WARM_UP_US);
+	site_reset_tallies(site);
+	site_run(site, rates, FLOOD_US);
+	tally = urgent_tally(site, first->service->member);
+	g_free(rates);
+	close_site(site);
+	return tally;
+}
+
+static void measure_flood(const struct deployment *deployment)
+{
+	const struct variant *const variants[] = { &ours, &baseline, &fixed };
+
+	fprintf(data,
+		"# %s: urgent requests of the other members in time, without "
+		"and with a flood, in percent\n",
+		deployment->name);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++) {
+		struct tally without = { 0 };
+		struct tally with = { 0 };
+
+		for (uint32_t seed = 1; seed <= SEEDS_COUNT; seed++) {
+			struct tally quiet =
+				run_flood(deployment, variants[i], seed, false);
+			struct tally flood =
+				run_flood(deployment, variants[i], seed, true);
+
+			without.sent_count += quiet.sent_count;
+			without.in_time_count += quiet.in_time_count;
+			with.sent_count += flood.sent_count;
+			with.in_time_count += flood.in_time_count;
+		}
+		printf("%-8s flood     %-20s others keep %6.2f %% (%.2f %% in "
+		       "time without, %.2f %% with)\n",
+		       deployment->name, variants[i]->name,
+		       100 * percent(&with) / percent(&without),
+		       percent(&without), percent(&with));
+		fprintf(data, "\"%s\" %.3f %.3f\n", variants[i]->name,
+			percent(&without), percent(&with));
+	}
+	fprintf(data, "\n\n");
+}
+
+static void measure_moves(const struct deployment *deployment)
+{
+	const struct variant *const variants[] = { &ours, &ours_greedy,
+						   &baseline };
+
+	fprintf(data, "# %s: moves in bursts, then under lasting demand\n",
+		deployment->name);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++) {
+		struct site *site =
+			open_site(deployment, variants[i], SPARE_MAX_COUNT, 1);
+		double *factors = g_new0(double, site->queues->len);
+		uint32_t in_bursts_count;
+
+		run_turns(site, MOVES_ROTATIONS_COUNT);
+		in_bursts_count = site->move_count;
+		for (guint k = 0; k < site->queues->len; k++)
+			factors[k] = 1;
+		factors[0] = LASTING_TIMES;
+		run_factors(site, factors, LASTING_US);
+		printf("%-8s moves     %-20s %3u in %.0f min of bursts, %3u in "
+		       "%.0f min of lasting demand\n",
+		       deployment->name, variants[i]->name, in_bursts_count,
+		       (double)(BURST_US * MOVES_ROTATIONS_COUNT *
+				site->queues->len) /
+			       USEC_PER_SEC / 60,
+		       site->move_count - in_bursts_count,
+		       (double)LASTING_US / USEC_PER_SEC / 60);
+		fprintf(data, "\"%s\" %u %u\n", variants[i]->name,
+			in_bursts_count, site->move_count - in_bursts_count);
+		g_free(factors);
+		close_site(site);
+	}
+	fprintf(data, "\n\n");
+}
+
+static void measure_wave(const struct deployment *deployment)
+{
+	const struct variant *const variants[] = { &ours, &baseline };
+
+	fprintf(data, "# %s: minutes since the start, instances maintained\n",
+		deployment->name);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++) {
+		struct site *site =
+			open_site(deployment, variants[i], SPARE_MAX_COUNT, 1);
+		int64_t start_us = site->world->now_us;
+		uint32_t shown_count = 0;
+		double *rates = g_new0(double, site->streams->len);
+		double minutes = 0;
+
+		/* A few requests a second, so that drains have to wait. */
+		for (guint k = 0; k < site->streams->len; k++)
+			rates[k] = 0.5;
+		fprintf(data, "# %s\n0 0\n", variants[i]->name);
+		site_start_wave(site, WAVE_PARALLEL_COUNT);
+		while (site->done_count < site_instance_count(site) &&
+		       site->world->now_us - start_us < WAVE_LIMIT_US) {
+			site_run(site, rates, 5 * USEC_PER_SEC);
+			minutes = (double)(site->world->now_us - start_us) /
+				  USEC_PER_SEC / 60;
+			if (site->done_count != shown_count)
+				fprintf(data, "%.2f %u\n", minutes,
+					site->done_count);
+			shown_count = site->done_count;
+		}
+		printf("%-8s roll-out  %-20s %u of %u instances in %.0f min, "
+		       "%u failed; %.0f a day\n",
+		       deployment->name, variants[i]->name, site->done_count,
+		       site_instance_count(site), minutes, site->failed_count,
+		       site->done_count * 1440 / minutes);
+		fprintf(data, "\n\n");
+		g_free(rates);
+		close_site(site);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	const char *path = argc > 1 ? argv[1] : "measure.dat";
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	data = fopen(path, "w");
+	if (!data) {
+		fprintf(stderr, "%s can't be written\n", path);
+		return EXIT_FAILURE;
+	}
+	for (uint32_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
+		measure_buffer(&deployments[i]);
+		measure_wave(&deployments[i]);
+		measure_moves(&deployments[i]);
+		measure_flood(&deployments[i]);
+	}
+	fclose(data);
+	printf("%u violations of the invariants; data for gnuplot in %s\n",
+	       violation_count, path);
+	return violation_count ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/runner/checks.c
+++ b/test/runner/checks.c
@@ -151,6 +151,28 @@
 				endpoint->running_count);
 }
 
+/*
+ * Nothing runs on an instance when it moves. The first node that applies the
+ * record is looked at: it may send work for the new pool right after this.
+ */
+static void check_commit(struct world *world, struct node *node,
+			 const struct event *event)
+{
+	const struct record *record = event->record.record;
+	const struct fleet_instance *instance = fleet_instance(
+		kernel_fleet(node->kernel), record->instance.instance);
+	const struct endpoint *endpoint =
+		world_endpoint(world, record->instance.instance);
+
+	if (event->record.offset <= world->commit_offset || !instance ||
+	    instance->changed_offset != event->record.offset)
+		return;
+	world->commit_offset = event->record.offset;
+	if (endpoint->running_count)
+		world_violation(world, "%s moves while it runs %u",
+				endpoint->name, endpoint->running_count);
+}
+
 /*
  * Planned steps keep every pool's availability budget. This looks at the state
  * right after the record was applied: when EVENT_FLEET_CHANGED arrives, later
@@ -164,6 +186,8 @@
 	const struct fleet_instance *instance;
 	const struct fleet_pool *pool;
 
+	if (record->kind == RECORD_MOVE_COMMIT)
+		check_commit(world, node, event);
 	if (record->kind != RECORD_MOVE_START &&
 	    record->kind != RECORD_MAINT_START)
 		return;
@@ -220,16 +244,6 @@
 void check_fleet(struct world *world, struct node *node,
 		 const struct event *event)
 {
-	const struct record *record = event->record.record;
-	const struct endpoint *endpoint;
-
-	if (!event->record.accepted)
-		return;
-	check_one_pool(world, node);
-	if (record->kind != RECORD_MOVE_COMMIT)
-		return;
-	endpoint = world_endpoint(world, record->instance.instance);
-	if (endpoint->running_count)
-		world_violation(world, "%s moves while it runs %u",
-				endpoint->name, endpoint->running_count);
+	if (event->record.accepted)
+		check_one_pool(world, node);
 }
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -59,6 +59,7 @@
 	uint64_t scheduled_count;
 	GPtrArray *log;		   /* of struct record; offset 1 is index 0 */
 	uint64_t log_first_offset; /* retention */
+	uint64_t commit_offset;	   /* latest move that was checked */
 	bool log_down;
 	bool log_lose_answers; /* appends take effect, answers are lost */
 	int64_t log_delay_us;  /* of an append and of a read */
