--- a/src/decide/replay.c
+++ b/src/decide/replay.c
@@ -122,48 +122,13 @@
 	count_waiting(replay);
 }
 
-<<<<<<< HEAD
-static void log_record(struct replay *replay, const struct event_record *read)
-{
-	uint64_t applied_offset = fleet_offset(kernel_fleet(replay->kernel));
-	const struct waiting *newest = g_queue_peek_tail(&replay->waiting);
-
-	if (read->offset <= applied_offset ||
-	    (newest && read->offset <= newest->offset))
-		counter_add(kernel_counters(replay->kernel),
-			    "records_repeated_total", 1);
-	else if (newest || read->previous_offset > applied_offset)
-		wait_for_snapshot(replay, read);
-	else
-		apply(replay, read->offset, read->record);
-}
-
-<<<<<<< HEAD
-/* Reads what has waited once more, before what is queued already. */
-=======
-/*
- * Goes on after a snapshot: the records that waited are taken as if they were
- * read now, one by one, so that each is reported before the next is applied.
- */
->>>>>>> slots
-static void fleet_reset(struct replay *replay)
-=======
 /* Takes what has waited as if it were read now, one record after another. */
 static void take_waiting(struct replay *replay)
->>>>>>> clients
 {
 	struct event event = { .type = EVENT_LOG_RECORD };
 	struct waiting *waiting;
 
 	while ((waiting = g_queue_pop_tail(&replay->waiting))) {
-<<<<<<< HEAD
-<<<<<<< HEAD
-=======
-		struct event event = { .type = EVENT_LOG_RECORD };
-
->>>>>>> slots
-=======
->>>>>>> clients
 		event.record.offset = waiting->offset;
 		event.record.previous_offset = waiting->previous_offset;
 		event.record.record = record_ref(waiting->record);
