--- a/src/decide/router.c
+++ b/src/decide/router.c
@@ -69,7 +69,7 @@
 	if (request->relayed)
 		return REFUSAL_COUNT;
 	if (service->member->quota_count &&
-	    service->member->request_count >= service->member->quota_count)
+	    service->member->own_count >= service->member->quota_count)
 		return REFUSAL_QUOTA;
 	if (!service->decl.idempotent && service->decl.key_required &&
 	    !request->key[0])
--- a/src/decide/router.h
+++ b/src/decide/router.h
@@ -43,7 +43,8 @@
 	uint32_t quota_count; /* our part of it; 0: unbounded */
 	bool left;
 	bool declared;
-	uint32_t request_count; /* in progress here */
+	uint32_t route_count; /* requests in progress */
+	uint32_t own_count;   /* those of our own callers */
 };
 
 struct router_pool {
--- a/src/decide/router_index.c
+++ b/src/decide/router_index.c
@@ -202,7 +202,7 @@
 
 	(void)key;
 	(void)data;
-	return !member->declared && !member->request_count;
+	return !member->declared && !member->route_count;
 }
 
 /* Requests in progress keep what they refer to. */
--- a/src/decide/router_route.c
+++ b/src/decide/router_route.c
@@ -41,7 +41,8 @@
 	name_copy(route->key, sizeof(route->key), request->key);
 	service->route_count++;
 	route->pool->route_count++;
-	route->member->request_count++;
+	route->member->route_count++;
+	route->member->own_count += !route->relayed;
 	g_hash_table_insert(router->routes, &route->item.request_id, route);
 	return route;
 }
@@ -56,7 +57,8 @@
 {
 	route->service->route_count--;
 	route->pool->route_count--;
-	route->member->request_count--;
+	route->member->route_count--;
+	route->member->own_count -= !route->relayed;
 	g_hash_table_remove(router->routes, &route->item.request_id);
 	g_free(route);
 }
--- a/test/unit/router.c
+++ b/test/unit/router.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "codec/decl_yaml.h"
+#include "decide/router.h"
 #include "kernel/kernel.h"
 #include "runner/suite.h"
 
@@ -418,7 +419,7 @@
 	apply(driver, record, sequence);
 }
 
-static void configure(struct driver *driver)
+static void configure(struct driver *driver, const char *text)
 {
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
 	struct record *put = record_new(RECORD_CONFIG_PUT);
@@ -426,14 +427,13 @@
 	join(driver, "n1", "dc1", 1);
 	join(driver, "n2", "dc2", 2);
 	name_copy(put->config.file, NAME_SIZE_BYTES, "f");
-	put->config.decl = decl_parse("f", declarations, strlen(declarations),
-				      false, errors);
+	put->config.decl = decl_parse("f", text, strlen(text), false, errors);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(put->config.decl);
 	apply(driver, put, 3);
 	g_ptr_array_unref(errors);
 }
 
-static void driver_init(struct driver *driver, uint32_t seed)
+static void driver_init(struct driver *driver, uint32_t seed, const char *text)
 {
 	*driver = (struct driver){ .settings = settings_new() };
 	name_copy(driver->settings->dc, NAME_SIZE_BYTES, "dc1");
@@ -446,7 +446,7 @@
 			    plugin_find(PLUGIN_DECIDE, "router"));
 	kernel_start_plugin_with(driver->kernel, &sink_plugin, driver);
 	advance(driver, 1);
-	configure(driver);
+	configure(driver, text);
 }
 
 static void driver_clear(struct driver *driver)
@@ -491,7 +491,7 @@
 	for (uint32_t seed = 1; seed <= SEEDS_COUNT; seed++) {
 		struct driver driver;
 
-		driver_init(&driver, seed);
+		driver_init(&driver, seed, declarations);
 		for (uint32_t i = 0; i < STEPS_COUNT; i++)
 			step(&driver);
 		finish(&driver);
@@ -502,7 +502,57 @@
 	}
 }
 
+static const char routes[] =
+	"members: [{name: m}]\n"
+	"pools: [{name: p, max_unavailable: 0}]\n"
+	"instances:\n"
+	"- {name: i0, address: '127.0.0.1:1', dc: dc1, rack: r, pool: p}\n"
+	"services:\n"
+	"- {name: s1, member: m, pool: p, path: /a, urgency: urgent,"
+	" idempotent: true}\n"
+	"- {name: s2, member: m, pool: p, path: /a/b/, urgency: urgent,"
+	" idempotent: true}\n"
+	"- {name: s3, member: m, pool: p, path: /a/b/c, urgency: urgent,"
+	" idempotent: true}\n"
+	"- {name: s4, member: m, pool: p, path: /b/, urgency: urgent,"
+	" idempotent: true}\n"
+	"- {name: s5, member: m, pool: p, path: '/a?b', urgency: urgent,"
+	" idempotent: true}\n";
+
+static void check_route(const struct router *router, const struct fleet *fleet,
+			const char *path)
+{
+	const struct decl_service *expected = fleet_route(fleet, path);
+	const struct router_service *found = router_index_route(router, path);
+
+	CU_ASSERT_EQUAL(!expected, !found);
+	if (expected && found)
+		CU_ASSERT_STRING_EQUAL(found->decl.name, expected->name);
+}
+
+/* Guards against an index that routes otherwise than the declared prefixes. */
+static void test_route(void)
+{
+	static const char characters[] = "/ab?c";
+	struct driver driver;
+	const struct router *router;
+
+	driver_init(&driver, 1, routes);
+	router = kernel_plugin_self(driver.kernel, PLUGIN_DECIDE, "router");
+	for (uint32_t i = 0; i < 20000; i++) {
+		char path[80] = "/";
+		uint32_t length = draw(&driver, i % 50 ? 8 : sizeof(path) - 1);
+
+		for (uint32_t k = 1; k < length; k++)
+			path[k] = characters[draw(&driver,
+						  sizeof(characters) - 1)];
+		check_route(router, kernel_fleet(driver.kernel), path);
+	}
+	driver_clear(&driver);
+}
+
 static const CU_TestInfo tests[] = {
+	{ "route", test_route },
 	{ "random", test_random },
 	CU_TEST_INFO_NULL,
 };
