Poll again at once after the first answer of the log

The first read asks the log not to wait, and an empty answer to it was followed by the pause that protects against busy polling. The pause now follows only polls that asked to wait.

--- a/src/io/log_http.c
+++ b/src/io/log_http.c
@@ -31,6 +31,7 @@
 	struct http_call *ask;
 	int64_t read_at_us; /* DEADLINE_NEVER_US while a read is under way */
 	int64_t read_started_us;
+	int64_t read_wait_ms; /* 0 until the log is known to answer */
 	int64_t backoff_us;
 	uint32_t failure_count;
 	uint64_t from;	    /* platform offset to be read next */
@@ -226,7 +227,7 @@
 	client->read = NULL;
 	if (parse(client, result, client->read_from, &answer)) {
 		emit_items(client, &answer);
-		if (!answer.items->len)
+		if (!answer.items->len && client->read_wait_ms)
 			next_us = MAX(now_us, client->read_started_us +
 						      EMPTY_POLL_MIN_US);
 		succeeded(client);
@@ -262,8 +263,9 @@
 	client->read_started_us = g_get_monotonic_time();
 	client->read_at_us = DEADLINE_NEVER_US;
 	client->read_from = client->from;
-	client->read = get(client, client->from,
-			   client->reachable ? POLL_WAIT_MS : 0, read_done);
+	client->read_wait_ms = client->reachable ? POLL_WAIT_MS : 0;
+	client->read =
+		get(client, client->from, client->read_wait_ms, read_done);
 	if (client->read)
 		return;
 	failed(client);
