--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -752,25 +752,29 @@
 
 static void run_line(struct script *script, char *line);
 
-/* repeat COUNT EVERY COMMAND...: runs a command several times. */
+/* repeat COUNT EVERY COMMAND...: "%" in it becomes the number of the run. */
 static void cmd_repeat(struct script *script)
 {
 	struct world *world = script->world;
 	uint64_t count = g_ascii_strtoull(word(script, 1), NULL, 10);
 	int64_t every_us = duration_us(script, word(script, 2));
 	char *line = g_strjoinv(" ", script->words + 3);
+	gchar **parts = g_strsplit(line, "%", -1);
 	gchar **words = script->words;
 	uint32_t word_count = script->word_count;
 
 	for (uint64_t i = 0; i < count; i++) {
-		char *copy = g_strdup(line);
+		char *count_text = g_strdup_printf("%" G_GUINT64_FORMAT, i + 1);
+		char *copy = g_strjoinv(count_text, parts);
 
 		run_line(script, copy);
 		g_free(copy);
+		g_free(count_text);
 		world_run_until(world, world->now_us + every_us);
 	}
 	script->words = words;
 	script->word_count = word_count;
+	g_strfreev(parts);
 	g_free(line);
 }
 
