--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -25,6 +25,7 @@
 	uint64_t read_offset;  /* next offset that the log client hands out */
 	int64_t ordered_us;    /* when it last told the platform of tasks */
 	uint32_t order_count;  /* how often at that time */
+	int64_t read_at_us;    /* when the last of them arrives */
 	GHashTable *peer_cuts; /* names of nodes that it can't reach */
 	GHashTable *request_names; /* request id -> name used by the script */
 	GHashTable *relays;	   /* request id -> struct relay */
@@ -61,6 +62,7 @@
 	uint64_t scheduled_count;
 	GPtrArray *log;		   /* of struct record; offset 1 is index 0 */
 	uint64_t log_first_offset; /* retention */
+	uint64_t commit_offset;	   /* latest move that was checked */
 	bool log_down;
 	bool log_lose_answers; /* appends take effect, answers are lost */
 	int64_t log_delay_us;  /* of an append and of a read */
