Add contract tests of the client commands

Cause: exit codes and output of the commands were only tried by hand.

Roster entries without an operator address are no longer asked.

--- a/src/cmd/timeline.c
+++ b/src/cmd/timeline.c
@@ -75,6 +75,8 @@
 
 static void add_server(GPtrArray *servers, const char *server)
 {
+	if (!server[0])
+		return;
 	for (guint i = 0; i < servers->len; i++) {
 		if (!strcmp(servers->pdata[i], server))
 			return;
--- /dev/null
+++ b/test/contract/command.c
@@ -0,0 +1,449 @@
+/* The client commands against real operator interfaces. */
+
+#include <argp.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "cmd/command.h"
+#include "cmd/diff.h"
+#include "contract/fake_log.h"
+
+#define ARGUMENTS_MAX_COUNT 16
+
+struct command_test {
+	struct contract *contract;
+	struct fake_log log;
+	char *work; /* directory of the files */
+	char *server;
+	char *dead_server; /* refuses connections */
+	int dead_fd;
+};
+
+static void write_file(const struct command_test *test, const char *name,
+		       const char *text)
+{
+	char *path = g_build_filename(test->work, name, NULL);
+
+	CU_ASSERT_TRUE_FATAL(g_file_set_contents(path, text, -1, NULL));
+	g_free(path);
+}
+
+static void setup(struct command_test *test)
+{
+	uint16_t port;
+
+	*test = (struct command_test){ .contract = contract_new() };
+	contract_start(test->contract, PLUGIN_DECIDE, "replay");
+	contract_start(test->contract, PLUGIN_FRONT, "operator_http");
+	fake_log_start(&test->log, test->contract);
+	contract_join(test->contract, "e1", 7);
+	contract_declare(test->contract, "old.yaml", "members: [{name: old}]");
+	test->work = g_dir_make_tmp("contract-XXXXXX", NULL);
+	test->server = g_strdup_printf("127.0.0.1:%u",
+				       contract_operator_port(test->contract));
+	test->dead_fd = contract_bind(&port);
+	test->dead_server = g_strdup_printf("127.0.0.1:%u", port);
+	write_file(test, "a.yaml", "members: [{name: m}]\n");
+	write_file(test, "bad.yaml", "colour: red\n");
+	write_file(test, "old.yaml", "members:\n- name: new\n");
+	write_file(test, "wrong-token", "another\n");
+}
+
+static void teardown(struct command_test *test)
+{
+	static const char *const names[] = { "a.yaml", "bad.yaml", "old.yaml",
+					     "wrong-token" };
+
+	for (gsize i = 0; i < G_N_ELEMENTS(names); i++) {
+		char *path = g_build_filename(test->work, names[i], NULL);
+
+		unlink(path);
+		g_free(path);
+	}
+	rmdir(test->work);
+	close(test->dead_fd);
+	contract_free(test->contract);
+	if (test->log.silent)
+		record_unref(test->log.silent);
+	g_free(test->work);
+	g_free(test->server);
+	g_free(test->dead_server);
+}
+
+/* Runs in a child process, since the command waits for this one's loop. */
+static void run_child(const struct command_test *test, int out_fd, char **argv)
+{
+	const struct plugin *plugin = plugin_find(PLUGIN_COMMAND, argv[0]);
+	const struct command_ops *ops = plugin->ops;
+
+	dup2(out_fd, STDOUT_FILENO);
+	dup2(out_fd, STDERR_FILENO);
+	if (chdir(test->work) != 0)
+		_exit(99);
+	argp_err_exit_status = EXIT_USAGE;
+	exit(ops->run((int)g_strv_length(argv), argv));
+}
+
+/* Returns the exit code; output gets what the command has printed. */
+static int run_command(struct command_test *test, char **argv, GString *output)
+{
+	int pair[2];
+	int status = 0;
+	struct wire *wire;
+	pid_t child;
+
+	CU_ASSERT_EQUAL_FATAL(
+		socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, pair), 0);
+	fflush(stdout);
+	child = fork();
+	CU_ASSERT_FATAL(child >= 0);
+	if (!child)
+		run_child(test, pair[1], argv);
+	close(pair[1]);
+	wire = wire_new(test->contract->ev, pair[0]);
+	if (!wire_until_closed(wire))
+		kill(child, SIGKILL);
+	waitpid(child, &status, 0);
+	g_string_assign(output, wire->received->str);
+	wire_free(wire);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+/* "$s" is the server, "$d" a dead one, "$t" the token file. */
+static char **make_arguments(const struct command_test *test, const char *line)
+{
+	char **argv = g_strsplit(line, " ", ARGUMENTS_MAX_COUNT);
+
+	for (char **at = argv; *at; at++) {
+		const char *value = NULL;
+
+		if (!strcmp(*at, "$s"))
+			value = test->server;
+		else if (!strcmp(*at, "$d"))
+			value = test->dead_server;
+		else if (!strcmp(*at, "$t"))
+			value = test->contract->token_path;
+		if (!value)
+			continue;
+		g_free(*at);
+		*at = g_strdup(value);
+	}
+	return argv;
+}
+
+struct command_case {
+	const char *line;
+	enum log_mode mode;
+	int code;
+	const char *parts[3]; /* of the output */
+};
+
+static const struct command_case command_cases[] = {
+	{ "apply --server $s --token-file $t a.yaml",
+	  LOG_TAKES,
+	  EXIT_DONE,
+	  { "a.yaml: accepted at offset 4" } },
+	{ "apply --server $d --server $s --token-file $t a.yaml old.yaml",
+	  LOG_TAKES,
+	  EXIT_DONE,
+	  { "a.yaml: accepted at offset 4", "old.yaml: accepted at offset 5",
+	    "each file is one change" } },
+	{ "apply --server $s --token-file $t --remove old.yaml",
+	  LOG_TAKES,
+	  EXIT_DONE,
+	  { "old.yaml: accepted at offset 4" } },
+	{ "apply --server $s --token-file $t bad.yaml",
+	  LOG_TAKES,
+	  EXIT_REJECTED,
+	  { "bad.yaml:1: colour: unknown key" } },
+	{ "apply --server $s --token-file $t --base 2 old.yaml",
+	  LOG_TAKES,
+	  EXIT_REJECTED,
+	  { "conflict" } },
+	{ "apply --server $s --token-file $t old.yaml",
+	  LOG_LOSES_RACE,
+	  EXIT_REJECTED,
+	  { "old.yaml: rejected: conflict: file is at offset 4" } },
+	{ "apply --server $s --token-file wrong-token a.yaml",
+	  LOG_TAKES,
+	  EXIT_REJECTED,
+	  { "a valid bearer token is required" } },
+	{ "apply --server $s --token-file $t missing.yaml",
+	  LOG_TAKES,
+	  EXIT_REJECTED,
+	  { "missing.yaml" } },
+	{ "apply --server $d --token-file $t a.yaml",
+	  LOG_TAKES,
+	  EXIT_UNREACHABLE,
+	  { "connect" } },
+	{ "apply --server $s --token-file $t --dry-run a.yaml old.yaml",
+	  LOG_TAKES,
+	  EXIT_DONE,
+	  { "a.yaml: would add, base offset 0\n@ line 1\n"
+	    "+members: [{name: m}]\n",
+	    "old.yaml: would replace, base offset 3\n@ line 1\n"
+	    "-members: [{name: old}]\n+members:\n+- name: new\n" } },
+	{ "apply --server $s --token-file $t",
+	  LOG_TAKES,
+	  EXIT_USAGE,
+	  { "no file is given" } },
+	{ "apply --token-file $t a.yaml",
+	  LOG_TAKES,
+	  EXIT_USAGE,
+	  { "--server is missing" } },
+	{ "apply --server $s a.yaml",
+	  LOG_TAKES,
+	  EXIT_USAGE,
+	  { "--token-file is missing" } },
+	{ "apply --server $s --token-file $t --base 1 a.yaml old.yaml",
+	  LOG_TAKES,
+	  EXIT_USAGE,
+	  { "--base goes with one file" } },
+	{ "status --server $s --token-file $t",
+	  LOG_TAKES,
+	  EXIT_DONE,
+	  { "this is e1", "file old.yaml: offset 3" } },
+	{ "status --server $s --server $d --token-file $t --json",
+	  LOG_TAKES,
+	  EXIT_UNREACHABLE,
+	  { "{\"entry\":\"e1\"" } },
+	{ "drain --server $s --token-file $t",
+	  LOG_TAKES,
+	  EXIT_DONE,
+	  { "draining, ends within" } },
+	{ "drain --server $d --token-file $t",
+	  LOG_TAKES,
+	  EXIT_UNREACHABLE,
+	  { "connect" } },
+	{ "timeline --server $s --token-file $t --request x",
+	  LOG_TAKES,
+	  EXIT_REJECTED,
+	  { "request: expected ID or ENTRY/ID" } },
+	{ "timeline --server $d --token-file $t",
+	  LOG_TAKES,
+	  EXIT_UNREACHABLE,
+	  { "connect" } },
+};
+
+/* Guards against an exit code or output that misleads a script. */
+static void test_commands(void)
+{
+	GString *output = g_string_new(NULL);
+
+	for (gsize i = 0; i < G_N_ELEMENTS(command_cases); i++) {
+		const struct command_case *one = &command_cases[i];
+		struct command_test test;
+		char **argv;
+		int code;
+
+		setup(&test);
+		test.log.mode = one->mode;
+		argv = make_arguments(&test, one->line);
+		code = run_command(&test, argv, output);
+		if (code != one->code)
+			printf("\n    %s: exit code %d, output:\n%s\n",
+			       one->line, code, output->str);
+		CU_ASSERT_EQUAL(code, one->code);
+		for (gsize k = 0; k < G_N_ELEMENTS(one->parts); k++) {
+			if (one->parts[k] &&
+			    !strstr(output->str, one->parts[k]))
+				printf("\n    %s: expected \"%s\" in:\n%s\n",
+				       one->line, one->parts[k], output->str);
+			CU_ASSERT_TRUE(!one->parts[k] ||
+				       strstr(output->str, one->parts[k]));
+		}
+		g_strfreev(argv);
+		teardown(&test);
+	}
+	g_string_free(output, TRUE);
+}
+
+static bool is_proposed(const void *data)
+{
+	return ((const struct fake_log *)data)->proposed_count > 0;
+}
+
+/* Guards against a server that dies within a change and whose operator is
+ * told that nothing has happened.
+ */
+static void test_lost_answer(void)
+{
+	struct command_test test;
+	char **argv;
+	int pair[2];
+	int status = 0;
+	char output[512] = "";
+	pid_t child;
+
+	setup(&test);
+	test.log.mode = LOG_SILENT;
+	argv = make_arguments(&test,
+			      "apply --server $s --token-file $t a.yaml");
+	CU_ASSERT_EQUAL_FATAL(
+		socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, pair), 0);
+	fflush(stdout);
+	child = fork();
+	CU_ASSERT_FATAL(child >= 0);
+	if (!child)
+		run_child(&test, pair[1], argv);
+	close(pair[1]);
+	CU_ASSERT_TRUE(
+		contract_until(test.contract->ev, is_proposed, &test.log));
+	teardown(&test);
+	waitpid(child, &status, 0);
+	CU_ASSERT_TRUE(read(pair[0], output, sizeof(output) - 1) > 0);
+	CU_ASSERT_EQUAL(WEXITSTATUS(status), EXIT_UNKNOWN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output, "unknown"));
+	close(pair[0]);
+	g_strfreev(argv);
+}
+
+static void add_event(struct contract *contract, int64_t wall_ms,
+		      const char *text)
+{
+	struct timeline_entry entry = {
+		.kind = TIMELINE_REQUEST,
+		.request_id = 5,
+	};
+
+	name_copy(entry.text, sizeof(entry.text), text);
+	timeline_set_wall(kernel_timeline(contract->kernel),
+			  wall_ms * USEC_PER_MSEC);
+	timeline_add(kernel_timeline(contract->kernel), &entry);
+}
+
+/* A second entry instance, in a process of its own. */
+static pid_t start_second(const char *token, uint16_t *port)
+{
+	int ports[2];
+	pid_t child;
+
+	CU_ASSERT_EQUAL_FATAL(pipe(ports), 0);
+	child = fork();
+	CU_ASSERT_FATAL(child >= 0);
+	if (!child) {
+		struct contract *contract = contract_new();
+
+		g_file_set_contents(contract->token_path, token, -1, NULL);
+		contract_start(contract, PLUGIN_FRONT, "operator_http");
+		add_event(contract, 2000, "second");
+		add_event(contract, 4000, "fourth");
+		unlink(contract->token_path);
+		*port = contract_operator_port(contract);
+		if (write(ports[1], port, sizeof(*port)) == sizeof(*port))
+			loop_run(contract->loop);
+		_exit(0);
+	}
+	close(ports[1]);
+	CU_ASSERT_EQUAL_FATAL(read(ports[0], port, sizeof(*port)),
+			      (ssize_t)sizeof(*port));
+	close(ports[0]);
+	return child;
+}
+
+static void add_to_roster(struct contract *contract, const char *name,
+			  const char *operator_address)
+{
+	struct record *record = record_new(RECORD_ENTRY_JOIN);
+
+	name_copy(record->entry.name, sizeof(record->entry.name), name);
+	name_copy(record->entry.dc, sizeof(record->entry.dc), "d");
+	name_copy(record->entry.operator_address,
+		  sizeof(record->entry.operator_address), operator_address);
+	record->entry.incarnation = 1;
+	contract_append(contract, name, 1, record);
+}
+
+/* Guards against a merged time line that is out of order, or that hides a
+ * process it could not ask.
+ */
+static void test_timeline(void)
+{
+	GString *output = g_string_new(NULL);
+	struct command_test test;
+	uint16_t port = 0;
+	char *second;
+	const char *at;
+	char **argv;
+	pid_t child;
+
+	setup(&test);
+	fflush(stdout);
+	child = start_second(CONTRACT_TOKEN, &port);
+	second = g_strdup_printf("127.0.0.1:%u", port);
+	add_to_roster(test.contract, "second", second);
+	add_to_roster(test.contract, "third", test.dead_server);
+	add_event(test.contract, 1000, "first");
+	add_event(test.contract, 3000, "third");
+	argv = make_arguments(&test, "timeline --server $s --token-file $t "
+				     "--request 5");
+	CU_ASSERT_EQUAL(run_command(&test, argv, output), EXIT_UNREACHABLE);
+	at = output->str;
+	for (guint i = 0; i < 4; i++) {
+		static const char *const order[] = { " first\n", " second\n",
+						     " third\n", " fourth\n" };
+
+		at = at ? strstr(at, order[i]) : NULL;
+		CU_ASSERT_PTR_NOT_NULL(at);
+	}
+	CU_ASSERT_PTR_NOT_NULL(strstr(output->str, test.dead_server));
+	g_strfreev(argv);
+	argv = make_arguments(&test, "timeline --server $s --token-file $t "
+				     "--json");
+	CU_ASSERT_EQUAL(run_command(&test, argv, output), EXIT_UNREACHABLE);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output->str, "\"unreachable\":[\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(output->str, "\"lost\":{\"e1\":0"));
+	kill(child, SIGKILL);
+	waitpid(child, NULL, 0);
+	g_strfreev(argv);
+	g_free(second);
+	g_string_free(output, TRUE);
+	teardown(&test);
+}
+
+struct diff_case {
+	const char *from;
+	const char *to;
+	const char *expected;
+};
+
+static const struct diff_case diff_cases[] = {
+	{ "", "", "" },
+	{ "a\nb\n", "a\nb\n", "" },
+	{ "", "a\n", "@ line 1\n+a\n" },
+	{ "a\n", "", "@ line 1\n-a\n" },
+	{ "a\nb\nc\n", "a\nx\nc\n", "@ line 2\n-b\n+x\n" },
+	{ "a\nb\nc\nd\n", "b\nc\nd\ne\n", "@ line 1\n-a\n@ line 4\n+e\n" },
+	{ "a\nb\nc\nd\ne\n", "a\nc\nd\nx\ne\n",
+	  "@ line 2\n-b\n@ line 4\n+x\n" },
+	{ "a", "a\n", "" },
+};
+
+/* Guards against a dry run that shows a wrong difference. */
+static void test_diff(void)
+{
+	for (gsize i = 0; i < G_N_ELEMENTS(diff_cases); i++) {
+		GString *diff = diff_text(diff_cases[i].from, diff_cases[i].to);
+
+		if (strcmp(diff->str, diff_cases[i].expected) != 0)
+			printf("\n    case %u:\n%s", (guint)i, diff->str);
+		CU_ASSERT_STRING_EQUAL(diff->str, diff_cases[i].expected);
+		g_string_free(diff, TRUE);
+	}
+}
+
+static const CU_TestInfo tests[] = {
+	{ "commands", test_commands },
+	{ "lost_answer", test_lost_answer },
+	{ "timeline", test_timeline },
+	{ "diff", test_diff },
+	CU_TEST_INFO_NULL,
+};
+
+static struct suite command_suite = { .name = "command", .tests = tests };
+
+SUITE_REGISTER(command_suite)
--- a/test/contract/operator.c
+++ b/test/contract/operator.c
@@ -4,79 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "contract/contract.h"
-
-enum log_mode {
-	LOG_TAKES,
-	LOG_DROPS,	/* certain: not in the log */
-	LOG_SILENT,	/* no outcome */
-	LOG_LOSES_RACE, /* another operator's change comes first */
-};
-
-/* Stands in for the proposer and the log. */
-struct fake_log {
-	struct contract *contract;
-	enum log_mode mode;
-	uint32_t proposed_count;
-	struct record *silent; /* kept in LOG_SILENT */
-	uint32_t drain_count;
-};
-
-static void append(struct fake_log *log, struct record *record)
-{
-	struct kernel *kernel = log->contract->kernel;
-	struct event event = { .type = EVENT_LOG_RECORD };
-
-	event.record.offset = fleet_offset(kernel_fleet(kernel)) + 1;
-	event.record.record = record_ref(record);
-	kernel_emit(kernel, &event);
-}
-
-static void on_propose(struct fake_log *log, struct record *record)
-{
-	struct event dropped = { .type = EVENT_PROPOSAL_DROPPED };
-
-	log->proposed_count++;
-	name_copy(record->id.entry, sizeof(record->id.entry), "e1");
-	record->id.incarnation = 7;
-	record->id.sequence = 100 + log->proposed_count;
-	switch (log->mode) {
-	case LOG_LOSES_RACE:
-		contract_declare(log->contract, record->config.file,
-				 "members: [{name: winner}]");
-		append(log, record);
-		break;
-	case LOG_TAKES:
-		append(log, record);
-		break;
-	case LOG_DROPS:
-		dropped.record.record = record_ref(record);
-		g_strlcpy(dropped.record.reason, "the queue is full",
-			  sizeof(dropped.record.reason));
-		kernel_emit(log->contract->kernel, &dropped);
-		break;
-	default:
-		log->silent = record_ref(record);
-		break;
-	}
-}
-
-static void log_handle(void *self, const struct event *event)
-{
-	struct fake_log *log = self;
-
-	if (event->type == EVENT_DRAIN)
-		log->drain_count++;
-	else
-		on_propose(log, event->record.record);
-}
-
-static const struct plugin log_plugin = {
-	.name = "fake_log",
-	.kind = PLUGIN_DECIDE,
-	.takes = EVENT_BIT(EVENT_PROPOSE) | EVENT_BIT(EVENT_DRAIN),
-	.handle = log_handle,
-};
+#include "contract/fake_log.h"
 
 struct operator_test {
 	struct contract *contract;
@@ -87,11 +15,9 @@
 static void setup(struct operator_test *test)
 {
 	*test = (struct operator_test){ .contract = contract_new() };
-	test->log.contract = test->contract;
 	contract_start(test->contract, PLUGIN_DECIDE, "replay");
 	contract_start(test->contract, PLUGIN_FRONT, "operator_http");
-	kernel_start_plugin_with(test->contract->kernel, &log_plugin,
-				 &test->log);
+	fake_log_start(&test->log, test->contract);
 	contract_join(test->contract, "e1", 7);
 	test->wire = wire_connect(test->contract->ev,
 				  contract_operator_port(test->contract));
@@ -394,7 +320,7 @@
 	expect("unknown", answer, "\"outcome\":\"unknown\"");
 	expect("unknown", answer, "\"ask_again\":");
 	/* The late outcome reaches nobody. */
-	append(&test.log, test.log.silent);
+	fake_log_append(&test.log, test.log.silent);
 	kernel_run(test.contract->kernel);
 	expect("after a late outcome", ask(&test, "GET /v1/status", ""),
 	       "\"name\":\"a.yaml\"");
@@ -409,7 +335,7 @@
 	start_silent(&test);
 	wire_free(test.wire);
 	CU_ASSERT_TRUE(contract_idle_turns(test.contract->ev) < 20);
-	append(&test.log, test.log.silent);
+	fake_log_append(&test.log, test.log.silent);
 	kernel_run(test.contract->kernel);
 	test.wire = wire_connect(test.contract->ev,
 				 contract_operator_port(test.contract));
