Leave the fleet before serve ends

Cause: serve ended on EVENT_DRAINED, before the entry_leave record could be appended. The roster kept the entry, and its slots stayed unused.

Change: serve ends on EVENT_LEFT, at most 10 s after EVENT_DRAINED; a second signal after that ends it at once.

--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -16,6 +16,8 @@
 #define LOG_PREFIX "serve"
 /* After the drain deadline, the time to give unfinished requests a verdict. */
 #define LAST_REPLIES_US (2 * USEC_PER_SEC)
+/* After the last reply, the time to leave the fleet through the log. */
+#define LEAVE_MAX_US (10 * USEC_PER_SEC)
 
 struct serve {
 	struct settings *settings;
@@ -52,13 +54,12 @@
 	}
 }
 
-static void set_end(struct serve *serve, int64_t deadline_us)
+static void set_end(struct serve *serve, int64_t end_us)
 {
 	struct ev_loop *ev = kernel_loop(serve->kernel);
-	int64_t left_us;
+	int64_t left_us = MAX(end_us - g_get_monotonic_time(), 0);
 
-	serve->end_us = deadline_us + LAST_REPLIES_US;
-	left_us = MAX(serve->end_us - g_get_monotonic_time(), 0);
+	serve->end_us = end_us;
 	ev_timer_stop(ev, &serve->end_timer);
 	ev_now_update(ev);
 	ev_timer_set(&serve->end_timer, (double)left_us / (double)USEC_PER_SEC,
@@ -85,6 +86,8 @@
 		klog_warn(LOG_PREFIX,
 			  "second signal: unfinished requests end now");
 		emit_drain(serve, now_us);
+		if (serve->drained)
+			loop_stop(serve->loop);
 		return;
 	}
 	serve->signalled = true;
@@ -100,7 +103,9 @@
 
 	(void)ev;
 	(void)revents;
-	klog_warn(LOG_PREFIX, "ending before everything has drained");
+	klog_warn(LOG_PREFIX, "ending before %s",
+		  serve->drained ? "the fleet was left"
+				 : "everything has drained");
 	loop_stop(serve->loop);
 }
 
@@ -108,19 +113,29 @@
 {
 	struct serve *serve = self;
 
-	if (event->type == EVENT_DRAIN) {
-		set_end(serve, event->drain.deadline_us);
-		return;
+	switch (event->type) {
+	case EVENT_DRAIN:
+		if (!serve->drained)
+			set_end(serve,
+				event->drain.deadline_us + LAST_REPLIES_US);
+		break;
+	case EVENT_DRAINED:
+		klog_info(LOG_PREFIX, "drained");
+		serve->drained = true;
+		set_end(serve, g_get_monotonic_time() + LEAVE_MAX_US);
+		break;
+	default:
+		klog_info(LOG_PREFIX, "left the fleet");
+		loop_stop(serve->loop);
+		break;
 	}
-	klog_info(LOG_PREFIX, "drained");
-	serve->drained = true;
-	loop_stop(serve->loop);
 }
 
 static const struct plugin serve_watch = {
 	.name = "serve",
 	.kind = PLUGIN_FRONT,
-	.takes = EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_DRAINED),
+	.takes = EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_DRAINED) |
+		 EVENT_BIT(EVENT_LEFT),
 	.handle = serve_handle,
 };
 
