--- a/src/decide/cluster_peers.c
+++ b/src/decide/cluster_peers.c
@@ -129,6 +129,7 @@
 	}
 	peer->heard_us = kernel_now_us(peers->kernel);
 	peer->stopped = false;
+	peer->absent = false;
 	peer->gone_since_us = 0;
 	set_state(peers, peer, PEER_ALIVE);
 }
@@ -155,7 +156,12 @@
 		struct peer *peer = value;
 		bool present = list_has(items, peer->name);
 
-		peer->absent = peer->listed && !present;
+		/*
+		 * A list from before it fell silent proves nothing: it may
+		 * have come back since.
+		 */
+		peer->absent =
+			peer->listed && !present && peer->state == PEER_DEAD;
 		peer->listed = peer->listed || present;
 	}
 }
--- a/src/decide/cluster_peers.h
+++ b/src/decide/cluster_peers.h
@@ -14,7 +14,7 @@
 	int64_t heard_us;      /* 0: never */
 	int64_t gone_since_us; /* silent and off the list; 0: no */
 	bool listed;	       /* was on the platform's list */
-	bool absent;	       /* was on it, and is not on the newest */
+	bool absent;	       /* was on it, and was not after it fell silent */
 	bool stopped;	       /* has said that it stops */
 };
 
--- a/src/decide/slots.c
+++ b/src/decide/slots.c
@@ -21,6 +21,8 @@
 
 /* One answer may have been on its way before the pause ended. */
 #define SURE_ANSWERS_COUNT 2
+/* A shorter pause goes unnoticed; with time to read the log after it. */
+#define PAUSE_MARGIN_US (KERNEL_PAUSE_US + USEC_PER_SEC)
 
 static void endpoint_free(gpointer data)
 {
@@ -209,12 +211,17 @@
 	each_endpoint(slots, slots->confirmed ? raise_share : lower);
 }
 
-/* Requests of an entry that ended run for up to the longest timeout. */
+/*
+ * Requests of an entry that ended run for up to the longest timeout. If it was
+ * only paused, and not long enough to notice, it may still have sent some
+ * before it read that it was removed.
+ */
 static void hold(struct slots *slots)
 {
 	slots->hold_until_us =
-		MAX(slots->hold_until_us,
-		    kernel_now_us(slots->kernel) + slots->longest_timeout_us);
+		MAX(slots->hold_until_us, kernel_now_us(slots->kernel) +
+						  slots->longest_timeout_us +
+						  PAUSE_MARGIN_US);
 }
 
 static bool ends_running(const struct event *event)
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -51,8 +51,8 @@
 void kernel_emit_next(struct kernel *kernel, const struct event *event);
 
 /*
- * A process that wakes so long after a stored deadline was paused. It is less
- * than the time after which others may remove it from the roster.
+ * A process that wakes so long after a stored deadline was paused. Others that
+ * took its place must allow for a shorter pause, which it does not notice.
  */
 #define KERNEL_PAUSE_US (5 * USEC_PER_SEC)
 
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -490,6 +490,7 @@
 void world_set_paused(struct world *world, struct node *node, bool paused)
 {
 	node->paused = paused;
+	node->paused_at_us = world->now_us;
 	if (!paused)
 		run_node(world, node);
 }
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -19,6 +19,7 @@
 	struct kernel *kernel; /* NULL after a kill */
 	uint64_t incarnation;
 	bool paused;
+	int64_t paused_at_us;
 	bool left; /* the process has ended itself; the kernel is freed next */
 	bool log_cut;	       /* can't reach the log or the list */
 	int64_t skew_us;       /* wall clock ahead of the world's */
@@ -62,6 +63,7 @@
 	uint64_t scheduled_count;
 	GPtrArray *log;		   /* of struct record; offset 1 is index 0 */
 	uint64_t log_first_offset; /* retention */
+	uint64_t move_offset; /* newest move_commit that some node applied */
 	bool log_down;
 	bool log_lose_answers; /* appends take effect, answers are lost */
 	int64_t log_delay_us;  /* of an append and of a read */
