--- a/src/decide/cluster.c
+++ b/src/decide/cluster.c
@@ -393,6 +393,10 @@
 		peers_take_list(cluster->peers, event->list.items);
 		break;
 	case EVENT_PEER_RECEIVED:
+		if (event->peer.msg->kind == PEER_MSG_HEARTBEAT)
+			counter_add(kernel_counters(cluster->kernel),
+				    "heartbeat_received_bytes_total",
+				    heartbeat_size_bytes(event->peer.msg));
 		peers_take_msg(cluster->peers, event->peer.msg);
 		break;
 	default:
--- a/src/decide/slots_loan.c
+++ b/src/decide/slots_loan.c
@@ -487,7 +487,8 @@
 	const GPtrArray *pools = fleet_pools(kernel_fleet(slots->kernel));
 
 	slots->demand_check_us = DEADLINE_NEVER_US;
-	if (!slots->member || !slots->mates->len || slots->draining)
+	if (!slots->member || !slots->mates->len || slots->draining ||
+	    slots->unsure)
 		return;
 	for (guint i = 0; i < pools->len; i++)
 		slots->demand_check_us =
--- a/test/runner/random.c
+++ b/test/runner/random.c
@@ -187,6 +187,9 @@
 {
 	(void)node;
 	driver->world->log_lose_answers = !below(driver, 3);
+	driver->world->log_drop_appends = !below(driver, 4);
+	driver->world->log_late_us =
+		below(driver, 2) ? below(driver, 900) * USEC_PER_MSEC : 0;
 }
 
 static void do_delays(struct driver *driver, struct node *node)
@@ -360,6 +363,7 @@
 
 	world->log_down = false;
 	world->log_lose_answers = false;
+	world->log_drop_appends = false;
 	world->log_delay_us = 2 * USEC_PER_MSEC;
 	world->peer_delay_us = USEC_PER_MSEC;
 	g_hash_table_remove_all(driver->leaving);
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -66,7 +66,10 @@
 	uint64_t move_offset; /* newest move_commit that some node applied */
 	bool log_down;
 	bool log_lose_answers; /* appends take effect, answers are lost */
-	int64_t log_delay_us;  /* of an append and of a read */
+	bool log_drop_appends; /* appends and their answers are lost */
+	int64_t log_late_us;  /* a dropped append takes effect so late; 0: never
+			       */
+	int64_t log_delay_us; /* of an append and of a read */
 	int64_t peer_delay_us;
 	GHashTable *endpoints;	 /* name -> struct endpoint */
 	int64_t service_us;	 /* default service time */
