--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -19,6 +19,7 @@
 	struct kernel *kernel; /* NULL after a kill */
 	uint64_t incarnation;
 	bool paused;
+	int64_t paused_at_us;
 	bool left; /* the process has ended itself; the kernel is freed next */
 	bool log_cut;	       /* can't reach the log or the list */
 	int64_t skew_us;       /* wall clock ahead of the world's */
