--- a/src/codec/decl_yaml.c
+++ b/src/codec/decl_yaml.c
@@ -328,7 +328,7 @@
 {
 	yaml_node_item_t *item;
 
-	if (!node)
+	if (!node || yaml_is_empty(node))
 		return;
 	if (node->type != YAML_SEQUENCE_NODE) {
 		yaml_error(reader, node, key, "expected a list");
--- a/src/codec/yaml_doc.c
+++ b/src/codec/yaml_doc.c
@@ -194,6 +194,13 @@
 	return node ? (uint32_t)node->start_mark.line + 1 : 1;
 }
 
+bool yaml_is_empty(const yaml_node_t *node)
+{
+	return node && node->type == YAML_SCALAR_NODE &&
+	       node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE &&
+	       !node->data.scalar.length;
+}
+
 const char *yaml_scalar(const yaml_node_t *node)
 {
 	if (!node || node->type != YAML_SCALAR_NODE)
--- a/src/codec/yaml_doc.h
+++ b/src/codec/yaml_doc.h
@@ -64,6 +64,9 @@
 /* Line of a node, counted from 1. */
 uint32_t yaml_line(const yaml_node_t *node);
 
+/* Whether the node is empty, as the value of "key:" with nothing behind it. */
+bool yaml_is_empty(const yaml_node_t *node);
+
 /* Scalar text of a node, or NULL. */
 const char *yaml_scalar(const yaml_node_t *node);
 
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -82,6 +82,8 @@
 {
 	yaml_node_item_t *item;
 
+	if (yaml_is_empty(node))
+		return;
 	if (node->type != YAML_SEQUENCE_NODE) {
 		yaml_error(reader, node, "peers", "expected a list");
 		return;
--- /dev/null
+++ b/test/common.sh
@@ -0,0 +1,103 @@
+# Shared by the tests and benchmarks that start processes; source it with
+# $build set. Everything that was started is stopped at the exit.
+
+work=$(mktemp -d)
+pids=()
+client_options=(--token-file "$work/token")
+echo "test-token" >"$work/token"
+
+stop_all()
+{
+	for pid in "${pids[@]}"; do
+		kill "$pid" 2>/dev/null
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null
+	done
+	rm -rf "$work"
+}
+trap stop_all EXIT
+
+fail()
+{
+	echo "FAILED: $1"
+	tail -n 15 "$work"/*.log
+	exit 1
+}
+
+# start NAME PROGRAM ARGUMENT...: the process id is in $started.
+start()
+{
+	local name=$1
+	shift
+	"$@" >"$work/$name.log" 2>&1 &
+	started=$!
+	pids+=("$started")
+	disown "$started"
+}
+
+# wait_for WHAT COMMAND...: until it succeeds; bounded in tries.
+wait_for()
+{
+	local what=$1
+	shift
+	for _ in $(seq 300); do
+		"$@" >/dev/null 2>&1 && return
+		sleep 0.1
+	done
+	fail "$what did not happen"
+}
+
+answers()
+{
+	curl -sf -o /dev/null "$1"
+}
+
+# settings NAME DC NUMBER LOG_PORT: of entry instance NUMBER; the seeds are
+# the entries of $seeds as NAME:DC:NUMBER. $settings_more is appended.
+settings()
+{
+	local name=$1 dc=$2 number=$3 log_port=$4 seed
+	{
+		cat <<END
+entry: $name
+dc: $dc
+caller_address: 127.0.0.1:$((8000 + number))
+operator_address: 127.0.0.1:$((8100 + number))
+peer_address: 127.0.0.1:$((8200 + number))
+token_file: $work/token
+log_address: 127.0.0.1:$log_port
+list_address: 127.0.0.1:$log_port
+drain_ms: 5000
+END
+		echo "peers:"
+		for seed in $seeds; do
+			IFS=: read -r seed_name seed_dc seed_number <<<"$seed"
+			[ "$seed_name" = "$name" ] && continue
+			echo "- {name: $seed_name, dc: $seed_dc, address: '127.0.0.1:$((8200 + seed_number))'}"
+		done
+		echo "${settings_more:-}"
+	} >"$work/$name.yaml"
+}
+
+# names_of FILE: the instances that a declaration file names.
+names_of()
+{
+	sed -n 's/^- {name: \([a-z]*[0-9]*\), address.*/\1/p' "$1"
+}
+
+# Sum of a count over all endpoints of the stand-in.
+endpoint_sum()
+{
+	curl -s -X POST "http://127.0.0.1:9099/control" |
+		grep -o "\"$1\":[0-9]*" | cut -d: -f2 |
+		awk '{s += $1} END {print s + 0}'
+}
+
+# CPU time of a process so far in milliseconds.
+cpu_ms()
+{
+	awk -v tick="$(getconf CLK_TCK)" \
+		'{sub(/^.*\) /, ""); print ($12 + $13) * 1000 / tick}' \
+		"/proc/$1/stat"
+}
--- a/test/unit/core.c
+++ b/test/unit/core.c
@@ -60,6 +60,20 @@
 	  "gentle: expected a window" },
 };
 
+/* Guards against a key with an empty list that is taken for an error. */
+static void test_empty_list(void)
+{
+	static const char text[] = "members:\npools: []\n";
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	struct decl *decl =
+		decl_parse("f.yaml", text, strlen(text), false, errors);
+
+	CU_ASSERT_EQUAL(errors->len, 0);
+	CU_ASSERT_PTR_NOT_NULL(decl);
+	decl_unref(decl);
+	g_ptr_array_unref(errors);
+}
+
 /* Guards against a broken file that is taken or reported without its place. */
 static void test_bad_files(void)
 {
@@ -82,6 +96,7 @@
 	{ "name_copy", test_name_copy },
 	{ "claim_key", test_claim_key },
 	{ "bad_files", test_bad_files },
+	{ "empty_list", test_empty_list },
 	CU_TEST_INFO_NULL,
 };
 
