--- a/src/decide/cluster_digest.c
+++ b/src/decide/cluster_digest.c
@@ -8,8 +8,10 @@
  */
 #define BUDGET_BYTES_PER_S 2500
 /* Upper bounds for names of up to 20 bytes; see heartbeat_size_bytes(). */
-#define BASE_SIZE_BYTES 84
+#define BASE_SIZE_BYTES 96
 #define LOAD_SIZE_BYTES 46
+/* Version and kind; version, hash and length of the frame; ZeroMQ's header. */
+#define FRAME_SIZE_BYTES (4 + 14 + 9)
 /* Digests to entries of other data centres, a second. */
 #define REMOTE_PER_S 8
 #define RESEND_US (10 * USEC_PER_SEC)
@@ -172,8 +174,7 @@
 
 uint32_t heartbeat_size_bytes(const struct peer_msg *msg)
 {
-	/* Version, kind, frame and length of the link. */
-	uint32_t size_bytes = 14;
+	uint32_t size_bytes = FRAME_SIZE_BYTES;
 
 	size_bytes += 2 + (uint32_t)strlen(msg->from);
 	size_bytes += 2 + (uint32_t)strlen(msg->dc);
