--- a/bench/snapshot.c
+++ b/bench/snapshot.c
@@ -74,7 +74,7 @@
 			"- {name: w%u, address: '10.0.%u.%u:9000', dc: dc%u, "
 			"rack: r%u, pool: pool%u}\n",
 			i, i / 250, i % 250, i % 6, i / 4,
-			i % size->pool_count);
+			i % MAX(size->pool_count, 1));
 	decl = decl_parse("bench", text->str, text->len, false, errors);
 	for (guint i = 0; i < errors->len; i++)
 		fprintf(stderr, "%s\n", (char *)errors->pdata[i]);
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -455,7 +455,8 @@
 	}
 }
 
-/* log down|up|lose|drop|late|keep, log delay=T, log trim=OFFSET */
+/* log down|up|lose|drop|late|keep, log delay=T, log trim=OFFSET,
+ * log retain=COUNT */
 static void cmd_log(struct script *script)
 {
 	struct world *world = script->world;
@@ -476,6 +477,11 @@
 		world->log_delay_us = option_us(script, "delay", 0);
 	else if (option(script, "trim"))
 		world->log_first_offset = number(script, "trim", 1);
+	else if (option(script, "retain"))
+		world->log_first_offset =
+			MAX((int64_t)world->log_first_offset,
+			    (int64_t)world->log->len + 1 -
+				    (int64_t)number(script, "retain", 0));
 	else
 		fail(script, "log can't do \"%s\"", what);
 	world_announce_log(world);
