--- a/bench/measure.c
+++ b/bench/measure.c
@@ -23,6 +23,7 @@
 #define ROTATIONS_COUNT 2
 #define SPARE_MAX_COUNT 8u /* today's */
 #define SPARE_STEP_COUNT 2u
+#define SPARE_STEPS_COUNT (SPARE_MAX_COUNT / SPARE_STEP_COUNT + 1)
 #define SEEDS_COUNT 2
 #define FLOOD_US (20 * USEC_PER_SEC)
 #define MOVES_ROTATIONS_COUNT 10
@@ -36,7 +37,11 @@
 	{ "Mreja", "examples/mreja.yaml", 6 },
 };
 
-static const struct variant ours = { .name = "ours", .lends = true };
+static const struct variant ours = { .name = "ours",
+				     .lending = LENDING_DECLARED };
+/* Members keep their idle slots to themselves. */
+static const struct variant ours_spare = { .name = "ours, spare lends",
+					   .lending = LENDING_SPARE };
 static const struct variant baseline = {
 	.name = "baseline",
 	.moves = "greedy",
@@ -57,7 +62,7 @@
 static const struct variant ours_greedy = {
 	.name = "ours, greedy moves",
 	.moves = "greedy",
-	.lends = true,
+	.lending = LENDING_DECLARED,
 };
 
 static FILE *data;
@@ -175,38 +180,50 @@
 	return percent(&sum);
 }
 
+/* Least of the measured spare counts that reaches a share, or none. */
+static const char *least_spare(const double *shares, double wanted)
+{
+	static char text[16];
+
+	for (uint32_t i = 0; i < SPARE_STEPS_COUNT; i++) {
+		if (shares[i] < wanted)
+			continue;
+		g_snprintf(text, sizeof(text), "%u", i * SPARE_STEP_COUNT);
+		return text;
+	}
+	return "more";
+}
+
 static void measure_buffer(const struct deployment *deployment)
 {
-	const struct variant *const variants[] = { &ours, &baseline, &fixed };
-	double shares[G_N_ELEMENTS(variants)][SPARE_MAX_COUNT + 1];
-	uint32_t needed_count = 0;
+	const struct variant *const variants[] = { &ours, &ours_spare,
+						   &baseline, &fixed };
+	double shares[G_N_ELEMENTS(variants)][SPARE_STEPS_COUNT];
 
 	fprintf(data, "# %s: urgent requests in time by spare instances\n",
 		deployment->name);
-	fprintf(data, "# spare \"ours\" \"baseline\" \"static pools\"\n");
-	for (uint32_t spare = 0; spare <= SPARE_MAX_COUNT;
-	     spare += SPARE_STEP_COUNT) {
-		fprintf(data, "%u", spare);
+	fprintf(data, "# spare");
+	for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++)
+		fprintf(data, " \"%s\"", variants[i]->name);
+	for (uint32_t step = 0; step < SPARE_STEPS_COUNT; step++) {
+		fprintf(data, "\n%u", step * SPARE_STEP_COUNT);
 		for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++) {
-			shares[i][spare] =
-				protection(deployment, variants[i], spare);
-			fprintf(data, " %.3f", shares[i][spare]);
+			shares[i][step] = protection(deployment, variants[i],
+						     step * SPARE_STEP_COUNT);
+			fprintf(data, " %.3f", shares[i][step]);
 		}
-		fprintf(data, "\n");
 	}
-	fprintf(data, "\n\n");
-	while (needed_count < SPARE_MAX_COUNT &&
-	       shares[0][needed_count] < shares[1][SPARE_MAX_COUNT])
-		needed_count += SPARE_STEP_COUNT;
-	for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++)
+	fprintf(data, "\n\n\n");
+	for (uint32_t i = 0; i < G_N_ELEMENTS(variants); i++) {
 		printf("%-8s buffer    %-20s urgent in time %6.2f %% with 0 "
-		       "spare instances, %6.2f %% with %u\n",
+		       "spare instances, %6.2f %% with %u; ",
 		       deployment->name, variants[i]->name, shares[i][0],
-		       shares[i][SPARE_MAX_COUNT], SPARE_MAX_COUNT);
-	printf("%-8s buffer    %-20s %u of %u spare instances protect no less "
-	       "than the baseline's %u\n",
-	       deployment->name, "ours", needed_count, SPARE_MAX_COUNT,
-	       SPARE_MAX_COUNT);
+		       shares[i][SPARE_STEPS_COUNT - 1], SPARE_MAX_COUNT);
+		printf("%s needed for the baseline's protection with %u, ",
+		       least_spare(shares[i], shares[2][SPARE_STEPS_COUNT - 1]),
+		       SPARE_MAX_COUNT);
+		printf("%s for 99 %%\n", least_spare(shares[i], 99));
+	}
 }
 
 /* One member's urgent work in its first queue, with or without a flood. */
--- a/bench/measure/site.c
+++ b/bench/measure/site.c
@@ -47,8 +47,8 @@
 	return "";
 }
 
-/* Leaves so many instances in the spare pool, and turns lending off. */
-static void adapt(struct decl *decl, bool lends, uint32_t spare_count)
+/* Leaves so many instances in the spare pool, and limits lending. */
+static void adapt(struct decl *decl, enum lending lending, uint32_t spare_count)
 {
 	const char *spare = spare_pool(decl);
 	uint32_t kept_count = 0;
@@ -66,7 +66,9 @@
 	for (guint i = 0; i < decl->pools->len; i++) {
 		struct decl_pool *pool = decl->pools->pdata[i];
 
-		pool->lend = pool->lend && lends;
+		pool->lend = pool->lend &&
+			     (lending == LENDING_DECLARED ||
+			      (lending == LENDING_SPARE && pool->spare));
 		if (!pool->spare)
 			continue;
 		pool->min_available_count = 0;
@@ -277,7 +279,7 @@
 
 	if (!decl)
 		return NULL;
-	adapt(decl, variant->lends, spare_count);
+	adapt(decl, variant->lending, spare_count);
 	site = g_new0(struct site, 1);
 	site->decl = decl;
 	site->queues = g_ptr_array_new();
--- a/bench/measure/site.h
+++ b/bench/measure/site.h
@@ -14,6 +14,12 @@
 	uint32_t entry_count;
 };
 
+enum lending {
+	LENDING_NONE,
+	LENDING_SPARE, /* the spare pool alone */
+	LENDING_DECLARED,
+};
+
 /* The policies of a run; NULL: the preferred one. */
 struct variant {
 	const char *name;
@@ -22,7 +28,7 @@
 	const char *admission;
 	const char *choice;
 	const char *retry;
-	bool lends; /* pools lend as declared, or not at all */
+	enum lending lending;
 };
 
 struct tally {
--- a/bench/tick.c
+++ b/bench/tick.c
@@ -221,7 +221,7 @@
 
 int main(void)
 {
-	double costs_us[G_N_ELEMENTS(sizes)];
+	double costs_us[G_N_ELEMENTS(sizes)] = { 0 };
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		struct bench bench = { 0 };
