--- a/src/decide/slots.c
+++ b/src/decide/slots.c
@@ -21,6 +21,8 @@
 
 /* One answer may have been on its way before the pause ended. */
 #define SURE_ANSWERS_COUNT 2
+/* A shorter pause goes unnoticed; with time to read the log after it. */
+#define PAUSE_MARGIN_US (KERNEL_PAUSE_US + USEC_PER_SEC)
 
 static void endpoint_free(gpointer data)
 {
@@ -107,7 +109,7 @@
 	uint32_t owned_count = endpoint->base_count;
 	uint32_t lent_count = loans_total(endpoint->lent);
 
-	if (!slots->member || slots->unsure)
+	if (!slots->member || slots->unsure || slots->drained)
 		return 0;
 	for (guint i = 0; i < endpoint->borrowed->len; i++) {
 		const struct loan *loan = endpoint->borrowed->pdata[i];
@@ -209,12 +211,17 @@
 	each_endpoint(slots, slots->confirmed ? raise_share : lower);
 }
 
-/* Requests of an entry that ended run for up to the longest timeout. */
+/*
+ * Requests of an entry that ended run for up to the longest timeout. If it was
+ * only paused, and not long enough to notice, it may still have sent some
+ * before it read that it was removed.
+ */
 static void hold(struct slots *slots)
 {
 	slots->hold_until_us =
-		MAX(slots->hold_until_us,
-		    kernel_now_us(slots->kernel) + slots->longest_timeout_us);
+		MAX(slots->hold_until_us, kernel_now_us(slots->kernel) +
+						  slots->longest_timeout_us +
+						  PAUSE_MARGIN_US);
 }
 
 static bool ends_running(const struct event *event)
@@ -509,6 +516,11 @@
 		slots->draining = true;
 		loans_update_all(slots);
 		break;
+	case EVENT_DRAINED:
+		/* Our entry_leave gives the slots to others. */
+		slots->drained = true;
+		each_endpoint(slots, slots_refresh);
+		break;
 	case EVENT_REQUEST_NEW:
 		on_request(slots);
 		break;
@@ -546,10 +558,10 @@
 	.kind = PLUGIN_DECIDE,
 	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_RESUMED) |
 		 EVENT_BIT(EVENT_LOG_ASK) | EVENT_BIT(EVENT_LOG_STATE) |
-		 EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_REQUEST_NEW) |
-		 EVENT_BIT(EVENT_DISPATCHED) | EVENT_BIT(EVENT_SLOT_FREE) |
-		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
-		 EVENT_BIT(EVENT_PEER_RECEIVED),
+		 EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_DRAINED) |
+		 EVENT_BIT(EVENT_REQUEST_NEW) | EVENT_BIT(EVENT_DISPATCHED) |
+		 EVENT_BIT(EVENT_SLOT_FREE) | EVENT_BIT(EVENT_FLEET_CHANGED) |
+		 EVENT_BIT(EVENT_FLEET_RESET) | EVENT_BIT(EVENT_PEER_RECEIVED),
 	.init = slots_init,
 	.handle = slots_handle,
 	.fini = slots_fini,
