Check that dropped records never take effect

Cause: the rule that a proposal is dropped only when it is certain was not checked; moves of the random driver mostly failed as they were proposed by entries without the lease.

--- a/src/decide/proposer.c
+++ b/src/decide/proposer.c
@@ -76,10 +76,8 @@
 	g_free(proposer);
 }
 
-static void trace(struct proposer *proposer, const char *format, ...)
-	G_GNUC_PRINTF(2, 3);
-
-static void trace(struct proposer *proposer, const char *format, ...)
+static void G_GNUC_PRINTF(2, 3)
+	trace(struct proposer *proposer, const char *format, ...)
 {
 	struct timeline_entry entry = { .kind = TIMELINE_LOG };
 	va_list args;
--- a/test/runner/checks.c
+++ b/test/runner/checks.c
@@ -289,6 +289,37 @@
 				node->name, expected_count, listed_count);
 }
 
+static char *id_text(const struct record_id *id)
+{
+	return g_strdup_printf("%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+			       id->entry, id->incarnation, id->sequence);
+}
+
+/* A record that its proposer gave up never takes effect. */
+static void check_accepted(struct world *world, const struct record *record)
+{
+	char *id = id_text(&record->id);
+
+	if (g_hash_table_contains(world->dropped, id))
+		world_violation(world, "%s was dropped, but takes effect", id);
+	g_hash_table_add(world->accepted, id);
+}
+
+void check_dropped(struct world *world, const struct event *event)
+{
+	const struct record *record = event->record.record;
+	char *id = id_text(&record->id);
+
+	/* A record without an entry never had an id. */
+	if (record->id.entry[0]) {
+		if (g_hash_table_contains(world->accepted, id))
+			world_violation(world, "%s is dropped, but took effect",
+					id);
+		g_hash_table_add(world->dropped, g_strdup(id));
+	}
+	g_free(id);
+}
+
 void check_fleet(struct world *world, struct node *node,
 		 const struct event *event)
 {
@@ -297,6 +328,7 @@
 
 	if (!event->record.accepted)
 		return;
+	check_accepted(world, record);
 	check_one_pool(world, node);
 	/* Nodes that apply it later may see work of the new pool. */
 	if (record->kind != RECORD_MOVE_COMMIT ||
--- a/test/runner/random.c
+++ b/test/runner/random.c
@@ -226,16 +226,31 @@
 				 g_strdup(instance->decl.name));
 }
 
+/* The node that holds the lease by what another one knows, or NULL. */
+static struct node *lease_holder(const struct driver *driver,
+				 const struct node *node)
+{
+	struct node *holder;
+
+	if (!node->kernel)
+		return NULL;
+	holder = world_node(driver->world,
+			    fleet_lease(kernel_fleet(node->kernel))->holder);
+	return holder && holder->kernel && !holder->paused ? holder : NULL;
+}
+
 /* The holder of the lease moves an instance to another pool. */
-static void do_move(struct driver *driver, struct node *node)
+static void do_move(struct driver *driver, struct node *any)
 {
-	const struct fleet_instance *instance = any_instance(driver, node);
+	struct node *node = lease_holder(driver, any);
+	const struct fleet_instance *instance =
+		node ? any_instance(driver, node) : NULL;
 	struct event event = { .type = EVENT_PROPOSE };
 	const struct fleet_pool *pool;
 	const GPtrArray *pools;
 	struct fleet *fleet;
 
-	if (!instance || node->paused)
+	if (!instance)
 		return;
 	fleet = kernel_fleet(node->kernel);
 	pools = fleet_pools(fleet);
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -68,6 +68,10 @@
 	world->service_us = SERVICE_US;
 	world->endpoints =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	world->accepted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->dropped =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->key_runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->started =
@@ -86,6 +90,8 @@
 	g_sequence_free(world->schedule);
 	g_ptr_array_unref(world->log);
 	g_hash_table_unref(world->endpoints);
+	g_hash_table_unref(world->accepted);
+	g_hash_table_unref(world->dropped);
 	g_hash_table_unref(world->key_runs);
 	g_hash_table_unref(world->started);
 	g_tree_unref(world->member_counts);
@@ -385,38 +391,6 @@
 	}
 }
 
-/* A message crosses the link as a copy. */
-static struct peer_msg *copy_msg(const struct peer_msg *msg)
-{
-	struct peer_msg *copy = g_memdup2(msg, sizeof(*msg));
-
-	if (msg->loads)
-		copy->loads = g_array_copy(msg->loads);
-	if (msg->state)
-		copy->state = g_bytes_ref(msg->state);
-	return copy;
-}
-
-static void fake_peer_send(struct world *world, struct node *node,
-			   const struct event *event)
-{
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct node *to = world->nodes->pdata[i];
-		struct event received = { .type = EVENT_PEER_RECEIVED };
-
-		if (to == node || !to->kernel ||
-		    (event->peer.peer[0] &&
-		     strcmp(event->peer.peer, to->name) != 0) ||
-		    g_hash_table_contains(node->peer_cuts, to->name))
-			continue;
-		received.peer.msg = copy_msg(event->peer.msg);
-		name_copy(received.peer.peer, sizeof(received.peer.peer),
-			  node->name);
-		world_schedule(world, world->now_us + world->peer_delay_us, to,
-			       &received);
-	}
-}
-
 /* The fakes as a plug-in of each node; it takes what the decisions emit. */
 static void fakes_handle(void *self, const struct event *event)
 {
@@ -438,7 +412,7 @@
 		fake_cancel(world, node, event);
 		break;
 	case EVENT_PEER_SEND:
-		fake_peer_send(world, node, event);
+		link_send(world, node, event);
 		break;
 	case EVENT_REQUEST_REPLY:
 		check_reply(world, node, event);
@@ -452,6 +426,9 @@
 	case EVENT_INSTANCE_LIST:
 		check_list(world, node, event);
 		break;
+	case EVENT_PROPOSAL_DROPPED:
+		check_dropped(world, event);
+		break;
 	case EVENT_SLOTS_CHANGED:
 		check_allowed(world, event->name.name);
 		break;
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -74,6 +74,8 @@
 	GHashTable *endpoints;	 /* name -> struct endpoint */
 	int64_t service_us;	 /* default service time */
 	enum endpoint_mode mode; /* default mode */
+	GHashTable *accepted;	 /* ids of records that took effect */
+	GHashTable *dropped;	 /* ids of records that proposers gave up */
 	GHashTable *key_runs;	 /* idempotency key -> number of runs */
 	GHashTable *started;	 /* "node/request" that reached an endpoint */
 	uint64_t printed;	 /* EVENT_BIT() of the types that are printed */
@@ -133,6 +135,10 @@
 void world_print(struct world *world, const char *format, ...)
 	G_GNUC_PRINTF(2, 3);
 
+/* link.c: delivers a message to the nodes that it can reach. */
+void link_send(struct world *world, struct node *node,
+	       const struct event *event);
+
 /* node.c */
 void node_free(struct node *node);
 void node_start_plugins(struct node *node);
@@ -156,6 +162,7 @@
 		 const struct event *event);
 void check_list(struct world *world, struct node *node,
 		const struct event *event);
+void check_dropped(struct world *world, const struct event *event);
 void check_allowed(struct world *world, const char *endpoint);
 void check_reboot(struct world *world, struct node *node,
 		  const struct event *event);
--- a/test/unit/cluster.c
+++ b/test/unit/cluster.c
@@ -62,16 +62,15 @@
 	static const struct {
 		uint32_t mate_count;
 		uint32_t remote_count;
-	} cases[] = { { 0, 0 }, { 1, 0 }, { 0, 6 }, { 1, 5 },
+	} cases[] = { { 0, 0 },	 { 1, 0 }, { 0, 6 }, { 1, 5 },
 		      { 3, 12 }, { 9, 0 }, { 9, 50 } };
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct digest_plan plan = digest_plan(cases[i].mate_count,
-						      cases[i].remote_count);
-		uint64_t remote_per_s =
-			(cases[i].remote_count * USEC_PER_SEC +
-			 plan.remote_round_us - 1) /
-			plan.remote_round_us;
+		struct digest_plan plan =
+			digest_plan(cases[i].mate_count, cases[i].remote_count);
+		uint64_t remote_per_s = (cases[i].remote_count * USEC_PER_SEC +
+					 plan.remote_round_us - 1) /
+					plan.remote_round_us;
 		uint64_t sent_bytes =
 			cases[i].mate_count *
 				(size_bytes(0) + size_bytes(plan.load_count)) +
@@ -132,9 +131,9 @@
 
 	for (uint32_t i = 0; i < entry_count; i++) {
 		if (i != without)
-			CU_ASSERT_TRUE(share_of(before, i, slot_count) <=
-				       share_of(after, i - (i > without),
-						slot_count));
+			CU_ASSERT_TRUE(
+				share_of(before, i, slot_count) <=
+				share_of(after, i - (i > without), slot_count));
 	}
 	g_ptr_array_unref(before);
 	g_ptr_array_unref(after);
@@ -150,8 +149,7 @@
 		for (uint32_t without = 0; without < entry_count; without++) {
 			for (uint32_t slot_count = 1; slot_count <= 17;
 			     slot_count++)
-				check_removal(entry_count, without,
-					      slot_count);
+				check_removal(entry_count, without, slot_count);
 		}
 	}
 }
