--- a/src/io/endpoint_curl.c
+++ b/src/io/endpoint_curl.c
@@ -340,10 +340,13 @@
 	/*
 	 * The endpoint may close an idle connection just as a request is sent
 	 * on it, which leaves its outcome unknown. Only idempotent requests
-	 * are worth that risk.
+	 * are worth that risk. The new connection is closed after the answer:
+	 * kept ones would add up to the endpoint's limit of connections.
 	 */
-	if (!service || !service->idempotent)
+	if (!service || !service->idempotent) {
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
 }
 
 static bool start(struct client *client, struct attempt *attempt,
