Leave the lease to others while draining, and keep jobs of unknown instances

Cause: an entry that drains could still claim the planner lease. Jobs were ended 60 s after no entry of their data centre was heard, although the platform listed their instances as live: a data centre with one entry would have lost its jobs by a slow restart of that entry.

Change: no claim after EVENT_DRAIN; the jobs plug-in follows the platform's list and ends a job only when its instance is off the list too.

--- a/src/decide/jobs.c
+++ b/src/decide/jobs.c
@@ -46,6 +46,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	jobs->running =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	jobs->listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	jobs->observed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return jobs;
@@ -60,6 +62,7 @@
 	g_queue_free_full(jobs->todo, g_free);
 	g_hash_table_unref(jobs->charges);
 	g_hash_table_unref(jobs->running);
+	g_hash_table_unref(jobs->listed);
 	g_hash_table_unref(jobs->observed);
 	g_free(jobs);
 }
@@ -257,6 +260,19 @@
 	tracked->next_us = MAX(tracked->renew_at_us, now_us + TICK_US);
 }
 
+/*
+ * An instance that is only unknown, as no entry of its data centre was heard,
+ * is down for requests; its jobs run on while the platform lists it as live.
+ */
+static bool is_gone(const struct jobs *jobs,
+		    const struct fleet_instance *instance)
+{
+	if (!instance || instance->phase == INSTANCE_REMOVED)
+		return true;
+	return instance->down &&
+	       !g_hash_table_contains(jobs->listed, instance->decl.name);
+}
+
 /* Returns whether the instance of a job is gone; ends the job in time. */
 static bool attend_down(struct jobs *jobs, struct tracked *tracked,
 			const struct fleet_job *job,
@@ -264,8 +280,7 @@
 {
 	int64_t now_us = kernel_now_us(jobs->kernel);
 
-	if (instance && !instance->down &&
-	    instance->phase != INSTANCE_REMOVED) {
+	if (!is_gone(jobs, instance)) {
 		tracked->down_us = 0;
 		return false;
 	}
@@ -312,6 +327,11 @@
 		return;
 	}
 	renew(jobs, tracked, job);
+	/* No record tells that an unknown instance is off the list. */
+	if (instance->down)
+		tracked->next_us =
+			MIN(tracked->next_us,
+			    kernel_now_us(jobs->kernel) + WAITING_US);
 }
 
 static void attend(struct jobs *jobs, struct tracked *tracked)
@@ -472,6 +492,21 @@
 	enqueue(jobs, tracked);
 }
 
+static void take_list(struct jobs *jobs, const struct event_list *list)
+{
+	/* An empty list is a fault of the list, not of all instances. */
+	if (!list->items || !list->items->len)
+		return;
+	g_hash_table_remove_all(jobs->listed);
+	for (guint i = 0; i < list->items->len; i++) {
+		const struct list_item *item =
+			&g_array_index(list->items, struct list_item, i);
+
+		if (item->state == LIST_LIVE)
+			g_hash_table_add(jobs->listed, g_strdup(item->name));
+	}
+}
+
 static void jobs_handle(void *self, const struct event *event)
 {
 	struct jobs *jobs = self;
@@ -501,6 +536,9 @@
 		jobs->log_reachable = event->log.reachable;
 		jobs->log_next_offset = event->log.next_offset;
 		break;
+	case EVENT_INSTANCE_LIST:
+		take_list(jobs, &event->list);
+		break;
 	case EVENT_TASK_REPORT:
 		take_report(jobs, &event->task);
 		break;
@@ -517,7 +555,8 @@
 		 EVENT_BIT(EVENT_ROLE_CHANGED) |
 		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
 		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
-		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_TASK_REPORT),
+		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_TASK_REPORT) |
+		 EVENT_BIT(EVENT_INSTANCE_LIST),
 	.init = jobs_init,
 	.handle = jobs_handle,
 	.fini = jobs_fini,
--- a/src/decide/jobs.h
+++ b/src/decide/jobs.h
@@ -39,6 +39,7 @@
 	GQueue *todo;	      /* of char *: jobs to attend to */
 	GHashTable *charges;  /* instance -> millislots of its jobs */
 	GHashTable *running;  /* member -> number of running jobs */
+	GHashTable *listed;   /* set of instances live on the newest list */
 	GHashTable *observed; /* "member/pool" -> struct observed */
 };
 
--- a/src/decide/planner.c
+++ b/src/decide/planner.c
@@ -146,7 +146,8 @@
 	int64_t now_us = kernel_now_us(planner->kernel);
 	struct record *record;
 
-	if (now_us < claim_time(planner) || !may_propose(planner) || !entry ||
+	if (planner->leaving || now_us < claim_time(planner) ||
+	    !may_propose(planner) || !entry ||
 	    !is_me(planner, entry->decl.name, entry->decl.incarnation) ||
 	    pending_has(planner->pending, LEASE_KEY))
 		return;
@@ -186,7 +187,7 @@
 
 	if (!planner->token) {
 		try_claim(planner);
-		if (now_us < claim_time(planner))
+		if (!planner->leaving && now_us < claim_time(planner))
 			kernel_wake_at(planner->kernel, claim_time(planner));
 		return;
 	}
@@ -297,6 +298,9 @@
 	struct planner *planner = self;
 
 	switch (event->type) {
+	case EVENT_DRAIN:
+		planner->leaving = true;
+		break;
 	case EVENT_RESUMED:
 		take_pause(planner);
 		break;
@@ -332,8 +336,8 @@
 	.name = "planner",
 	.kind = PLUGIN_DECIDE,
 	.takes = EVENT_BIT(EVENT_WAKE) | EVENT_BIT(EVENT_STARTED) |
-		 EVENT_BIT(EVENT_RESUMED) | EVENT_BIT(EVENT_FLEET_CHANGED) |
-		 EVENT_BIT(EVENT_FLEET_RESET) |
+		 EVENT_BIT(EVENT_DRAIN) | EVENT_BIT(EVENT_RESUMED) |
+		 EVENT_BIT(EVENT_FLEET_CHANGED) | EVENT_BIT(EVENT_FLEET_RESET) |
 		 EVENT_BIT(EVENT_PROPOSAL_DROPPED) |
 		 EVENT_BIT(EVENT_LOG_STATE) | EVENT_BIT(EVENT_INSTANCE_LIST) |
 		 EVENT_BIT(EVENT_PEER_STATE) | EVENT_BIT(EVENT_PEER_RECEIVED),
--- a/src/decide/planner.h
+++ b/src/decide/planner.h
@@ -33,6 +33,7 @@
 	int64_t claim_at_us; /* with its spread; 0: not drawn yet */
 	int64_t renew_at_us;
 	int64_t tick_at_us;
+	bool leaving; /* the process drains; it claims no lease */
 	bool log_reachable;
 	uint64_t log_next_offset;
 	struct pending *pending;
