--- a/src/policy/waves_budget.c
+++ b/src/policy/waves_budget.c
@@ -14,6 +14,11 @@
 #define TOGETHER_COUNT 2
 /* Time without a further correlated failure after which waves go on. */
 #define HOLD_US (600 * USEC_PER_SEC)
+/*
+ * A failure keeps its rack out of waves for so long. An instance that waits for
+ * repair must not keep its neighbours from maintenance for weeks.
+ */
+#define RACK_WAIT_US (3600 * USEC_PER_SEC)
 
 struct budget {
 	GHashTable *failed_us; /* instance -> int64_t: seen down since */
@@ -124,17 +129,21 @@
 	return found;
 }
 
-/* Whether another instance of the rack is down for a reason of its own. */
-static bool rack_suffers(const struct plan_view *view,
+/* Whether another instance of the rack has failed for a reason of its own. */
+static bool rack_suffers(struct budget *budget, const struct plan_view *view,
 			 const struct fleet_instance *of)
 {
 	const GPtrArray *instances = fleet_instances(view->fleet);
 
 	for (guint i = 0; i < instances->len; i++) {
 		const struct fleet_instance *other = instances->pdata[i];
+		const int64_t *failed_us;
 
-		if (other->down && !plan_in_maintenance(other) &&
-		    same_rack(of, other))
+		if (!other->down || !same_rack(of, other))
+			continue;
+		failed_us = g_hash_table_lookup(budget->failed_us,
+						other->decl.name);
+		if (failed_us && view->now_us - *failed_us < RACK_WAIT_US)
 			return true;
 	}
 	return false;
@@ -174,7 +183,7 @@
 		    (domain && !same_rack(domain, instance)) ||
 		    (best && compare_domains(instance, best) > 0) ||
 		    !plan_may_take(view, instance) ||
-		    rack_suffers(view, instance))
+		    rack_suffers(budget, view, instance))
 			continue;
 		best = instance;
 	}
