Test a change whose server breaks off

Change: a server that reads the change and closes the connection; the command must end with 3 and must not ask the next server.

--- a/test/contract/command.c
+++ b/test/contract/command.c
@@ -267,7 +267,7 @@
 	return ((const struct fake_log *)data)->proposed_count > 0;
 }
 
-/* Guards against a server that dies within a change and whose operator is
+/* Guards against a server that ends within a change and whose operator is
  * told that nothing has happened.
  */
 static void test_lost_answer(void)
@@ -302,6 +302,79 @@
 	g_strfreev(argv);
 }
 
+/* Takes one request and closes the connection without an answer. */
+struct closer {
+	ev_io listener;
+	ev_check check;
+	struct wire *wire;
+	bool closed;
+};
+
+static void on_accept(struct ev_loop *ev, ev_io *watcher, int revents)
+{
+	struct closer *closer = watcher->data;
+	int fd = accept(watcher->fd, NULL, NULL);
+
+	(void)revents;
+	CU_ASSERT_FATAL(fd >= 0);
+	closer->wire = wire_new(ev, fd);
+	ev_io_stop(ev, watcher);
+}
+
+static void on_check(struct ev_loop *ev, ev_check *watcher, int revents)
+{
+	struct closer *closer = watcher->data;
+
+	(void)ev;
+	(void)revents;
+	if (!closer->wire || closer->closed || !wire_has_message(closer->wire))
+		return;
+	closer->closed = true;
+	shutdown(closer->wire->reader.fd, SHUT_RDWR);
+}
+
+/* Guards against a server that breaks off after it has read a change, and
+ * whose operator is told that nothing has happened.
+ */
+static void test_broken_off(void)
+{
+	GString *output = g_string_new(NULL);
+	struct closer closer = { .closed = false };
+	struct command_test test;
+	uint16_t port;
+	char *line;
+	char **argv;
+	int fd = contract_bind(&port);
+
+	setup(&test);
+	CU_ASSERT_EQUAL_FATAL(listen(fd, 1), 0);
+	ev_io_init(&closer.listener, on_accept, fd, EV_READ);
+	closer.listener.data = &closer;
+	ev_io_start(test.contract->ev, &closer.listener);
+	ev_check_init(&closer.check, on_check);
+	ev_set_priority(&closer.check, EV_MINPRI);
+	closer.check.data = &closer;
+	ev_check_start(test.contract->ev, &closer.check);
+	/* The second server must not be asked: that could change twice. */
+	line = g_strdup_printf("apply --server 127.0.0.1:%u --server $s "
+			       "--token-file $t a.yaml",
+			       port);
+	argv = make_arguments(&test, line);
+	CU_ASSERT_EQUAL(run_command(&test, argv, output), EXIT_UNKNOWN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output->str, "the outcome is unknown"));
+	CU_ASSERT_TRUE(closer.closed);
+	CU_ASSERT_EQUAL(test.log.proposed_count, 0);
+	ev_check_stop(test.contract->ev, &closer.check);
+	ev_io_stop(test.contract->ev, &closer.listener);
+	if (closer.wire)
+		wire_free(closer.wire);
+	close(fd);
+	g_strfreev(argv);
+	g_free(line);
+	g_string_free(output, TRUE);
+	teardown(&test);
+}
+
 static void add_event(struct contract *contract, int64_t wall_ms,
 		      const char *text)
 {
@@ -439,6 +512,7 @@
 static const CU_TestInfo tests[] = {
 	{ "commands", test_commands },
 	{ "lost_answer", test_lost_answer },
+	{ "broken_off", test_broken_off },
 	{ "timeline", test_timeline },
 	{ "diff", test_diff },
 	CU_TEST_INFO_NULL,
