--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -455,24 +455,33 @@
 	}
 }
 
-/* log down|up|lose|keep, log delay=T, log trim=OFFSET */
+/* log down|up|lose|drop|late|keep, log delay=T, log trim=OFFSET,
+ * log retain=COUNT */
 static void cmd_log(struct script *script)
 {
 	struct world *world = script->world;
 	const char *what = word(script, 1);
 
+	world->log_late_us = !strcmp(what, "late") ? 500 * USEC_PER_MSEC : 0;
 	if (!strcmp(what, "down"))
 		world->log_down = true;
 	else if (!strcmp(what, "up"))
 		world->log_down = false;
 	else if (!strcmp(what, "lose"))
 		world->log_lose_answers = true;
+	else if (!strcmp(what, "drop") || !strcmp(what, "late"))
+		world->log_drop_appends = true;
 	else if (!strcmp(what, "keep"))
-		world->log_lose_answers = false;
+		world->log_lose_answers = world->log_drop_appends = false;
 	else if (option(script, "delay"))
 		world->log_delay_us = option_us(script, "delay", 0);
 	else if (option(script, "trim"))
 		world->log_first_offset = number(script, "trim", 1);
+	else if (option(script, "retain"))
+		world->log_first_offset =
+			MAX((int64_t)world->log_first_offset,
+			    (int64_t)world->log->len + 1 -
+				    (int64_t)number(script, "retain", 0));
 	else
 		fail(script, "log can't do \"%s\"", what);
 	world_announce_log(world);
@@ -752,25 +761,29 @@
 
 static void run_line(struct script *script, char *line);
 
-/* repeat COUNT EVERY COMMAND...: runs a command several times. */
+/* repeat COUNT EVERY COMMAND...: "%" in it becomes the number of the run. */
 static void cmd_repeat(struct script *script)
 {
 	struct world *world = script->world;
 	uint64_t count = g_ascii_strtoull(word(script, 1), NULL, 10);
 	int64_t every_us = duration_us(script, word(script, 2));
 	char *line = g_strjoinv(" ", script->words + 3);
+	gchar **parts = g_strsplit(line, "%", -1);
 	gchar **words = script->words;
 	uint32_t word_count = script->word_count;
 
 	for (uint64_t i = 0; i < count; i++) {
-		char *copy = g_strdup(line);
+		char *count_text = g_strdup_printf("%" G_GUINT64_FORMAT, i + 1);
+		char *copy = g_strjoinv(count_text, parts);
 
 		run_line(script, copy);
 		g_free(copy);
+		g_free(count_text);
 		world_run_until(world, world->now_us + every_us);
 	}
 	script->words = words;
 	script->word_count = word_count;
+	g_strfreev(parts);
 	g_free(line);
 }
 
