Widen three products before they are computed

Change: constants of the wider type; the burst of all entry instances together is a constant of its own (40, as before: 4 of each of 10).

Conclusion: none.

--- a/bench/passthrough.c
+++ b/bench/passthrough.c
@@ -13,7 +13,7 @@
 #include "io/mhd_loop.h"
 #include "kernel/klog.h"
 
-#define BODY_MAX_BYTES (1024 * 1024)
+#define BODY_MAX_BYTES UINT64_C(1048576)
 #define CONNECTIONS_MAX_COUNT 1024
 #define SLOW_CLIENT_US (30 * USEC_PER_SEC)
 
--- a/src/decide/proposer_queue.c
+++ b/src/decide/proposer_queue.c
@@ -5,6 +5,7 @@
 #define TOTAL_APPENDS_PER_S 200
 /* Appends that an entry instance may send at once after a quiet time. */
 #define BURST_APPENDS 4
+#define TOTAL_BURST_APPENDS INT64_C(40) /* of all entry instances */
 
 /* A proposal that was not sent for so long is stale once the log is back. */
 #define EXPIRES_US (30 * USEC_PER_SEC)
@@ -149,10 +150,7 @@
 void append_rate_set(struct append_rate *rate, uint32_t entry_count)
 {
 	int64_t count = CLAMP(entry_count, 1, TOTAL_APPENDS_PER_S / 2);
-	int64_t burst = CLAMP(
-		BURST_APPENDS * (TOTAL_APPENDS_PER_S / ENTRY_APPENDS_PER_S) /
-			count,
-		1, BURST_APPENDS);
+	int64_t burst = CLAMP(TOTAL_BURST_APPENDS / count, 1, BURST_APPENDS);
 	int64_t own_us = USEC_PER_SEC / (ENTRY_APPENDS_PER_S - burst);
 	int64_t shared_us =
 		count * USEC_PER_SEC / (TOTAL_APPENDS_PER_S - count * burst);
--- a/test/unit/cluster.c
+++ b/test/unit/cluster.c
@@ -72,7 +72,7 @@
 					 plan.remote_round_us - 1) /
 					plan.remote_round_us;
 		uint64_t sent_bytes =
-			cases[i].mate_count *
+			(uint64_t)cases[i].mate_count *
 				(size_bytes(0) + size_bytes(plan.load_count)) +
 			remote_per_s * size_bytes(plan.load_count);
 
