--- a/src/decide/snapshot.c
+++ b/src/decide/snapshot.c
@@ -253,11 +253,14 @@
 	const struct record *record = read->record;
 	GBytes *bytes = NULL;
 
-	snapshot->read_offset = MAX(snapshot->read_offset, read->offset);
 	if (record->kind != RECORD_SNAPSHOT_PART) {
-		snapshot->record_count++;
+		/* Those that waited for a snapshot come twice. */
+		snapshot->record_count += read->offset > snapshot->read_offset;
+		snapshot->read_offset =
+			MAX(snapshot->read_offset, read->offset);
 		return;
 	}
+	snapshot->read_offset = MAX(snapshot->read_offset, read->offset);
 	if (record->snapshot.part_count)
 		read_part(snapshot, record);
 	else
--- a/test/contract/log_http.c
+++ b/test/contract/log_http.c
@@ -13,6 +13,7 @@
 	struct fake_reply append; /* of every append */
 	const char *const *reads; /* one after another; the last one repeats */
 	uint32_t read_count;
+	bool hang_polls; /* answers only reads that do not wait */
 	char *last_target;
 	GByteArray *last_append;
 };
@@ -30,12 +31,13 @@
 		reply->body = g_strdup(reply->body);
 		return;
 	}
-	g_free(test->last_target);
-	test->last_target = g_strdup(request->target);
-	if (!test->reads || !test->reads[test->read_count]) {
+	if (!test->reads || !test->reads[test->read_count] ||
+	    (test->hang_polls && !g_str_has_suffix(request->target, "=0"))) {
 		reply->action = FAKE_HANG;
 		return;
 	}
+	g_free(test->last_target);
+	test->last_target = g_strdup(request->target);
 	reply->body = g_strdup(test->reads[test->read_count++]);
 	if (!strcmp(reply->body, "close"))
 		reply->action = FAKE_CLOSE;
@@ -145,7 +147,9 @@
 				append_cases[i].expected);
 		records = batch_decode(test->last_append->data,
 				       test->last_append->len, reason);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(records);
+		CU_ASSERT_PTR_NOT_NULL(records);
+		if (!records)
+			break;
 		CU_ASSERT_EQUAL(records->len, 2);
 		g_ptr_array_unref(records);
 	}
@@ -209,13 +213,8 @@
 		uint64_t offset;
 		uint64_t previous_offset;
 	} expected[] = {
-		{ 128, 0 },
-		{ 254, 128 },
-		{ 255, 254 },
-		{ 256, 255 },
-		{ 384, 256 },
-		{ 9 * 128 - 1, 7 * 128 },
-		{ 9 * 128, 9 * 128 - 1 },
+		{ 128, 0 },   { 254, 128 },  { 255, 254 },   { 256, 255 },
+		{ 384, 256 }, { 1151, 896 }, { 1152, 1151 },
 	};
 	struct log_test *test = test_new(reads);
 
@@ -293,6 +292,7 @@
 	};
 	struct log_test *test = test_new(reads);
 
+	test->hang_polls = true;
 	bench_run(test->bench, EVENT_LOG_STATE, 1);
 	bench_emit(test->bench, &(struct event){ .type = EVENT_LOG_ASK });
 	bench_run(test->bench, EVENT_LOG_STATE, 2);
@@ -346,14 +346,14 @@
 	"{\"first\":2,\"next\":3,\"records\":[{\"offset\":1,\"data\":\"\"}]}",
 	"{\"first\":1,\"next\":2,\"records\":[{\"offset\":1,\"data\":5}]}",
 	"{\"first\":1,\"next\":2,\"records\":[{\"offset\":1,\"data\":\"A\"}]}",
-	"{\"first\":1,\"next\":2,\"records\":[{\"offset\":1,"
-	"\"data\":\"AA A\"}]}",
-	"{\"first\":1,\"next\":2,\"records\":[{\"offset\":1,"
-	"\"data\":\"A===\"}]}",
-	"{\"first\":1,\"next\":3,\"records\":[{\"offset\":2,\"data\":\"\"},"
-	"{\"offset\":1,\"data\":\"\"}]}",
-	"{\"first\":1,\"next\":3,\"records\":[{\"offset\":1,\"data\":\"\"},"
-	"{\"offset\":1,\"data\":\"\"}]}",
+	("{\"first\":1,\"next\":2,\"records\":[{\"offset\":1,"
+	 "\"data\":\"AA A\"}]}"),
+	("{\"first\":1,\"next\":2,\"records\":[{\"offset\":1,"
+	 "\"data\":\"A===\"}]}"),
+	("{\"first\":1,\"next\":3,\"records\":[{\"offset\":2,\"data\":\"\"},"
+	 "{\"offset\":1,\"data\":\"\"}]}"),
+	("{\"first\":1,\"next\":3,\"records\":[{\"offset\":1,\"data\":\"\"},"
+	 "{\"offset\":1,\"data\":\"\"}]}"),
 };
 
 /* Guards against invalid answers that move the read position. */
--- a/test/unit/decide.c
+++ b/test/unit/decide.c
@@ -280,6 +280,28 @@
 	probe_free(probe);
 }
 
+/* Guards against records that wait for ever once their gap was read. */
+static void test_replay_out_of_order(void)
+{
+	struct probe *probe = probe_new(replay_names);
+
+	probe->offset = 2;
+	read_join(probe, "e3");
+	probe->offset = 0;
+	read_join(probe, "e1");
+	CU_ASSERT_EQUAL(fleet_offset(kernel_fleet(probe->kernel)), 1);
+	CU_ASSERT_EQUAL(counted(probe, "records_waiting"), 1);
+	read_join(probe, "e2");
+	CU_ASSERT_EQUAL(fleet_offset(kernel_fleet(probe->kernel)), 3);
+	CU_ASSERT_EQUAL(counted(probe, "records_waiting"), 0);
+	CU_ASSERT_EQUAL(fleet_entries(kernel_fleet(probe->kernel))->len, 3);
+	/* Both are old now. */
+	probe->offset = 1;
+	read_join(probe, "e2");
+	CU_ASSERT_EQUAL(counted(probe, "records_repeated_total"), 1);
+	probe_free(probe);
+}
+
 static struct probe *once_probe(void)
 {
 	struct probe *probe = probe_new(once_names);
@@ -462,6 +484,7 @@
 	{ "snapshot_differs", test_snapshot_differs },
 	{ "snapshot_damaged", test_snapshot_damaged },
 	{ "snapshot_parts", test_snapshot_parts },
+	{ "replay_out_of_order", test_replay_out_of_order },
 	{ "once_reset_won", test_once_reset_won },
 	{ "once_reset_lost", test_once_reset_lost },
 	{ "once_result_again", test_once_result_again },
