Free the answers of relays whose sender is gone

Cause: the sanitized tests leaked 10,880 bytes in the fake relay when the node that passed a request on was restarted by the random driver. Change: the fake frees the event it does not deliver; the burst of the append rate is computed in 64 bits, as the lint asks.

--- a/src/decide/proposer_queue.c
+++ b/src/decide/proposer_queue.c
@@ -4,7 +4,9 @@
 #define ENTRY_APPENDS_PER_S 20
 #define TOTAL_APPENDS_PER_S 200
 /* Appends that an entry instance may send at once after a quiet time. */
-#define BURST_APPENDS 4
+#define BURST_APPENDS INT64_C(4)
+#define BURST_APPENDS_TOTAL                                                    \
+	(BURST_APPENDS * TOTAL_APPENDS_PER_S / ENTRY_APPENDS_PER_S)
 
 /* A proposal that was not sent for so long is stale once the log is back. */
 #define EXPIRES_US (30 * USEC_PER_SEC)
@@ -149,10 +151,7 @@
 void append_rate_set(struct append_rate *rate, uint32_t entry_count)
 {
 	int64_t count = CLAMP(entry_count, 1, TOTAL_APPENDS_PER_S / 2);
-	int64_t burst = CLAMP(
-		BURST_APPENDS * (TOTAL_APPENDS_PER_S / ENTRY_APPENDS_PER_S) /
-			count,
-		1, BURST_APPENDS);
+	int64_t burst = CLAMP(BURST_APPENDS_TOTAL / count, 1, BURST_APPENDS);
 	int64_t own_us = USEC_PER_SEC / (ENTRY_APPENDS_PER_S - burst);
 	int64_t shared_us =
 		count * USEC_PER_SEC / (TOTAL_APPENDS_PER_S - count * burst);
--- a/test/runner/relay.c
+++ b/test/runner/relay.c
@@ -10,12 +10,15 @@
 	struct event_attempt attempt;
 };
 
+/* Takes over what the event owns. */
 static void end_relay(struct world *world, const struct relay *relay,
-		      const struct event *done)
+		      struct event *done)
 {
 	if (relay->from->incarnation == relay->from_incarnation)
 		world_schedule(world, world->now_us + world->peer_delay_us,
 			       relay->from, done);
+	else
+		event_clear(done);
 }
 
 static struct event done_event(const struct event_attempt *attempt,
