Send smaller appends after the log refused one

Cause: a batch that the log refuses for its size was sent again unchanged for ever, and held up every other record. An accepted append doubles the batch again.

--- a/src/decide/proposer.c
+++ b/src/decide/proposer.c
@@ -3,9 +3,6 @@
 #include <string.h>
 
 #include "decide/proposer_queue.h"
-#include "kernel/klog.h"
-
-#define LOG_PREFIX "proposer"
 
 /* Shortest time between appends: one claim waits less than others. */
 #define CLAIM_INTERVAL_US (5 * USEC_PER_MSEC)
@@ -48,6 +45,7 @@
 	int64_t last_other_us; /* last append with other records than claims */
 	int64_t backoff_until_us;
 	int64_t backoff_us;
+	uint32_t batch_max_count; /* less after an append was refused */
 	bool was_member;
 };
 
@@ -63,6 +61,7 @@
 	proposer->last_append_us = -OTHER_INTERVAL_US;
 	proposer->last_other_us = -OTHER_INTERVAL_US;
 	append_rate_set(&proposer->rate, 1);
+	proposer->batch_max_count = BATCH_MAX_COUNT;
 	return proposer;
 }
 
@@ -154,10 +153,11 @@
 static void fill_batch(struct proposer *proposer, bool others_due)
 {
 	bool member = own_entry(proposer) != NULL;
-	uint32_t left_count = BATCH_MAX_COUNT;
-	uint32_t kept_count = others_due ? MIN(proposer->queue.others.length,
-					       OTHERS_PLACES_COUNT)
-					 : 0;
+	uint32_t left_count = proposer->batch_max_count;
+	uint32_t kept_count =
+		others_due ? MIN(proposer->queue.others.length,
+				 MIN(OTHERS_PLACES_COUNT, left_count / 4))
+			   : 0;
 
 	left_count -= take(proposer, &proposer->queue.claims,
 			   left_count - kept_count, member);
@@ -239,13 +239,7 @@
 {
 	if (own_entry(proposer))
 		return proposal_queue_count(&proposer->queue) > 0;
-	for (const GList *at = proposer->queue.others.head; at; at = at->next) {
-		const struct proposal *proposal = at->data;
-
-		if (proposal->record->kind == RECORD_ENTRY_JOIN)
-			return true;
-	}
-	return false;
+	return proposal_queue_has_join(&proposer->queue);
 }
 
 static void try_send(struct proposer *proposer)
@@ -361,6 +355,20 @@
 		ask(proposer);
 }
 
+/*
+ * The log may refuse this one record, for example for its size: others go
+ * first, and it is dropped in the end.
+ */
+static void refused_alone(struct proposer *proposer)
+{
+	struct proposal *proposal = g_ptr_array_steal_index(proposer->batch, 0);
+
+	if (kernel_now_us(proposer->kernel) < proposal->expires_us)
+		proposal_queue_add(&proposer->queue, proposal);
+	else
+		drop(proposer, proposal, "log has refused it for too long");
+}
+
 static void append_not_taken(struct proposer *proposer)
 {
 	back_off(proposer);
@@ -370,8 +378,12 @@
 		proposer->state_until_us = proposer->backoff_until_us;
 		return;
 	}
-	proposal_queue_restore(&proposer->queue, proposer->batch);
 	proposer->state = BATCH_NONE;
+	proposer->batch_max_count = MAX(proposer->batch->len / 2, 1);
+	if (proposer->batch->len > 1)
+		proposal_queue_restore(&proposer->queue, proposer->batch);
+	else
+		refused_alone(proposer);
 }
 
 static void on_appended(struct proposer *proposer, const struct event *event)
@@ -381,12 +393,11 @@
 		return;
 	switch (event->append.result) {
 	case APPEND_OK:
-		for (guint i = 0; i < proposer->batch->len; i++) {
-			struct proposal *proposal = proposer->batch->pdata[i];
-
-			proposal->offset = event->append.first_offset + i;
-		}
+		proposals_set_offsets(proposer->batch,
+				      event->append.first_offset);
 		finish_batch(proposer);
+		proposer->batch_max_count =
+			MIN(2 * proposer->batch_max_count, BATCH_MAX_COUNT);
 		break;
 	case APPEND_NOT_TAKEN:
 		append_not_taken(proposer);
@@ -406,6 +417,7 @@
 		proposer->catch_up_offset = event->log.next_offset - 1;
 		proposer->backoff_us = 0;
 		proposer->backoff_until_us = 0;
+		proposer->batch_max_count = BATCH_MAX_COUNT;
 	}
 	if (event->log.reachable && !proposer->reachable &&
 	    proposer->was_reachable) {
@@ -424,19 +436,6 @@
 	}
 }
 
-static void forget_read_back(struct proposer *proposer)
-{
-	uint64_t offset = fleet_offset(kernel_fleet(proposer->kernel));
-
-	for (guint i = proposer->confirmed->len; i > 0; i--) {
-		const struct proposal *proposal =
-			proposer->confirmed->pdata[i - 1];
-
-		if (proposal->seen || proposal->offset <= offset)
-			g_ptr_array_remove_index(proposer->confirmed, i - 1);
-	}
-}
-
 static void drop_queue(struct proposer *proposer, GQueue *queue,
 		       const char *reason)
 {
@@ -579,7 +578,8 @@
 	default:
 		break;
 	}
-	forget_read_back(proposer);
+	proposals_forget_read(proposer->confirmed,
+			      fleet_offset(kernel_fleet(proposer->kernel)));
 	check_deadlines(proposer);
 	check_reading(proposer);
 	try_send(proposer);
--- a/src/decide/proposer_queue.c
+++ b/src/decide/proposer_queue.c
@@ -59,6 +59,25 @@
 	}
 }
 
+void proposals_set_offsets(GPtrArray *proposals, uint64_t first_offset)
+{
+	for (guint i = 0; i < proposals->len; i++) {
+		struct proposal *proposal = proposals->pdata[i];
+
+		proposal->offset = first_offset + i;
+	}
+}
+
+void proposals_forget_read(GPtrArray *proposals, uint64_t offset)
+{
+	for (guint i = proposals->len; i > 0; i--) {
+		const struct proposal *proposal = proposals->pdata[i - 1];
+
+		if (proposal->seen || proposal->offset <= offset)
+			g_ptr_array_remove_index(proposals, i - 1);
+	}
+}
+
 /* Fencing token of a planner record; false for records of other kinds. */
 static bool planner_token(const struct record *record, uint64_t *token)
 {
@@ -122,6 +141,17 @@
 	return queue->claims.length + queue->others.length;
 }
 
+bool proposal_queue_has_join(const struct proposal_queue *queue)
+{
+	for (const GList *at = queue->others.head; at; at = at->next) {
+		const struct proposal *proposal = at->data;
+
+		if (proposal->record->kind == RECORD_ENTRY_JOIN)
+			return true;
+	}
+	return false;
+}
+
 void proposal_queue_add(struct proposal_queue *queue, struct proposal *proposal)
 {
 	g_queue_push_tail(queue_of(queue, proposal), proposal);
--- a/src/decide/proposer_queue.h
+++ b/src/decide/proposer_queue.h
@@ -28,6 +28,12 @@
 bool proposals_all_seen(const GPtrArray *proposals);
 void proposals_mark_seen(GPtrArray *proposals, const struct record_id *id);
 
+/* The log holds them in this order from an offset. */
+void proposals_set_offsets(GPtrArray *proposals, uint64_t first_offset);
+
+/* Removes those that were read back, at an offset up to the given one. */
+void proposals_forget_read(GPtrArray *proposals, uint64_t offset);
+
 /* Claims have a queue of their own: they are sent more often. */
 struct proposal_queue {
 	GQueue claims; /* of struct proposal */
@@ -35,6 +41,9 @@
 };
 
 uint32_t proposal_queue_count(const struct proposal_queue *queue);
+
+/* Whether our entry_join waits, which goes before everything else. */
+bool proposal_queue_has_join(const struct proposal_queue *queue);
 void proposal_queue_add(struct proposal_queue *queue,
 			struct proposal *proposal);
 
--- a/test/runner/script.c
+++ b/test/runner/script.c
@@ -472,7 +472,10 @@
 	else if (!strcmp(what, "drop") || !strcmp(what, "late"))
 		world->log_drop_appends = true;
 	else if (!strcmp(what, "keep"))
-		world->log_lose_answers = world->log_drop_appends = false;
+		world->log_lose_answers = world->log_drop_appends =
+			world->log_limited = false;
+	else if ((world->log_limited = option(script, "limit") != NULL))
+		world->log_limit_count = (uint32_t)number(script, "limit", 0);
 	else if (option(script, "delay"))
 		world->log_delay_us = option_us(script, "delay", 0);
 	else if (option(script, "trim"))
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -257,7 +257,8 @@
 	};
 	GPtrArray *records = event->append.records;
 
-	if (world->log_down || node->log_cut) {
+	if (world->log_down || node->log_cut ||
+	    (world->log_limited && records->len > world->log_limit_count)) {
 		appended.append.result = APPEND_NOT_TAKEN;
 		world_schedule(world, world->now_us + world->log_delay_us, node,
 			       &appended);
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -66,6 +66,8 @@
 	uint64_t commit_offset;	   /* latest move that was checked */
 	bool log_down;
 	bool log_lose_answers; /* appends take effect, answers are lost */
+	bool log_limited;      /* appends of more records are refused: */
+	uint32_t log_limit_count;
 	bool log_drop_appends; /* appends and their answers are lost */
 	int64_t log_late_us;  /* a dropped append takes effect so late; 0: never
 			       */
