Run the cost of planning with the other measures

Cause: bench-tick was built, but no target ran it.

Change: make measure runs it after bench-measure.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 measure: build
 	./$(BUILD)/bench-measure $(BUILD)/measure.dat
+	./$(BUILD)/bench-tick
 
 model:
 	./spec/run
