Drop expired proposals in any order of the queue

Cause: a record that the log refused alone goes behind younger ones, and only the head of the queue was looked at for its age.

--- a/src/decide/proposer.c
+++ b/src/decide/proposer.c
@@ -503,21 +503,19 @@
 		proposal_new(record, kernel_now_us(proposer->kernel)));
 }
 
-static int64_t expire_queue(struct proposer *proposer, GQueue *queue)
+/* Returns when the next proposal is too old. */
+static int64_t drop_expired(struct proposer *proposer)
 {
 	int64_t now_us = kernel_now_us(proposer->kernel);
 	struct proposal *proposal;
 
-	while ((proposal = g_queue_peek_head(queue))) {
-		if (proposal->expires_us > now_us)
-			return proposal->expires_us;
-		g_queue_pop_head(queue);
+	while ((proposal =
+			proposal_queue_take_expired(&proposer->queue, now_us)))
 		drop(proposer, proposal, "log was unreachable for too long");
-	}
-	return DEADLINE_NEVER_US;
+	return proposer->queue.expiry_us;
 }
 
-/* Drops what is too old, and asks again where no answer has come. */
+/* Asks again where no answer has come. */
 static void check_deadlines(struct proposer *proposer)
 {
 	if (proposer->state == BATCH_NONE || proposer->state == BATCH_READING ||
@@ -534,9 +532,7 @@
 	int64_t next_us = DEADLINE_NEVER_US;
 
 	if (!proposer->reachable) {
-		next_us = expire_queue(proposer, &proposer->queue.claims);
-		next_us = MIN(next_us,
-			      expire_queue(proposer, &proposer->queue.others));
+		next_us = drop_expired(proposer);
 	} else if (may_send(proposer) && has_sendable(proposer)) {
 		next_us = next_append_us(proposer);
 	} else if (proposer->state == BATCH_READING) {
--- a/src/decide/proposer_queue.c
+++ b/src/decide/proposer_queue.c
@@ -4,9 +4,8 @@
 #define ENTRY_APPENDS_PER_S 20
 #define TOTAL_APPENDS_PER_S 200
 /* Appends that an entry instance may send at once after a quiet time. */
-#define BURST_APPENDS INT64_C(4)
-#define BURST_APPENDS_TOTAL                                                    \
-	(BURST_APPENDS * TOTAL_APPENDS_PER_S / ENTRY_APPENDS_PER_S)
+#define BURST_APPENDS 4
+#define TOTAL_BURST_APPENDS INT64_C(40) /* of all entry instances */
 
 /* A proposal that was not sent for so long is stale once the log is back. */
 #define EXPIRES_US (30 * USEC_PER_SEC)
@@ -154,6 +153,7 @@
 
 void proposal_queue_add(struct proposal_queue *queue, struct proposal *proposal)
 {
+	queue->expiry_us = MIN(queue->expiry_us, proposal->expires_us);
 	g_queue_push_tail(queue_of(queue, proposal), proposal);
 }
 
@@ -162,11 +162,44 @@
 	for (guint i = batch->len; i > 0; i--) {
 		struct proposal *proposal = batch->pdata[i - 1];
 
+		queue->expiry_us = MIN(queue->expiry_us, proposal->expires_us);
 		g_queue_push_head(queue_of(queue, proposal), proposal);
 	}
 	proposals_release(batch);
 }
 
+/* Unlinks the first proposal that is too old, or notes when one will be. */
+static struct proposal *take_expired(struct proposal_queue *queue, GQueue *from,
+				     int64_t now_us)
+{
+	for (GList *at = from->head; at; at = at->next) {
+		struct proposal *proposal = at->data;
+
+		if (proposal->expires_us <= now_us) {
+			g_queue_delete_link(from, at);
+			return proposal;
+		}
+		queue->expiry_us = MIN(queue->expiry_us, proposal->expires_us);
+	}
+	return NULL;
+}
+
+struct proposal *proposal_queue_take_expired(struct proposal_queue *queue,
+					     int64_t now_us)
+{
+	struct proposal *proposal;
+
+	if (now_us < queue->expiry_us)
+		return NULL;
+	queue->expiry_us = DEADLINE_NEVER_US;
+	proposal = take_expired(queue, &queue->claims, now_us);
+	if (!proposal)
+		proposal = take_expired(queue, &queue->others, now_us);
+	if (proposal)
+		queue->expiry_us = now_us;
+	return proposal;
+}
+
 void proposal_queue_clear(struct proposal_queue *queue)
 {
 	g_queue_clear_full(&queue->claims, proposal_free);
@@ -181,7 +214,7 @@
 void append_rate_set(struct append_rate *rate, uint32_t entry_count)
 {
 	int64_t count = CLAMP(entry_count, 1, TOTAL_APPENDS_PER_S / 2);
-	int64_t burst = CLAMP(BURST_APPENDS_TOTAL / count, 1, BURST_APPENDS);
+	int64_t burst = CLAMP(TOTAL_BURST_APPENDS / count, 1, BURST_APPENDS);
 	int64_t own_us = USEC_PER_SEC / (ENTRY_APPENDS_PER_S - burst);
 	int64_t shared_us =
 		count * USEC_PER_SEC / (TOTAL_APPENDS_PER_S - count * burst);
--- a/src/decide/proposer_queue.h
+++ b/src/decide/proposer_queue.h
@@ -38,6 +38,7 @@
 struct proposal_queue {
 	GQueue claims; /* of struct proposal */
 	GQueue others;
+	int64_t expiry_us; /* no proposal is too old before this time */
 };
 
 uint32_t proposal_queue_count(const struct proposal_queue *queue);
@@ -49,6 +50,10 @@
 
 /* Puts back what was taken, before everything else of its kind. */
 void proposal_queue_restore(struct proposal_queue *queue, GPtrArray *batch);
+
+/* A proposal that is too old, or NULL; sets the time of the next one. */
+struct proposal *proposal_queue_take_expired(struct proposal_queue *queue,
+					     int64_t now_us);
 void proposal_queue_clear(struct proposal_queue *queue);
 
 /*
