Accept connections again after the bound was reached

Cause: at its connection limit libmicrohttpd stops watching the listening socket and starts again only when it is run.

Change: the binding runs libmicrohttpd once more after a connection that was at the bound has ended. A test opens one connection more than the bound.

--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -81,6 +81,8 @@
 	GQueue deadlines;
 	ev_timer deadline_timer;
 	uint32_t answering_count; /* answers given and not yet sent */
+	uint32_t connection_count;
+	bool has_room_again; /* was at the bound of connections */
 };
 
 static int64_t now_us(void)
@@ -99,10 +101,24 @@
 	ev_timer_start(httpd->ev, &httpd->timer);
 }
 
+static void run_soon(struct httpd *httpd)
+{
+	ev_timer_stop(httpd->ev, &httpd->timer);
+	ev_timer_set(&httpd->timer, 0., 0.);
+	ev_timer_start(httpd->ev, &httpd->timer);
+}
+
 static void run(struct httpd *httpd)
 {
 	MHD_run(httpd->daemon);
 	arm(httpd);
+	/*
+	 * At the bound, libmicrohttpd stops watching its listening socket. It
+	 * watches it again in the first run after a connection has ended.
+	 */
+	if (httpd->has_room_again)
+		run_soon(httpd);
+	httpd->has_room_again = false;
 }
 
 static void on_ready(struct ev_loop *ev, ev_io *watcher, int revents)
@@ -254,9 +270,7 @@
 	MHD_resume_connection(exchange->conn->mhd);
 	/* With external polling, a resumed connection does not wake the loop.
 	 */
-	ev_timer_stop(httpd->ev, &httpd->timer);
-	ev_timer_set(&httpd->timer, 0., 0.);
-	ev_timer_start(httpd->ev, &httpd->timer);
+	run_soon(httpd);
 }
 
 static void give_up(struct exchange *exchange)
@@ -410,6 +424,7 @@
 				   mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
 				   ->connect_fd;
 		conn->link.data = conn;
+		httpd->connection_count++;
 		*socket_context = conn;
 		set_deadline(conn);
 		return;
@@ -420,6 +435,9 @@
 		exchange_free(conn->exchange);
 	unwatch_disconnect(conn);
 	clear_deadline(conn);
+	if (httpd->connection_count == httpd->limits.connections_max_count)
+		httpd->has_room_again = true;
+	httpd->connection_count--;
 	g_free(conn);
 	*socket_context = NULL;
 }
--- a/test/contract/front.c
+++ b/test/contract/front.c
@@ -423,6 +423,7 @@
 	teardown(&test);
 }
 
+#define SLOW_CONNECTIONS_COUNT 16
 #define BIG_BYTES ((gsize)64 * 1024 * 1024)
 
 /* The binding with a short time for slow clients. */
@@ -461,7 +462,7 @@
 {
 	const struct httpd_limits limits = {
 		.body_max_bytes = 1024,
-		.connections_max_count = 16,
+		.connections_max_count = SLOW_CONNECTIONS_COUNT,
 		.slow_client_us = 50 * USEC_PER_MSEC,
 	};
 
@@ -530,6 +531,32 @@
 	slow_teardown(&test);
 }
 
+/* Guards against more connections than the bound, and against one over it
+ * that is never served.
+ */
+static void test_connection_bound(void)
+{
+	struct wire *wires[SLOW_CONNECTIONS_COUNT];
+	struct slow_test test;
+	struct wire *last;
+	uint32_t closed_count = 0;
+
+	slow_setup(&test);
+	for (gsize i = 0; i < G_N_ELEMENTS(wires); i++)
+		wires[i] = wire_connect(test.ev, httpd_port(test.httpd));
+	last = wire_connect(test.ev, httpd_port(test.httpd));
+	expect("over the bound",
+	       wire_ask(last, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+	       "HTTP/1.1 200 ");
+	for (gsize i = 0; i < G_N_ELEMENTS(wires); i++) {
+		closed_count += wires[i]->closed || wires[i]->received->len;
+		wire_free(wires[i]);
+	}
+	CU_ASSERT_TRUE(closed_count > 0);
+	wire_free(last);
+	slow_teardown(&test);
+}
+
 static bool slow_is_asked(const void *data)
 {
 	return ((const struct slow_test *)data)->request_count > 0;
@@ -572,6 +599,7 @@
 	{ "idle", test_idle },
 	{ "slow_sender", test_slow_sender },
 	{ "idle_connection", test_idle_connection },
+	{ "connection_bound", test_connection_bound },
 	{ "slow_reader", test_slow_reader },
 	CU_TEST_INFO_NULL,
 };
