Answer readers of the log's stand-in at once

An append answers the waiting readers from inside a run of the HTTP library; the timer that makes the library look at resumed connections was stopped at the end of that run, so their answers waited for the next event. Ruled out: the log client, whose long poll was open all the time.

Change: the stand-in runs the library again until no connection was resumed.

Conclusion: the delay was the stand-in's, not the product's.

--- a/test/standin/common_server.c
+++ b/test/standin/common_server.c
@@ -11,6 +11,7 @@
 	struct MHD_Daemon *daemon;
 	ev_io io;
 	ev_timer timer;
+	gboolean resumed; /* an answer was given while the library ran */
 	server_handler *handler;
 	void *data;
 };
@@ -19,7 +20,14 @@
 {
 	MHD_UNSIGNED_LONG_LONG left_ms;
 
-	MHD_run(server->daemon);
+	/*
+	 * The library does not report a connection that was resumed during
+	 * its run: the answer would wait for the next event.
+	 */
+	do {
+		server->resumed = FALSE;
+		MHD_run(server->daemon);
+	} while (server->resumed);
 	ev_timer_stop(server->loop, &server->timer);
 	if (MHD_get_timeout(server->daemon, &left_ms) != MHD_YES)
 		return;
@@ -170,6 +178,7 @@
 		return;
 	request->suspended = FALSE;
 	MHD_resume_connection(request->connection);
+	server->resumed = TRUE;
 	/* The next loop turn sends it; not from inside a library callback. */
 	ev_timer_stop(server->loop, &server->timer);
 	ev_timer_set(&server->timer, 0., 0.);
