Send the drain's offset with each reboot request

Cause: the model's variant NO_REBOOT_ID shows that a planner which is paused between its accepted record and the request reboots an instance that has come back and serves again. No check in our own processes can close that gap.

Change: the request names the drain's offset, and the platform runs a reboot once for each; its stand-in does. The stand-ins no longer share a port with another process: two runs at the same time mixed their counts.

Conclusion: planned stops stay graceful if the platform keeps that rule.

--- a/src/io/list_http.c
+++ b/src/io/list_http.c
@@ -150,8 +150,11 @@
 {
 	struct list_client *client = reboot->client;
 	const struct settings *settings = kernel_settings(client->kernel);
-	char *url = g_strdup_printf("http://%s/instances/%s/reboot",
-				    settings->list_address, reboot->name);
+	/* The platform runs a reboot once for each drain, however late it is.
+	 */
+	char *url = g_strdup_printf(
+		"http://%s/instances/%s/reboot?drain=%" G_GUINT64_FORMAT,
+		settings->list_address, reboot->name, reboot->drain_offset);
 	GBytes *body = g_bytes_new_static("", 0);
 	struct http_spec spec = {
 		.url = url,
--- a/test/contract/list_http.c
+++ b/test/contract/list_http.c
@@ -137,7 +137,8 @@
 		bench_run(test->bench, EVENT_INSTANCE_LIST,
 			  test->bench->seen_counts[EVENT_INSTANCE_LIST] + 1);
 	CU_ASSERT_EQUAL(test->reboot_count, 2);
-	CU_ASSERT_STRING_EQUAL(test->reboot_target, "/instances/i1/reboot");
+	CU_ASSERT_STRING_EQUAL(test->reboot_target,
+			       "/instances/i1/reboot?drain=7");
 	test_free(test);
 }
 
--- a/test/standin/common_server.c
+++ b/test/standin/common_server.c
@@ -139,7 +139,7 @@
 		MHD_OPTION_CONNECTION_LIMIT,
 		connection_limit ? connection_limit : 1000u,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+		MHD_OPTION_END);
 	if (!server->daemon)
 		g_error("standin: port %u is not free", port);
 	info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
--- a/test/standin/platform_main.c
+++ b/test/standin/platform_main.c
@@ -54,6 +54,7 @@
 	GPtrArray *waiting;
 	ev_timer timer;
 	GTree *instances;   /* name -> state */
+	GTree *drains;	    /* name -> id of its last reboot */
 	GPtrArray *lagging; /* of struct change */
 	int64_t lag_us;
 	int64_t reboot_us;
@@ -298,13 +299,24 @@
 		   json_pack("{s:o}", "instances", instances));
 }
 
-/* POST /instances/NAME/reboot */
+/* POST /instances/NAME/reboot?drain=ID: runs once for each id, in order. */
 static void handle_reboot(struct platform *platform,
 			  struct server_request *request)
 {
 	char **parts = g_strsplit(request->path, "/", 0);
 
+	guint64 drain = number(request, "drain", 0);
+	guint64 *last;
+
 	if (g_strv_length(parts) == 4 && !strcmp(parts[3], "reboot")) {
+		last = g_tree_lookup(platform->drains, parts[2]);
+		if (last && drain <= *last) {
+			reply_json(request, MHD_HTTP_OK, json_object());
+			g_strfreev(parts);
+			return;
+		}
+		g_tree_insert(platform->drains, g_strdup(parts[2]),
+			      g_memdup2(&drain, sizeof(drain)));
 		platform->reboot_count++;
 		change_list(platform, parts[2], "gone", 0);
 		change_list(platform, parts[2], "live", platform->reboot_us);
@@ -462,6 +474,7 @@
 	platform.lagging = g_ptr_array_new();
 	platform.instances =
 		g_tree_new_full(compare_names, NULL, g_free, g_free);
+	platform.drains = g_tree_new_full(compare_names, NULL, g_free, g_free);
 	argp_parse(&argp, argc, argv, 0, NULL, &platform);
 	ev_timer_init(&platform.timer, on_timer, 0., 0.);
 	platform.timer.data = &platform;
