Split the commands of the script runner by kind

Every script_*.c file registers a table of commands before main() runs, as plug-ins do: control, feed, node, plan, platform, record, request, show and slots. The copies of fail(), option(), number() and running_node() are gone, so that all errors of a script name its file and line.

Conclusion: a new command needs no change to the dispatcher.

--- a/test/runner/main.c
+++ b/test/runner/main.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 #include "kernel/klog.h"
+#include "runner/script.h"
 #include "runner/suite.h"
-#include "runner/world.h"
 
 static GPtrArray *script_paths;
 static guint next_script;
--- a/test/runner/script_plan.c
+++ b/test/runner/script_plan.c
@@ -2,88 +2,45 @@
 
 #include <string.h>
 
-#include "runner/world.h"
+#include "runner/script.h"
 
 /* Records injected at once, so that the proposer's queue does not fill up. */
 #define BULK_COUNT 128
 #define BULK_GAP_US (200 * USEC_PER_MSEC)
 
-struct plan {
-	struct world *world;
-	gchar **words;
-	uint32_t word_count;
-	GPtrArray *errors;
-};
-
-static void fail(struct plan *plan, const char *text)
-{
-	g_ptr_array_add(plan->errors,
-			g_strdup_printf("%s: %s", plan->words[0], text));
-}
-
-static const char *option(const struct plan *plan, const char *key)
-{
-	size_t length_bytes = strlen(key);
-
-	for (uint32_t i = 1; i < plan->word_count; i++) {
-		if (!strncmp(plan->words[i], key, length_bytes) &&
-		    plan->words[i][length_bytes] == '=')
-			return plan->words[i] + length_bytes + 1;
-	}
-	return "";
-}
-
-static uint32_t number(const struct plan *plan, const char *key,
-		       uint32_t otherwise)
-{
-	const char *text = option(plan, key);
-
-	return text[0] ? (uint32_t)g_ascii_strtoull(text, NULL, 10) : otherwise;
-}
-
-static struct node *running_node(struct plan *plan)
-{
-	struct node *node = world_node(plan->world, plan->words[1]);
-
-	if (node && node->kernel)
-		return node;
-	fail(plan, "no such node is running");
-	return NULL;
-}
-
 /* skip KIND ...: records of these kinds are not printed. */
-static void plan_skip(struct plan *plan)
+static void cmd_skip(struct script *script)
 {
-	for (uint32_t i = 1; i < plan->word_count; i++) {
-		enum record_kind kind = record_kind_from_name(plan->words[i]);
+	for (uint32_t i = 1; i < script->word_count; i++) {
+		enum record_kind kind = record_kind_from_name(script->words[i]);
 
 		if (kind == RECORD_UNKNOWN)
-			fail(plan, "no record kind has this name");
+			script_fail(script, "no record kind has this name");
 		else
-			plan->world->skipped |= UINT64_C(1) << kind;
+			script->world->skipped |= UINT64_C(1) << kind;
 	}
 }
 
 /* from NODE|all: only events of this node are printed. */
-static void plan_from(struct plan *plan)
+static void cmd_from(struct script *script)
 {
-	const char *name = plan->words[1];
+	const char *name = script->words[1];
 
-	name_copy(plan->world->printed_node, NAME_SIZE_BYTES,
+	name_copy(script->world->printed_node, NAME_SIZE_BYTES,
 		  strcmp(name, "all") != 0 ? name : "");
 }
 
 /* demand NODE POOL SLOTS for=SECONDS: as heartbeats of another site tell. */
-static void plan_demand(struct plan *plan)
+static void cmd_demand(struct script *script)
 {
-	struct node *node = running_node(plan);
-	uint32_t duration_s = number(plan, "for", 1);
+	struct node *node = script_running_node(script);
+	uint32_t duration_s = (uint32_t)script_number(script, "for", 1);
 	struct peer_pool_load load = {
-		.demand_us_per_s = g_ascii_strtoll(plan->words[3], NULL, 10) *
+		.demand_us_per_s = g_ascii_strtoll(script->words[3], NULL, 10) *
 				   USEC_PER_SEC,
 	};
 
-	name_copy(load.pool, NAME_SIZE_BYTES, plan->words[2]);
+	name_copy(load.pool, NAME_SIZE_BYTES, script->words[2]);
 	for (uint32_t i = 0; node && i < duration_s; i++) {
 		struct event event = { .type = EVENT_PEER_RECEIVED };
 
@@ -93,27 +50,27 @@
 		name_copy(event.peer.peer, NAME_SIZE_BYTES, "outside");
 		event.peer.msg->loads = g_array_new(FALSE, TRUE, sizeof(load));
 		g_array_append_val(event.peer.msg->loads, load);
-		world_schedule(plan->world,
-			       plan->world->now_us + i * USEC_PER_SEC, node,
+		world_schedule(script->world,
+			       script->world->now_us + i * USEC_PER_SEC, node,
 			       &event);
 	}
 }
 
 /* off NAME ... and on NAME ...: takes instances off the platform's list. */
-static void set_off(struct plan *plan, bool off)
+static void set_off(struct script *script, bool off)
 {
-	for (uint32_t i = 1; i < plan->word_count; i++)
-		world_endpoint(plan->world, plan->words[i])->off = off;
+	for (uint32_t i = 1; i < script->word_count; i++)
+		world_endpoint(script->world, script->words[i])->off = off;
 }
 
-static void plan_off(struct plan *plan)
+static void cmd_off(struct script *script)
 {
-	set_off(plan, true);
+	set_off(script, true);
 }
 
-static void plan_on(struct plan *plan)
+static void cmd_on(struct script *script)
 {
-	set_off(plan, false);
+	set_off(script, false);
 }
 
 static void add_item(GArray *items, const char *name)
@@ -151,11 +108,12 @@
 }
 
 /* lists COUNT [reboot=SECONDS]: one list a second, after which time passes. */
-static void plan_lists(struct plan *plan)
+static void cmd_lists(struct script *script)
 {
-	struct world *world = plan->world;
-	uint64_t count = g_ascii_strtoull(plan->words[1], NULL, 10);
-	int64_t reboot_us = number(plan, "reboot", 5) * USEC_PER_SEC;
+	struct world *world = script->world;
+	uint64_t count = g_ascii_strtoull(script->words[1], NULL, 10);
+	int64_t reboot_us =
+		(uint32_t)script_number(script, "reboot", 5) * USEC_PER_SEC;
 
 	for (uint64_t i = 0; i < count; i++) {
 		for (guint k = 0; k < world->nodes->len; k++) {
@@ -171,34 +129,35 @@
 	}
 }
 
-static struct record *job_record(const struct plan *plan, enum record_kind kind,
+static struct record *job_record(struct script *script, enum record_kind kind,
 				 uint32_t index)
 {
 	struct record *record = record_new(kind);
 	struct record_job *body = &record->job;
 
-	g_snprintf(body->job, NAME_SIZE_BYTES, "%s%u", plan->words[3], index);
-	name_copy(body->member, NAME_SIZE_BYTES, option(plan, "member"));
-	name_copy(body->pool, NAME_SIZE_BYTES, option(plan, "pool"));
-	body->declared_slots_count = number(plan, "slots", 1);
+	g_snprintf(body->job, NAME_SIZE_BYTES, "%s%u", script->words[3], index);
+	script_copy_option(script, "member", body->member, NAME_SIZE_BYTES);
+	script_copy_option(script, "pool", body->pool, NAME_SIZE_BYTES);
+	body->declared_slots_count =
+		(uint32_t)script_number(script, "slots", 1);
 	return record;
 }
 
 /* bulk NODE submit|cancel PREFIX count=N [member= pool= slots=] */
-static void plan_bulk(struct plan *plan)
+static void cmd_bulk(struct script *script)
 {
-	struct node *node = running_node(plan);
-	uint32_t count = number(plan, "count", 1);
-	enum record_kind kind = strcmp(plan->words[2], "cancel") != 0
+	struct node *node = script_running_node(script);
+	uint32_t count = (uint32_t)script_number(script, "count", 1);
+	enum record_kind kind = strcmp(script->words[2], "cancel") != 0
 					? RECORD_JOB_SUBMIT
 					: RECORD_JOB_CANCEL;
 
 	for (uint32_t i = 1; node && i <= count; i++) {
 		struct event event = { .type = EVENT_PROPOSE };
 
-		event.record.record = job_record(plan, kind, i);
-		world_schedule(plan->world,
-			       plan->world->now_us +
+		event.record.record = job_record(script, kind, i);
+		world_schedule(script->world,
+			       script->world->now_us +
 				       (i - 1) / BULK_COUNT * BULK_GAP_US,
 			       node, &event);
 	}
@@ -208,18 +167,19 @@
  * report NODE running|succeeded|failed|checkpointed|stopped JOB|all
  * [used=MILLISLOTS] [on=INSTANCE]: what the platform tells of tasks.
  */
-static void plan_report(struct plan *plan)
+static void cmd_report(struct script *script)
 {
 	static const char *const names[] = { "running", "succeeded", "failed",
 					     "checkpointed", "stopped" };
-	struct node *node = running_node(plan);
+	struct node *node = script_running_node(script);
+	const char *on = script_option(script, "on");
 	uint32_t report = 0;
 	GPtrArray *jobs;
 
 	if (!node)
 		return;
 	while (report < G_N_ELEMENTS(names) &&
-	       strcmp(names[report], plan->words[2]) != 0)
+	       strcmp(names[report], script->words[2]) != 0)
 		report++;
 	jobs = fleet_jobs(kernel_fleet(node->kernel));
 	for (guint i = 0; i < jobs->len; i++) {
@@ -227,16 +187,16 @@
 		struct event event = { .type = EVENT_TASK_REPORT };
 
 		if (!job->instance[0] ||
-		    (strcmp(plan->words[3], "all") != 0 &&
-		     strcmp(plan->words[3], job->decl.job) != 0) ||
-		    (option(plan, "on")[0] &&
-		     strcmp(option(plan, "on"), job->instance) != 0))
+		    (strcmp(script->words[3], "all") != 0 &&
+		     strcmp(script->words[3], job->decl.job) != 0) ||
+		    (on && strcmp(on, job->instance) != 0))
 			continue;
 		name_copy(event.task.job, NAME_SIZE_BYTES, job->decl.job);
 		name_copy(event.task.instance, NAME_SIZE_BYTES, job->instance);
 		event.task.attempt = job->attempt_count;
 		event.task.report = (enum task_report)report;
-		event.task.used_millislots = number(plan, "used", 0);
+		event.task.used_millislots =
+			(uint32_t)script_number(script, "used", 0);
 		name_copy(event.task.reason, REASON_SIZE_BYTES,
 			  report == TASK_FAILED ? "exit status 1" : "");
 		kernel_emit(node->kernel, &event);
@@ -245,10 +205,10 @@
 }
 
 /* jobs NODE: how many jobs are in each state, and where they run. */
-static void plan_jobs(struct plan *plan)
+static void cmd_jobs(struct script *script)
 {
-	struct node *node = running_node(plan);
-	struct world *world = plan->world;
+	struct node *node = script_running_node(script);
+	struct world *world = script->world;
 	uint32_t counts[JOB_ASIDE + 1] = { 0 };
 	GPtrArray *jobs;
 
@@ -275,35 +235,12 @@
 	g_ptr_array_unref(jobs);
 }
 
-static const struct plan_command {
-	const char *name;
-	uint32_t least_count; /* words after the name */
-	void (*run)(struct plan *plan);
-} commands[] = {
-	{ "bulk", 3, plan_bulk },   { "demand", 3, plan_demand },
-	{ "from", 1, plan_from },   { "jobs", 1, plan_jobs },
-	{ "lists", 1, plan_lists }, { "off", 1, plan_off },
-	{ "on", 1, plan_on },	    { "report", 3, plan_report },
-	{ "skip", 1, plan_skip },
+static const struct script_command commands[] = {
+	{ "bulk", 3, cmd_bulk },   { "demand", 3, cmd_demand },
+	{ "from", 1, cmd_from },   { "jobs", 1, cmd_jobs },
+	{ "lists", 1, cmd_lists }, { "off", 1, cmd_off },
+	{ "on", 1, cmd_on },	   { "report", 3, cmd_report },
+	{ "skip", 1, cmd_skip },
 };
 
-bool script_plan(struct world *world, gchar **words, GPtrArray *errors)
-{
-	struct plan plan = {
-		.world = world,
-		.words = words,
-		.word_count = g_strv_length(words),
-		.errors = errors,
-	};
-
-	for (uint32_t i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (strcmp(commands[i].name, words[0]) != 0)
-			continue;
-		if (plan.word_count <= commands[i].least_count)
-			fail(&plan, "more words are needed");
-		else
-			commands[i].run(&plan);
-		return true;
-	}
-	return false;
-}
+SCRIPT_REGISTER(commands)
--- a/test/runner/script_slots.c
+++ b/test/runner/script_slots.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "runner/world.h"
+#include "runner/script.h"
 
 static struct node *first_running(struct world *world)
 {
@@ -44,8 +44,9 @@
 }
 
 /* slots [ENDPOINT ...]: what each running node may use. */
-static void cmd_slots(struct world *world, gchar **words)
+static void cmd_slots(struct script *script)
 {
+	struct world *world = script->world;
 	struct node *first = first_running(world);
 	const GPtrArray *instances;
 
@@ -57,16 +58,18 @@
 	for (guint i = 0; i < instances->len; i++) {
 		const struct fleet_instance *instance = instances->pdata[i];
 
-		if (!words[1] || g_strv_contains((const gchar *const *)words,
-						 instance->decl.name))
+		if (script->word_count == 1 ||
+		    g_strv_contains((const gchar *const *)script->words,
+				    instance->decl.name))
 			show_endpoint(world, instance);
 	}
 }
 
 /* roster NODE: the entries on its roster. */
-static void cmd_roster(struct world *world, gchar **words)
+static void cmd_roster(struct script *script)
 {
-	struct node *node = words[1] ? world_node(world, words[1]) : NULL;
+	struct world *world = script->world;
+	struct node *node = world_node(world, script_word(script, 1));
 	GString *line = g_string_new(NULL);
 	const GPtrArray *entries;
 
@@ -86,35 +89,18 @@
 	g_string_free(line, TRUE);
 }
 
-static uint64_t number(gchar **words, const char *key, uint64_t otherwise)
-{
-	size_t length_bytes = strlen(key);
-
-	for (uint32_t i = 1; words[i]; i++) {
-		if (!strncmp(words[i], key, length_bytes))
-			return g_ascii_strtoull(words[i] + length_bytes, NULL,
-						10);
-	}
-	return otherwise;
-}
-
 /* random seed=N steps=M [trace=1] */
-static void cmd_random(struct world *world, gchar **words)
+static void cmd_random(struct script *script)
 {
-	random_run(world, (uint32_t)number(words, "seed=", 1),
-		   (uint32_t)number(words, "steps=", 100),
-		   number(words, "trace=", 0) != 0);
+	random_run(script->world, (uint32_t)script_number(script, "seed", 1),
+		   (uint32_t)script_number(script, "steps", 100),
+		   script_number(script, "trace", 0) != 0);
 }
 
-bool script_slots(struct world *world, gchar **words)
-{
-	if (!strcmp(words[0], "slots"))
-		cmd_slots(world, words);
-	else if (!strcmp(words[0], "roster"))
-		cmd_roster(world, words);
-	else if (!strcmp(words[0], "random"))
-		cmd_random(world, words);
-	else
-		return false;
-	return true;
-}
+static const struct script_command commands[] = {
+	{ "random", 0, cmd_random },
+	{ "roster", 0, cmd_roster },
+	{ "slots", 0, cmd_slots },
+};
+
+SCRIPT_REGISTER(commands)
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -174,26 +174,8 @@
 void check_fleet(struct world *world, struct node *node,
 		 const struct event *event);
 
-/*
- * script_feed.c: runs a command that stands in for another plug-in. Returns
- * false if there is none of that name.
- */
-bool script_feed(struct world *world, const char *dir, gchar **words,
-		 GPtrArray *errors);
-
-/*
- * script_plan.c: runs a command about planning. Returns false if there is
- * none of that name.
- */
-bool script_plan(struct world *world, gchar **words, GPtrArray *errors);
-/* script_slots.c: like script_feed(). */
-bool script_slots(struct world *world, gchar **words);
-
 /* random.c: random faults and requests from a seed. */
 void random_run(struct world *world, uint32_t seed, uint32_t step_count,
 		bool trace);
 
-/* script.c: runs a script; the output is in world->output. */
-struct world *script_run(const char *path, GPtrArray *errors);
-
 #endif
