Split the HTTP server by job

Change: mhd_loop.c keeps the server, its connections and the binding to libev; mhd_exchange.c has the exchanges and the callbacks of libmicrohttpd; mhd_bounds.c has the bounds of headers and bodies and the deadlines of connections. They share mhd_private.h. mhd_loop.h is unchanged. Functions that became visible to the other parts got the prefix of what they act on. The wrapper of g_get_monotonic_time() is gone.

--- /dev/null
+++ b/src/io/mhd_bounds.c
@@ -0,0 +1,158 @@
+/* Bounds of headers and bodies, and the time that a client may take. */
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "io/mhd_private.h"
+#include "kernel/klog.h"
+
+#define HEADERS_MAX_BYTES 16384
+/*
+ * A body over the bound is read and dropped up to here, so that a client that
+ * sends it all before it reads gets the answer and not a reset connection.
+ */
+#define DISCARD_MAX_BYTES (UINT64_C(8) * 1024 * 1024)
+
+static void arm_deadline(struct httpd *httpd)
+{
+	const struct conn *first = g_queue_peek_head(&httpd->deadlines);
+	int64_t left_us;
+
+	if (!first) {
+		ev_timer_stop(httpd->ev, &httpd->deadline_timer);
+		return;
+	}
+	/* A timer that is armed for an earlier deadline arms itself again. */
+	if (ev_is_active(&httpd->deadline_timer))
+		return;
+	left_us = MAX(first->deadline_us - g_get_monotonic_time(), 0);
+	ev_now_update(httpd->ev);
+	ev_timer_set(&httpd->deadline_timer,
+		     (double)left_us / (double)USEC_PER_SEC, 0.);
+	ev_timer_start(httpd->ev, &httpd->deadline_timer);
+}
+
+void conn_clear_deadline(struct conn *conn)
+{
+	if (!conn->deadline_us)
+		return;
+	conn->deadline_us = 0;
+	g_queue_unlink(&conn->httpd->deadlines, &conn->link);
+}
+
+void conn_set_deadline(struct conn *conn)
+{
+	conn_clear_deadline(conn);
+	conn->deadline_us =
+		g_get_monotonic_time() + conn->httpd->limits.slow_client_us;
+	g_queue_push_tail_link(&conn->httpd->deadlines, &conn->link);
+	arm_deadline(conn->httpd);
+}
+
+/*
+ * libmicrohttpd takes no answer before a request is complete, so this one
+ * goes to the socket directly. Nothing else was sent for this request.
+ */
+static void refuse_directly(const struct conn *conn, const char *status,
+			    const char *reason)
+{
+	char *body = exchange_refusal_text(reason, VERDICT_NOT_RUN, NULL);
+	char *text;
+
+	if (!body)
+		return;
+	text = g_strdup_printf("HTTP/1.1 %s\r\n"
+			       "Connection: close\r\n"
+			       "Content-Type: application/json\r\n"
+			       "Pl-Verdict: not-run\r\n"
+			       "Content-Length: %zu\r\n\r\n%s",
+			       status, strlen(body), body);
+	if (send(conn->fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+		klog_debug(LOG_PREFIX, "could not send status %s: %s", status,
+			   g_strerror(errno));
+	g_free(text);
+	free(body);
+}
+
+static void expire(struct conn *conn)
+{
+	const struct exchange *exchange = conn->exchange;
+	bool receiving =
+		exchange ? exchange->state <= EXCHANGE_RECEIVING : !conn->used;
+
+	conn_clear_deadline(conn);
+	if (receiving)
+		refuse_directly(conn, "408 Request Timeout",
+				"the request took too long to arrive");
+	/* libmicrohttpd sees the end of the stream and closes it. */
+	shutdown(conn->fd, SHUT_RDWR);
+}
+
+void httpd_on_deadline(struct ev_loop *ev, ev_timer *watcher, int revents)
+{
+	struct httpd *httpd = watcher->data;
+	struct conn *first;
+
+	(void)ev;
+	(void)revents;
+	while ((first = g_queue_peek_head(&httpd->deadlines)) &&
+	       first->deadline_us <= g_get_monotonic_time())
+		expire(first);
+	arm_deadline(httpd);
+}
+
+void exchange_refuse_body(struct exchange *exchange)
+{
+	char *reason = g_strdup_printf(
+		"the body is larger than %" G_GUINT64_FORMAT " bytes",
+		exchange->conn->httpd->limits.body_max_bytes);
+
+	exchange_refuse(exchange, MHD_HTTP_CONTENT_TOO_LARGE, reason,
+			VERDICT_NOT_RUN, NULL);
+	g_free(reason);
+}
+
+void exchange_check_headers(struct exchange *exchange)
+{
+	const struct httpd *httpd = exchange->conn->httpd;
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		exchange->conn->mhd, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	const char *length = exchange_header(exchange, "Content-Length");
+	uint64_t length_bytes = length ? g_ascii_strtoull(length, NULL, 10) : 0;
+
+	if (info && info->header_size > HEADERS_MAX_BYTES) {
+		exchange_refuse(exchange,
+				MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+				"the headers are larger than 16384 bytes",
+				VERDICT_NOT_RUN, NULL);
+		return;
+	}
+	if (length_bytes <= httpd->limits.body_max_bytes)
+		return;
+	if (exchange_header(exchange, "Expect") ||
+	    length_bytes > DISCARD_MAX_BYTES)
+		exchange_refuse_body(exchange);
+}
+
+enum MHD_Result exchange_receive(struct exchange *exchange, const char *data,
+				 size_t size_bytes)
+{
+	exchange->received_bytes += size_bytes;
+	if (exchange->received_bytes > DISCARD_MAX_BYTES) {
+		refuse_directly(exchange->conn, "413 Content Too Large",
+				"the body is far too large");
+		return MHD_NO;
+	}
+	if (exchange->received_bytes >
+	    exchange->conn->httpd->limits.body_max_bytes) {
+		exchange->too_large = true;
+		return MHD_YES;
+	}
+	if (!exchange->received)
+		exchange->received = g_byte_array_new();
+	g_byte_array_append(exchange->received, (const guint8 *)data,
+			    (guint)size_bytes);
+	return MHD_YES;
+}
--- /dev/null
+++ b/src/io/mhd_private.h
@@ -0,0 +1,119 @@
+#ifndef IO_MHD_PRIVATE_H
+#define IO_MHD_PRIVATE_H
+
+/* What the parts of the HTTP server share; its interface is mhd_loop.h. */
+
+#include <microhttpd.h>
+
+#include "io/mhd_loop.h"
+
+#define LOG_PREFIX "httpd"
+
+enum exchange_state {
+	EXCHANGE_HEADERS,   /* the request line was read */
+	EXCHANGE_RECEIVING, /* the body is being read */
+	EXCHANGE_WAITING,   /* handed over, no answer yet */
+	EXCHANGE_ANSWERED,
+	EXCHANGE_GONE,
+};
+
+struct conn {
+	struct httpd *httpd;
+	struct MHD_Connection *mhd;
+	struct exchange *exchange; /* in progress, or NULL */
+	int fd;
+	bool used;	     /* a request was answered on it */
+	bool watched;	     /* for a disconnect */
+	int64_t deadline_us; /* 0: none */
+	GList link;	     /* of httpd->deadlines */
+};
+
+struct exchange {
+	struct conn *conn;
+	enum exchange_state state;
+	bool suspended;
+	char *target;
+	char *path;
+	char *method;
+	GByteArray *received;
+	uint64_t received_bytes; /* with what was dropped */
+	bool too_large;
+	GBytes *body;
+	void *data;
+	uint32_t status;
+	char *content_type;
+	GPtrArray *headers; /* of char *: name, value, name, ... */
+	GBytes *answer;
+};
+
+struct httpd {
+	struct ev_loop *ev;
+	struct MHD_Daemon *daemon;
+	struct httpd_limits limits;
+	const struct httpd_ops *ops;
+	void *self;
+	ev_io io;	   /* libmicrohttpd's epoll descriptor */
+	ev_timer timer;	   /* libmicrohttpd's next timeout */
+	int disconnect_fd; /* epoll of suspended connections */
+	ev_io disconnect_io;
+	/*
+	 * Connections in order of deadline: all get the same time, so the
+	 * newest deadline is the last.
+	 */
+	GQueue deadlines;
+	ev_timer deadline_timer;
+	uint32_t answering_count; /* answers given and not yet sent */
+	uint32_t connection_count;
+	bool has_room_again; /* was at the bound of connections */
+};
+
+/* mhd_loop.c */
+
+/* Runs libmicrohttpd in the next turn of the loop. */
+void httpd_run_soon(struct httpd *httpd);
+
+/* libmicrohttpd does not watch suspended connections. */
+void conn_watch_disconnect(struct conn *conn);
+void conn_unwatch_disconnect(struct conn *conn);
+
+/* mhd_exchange.c */
+
+/* The body of a refusal; free() it. NULL if it can't be encoded. */
+char *exchange_refusal_text(const char *reason, enum verdict verdict,
+			    const char *request);
+
+/* The client has left before it got an answer. */
+void exchange_give_up(struct exchange *exchange);
+
+void exchange_free(struct exchange *exchange);
+
+/* Callbacks of libmicrohttpd; the first argument is the httpd. */
+void *exchange_on_target(void *self, const char *target,
+			 struct MHD_Connection *mhd);
+void exchange_on_completed(void *self, struct MHD_Connection *mhd,
+			   void **request_context,
+			   enum MHD_RequestTerminationCode code);
+enum MHD_Result exchange_on_request(void *self, struct MHD_Connection *mhd,
+				    const char *path, const char *method,
+				    const char *version, const char *upload,
+				    size_t *upload_size_bytes,
+				    void **request_context);
+
+/* mhd_bounds.c */
+
+/* Gives the client the time of the limits from now on. */
+void conn_set_deadline(struct conn *conn);
+void conn_clear_deadline(struct conn *conn);
+void httpd_on_deadline(struct ev_loop *ev, ev_timer *watcher, int revents);
+
+/* Answers a request whose headers break a bound. */
+void exchange_check_headers(struct exchange *exchange);
+
+/* Keeps a part of the body, or drops it past the bound. */
+enum MHD_Result exchange_receive(struct exchange *exchange, const char *data,
+				 size_t size_bytes);
+
+/* Answers that the body is too large. */
+void exchange_refuse_body(struct exchange *exchange);
+
+#endif
