Add a benchmark of slopes against the size of the fleet

Cause: nothing measured state, messages and processor time at the design size. Change: bench-capacity runs one entry instance with all decision plug-ins and codecs at 48, 195, 390 and 780 instances in virtual time.

--- /dev/null
+++ b/bench/capacity.c
@@ -0,0 +1,615 @@
+/*
+ * Slopes of state, messages and processor time against the size of the fleet,
+ * for docs/CAPACITY.md. With the argument "declare", prints the declarations
+ * of the design size instead, for bench/capacity.sh.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "capacity/generate.h"
+#include "codec/decl_yaml.h"
+#include "codec/peer_codec.h"
+#include "codec/record_codec.h"
+#include "codec/snapshot_codec.h"
+#include "decide/cluster_digest.h"
+#include "kernel/klog.h"
+
+#define IDLE_US (60 * USEC_PER_SEC)
+#define REPEAT_COUNT 50
+#define REQUEST_COUNT 1000
+#define SIZE_COUNT 4
+
+/* In proportion to the design size; the first is that of today. */
+static const struct size sizes[SIZE_COUNT] = {
+	{ 48, 11, 9, 4, 7 },
+	{ 195, 46, 37, 4, 28 },
+	{ 390, 92, 75, 5, 57 },
+	{ 780, 185, 150, 6, 114 },
+};
+
+static void print_row(const char *name, const double values[SIZE_COUNT])
+{
+	double mean_x = 0, mean_y = 0, up = 0, down = 0;
+
+	for (uint32_t i = 0; i < SIZE_COUNT; i++) {
+		mean_x += (double)sizes[i].instance_count / SIZE_COUNT;
+		mean_y += values[i] / SIZE_COUNT;
+	}
+	for (uint32_t i = 0; i < SIZE_COUNT; i++) {
+		double x = (double)sizes[i].instance_count - mean_x;
+
+		up += x * (values[i] - mean_y);
+		down += x * x;
+	}
+	printf("%-46s", name);
+	for (uint32_t i = 0; i < SIZE_COUNT; i++)
+		printf(" %11.1f", values[i]);
+	printf(" %11.3f\n", up / down);
+}
+
+/* Rows of the table: one value for each size. */
+enum row {
+	ROW_SNAPSHOT_BYTES,
+	ROW_SNAPSHOT_WRITE_US,
+	ROW_SNAPSHOT_READ_US,
+	ROW_KERNEL_EMPTY_BYTES,
+	ROW_KERNEL_BYTES,
+	ROW_FILE_BYTES,
+	ROW_FILE_ENCODE_US,
+	ROW_FILE_DECODE_US,
+	ROW_FILE_APPLY_US,
+	ROW_FILE_KERNEL_US,
+	ROW_LIST_US,
+	ROW_LIST_JSON_BYTES,
+	ROW_REQUEST_BYTES,
+	ROW_REQUEST_US,
+	ROW_CLAIM_HEAP_BYTES,
+	ROW_CLAIM_SNAPSHOT_BYTES,
+	ROW_BEAT_PLAIN_BYTES,
+	ROW_BEAT_LOADS_BYTES,
+	ROW_LOADS_COUNT,
+	ROW_REMOTE_ROUND_S,
+	ROW_ZERO_SHARE,
+	ROW_IDLE_US, /* for each role */
+	ROW_MATE_PER_S = ROW_IDLE_US + BED_ROLE_COUNT,
+	ROW_MATE_BYTES_PER_S = ROW_MATE_PER_S + BED_ROLE_COUNT,
+	ROW_REMOTE_PER_S = ROW_MATE_BYTES_PER_S + BED_ROLE_COUNT,
+	ROW_REMOTE_BYTES_PER_S = ROW_REMOTE_PER_S + BED_ROLE_COUNT,
+	ROW_RECEIVED_PER_S = ROW_REMOTE_BYTES_PER_S + BED_ROLE_COUNT,
+	ROW_RECEIVED_BYTES_PER_S = ROW_RECEIVED_PER_S + BED_ROLE_COUNT,
+	ROW_APPENDS_PER_S = ROW_RECEIVED_BYTES_PER_S + BED_ROLE_COUNT,
+	ROW_APPEND_BYTES_PER_S = ROW_APPENDS_PER_S + BED_ROLE_COUNT,
+	ROW_RECORD_BYTES = ROW_APPEND_BYTES_PER_S + BED_ROLE_COUNT,
+	ROW_RECORD_US = ROW_RECORD_BYTES + RECORD_KIND_COUNT,
+	ROW_COUNT = ROW_RECORD_US + RECORD_KIND_COUNT,
+};
+
+static const char *const row_names[ROW_IDLE_US] = {
+	[ROW_SNAPSHOT_BYTES] = "snapshot, bytes",
+	[ROW_SNAPSHOT_WRITE_US] = "snapshot write, us",
+	[ROW_SNAPSHOT_READ_US] = "snapshot read, us",
+	[ROW_KERNEL_EMPTY_BYTES] = "kernel without a fleet, bytes",
+	[ROW_KERNEL_BYTES] = "kernel with the fleet, bytes",
+	[ROW_FILE_BYTES] = "config_put of a member, bytes",
+	[ROW_FILE_ENCODE_US] = "config_put encode, us",
+	[ROW_FILE_DECODE_US] = "config_put decode, us",
+	[ROW_FILE_APPLY_US] = "config_put apply to the state, us",
+	[ROW_FILE_KERNEL_US] = "config_put, all plug-ins, us",
+	[ROW_LIST_US] = "list answer, all plug-ins, us",
+	[ROW_LIST_JSON_BYTES] = "list answer on the wire, bytes of body",
+	[ROW_REQUEST_BYTES] = "open request, bytes",
+	[ROW_REQUEST_US] = "request, all plug-ins, us",
+	[ROW_CLAIM_HEAP_BYTES] = "claim kept, bytes of heap",
+	[ROW_CLAIM_SNAPSHOT_BYTES] = "claim kept, bytes of snapshot",
+	[ROW_BEAT_PLAIN_BYTES] = "heartbeat without loads, bytes",
+	[ROW_BEAT_LOADS_BYTES] = "heartbeat with loads, bytes",
+	[ROW_LOADS_COUNT] = "loads in a heartbeat",
+	[ROW_REMOTE_ROUND_S] = "round of remote digests, s",
+	[ROW_ZERO_SHARE] = "endpoints without a share, %",
+};
+
+static const char *const role_names[BED_ROLE_COUNT] = {
+	[BED_PLAIN] = "entry",
+	[BED_LOWEST] = "entry that sends digests",
+	[BED_PLANNER] = "entry with the planner",
+};
+
+static double table[ROW_COUNT][SIZE_COUNT];
+
+static void print_table(void)
+{
+	static const char *const per_role[] = {
+		"CPU us a second, idle",  "messages a s to mates",
+		"bytes a s to mates",	  "messages a s to other dcs",
+		"bytes a s to other dcs", "messages a s received",
+		"bytes a s received",	  "appends a s",
+		"bytes a s appended",
+	};
+	char name[128];
+
+	printf("%-46s %11u %11u %11u %11u %11s\n", "instances",
+	       sizes[0].instance_count, sizes[1].instance_count,
+	       sizes[2].instance_count, sizes[3].instance_count, "slope");
+	for (uint32_t row = 0; row < ROW_IDLE_US; row++)
+		print_row(row_names[row], table[row]);
+	for (uint32_t row = ROW_IDLE_US; row < ROW_RECORD_BYTES; row++) {
+		uint32_t role = (row - ROW_IDLE_US) % BED_ROLE_COUNT;
+		uint32_t what = (row - ROW_IDLE_US) / BED_ROLE_COUNT;
+
+		g_snprintf(name, sizeof(name), "%s: %s", role_names[role],
+			   per_role[what]);
+		print_row(name, table[row]);
+	}
+	for (uint32_t row = ROW_RECORD_BYTES; row < ROW_COUNT; row++) {
+		bool is_time = row >= ROW_RECORD_US;
+		uint32_t kind =
+			row - (is_time ? ROW_RECORD_US : ROW_RECORD_BYTES);
+
+		if (!table[row][0])
+			continue;
+		g_snprintf(name, sizeof(name), "%s, %s",
+			   record_kind_name((enum record_kind)kind),
+			   is_time ? "all plug-ins, us" : "bytes");
+		print_row(name, table[row]);
+	}
+}
+
+static double least_us(double known_us, int64_t took_ns)
+{
+	double took_us = (double)took_ns / 1000;
+
+	return known_us > 0 && known_us < took_us ? known_us : took_us;
+}
+
+static void measure_snapshot(const struct bed *bed, uint32_t at)
+{
+	char reason[REASON_SIZE_BYTES];
+
+	for (uint32_t i = 0; i < REPEAT_COUNT; i++) {
+		int64_t start_ns = cpu_ns();
+		GBytes *bytes = snapshot_encode(kernel_fleet(bed->kernel));
+		int64_t written_ns = cpu_ns();
+		struct fleet *copy = snapshot_decode(bytes, reason);
+		int64_t read_ns = cpu_ns();
+
+		table[ROW_SNAPSHOT_BYTES][at] = (double)g_bytes_get_size(bytes);
+		table[ROW_SNAPSHOT_WRITE_US][at] =
+			least_us(table[ROW_SNAPSHOT_WRITE_US][at],
+				 written_ns - start_ns);
+		table[ROW_SNAPSHOT_READ_US][at] = least_us(
+			table[ROW_SNAPSHOT_READ_US][at], read_ns - written_ns);
+		fleet_free(copy);
+		g_bytes_unref(bytes);
+	}
+}
+
+/* Encodes and decodes a record; the size goes to the row of its kind. */
+static void measure_codec(const struct record *record, uint32_t at)
+{
+	char reason[REASON_SIZE_BYTES];
+	int64_t start_ns = cpu_ns();
+	GBytes *bytes = record_encode(record);
+	int64_t encoded_ns = cpu_ns();
+	gsize size_bytes;
+	const void *data = g_bytes_get_data(bytes, &size_bytes);
+	struct record *copy = record_decode(data, size_bytes, reason);
+	int64_t decoded_ns = cpu_ns();
+
+	g_assert(copy);
+	table[ROW_RECORD_BYTES + record->kind][at] = (double)size_bytes;
+	if (record->kind == RECORD_CONFIG_PUT) {
+		table[ROW_FILE_BYTES][at] = (double)size_bytes;
+		table[ROW_FILE_ENCODE_US][at] = least_us(
+			table[ROW_FILE_ENCODE_US][at], encoded_ns - start_ns);
+		table[ROW_FILE_DECODE_US][at] = least_us(
+			table[ROW_FILE_DECODE_US][at], decoded_ns - encoded_ns);
+	}
+	record_unref(copy);
+	g_bytes_unref(bytes);
+}
+
+/* Hands a record to all plug-ins; the least time of a kind counts. */
+static void give(struct bed *bed, uint32_t entry, struct record *record,
+		 uint32_t at)
+{
+	enum record_kind kind = record->kind;
+	double *row = table[ROW_RECORD_US + kind];
+	int64_t took_ns;
+
+	record_ref(record);
+	took_ns = bed_record(bed, entry, record);
+	measure_codec(record, at);
+	record_unref(record);
+	row[at] = least_us(row[at], took_ns);
+	bed_step(bed);
+}
+
+static struct record *next_version(struct bed *bed, struct decl *decl)
+{
+	struct record *record = record_new(RECORD_CONFIG_PUT);
+
+	name_copy(record->config.file, NAME_SIZE_BYTES, decl->file);
+	record->config.decl = decl_ref(decl);
+	fleet_file(kernel_fleet(bed->kernel), decl->file,
+		   &record->config.base_offset);
+	return record;
+}
+
+/* A change of one member's file, applied to the state alone. */
+static void measure_apply(struct bed *bed, struct decl *decl, uint32_t at)
+{
+	GBytes *bytes = snapshot_encode(kernel_fleet(bed->kernel));
+	char reason[REASON_SIZE_BYTES];
+
+	for (uint32_t i = 0; i < REPEAT_COUNT / 5; i++) {
+		struct fleet *copy = snapshot_decode(bytes, reason);
+		struct record *record = next_version(bed, decl);
+		struct fleet_outcome outcome;
+		int64_t start_ns;
+
+		name_copy(record->id.entry, NAME_SIZE_BYTES,
+			  bed->names->pdata[bed_other(bed)]);
+		record->id.incarnation = 1;
+		record->id.sequence = INT64_MAX;
+		start_ns = cpu_ns();
+		g_assert(fleet_apply(copy, fleet_offset(copy) + 1, record,
+				     &outcome));
+		table[ROW_FILE_APPLY_US][at] = least_us(
+			table[ROW_FILE_APPLY_US][at], cpu_ns() - start_ns);
+		record_unref(record);
+		fleet_free(copy);
+	}
+	g_bytes_unref(bytes);
+}
+
+static void measure_config(struct bed *bed, const GPtrArray *files, uint32_t at)
+{
+	struct decl *decl = files->pdata[0];
+
+	measure_apply(bed, decl, at);
+	for (uint32_t i = 0; i < REPEAT_COUNT; i++)
+		give(bed, bed_other(bed), next_version(bed, decl), at);
+	table[ROW_FILE_KERNEL_US][at] =
+		table[ROW_RECORD_US + RECORD_CONFIG_PUT][at];
+}
+
+static struct record *claim_record(struct bed *bed, enum record_kind kind,
+				   uint32_t number, int64_t key_us)
+{
+	struct record *record = record_new(kind);
+
+	g_snprintf(record->claim.key, KEY_SIZE_BYTES,
+		   "%" G_GINT64_FORMAT "-%036u",
+		   (BED_WALL_US + key_us) / USEC_PER_MSEC, number);
+	if (kind == RECORD_CLAIM)
+		name_copy(record->claim.service, NAME_SIZE_BYTES,
+			  "service000-2");
+	record->claim.request_id = bed->offset + number;
+	record->claim.verdict =
+		kind == RECORD_CLAIM ? VERDICT_NONE : VERDICT_RAN;
+	record->claim.status = kind == RECORD_CLAIM ? 0 : 200;
+	return record;
+}
+
+static void measure_claims(struct bed *bed, uint32_t at)
+{
+	int64_t heap = heap_bytes();
+	double snapshot = table[ROW_SNAPSHOT_BYTES][at];
+	GBytes *bytes;
+
+	for (uint32_t i = 0; i < REQUEST_COUNT; i++) {
+		int64_t key_us = bed->now_us;
+		struct record *record =
+			claim_record(bed, RECORD_CLAIM, i, key_us);
+		uint64_t request_id = record->claim.request_id;
+
+		give(bed, bed_other(bed), record, at);
+		record = claim_record(bed, RECORD_CLAIM_RESULT, i, key_us);
+		record->claim.request_id = request_id;
+		give(bed, bed_other(bed), record, at);
+	}
+	table[ROW_CLAIM_HEAP_BYTES][at] =
+		(double)(heap_bytes() - heap) / REQUEST_COUNT;
+	bytes = snapshot_encode(kernel_fleet(bed->kernel));
+	table[ROW_CLAIM_SNAPSHOT_BYTES][at] =
+		((double)g_bytes_get_size(bytes) - snapshot) / REQUEST_COUNT;
+	g_bytes_unref(bytes);
+}
+
+static void give_step(struct bed *bed, enum record_kind kind,
+		      const char *instance, uint64_t drain_offset, uint32_t at)
+{
+	struct record *record = record_new(kind);
+
+	name_copy(record->instance.instance, NAME_SIZE_BYTES, instance);
+	record->instance.token = bed->token;
+	record->instance.drain_offset = drain_offset;
+	if (kind == RECORD_MAINT_START)
+		name_copy(record->instance.wave, NAME_SIZE_BYTES, "all");
+	give(bed, bed_other(bed), record, at);
+}
+
+static void acknowledge(struct bed *bed, const struct fleet_instance *instance,
+			uint32_t at)
+{
+	uint32_t dc = (uint32_t)atoi(instance->decl.dc + 2);
+
+	for (uint32_t i = dc; i < bed->size->entry_count;
+	     i += bed->size->dc_count) {
+		struct record *record = record_new(RECORD_DRAIN_ACK);
+
+		/* The measured entry has proposed its own. */
+		if (i == bed->own) {
+			record_unref(record);
+			continue;
+		}
+		name_copy(record->instance.instance, NAME_SIZE_BYTES,
+			  instance->decl.name);
+		record->instance.drain_offset = instance->drain_offset;
+		record->instance.incarnation = 1;
+		give(bed, i, record, at);
+	}
+}
+
+/* Maintains instances of different pools, one after another. */
+static void measure_wave(struct bed *bed, uint32_t at)
+{
+	for (uint32_t i = 0; i < MIN(bed->size->pool_count, REPEAT_COUNT);
+	     i++) {
+		const struct fleet_instance *instance =
+			fleet_instances(kernel_fleet(bed->kernel))->pdata[i];
+		char name[NAME_SIZE_BYTES];
+		uint64_t drain_offset;
+
+		name_copy(name, sizeof(name), instance->decl.name);
+		give_step(bed, RECORD_MAINT_START, name, 0, at);
+		drain_offset = instance->drain_offset;
+		bed_run(bed, 2 * USEC_PER_SEC);
+		acknowledge(bed, instance, at);
+		give_step(bed, RECORD_MAINT_REBOOT, name, drain_offset, at);
+		give_step(bed, RECORD_MAINT_DONE, name, drain_offset, at);
+		if (instance->phase != INSTANCE_ACTIVE ||
+		    instance->changed_offset <= drain_offset) {
+			fprintf(stderr, "capacity: %s is not maintained\n",
+				name);
+			exit(1);
+		}
+	}
+}
+
+static void measure_records(struct bed *bed, const GPtrArray *files,
+			    uint32_t at)
+{
+	struct decl *wave = generate_wave(bed->size);
+
+	for (uint32_t i = 0; i < REPEAT_COUNT; i++) {
+		struct record *record = record_new(RECORD_LEASE_RENEW);
+
+		record->lease.token = bed->token;
+		give(bed, bed_other(bed), record, at);
+	}
+	measure_config(bed, files, at);
+	measure_claims(bed, at);
+	bed_record(bed, bed_other(bed), next_version(bed, wave));
+	decl_unref(wave);
+	measure_wave(bed, at);
+}
+
+static void measure_list(struct bed *bed, uint32_t at)
+{
+	const GPtrArray *instances = fleet_instances(kernel_fleet(bed->kernel));
+	uint64_t size_bytes = strlen("{\"instances\": []}");
+
+	for (uint32_t i = 0; i < REPEAT_COUNT; i++) {
+		int64_t start_ns;
+
+		bed_list(bed);
+		start_ns = cpu_ns();
+		kernel_run(bed->kernel);
+		table[ROW_LIST_US][at] =
+			least_us(table[ROW_LIST_US][at], cpu_ns() - start_ns);
+		bed_step(bed);
+	}
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+
+		size_bytes +=
+			strlen("{\"name\": \"\", \"state\": \"live\"}, ") +
+			strlen(instance->decl.name);
+	}
+	for (guint i = 0; i < bed->names->len; i++)
+		size_bytes +=
+			strlen("{\"name\": \"\", \"state\": \"live\"}, ") +
+			strlen(bed->names->pdata[i]);
+	table[ROW_LIST_JSON_BYTES][at] = (double)size_bytes;
+}
+
+static void add_request(struct bed *bed, uint32_t number)
+{
+	struct request *request = request_add(kernel_requests(bed->kernel));
+	struct event event = { .type = EVENT_REQUEST_NEW };
+
+	name_copy(request->method, sizeof(request->method), "GET");
+	request->path = g_strdup_printf(
+		"/pool%03u/%u/x", number % bed->size->pool_count, number % 2);
+	request->arrived_us = bed->now_us;
+	event.request.request_id = request->id;
+	kernel_emit(bed->kernel, &event);
+	kernel_run(bed->kernel);
+}
+
+static void finish_all(struct bed *bed)
+{
+	struct event *done;
+
+	while ((done = g_queue_pop_head(bed->running))) {
+		kernel_emit(bed->kernel, done);
+		g_free(done);
+		kernel_run(bed->kernel);
+	}
+}
+
+/* One warm round, then all open at a time, then all answered. */
+static void measure_requests(struct bed *bed, uint32_t at)
+{
+	for (uint32_t round = 0; round < 3; round++) {
+		int64_t heap = heap_bytes();
+		int64_t start_ns = cpu_ns();
+		uint32_t open_count;
+
+		for (uint32_t i = 0; i < REQUEST_COUNT; i++)
+			add_request(bed, i);
+		open_count = request_count(kernel_requests(bed->kernel));
+		if (round && open_count)
+			table[ROW_REQUEST_BYTES][at] =
+				(double)(heap_bytes() - heap) / open_count;
+		finish_all(bed);
+		table[ROW_REQUEST_US][at] =
+			(double)(cpu_ns() - start_ns) / 1000 / REQUEST_COUNT;
+		bed_run(bed, 40 * USEC_PER_SEC);
+		finish_all(bed);
+	}
+}
+
+/* Endpoints of the own data centre of which this entry owns no slot. */
+static void measure_share(const struct bed *bed, uint32_t at)
+{
+	const GPtrArray *instances = fleet_instances(kernel_fleet(bed->kernel));
+	uint32_t count = 0;
+	uint32_t zero_count = 0;
+
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+		const struct endpoint_state *state = endpoint_table_find(
+			kernel_endpoints(bed->kernel), instance->decl.name);
+
+		if (strcmp(instance->decl.dc, bed->settings->dc) != 0)
+			continue;
+		count++;
+		zero_count += !state || !state->allowed_count;
+	}
+	table[ROW_ZERO_SHARE][at] = 100.0 * zero_count / MAX(count, 1);
+}
+
+static void measure_heartbeats(const struct size *size, uint32_t at)
+{
+	uint32_t mate_count = (size->entry_count - 1) / size->dc_count;
+	struct digest_plan plan =
+		digest_plan(mate_count, size->entry_count - mate_count - 1);
+	struct peer_msg *msg = peer_msg_new(PEER_MSG_HEARTBEAT);
+	GBytes *bytes;
+
+	name_copy(msg->from, NAME_SIZE_BYTES, "e000");
+	name_copy(msg->dc, NAME_SIZE_BYTES, "dc0");
+	msg->incarnation = BED_WALL_US;
+	msg->applied_offset = 1000000;
+	msg->hlc = (uint64_t)BED_WALL_US / 1000 << 16;
+	bytes = peer_msg_encode(msg);
+	table[ROW_BEAT_PLAIN_BYTES][at] = (double)g_bytes_get_size(bytes);
+	g_bytes_unref(bytes);
+	msg->loads = g_array_new(FALSE, TRUE, sizeof(struct peer_pool_load));
+	for (uint32_t i = 0; i < plan.load_count; i++) {
+		struct peer_pool_load load = { .pool = "pool000",
+					       .free_slots_count = 8,
+					       .queued_count = 100,
+					       .wait_us = 250000,
+					       .demand_us_per_s = 8000000 };
+
+		g_array_append_val(msg->loads, load);
+	}
+	bytes = peer_msg_encode(msg);
+	table[ROW_BEAT_LOADS_BYTES][at] = (double)g_bytes_get_size(bytes);
+	table[ROW_LOADS_COUNT][at] = plan.load_count;
+	table[ROW_REMOTE_ROUND_S][at] =
+		(double)plan.remote_round_us / USEC_PER_SEC;
+	g_bytes_unref(bytes);
+	peer_msg_free(msg);
+}
+
+static double per_s(uint64_t count)
+{
+	return (double)count * USEC_PER_SEC / IDLE_US;
+}
+
+static void measure_idle(struct bed *bed, uint32_t at)
+{
+	int64_t start_ns;
+
+	bed_reset_traffic(bed);
+	start_ns = cpu_ns();
+	bed_run(bed, IDLE_US);
+	table[ROW_IDLE_US + bed->role][at] =
+		per_s((uint64_t)(cpu_ns() - start_ns)) / 1000;
+	table[ROW_MATE_PER_S + bed->role][at] = per_s(bed->mates.message_count);
+	table[ROW_MATE_BYTES_PER_S + bed->role][at] =
+		per_s(bed->mates.size_bytes);
+	table[ROW_REMOTE_PER_S + bed->role][at] =
+		per_s(bed->remote.message_count);
+	table[ROW_REMOTE_BYTES_PER_S + bed->role][at] =
+		per_s(bed->remote.size_bytes);
+	table[ROW_RECEIVED_PER_S + bed->role][at] =
+		per_s(bed->received.message_count);
+	table[ROW_RECEIVED_BYTES_PER_S + bed->role][at] =
+		per_s(bed->received.size_bytes);
+	table[ROW_APPENDS_PER_S + bed->role][at] =
+		per_s(bed->appended.message_count);
+	table[ROW_APPEND_BYTES_PER_S + bed->role][at] =
+		per_s(bed->appended.size_bytes);
+}
+
+static void measure_empty(uint32_t at)
+{
+	struct settings *settings = settings_new();
+	int64_t heap = heap_bytes();
+	struct kernel *kernel = kernel_new(settings, 1, 1);
+
+	kernel_start_kind(kernel, PLUGIN_DECIDE);
+	table[ROW_KERNEL_EMPTY_BYTES][at] = (double)(heap_bytes() - heap);
+	kernel_free(kernel);
+	settings_free(settings);
+}
+
+static void measure(uint32_t at)
+{
+	const struct size *size = &sizes[at];
+	GPtrArray *files = generate_files(size);
+	int64_t heap;
+	struct bed *bed;
+
+	measure_empty(at);
+	measure_heartbeats(size, at);
+	for (uint32_t role = BED_LOWEST; role < BED_ROLE_COUNT; role++) {
+		bed = bed_new(size, (enum bed_role)role, files);
+		measure_idle(bed, at);
+		bed_free(bed);
+	}
+	heap = heap_bytes();
+	bed = bed_new(size, BED_PLAIN, files);
+	measure_idle(bed, at);
+	table[ROW_KERNEL_BYTES][at] = (double)(heap_bytes() - heap);
+	measure_share(bed, at);
+	measure_snapshot(bed, at);
+	measure_list(bed, at);
+	measure_requests(bed, at);
+	measure_records(bed, files, at);
+	bed_free(bed);
+	g_ptr_array_unref(files);
+}
+
+int main(int argc, char **argv)
+{
+	klog_init("bench");
+	if (argc == 2 && !strcmp(argv[1], "declare")) {
+		char *text = generate_all(&sizes[SIZE_COUNT - 1]);
+
+		fputs(text, stdout);
+		g_free(text);
+		return 0;
+	}
+	for (uint32_t i = 0; i < SIZE_COUNT; i++)
+		measure(i);
+	print_table();
+	return 0;
+}
