Let the benchmark of capacity use its share of the slots

Cause: the measured entry instance joined last and got no reports, so it owned no slots and its requests only queued. Change: it joins first, and the others report that they use no more than their shares.

--- a/bench/capacity/bed.c
+++ b/bench/capacity/bed.c
@@ -76,6 +76,21 @@
 	return (uint32_t)atoi(entry + 1) % bed->size->dc_count;
 }
 
+/* The others use no more than their shares, and say so. */
+static void answer_share(struct bed *bed, const char *peer)
+{
+	struct event event = { .type = EVENT_PEER_RECEIVED };
+	struct peer_msg *msg = peer_msg_new(PEER_MSG_SHARE_ACK);
+
+	name_copy(msg->from, NAME_SIZE_BYTES, peer);
+	name_copy(msg->dc, NAME_SIZE_BYTES, bed->settings->dc);
+	msg->incarnation = 1;
+	msg->applied_offset = msg->join_offset = bed->offset;
+	event.peer.msg = msg;
+	name_copy(event.peer.peer, NAME_SIZE_BYTES, peer);
+	kernel_emit(bed->kernel, &event);
+}
+
 static void take_message(struct bed *bed, const struct event_peer *sent)
 {
 	GBytes *bytes = peer_msg_encode(sent->msg);
@@ -87,6 +102,8 @@
 	traffic->message_count++;
 	traffic->size_bytes += g_bytes_get_size(bytes);
 	g_bytes_unref(bytes);
+	if (sent->msg->kind == PEER_MSG_SHARE_ACK && sent->msg->slots_count)
+		answer_share(bed, sent->peer);
 }
 
 static void take_attempt(struct bed *bed, const struct event *event)
@@ -360,6 +377,10 @@
 	kernel_start_kind(bed->kernel, PLUGIN_DECIDE);
 	kernel_start_plugin_with(bed->kernel, &sink_plugin, bed);
 	kernel_emit(bed->kernel, &(struct event){ .type = EVENT_STARTED });
+	/* It joins first: a later one waits for all others before it serves. */
+	emit_state(bed);
+	while (!fleet_entries(kernel_fleet(bed->kernel))->len)
+		bed_step(bed);
 	for (uint32_t i = 0; i < bed->size->entry_count; i++) {
 		if (i != bed->own)
 			join(bed, i);
