Look the names of a list up by hash

Cause: health searched the whole answer of the list for each instance and the cluster plug-in for each entry instance, once a second, so that an answer cost the square of the fleet's size. Change: both build one index. Conclusion: the cost of a list now follows the size of the fleet.

--- a/src/core/event.c
+++ b/src/core/event.c
@@ -99,3 +99,17 @@
 {
 	return type < EVENT_TYPE_COUNT ? type_names[type] : "unknown";
 }
+
+GHashTable *list_items_index(const GArray *items)
+{
+	GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < items->len; i++) {
+		struct list_item *item =
+			&g_array_index(items, struct list_item, i);
+
+		if (!g_hash_table_contains(index, item->name))
+			g_hash_table_insert(index, item->name, item);
+	}
+	return index;
+}
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -155,6 +155,12 @@
 	GArray *items; /* of struct list_item, owned */
 };
 
+/*
+ * Names of a list's items -> struct list_item, the first one of a name. It is
+ * valid as long as the items are. Caller frees.
+ */
+GHashTable *list_items_index(const GArray *items);
+
 struct event_name {
 	char name[NAME_SIZE_BYTES];
 	uint64_t offset;
--- a/src/decide/cluster_peers.c
+++ b/src/decide/cluster_peers.c
@@ -134,27 +134,19 @@
 	set_state(peers, peer, PEER_ALIVE);
 }
 
-static bool list_has(const GArray *items, const char *name)
-{
-	for (guint i = 0; i < items->len; i++) {
-		if (!strcmp(g_array_index(items, struct list_item, i).name,
-			    name))
-			return true;
-	}
-	return false;
-}
-
 void peers_take_list(struct peers *peers, const GArray *items)
 {
 	GHashTableIter iter;
+	GHashTable *index;
 	gpointer value;
 
 	if (!items || !items->len)
 		return;
+	index = list_items_index(items);
 	g_hash_table_iter_init(&iter, peers->by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct peer *peer = value;
-		bool present = list_has(items, peer->name);
+		bool present = g_hash_table_contains(index, peer->name);
 
 		/*
 		 * A list from before it fell silent proves nothing: it may
@@ -164,6 +156,7 @@
 			peer->listed && !present && peer->state == PEER_DEAD;
 		peer->listed = peer->listed || present;
 	}
+	g_hash_table_unref(index);
 }
 
 /* Latest time at which any entry of a data centre was heard. */
--- a/src/decide/health.c
+++ b/src/decide/health.c
@@ -322,18 +322,6 @@
 	}
 }
 
-static const struct list_item *find_item(const GArray *items, const char *name)
-{
-	for (guint i = 0; i < items->len; i++) {
-		const struct list_item *item =
-			&g_array_index(items, struct list_item, i);
-
-		if (!strcmp(item->name, name))
-			return item;
-	}
-	return NULL;
-}
-
 /*
  * Marks at once, and unmarks after several lists over some time: a list that
  * was made before the newest one can still call an endpoint live.
@@ -369,16 +357,19 @@
 	const GPtrArray *instances =
 		fleet_instances(kernel_fleet(health->kernel));
 	const GArray *items = event->list.items;
+	GHashTable *index;
 
 	/* An empty list would take every endpoint out of service. */
 	if (!items || !items->len)
 		return;
+	index = list_items_index(items);
 	for (guint i = 0; i < instances->len; i++) {
 		const struct fleet_instance *instance = instances->pdata[i];
 
 		take_item(health, instance->decl.name,
-			  find_item(items, instance->decl.name));
+			  g_hash_table_lookup(index, instance->decl.name));
 	}
+	g_hash_table_unref(index);
 	keep_budget(health);
 }
 
