--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -14,6 +14,8 @@
 #include "codec/record_codec.h"
 #include "codec/snapshot_codec.h"
 #include "decide/cluster_digest.h"
+#include "decide/proposer_queue.h"
+#include "decide/slots_share.h"
 #include "kernel/klog.h"
 
 #define IDLE_US (60 * USEC_PER_SEC)
@@ -598,6 +600,91 @@
 	g_ptr_array_unref(files);
 }
 
+/* Pools with endpoints in a data centre: only their loads are sent. */
+static uint32_t pools_in_dc(const struct fleet *fleet, const char *dc)
+{
+	const GPtrArray *pools = fleet_pools(fleet);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < pools->len; i++) {
+		const struct fleet_pool *pool = pools->pdata[i];
+		bool found = false;
+
+		for (guint k = 0; k < pool->instances->len; k++) {
+			const struct fleet_instance *instance =
+				pool->instances->pdata[k];
+
+			found |= !strcmp(instance->decl.dc, dc);
+		}
+		count += found;
+	}
+	return count;
+}
+
+/* Share of a data centre's endpoints of which an entry owns no slot. */
+static double zero_share(const struct fleet *fleet, uint32_t dc_entries)
+{
+	GPtrArray *entries = g_ptr_array_new_with_free_func(g_free);
+	const GPtrArray *instances = fleet_instances(fleet);
+	uint32_t count = 0;
+	uint32_t zero_count = 0;
+
+	for (uint32_t i = 0; i < dc_entries; i++) {
+		struct fleet_entry *entry = g_new0(struct fleet_entry, 1);
+
+		g_snprintf(entry->decl.name, NAME_SIZE_BYTES, "e%03u", i);
+		name_copy(entry->decl.dc, NAME_SIZE_BYTES, "dc0");
+		g_ptr_array_add(entries, entry);
+	}
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *instance = instances->pdata[i];
+
+		if (strcmp(instance->decl.dc, "dc0") != 0)
+			continue;
+		count++;
+		zero_count += !slots_share(entries, "dc0", "e000",
+					   instance->decl.name,
+					   instance->decl.slot_count);
+	}
+	g_ptr_array_unref(entries);
+	return 100.0 * zero_count / MAX(count, 1);
+}
+
+/* What the number of entry instances does at the design size. */
+static void print_entries(void)
+{
+	static const uint32_t entry_counts[] = { 7, 12, 24, 48, 96, 114 };
+	const struct size *size = &sizes[SIZE_COUNT - 1];
+	GPtrArray *files = generate_files(size);
+	struct bed *bed = bed_new(size, BED_PLAIN, files);
+	const struct fleet *fleet = kernel_fleet(bed->kernel);
+	uint32_t pool_count = pools_in_dc(fleet, "dc0");
+
+	printf("\n%u instances, %u data centres, %u of %u pools in one\n",
+	       size->instance_count, size->dc_count, pool_count,
+	       size->pool_count);
+	printf("%8s %8s %10s %10s %10s %12s %12s\n", "entries", "in a dc",
+	       "loads/beat", "mates, s", "remote, s", "append, ms",
+	       "no share, %");
+	for (uint32_t i = 0; i < G_N_ELEMENTS(entry_counts); i++) {
+		uint32_t dc_entries =
+			(entry_counts[i] + size->dc_count - 1) / size->dc_count;
+		struct digest_plan plan = digest_plan(
+			dc_entries - 1, entry_counts[i] - dc_entries);
+		struct append_rate rate = { 0 };
+		double beats = (double)pool_count / plan.load_count;
+
+		append_rate_set(&rate, entry_counts[i]);
+		printf("%8u %8u %10u %10.1f %10.1f %12.1f %12.1f\n",
+		       entry_counts[i], dc_entries, plan.load_count, beats,
+		       beats * (double)plan.remote_round_us / USEC_PER_SEC,
+		       (double)rate.interval_us / USEC_PER_MSEC,
+		       zero_share(fleet, dc_entries));
+	}
+	bed_free(bed);
+	g_ptr_array_unref(files);
+}
+
 int main(int argc, char **argv)
 {
 	klog_init("bench");
@@ -611,5 +698,6 @@
 	for (uint32_t i = 0; i < SIZE_COUNT; i++)
 		measure(i);
 	print_table();
+	print_entries();
 	return 0;
 }
