Size the list answer as the stand-in writes it

Cause: the benchmark counted spaces that jansson's compact form does not write. Change: count the compact form.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -402,7 +402,7 @@
 static void measure_list(struct bed *bed, uint32_t at)
 {
 	const GPtrArray *instances = fleet_instances(kernel_fleet(bed->kernel));
-	uint64_t size_bytes = strlen("{\"instances\": []}");
+	uint64_t size_bytes = strlen("{\"instances\":[]}");
 
 	for (uint32_t i = 0; i < REPEAT_COUNT; i++) {
 		int64_t start_ns;
@@ -417,14 +417,12 @@
 	for (guint i = 0; i < instances->len; i++) {
 		const struct fleet_instance *instance = instances->pdata[i];
 
-		size_bytes +=
-			strlen("{\"name\": \"\", \"state\": \"live\"}, ") +
-			strlen(instance->decl.name);
+		size_bytes += strlen("{\"name\":\"\",\"state\":\"live\"},") +
+			      strlen(instance->decl.name);
 	}
 	for (guint i = 0; i < bed->names->len; i++)
-		size_bytes +=
-			strlen("{\"name\": \"\", \"state\": \"live\"}, ") +
-			strlen(bed->names->pdata[i]);
+		size_bytes += strlen("{\"name\":\"\",\"state\":\"live\"},") +
+			      strlen(bed->names->pdata[i]);
 	table[ROW_LIST_JSON_BYTES][at] = (double)size_bytes;
 }
 
--- a/bench/capacity/generate.c
+++ b/bench/capacity/generate.c
@@ -50,6 +50,7 @@
 static void add_members(GString *text, const struct size *size, uint32_t from,
 			uint32_t until)
 {
+	g_assert(size->pool_count && size->member_count);
 	g_string_append(text, "members:\n");
 	for (uint32_t m = from; m < until; m++)
 		g_string_append_printf(
