--- a/bench/capacity/bed.c
+++ b/bench/capacity/bed.c
@@ -406,6 +406,7 @@
 {
 	struct bed *bed = g_new0(struct bed, 1);
 
+	g_assert(size->dc_count && size->entry_count > size->dc_count);
 	bed->size = size;
 	bed->role = role;
 	bed->names = g_ptr_array_new_with_free_func(g_free);
@@ -415,8 +416,6 @@
 		g_ptr_array_add(bed->sequence, g_new0(uint64_t, 1));
 	}
 	bed->own = role == BED_LOWEST ? 0 : size->dc_count;
-	if (role == BED_LOWEST && size->entry_count <= size->dc_count)
-		g_error("a data centre has one entry instance only");
 	bed->running = g_queue_new();
 	bed->settings = settings_new();
 	name_copy(bed->settings->entry, NAME_SIZE_BYTES,
