--- a/src/decide/proposer.c
+++ b/src/decide/proposer.c
@@ -3,9 +3,6 @@
 #include <string.h>
 
 #include "decide/proposer_queue.h"
-#include "kernel/klog.h"
-
-#define LOG_PREFIX "proposer"
 
 /* Shortest time between appends: one claim waits less than others. */
 #define CLAIM_INTERVAL_US (5 * USEC_PER_MSEC)
@@ -48,6 +45,7 @@
 	int64_t last_other_us; /* last append with other records than claims */
 	int64_t backoff_until_us;
 	int64_t backoff_us;
+	uint32_t batch_max_count; /* less after an append was refused */
 	bool was_member;
 };
 
@@ -63,6 +61,7 @@
 	proposer->last_append_us = -OTHER_INTERVAL_US;
 	proposer->last_other_us = -OTHER_INTERVAL_US;
 	append_rate_set(&proposer->rate, 1);
+	proposer->batch_max_count = BATCH_MAX_COUNT;
 	return proposer;
 }
 
@@ -154,10 +153,11 @@
 static void fill_batch(struct proposer *proposer, bool others_due)
 {
 	bool member = own_entry(proposer) != NULL;
-	uint32_t left_count = BATCH_MAX_COUNT;
-	uint32_t kept_count = others_due ? MIN(proposer->queue.others.length,
-					       OTHERS_PLACES_COUNT)
-					 : 0;
+	uint32_t left_count = proposer->batch_max_count;
+	uint32_t kept_count =
+		others_due ? MIN(proposer->queue.others.length,
+				 MIN(OTHERS_PLACES_COUNT, left_count / 4))
+			   : 0;
 
 	left_count -= take(proposer, &proposer->queue.claims,
 			   left_count - kept_count, member);
@@ -239,13 +239,7 @@
 {
 	if (own_entry(proposer))
 		return proposal_queue_count(&proposer->queue) > 0;
-	for (const GList *at = proposer->queue.others.head; at; at = at->next) {
-		const struct proposal *proposal = at->data;
-
-		if (proposal->record->kind == RECORD_ENTRY_JOIN)
-			return true;
-	}
-	return false;
+	return proposal_queue_has_join(&proposer->queue);
 }
 
 static void try_send(struct proposer *proposer)
@@ -361,6 +355,20 @@
 		ask(proposer);
 }
 
+/*
+ * The log may refuse this one record, for example for its size: others go
+ * first, and it is dropped in the end.
+ */
+static void refused_alone(struct proposer *proposer)
+{
+	struct proposal *proposal = g_ptr_array_steal_index(proposer->batch, 0);
+
+	if (kernel_now_us(proposer->kernel) < proposal->expires_us)
+		proposal_queue_add(&proposer->queue, proposal);
+	else
+		drop(proposer, proposal, "log has refused it for too long");
+}
+
 static void append_not_taken(struct proposer *proposer)
 {
 	back_off(proposer);
@@ -370,8 +378,12 @@
 		proposer->state_until_us = proposer->backoff_until_us;
 		return;
 	}
-	proposal_queue_restore(&proposer->queue, proposer->batch);
 	proposer->state = BATCH_NONE;
+	proposer->batch_max_count = MAX(proposer->batch->len / 2, 1);
+	if (proposer->batch->len > 1)
+		proposal_queue_restore(&proposer->queue, proposer->batch);
+	else
+		refused_alone(proposer);
 }
 
 static void on_appended(struct proposer *proposer, const struct event *event)
@@ -381,12 +393,11 @@
 		return;
 	switch (event->append.result) {
 	case APPEND_OK:
-		for (guint i = 0; i < proposer->batch->len; i++) {
-			struct proposal *proposal = proposer->batch->pdata[i];
-
-			proposal->offset = event->append.first_offset + i;
-		}
+		proposals_set_offsets(proposer->batch,
+				      event->append.first_offset);
 		finish_batch(proposer);
+		proposer->batch_max_count =
+			MIN(2 * proposer->batch_max_count, BATCH_MAX_COUNT);
 		break;
 	case APPEND_NOT_TAKEN:
 		append_not_taken(proposer);
@@ -406,6 +417,7 @@
 		proposer->catch_up_offset = event->log.next_offset - 1;
 		proposer->backoff_us = 0;
 		proposer->backoff_until_us = 0;
+		proposer->batch_max_count = BATCH_MAX_COUNT;
 	}
 	if (event->log.reachable && !proposer->reachable &&
 	    proposer->was_reachable) {
@@ -424,19 +436,6 @@
 	}
 }
 
-static void forget_read_back(struct proposer *proposer)
-{
-	uint64_t offset = fleet_offset(kernel_fleet(proposer->kernel));
-
-	for (guint i = proposer->confirmed->len; i > 0; i--) {
-		const struct proposal *proposal =
-			proposer->confirmed->pdata[i - 1];
-
-		if (proposal->seen || proposal->offset <= offset)
-			g_ptr_array_remove_index(proposer->confirmed, i - 1);
-	}
-}
-
 static void drop_queue(struct proposer *proposer, GQueue *queue,
 		       const char *reason)
 {
@@ -504,21 +503,19 @@
 		proposal_new(record, kernel_now_us(proposer->kernel)));
 }
 
-static int64_t expire_queue(struct proposer *proposer, GQueue *queue)
+/* Returns when the next proposal is too old. */
+static int64_t drop_expired(struct proposer *proposer)
 {
 	int64_t now_us = kernel_now_us(proposer->kernel);
 	struct proposal *proposal;
 
-	while ((proposal = g_queue_peek_head(queue))) {
-		if (proposal->expires_us > now_us)
-			return proposal->expires_us;
-		g_queue_pop_head(queue);
+	while ((proposal =
+			proposal_queue_take_expired(&proposer->queue, now_us)))
 		drop(proposer, proposal, "log was unreachable for too long");
-	}
-	return DEADLINE_NEVER_US;
+	return proposer->queue.expiry_us;
 }
 
-/* Drops what is too old, and asks again where no answer has come. */
+/* Asks again where no answer has come. */
 static void check_deadlines(struct proposer *proposer)
 {
 	if (proposer->state == BATCH_NONE || proposer->state == BATCH_READING ||
@@ -535,9 +532,7 @@
 	int64_t next_us = DEADLINE_NEVER_US;
 
 	if (!proposer->reachable) {
-		next_us = expire_queue(proposer, &proposer->queue.claims);
-		next_us = MIN(next_us,
-			      expire_queue(proposer, &proposer->queue.others));
+		next_us = drop_expired(proposer);
 	} else if (may_send(proposer) && has_sendable(proposer)) {
 		next_us = next_append_us(proposer);
 	} else if (proposer->state == BATCH_READING) {
@@ -579,7 +574,8 @@
 	default:
 		break;
 	}
-	forget_read_back(proposer);
+	proposals_forget_read(proposer->confirmed,
+			      fleet_offset(kernel_fleet(proposer->kernel)));
 	check_deadlines(proposer);
 	check_reading(proposer);
 	try_send(proposer);
--- a/src/decide/proposer_queue.h
+++ b/src/decide/proposer_queue.h
@@ -28,18 +28,32 @@
 bool proposals_all_seen(const GPtrArray *proposals);
 void proposals_mark_seen(GPtrArray *proposals, const struct record_id *id);
 
+/* The log holds them in this order from an offset. */
+void proposals_set_offsets(GPtrArray *proposals, uint64_t first_offset);
+
+/* Removes those that were read back, at an offset up to the given one. */
+void proposals_forget_read(GPtrArray *proposals, uint64_t offset);
+
 /* Claims have a queue of their own: they are sent more often. */
 struct proposal_queue {
 	GQueue claims; /* of struct proposal */
 	GQueue others;
+	int64_t expiry_us; /* no proposal is too old before this time */
 };
 
 uint32_t proposal_queue_count(const struct proposal_queue *queue);
+
+/* Whether our entry_join waits, which goes before everything else. */
+bool proposal_queue_has_join(const struct proposal_queue *queue);
 void proposal_queue_add(struct proposal_queue *queue,
 			struct proposal *proposal);
 
 /* Puts back what was taken, before everything else of its kind. */
 void proposal_queue_restore(struct proposal_queue *queue, GPtrArray *batch);
+
+/* A proposal that is too old, or NULL; sets the time of the next one. */
+struct proposal *proposal_queue_take_expired(struct proposal_queue *queue,
+					     int64_t now_us);
 void proposal_queue_clear(struct proposal_queue *queue);
 
 /*
--- a/test/unit/cluster.c
+++ b/test/unit/cluster.c
@@ -71,10 +71,10 @@
 		uint64_t remote_per_s = (cases[i].remote_count * USEC_PER_SEC +
 					 plan.remote_round_us - 1) /
 					plan.remote_round_us;
-		uint64_t sent_bytes =
-			cases[i].mate_count *
-				(size_bytes(0) + size_bytes(plan.load_count)) +
-			remote_per_s * size_bytes(plan.load_count);
+		uint64_t mate_count = cases[i].mate_count;
+		uint64_t sent_bytes = mate_count * size_bytes(0) +
+				      (mate_count + remote_per_s) *
+					      size_bytes(plan.load_count);
 
 		CU_ASSERT_TRUE(plan.load_count >= 1);
 		CU_ASSERT_TRUE(sent_bytes <= NODE_BYTES_PER_S);
