Read an empty declaration source without aborting

Cause: libyaml asserts that the text is not NULL, and protobuf-c gives NULL for an empty bytes field.

Change: the YAML reader passes an empty text instead. Unit cases cover the empty source, unknown fields in records, batches, peer frames and messages, and an unknown kind of peer message; damaged input was covered before.

Conclusion: an empty source is refused like other unreadable declarations.

--- a/src/codec/yaml_doc.c
+++ b/src/codec/yaml_doc.c
@@ -345,8 +345,9 @@
 	*reader = (struct yaml_reader){ .file = file, .errors = errors };
 	if (!yaml_parser_initialize(&parser))
 		g_error("yaml: out of memory");
-	yaml_parser_set_input_string(&parser, (const unsigned char *)text,
-				     size_bytes);
+	/* libyaml asserts that there is a text, also an empty one. */
+	yaml_parser_set_input_string(
+		&parser, (const unsigned char *)(text ? text : ""), size_bytes);
 	if (!yaml_parser_load(&parser, &reader->document)) {
 		report_syntax(reader, &parser);
 		memset(&reader->document, 0, sizeof(reader->document));
--- a/test/unit/codec.c
+++ b/test/unit/codec.c
@@ -2,8 +2,11 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "codec/decl_yaml.h"
 #include "codec/peer_codec.h"
+#include "codec/proto/peer.pb-c.h"
 #include "codec/proto/record.pb-c.h"
 #include "codec/record_body.h"
 #include "codec/record_codec.h"
@@ -219,22 +222,54 @@
 /* Guards against declarations of a newer version that end a reader. */
 static void test_record_unreadable_decl(void)
 {
-	struct record *record = full_record(RECORD_CONFIG_PUT);
+	static const char *const sources[] = { "members: [", "" };
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(sources); i++) {
+		struct record *record = full_record(RECORD_CONFIG_PUT);
+		char reason[REASON_SIZE_BYTES];
+		struct record *decoded;
+		GBytes *bytes;
+
+		g_bytes_unref(record->config.decl->source);
+		record->config.decl->source =
+			g_bytes_new(sources[i], strlen(sources[i]));
+		bytes = record_encode(record);
+		decoded = decode(bytes, reason);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(decoded);
+		CU_ASSERT_PTR_NULL(decoded->config.decl);
+		record_unref(decoded);
+		record_unref(record);
+		g_bytes_unref(bytes);
+	}
+}
+
+/* Field 100 with the number 1, as a newer version may add. */
+static const uint8_t unknown_field[] = { 0xa0, 0x06, 0x01 };
+
+static GBytes *with_unknown_field(GBytes *bytes)
+{
+	GByteArray *array = g_bytes_unref_to_array(bytes);
+
+	g_byte_array_append(array, unknown_field, sizeof(unknown_field));
+	return g_byte_array_free_to_bytes(array);
+}
+
+/* Guards against a newer version's field that stops an older reader. */
+static void test_record_unknown_field(void)
+{
 	char reason[REASON_SIZE_BYTES];
-	struct record *decoded;
-	GBytes *bytes;
 
-	g_bytes_unref(record->config.decl->source);
-	record->config.decl->source = g_bytes_new_static("members: [", 10);
-	bytes = record_encode(record);
-	decoded = decode(bytes, reason);
-	CU_ASSERT_PTR_NOT_NULL(decoded);
-	if (!decoded)
-		return;
-	CU_ASSERT_PTR_NULL(decoded->config.decl);
-	record_unref(decoded);
-	record_unref(record);
-	g_bytes_unref(bytes);
+	for (uint32_t kind = 1; kind < RECORD_KIND_COUNT; kind++) {
+		struct record *record = full_record((enum record_kind)kind);
+		GBytes *bytes = with_unknown_field(record_encode(record));
+		struct record *decoded = decode(bytes, reason);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(decoded);
+		CU_ASSERT_TRUE(same_record(record, decoded));
+		record_unref(decoded);
+		record_unref(record);
+		g_bytes_unref(bytes);
+	}
 }
 
 static char long_name[NAME_SIZE_BYTES + 1];
@@ -459,6 +494,24 @@
 	g_bytes_unref(bytes);
 }
 
+/* Guards against a newer version's field that stops an older reader. */
+static void test_batch_unknown_field(void)
+{
+	GPtrArray *records = full_batch();
+	GBytes *bytes = with_unknown_field(batch_encode(records));
+	char reason[REASON_SIZE_BYTES];
+	gsize size_bytes;
+	const void *data = g_bytes_get_data(bytes, &size_bytes);
+	GPtrArray *decoded = batch_decode(data, size_bytes, reason);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(decoded);
+	CU_ASSERT_EQUAL(decoded->len, records->len);
+	CU_ASSERT_STRING_EQUAL(reason, "");
+	g_ptr_array_unref(decoded);
+	g_ptr_array_unref(records);
+	g_bytes_unref(bytes);
+}
+
 /* Guards against an append that was changed in one bit or cut short. */
 static void test_batch_damaged(void)
 {
@@ -604,6 +657,52 @@
 	g_bytes_unref(bytes);
 }
 
+static GBytes *framed(const Pl__PeerMsg *msg)
+{
+	GBytes *packed = with_unknown_field(body_serialise(&msg->base));
+	Pl__PeerFrame frame = PL__PEER_FRAME__INIT;
+	GBytes *bytes;
+	gsize size_bytes;
+
+	frame.version = msg->version;
+	frame.msg.data = (uint8_t *)g_bytes_get_data(packed, &size_bytes);
+	frame.msg.len = size_bytes;
+	frame.hash = XXH3_64bits(frame.msg.data, frame.msg.len);
+	bytes = with_unknown_field(body_serialise(&frame.base));
+	g_bytes_unref(packed);
+	return bytes;
+}
+
+/* Guards against a newer version's message that stops an older reader. */
+static void test_peer_newer(void)
+{
+	static const struct {
+		uint32_t wire_kind;
+		enum peer_msg_kind kind;
+	} newer[] = { { 9, PEER_MSG_BYE }, { 4711, PEER_MSG_UNKNOWN } };
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(newer); i++) {
+		Pl__PeerMsg from = PL__PEER_MSG__INIT;
+		char reason[REASON_SIZE_BYTES];
+		struct peer_msg *msg;
+		gsize size_bytes;
+		const void *data;
+		GBytes *bytes;
+
+		from.version = 9;
+		from.kind = newer[i].wire_kind;
+		from.from = "e1";
+		bytes = framed(&from);
+		data = g_bytes_get_data(bytes, &size_bytes);
+		msg = peer_msg_decode(data, size_bytes, reason);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(msg);
+		CU_ASSERT_EQUAL(msg->kind, newer[i].kind);
+		CU_ASSERT_STRING_EQUAL(msg->from, "e1");
+		peer_msg_free(msg);
+		g_bytes_unref(bytes);
+	}
+}
+
 struct invalid_msg {
 	enum peer_msg_kind kind;
 	const char *from;
@@ -661,12 +760,15 @@
 	{ "record_truncated", test_record_truncated },
 	{ "record_unknown_kind", test_record_unknown_kind },
 	{ "record_unreadable_decl", test_record_unreadable_decl },
+	{ "record_unknown_field", test_record_unknown_field },
 	{ "record_invalid", test_record_invalid },
 	{ "batch_round_trip", test_batch_round_trip },
+	{ "batch_unknown_field", test_batch_unknown_field },
 	{ "batch_damaged", test_batch_damaged },
 	{ "batch_invalid_record", test_batch_invalid_record },
 	{ "peer_round_trip", test_peer_round_trip },
 	{ "peer_damaged", test_peer_damaged },
+	{ "peer_newer", test_peer_newer },
 	{ "peer_invalid", test_peer_invalid },
 	CU_TEST_INFO_NULL,
 };
