Separate the answers of the list from its client

Cause: the parser of the platform's list was a static function of the HTTP plug-in, so it could not be fuzzed without a server.

Change: list_wire holds the parser, as log_wire does for the log. No change of behaviour.

Conclusion: list_answer_parse() can be called by tests on its own.

--- a/src/io/list_http.c
+++ b/src/io/list_http.c
@@ -1,9 +1,7 @@
 /* The client of the platform's list: polling and reboots, over HTTP. */
 
-#include <jansson.h>
-#include <string.h>
-
 #include "io/http_call.h"
+#include "io/list_wire.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
@@ -38,44 +36,6 @@
 	counter_add(kernel_counters(client->kernel), counter, 1);
 }
 
-static bool read_item(GArray *items, const json_t *instance)
-{
-	const char *name = json_string_value(json_object_get(instance, "name"));
-	const char *state =
-		json_string_value(json_object_get(instance, "state"));
-	struct list_item item = { .state = LIST_LIVE };
-
-	if (!name || !name[0] || !state ||
-	    !name_copy(item.name, sizeof(item.name), name))
-		return false;
-	if (!strcmp(state, "leaving"))
-		item.state = LIST_LEAVING;
-	else if (strcmp(state, "live") != 0)
-		return false;
-	g_array_append_val(items, item);
-	return true;
-}
-
-/*
- * Reads {"instances":[{"name","state"}]}. A list with one invalid item is
- * refused as a whole: an instance that is missing from it looks gone.
- */
-static GArray *read_list(const GByteArray *body)
-{
-	json_t *root = json_loadb((const char *)body->data, body->len, 0, NULL);
-	const json_t *instances = json_object_get(root, "instances");
-	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct list_item));
-	bool valid = json_is_array(instances);
-
-	for (size_t i = 0; valid && i < json_array_size(instances); i++)
-		valid = read_item(items, json_array_get(instances, i));
-	json_decref(root);
-	if (valid)
-		return items;
-	g_array_unref(items);
-	return NULL;
-}
-
 static void poll_done(void *data, const struct http_result *result)
 {
 	struct list_client *client = data;
@@ -86,7 +46,8 @@
 		count(client, "list_polls_total{result=\"failed\"}");
 		return;
 	}
-	event.list.items = read_list(result->body);
+	event.list.items =
+		list_answer_parse(result->body->data, result->body->len);
 	if (!event.list.items) {
 		klog_warn(LOG_PREFIX, "the list's answer is invalid");
 		count(client, "list_polls_total{result=\"invalid\"}");
