--- a/test/runner/random.c
+++ b/test/runner/random.c
@@ -13,6 +13,7 @@
 #define ABSENT_US (6 * USEC_PER_SEC)
 #define HEAL_US (60 * USEC_PER_SEC)
 #define BURST_MAX 40
+#define FLOOD_BURSTS_COUNT 20
 
 struct driver {
 	struct world *world;
@@ -20,6 +21,7 @@
 	bool trace;
 	uint64_t request_count;
 	uint64_t key_count;
+	uint32_t chosen;     /* bit set of the actions that are taken */
 	GHashTable *absent;  /* names of nodes that the list has lost */
 	GHashTable *leaving; /* names of endpoints that it calls leaving */
 };
@@ -111,6 +113,43 @@
 		add_request(driver, node, path);
 }
 
+/* Far more work than the fleet can take, all for one service. */
+static void do_flood(struct driver *driver, struct node *node)
+{
+	for (uint32_t i = 0; i < FLOOD_BURSTS_COUNT; i++)
+		do_requests(driver, node);
+}
+
+/* Two operators apply the same file at the same base, through two nodes. */
+static void do_race(struct driver *driver, struct node *node)
+{
+	struct world *world = driver->world;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct node *at = world->nodes->pdata[i];
+		struct event event = { .type = EVENT_PROPOSE };
+		const struct decl *decl;
+		GPtrArray *files;
+
+		if (!at->kernel || at->paused ||
+		    (at != node && below(driver, 2)))
+			continue;
+		files = fleet_files(kernel_fleet(at->kernel));
+		if (files->len) {
+			event.record.record = record_new(RECORD_CONFIG_PUT);
+			name_copy(event.record.record->config.file,
+				  NAME_SIZE_BYTES, files->pdata[0]);
+			decl = fleet_file(
+				kernel_fleet(at->kernel), files->pdata[0],
+				&event.record.record->config.base_offset);
+			event.record.record->config.decl =
+				decl_ref((struct decl *)decl);
+			world_inject(world, at, &event);
+		}
+		g_ptr_array_unref(files);
+	}
+}
+
 static void do_kill(struct driver *driver, struct node *node)
 {
 	if (node->kernel && running_count(driver->world) > 1)
@@ -336,21 +375,45 @@
 	{ "log-down", 3, do_log_down },	 { "log-lose", 3, do_log_lose },
 	{ "delays", 3, do_delays },	 { "endpoint", 6, do_endpoint },
 	{ "leaving", 2, do_leaving },	 { "list", 8, do_list },
-	{ "move", 6, do_move },
+	{ "move", 6, do_move },		 { "flood", 2, do_flood },
+	{ "race", 2, do_race },
 };
 
+static uint32_t weight_of(const struct driver *driver, uint32_t index)
+{
+	return driver->chosen & (1u << index) ? actions[index].weight : 0;
+}
+
+/* Requests, lists and what ends a fault are always among the actions. */
+static uint32_t choose_actions(const char *faults)
+{
+	static const char always[] = "requests,start,resume,list";
+	char *text = g_strconcat(always, ",", faults, NULL);
+	gchar **names = g_strsplit(text, ",", -1);
+	uint32_t chosen = 0;
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(actions); i++) {
+		if (!faults || g_strv_contains((const gchar *const *)names,
+					       actions[i].name))
+			chosen |= 1u << i;
+	}
+	g_strfreev(names);
+	g_free(text);
+	return chosen;
+}
+
 static const struct action *pick_action(struct driver *driver)
 {
 	uint32_t total = 0;
 	uint32_t at;
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(actions); i++)
-		total += actions[i].weight;
+		total += weight_of(driver, i);
 	at = below(driver, total);
 	for (uint32_t i = 0;; i++) {
-		if (at < actions[i].weight)
+		if (at < weight_of(driver, i))
 			return &actions[i];
-		at -= actions[i].weight;
+		at -= weight_of(driver, i);
 	}
 }
 
@@ -460,11 +523,12 @@
 }
 
 void random_run(struct world *world, uint32_t seed, uint32_t step_count,
-		bool trace)
+		const char *faults, bool trace)
 {
 	struct driver driver = {
 		.world = world,
 		.random = g_rand_new_with_seed(seed),
+		.chosen = choose_actions(faults),
 		.trace = trace,
 		.absent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						NULL),
@@ -477,8 +541,10 @@
 	settle(&driver);
 	check_recovered(world);
 	/* No totals: every change of a rule would change them. */
-	world_print(world, "           random seed=%u steps=%u: %u violations",
-		    seed, step_count, world->violation_count);
+	world_print(world,
+		    "           random seed=%u steps=%u%s%s: %u violations",
+		    seed, step_count, faults ? " faults=" : "",
+		    faults ? faults : "", world->violation_count);
 	if (trace)
 		world_print(world,
 			    "%10.3f requests %" G_GUINT64_FORMAT
--- a/test/runner/script_slots.c
+++ b/test/runner/script_slots.c
@@ -89,11 +89,12 @@
 	g_string_free(line, TRUE);
 }
 
-/* random seed=N steps=M [trace=1] */
+/* random seed=N steps=M [faults=NAME,NAME] [trace=1] */
 static void cmd_random(struct script *script)
 {
 	random_run(script->world, (uint32_t)script_number(script, "seed", 1),
 		   (uint32_t)script_number(script, "steps", 100),
+		   script_option(script, "faults"),
 		   script_number(script, "trace", 0) != 0);
 }
 
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -176,6 +176,6 @@
 
 /* random.c: random faults and requests from a seed. */
 void random_run(struct world *world, uint32_t seed, uint32_t step_count,
-		bool trace);
+		const char *faults, bool trace);
 
 #endif
