Split the contract tests of the front end and of endpoints

Cause: test/contract/front.c (609 lines) held the tests of the HTTP server itself, and test/contract/endpoint.c (674 lines) held its scripted endpoint. front.c and operator.c had the same check of an answer, and tests repeated the set-up of a request that is not answered.

Change: the tests of the server are the suite httpd in httpd.c; the scripted endpoint is fake_endpoint.c. contract_expect(), send_late() and ask_silent() replace the repeated lines. No check, bound or case was changed.

Conclusion: no change of what is tested.

--- a/test/contract/contract.c
+++ b/test/contract/contract.c
@@ -317,3 +317,11 @@
 	*port = ntohs(address.sin_port);
 	return fd;
 }
+
+void contract_expect(const char *name, const char *answer, const char *part)
+{
+	if (!strstr(answer, part))
+		printf("\n    %s: expected \"%s\" in: %s\n", name, part,
+		       answer);
+	CU_ASSERT_PTR_NOT_NULL(strstr(answer, part));
+}
--- a/test/contract/contract.h
+++ b/test/contract/contract.h
@@ -53,6 +53,11 @@
 /* Turns that the loop makes within 50 ms; a loop that spins makes thousands. */
 uint32_t contract_idle_turns(struct ev_loop *ev);
 
+/* Checks that an answer holds a part; prints both if it does not. */
+void contract_expect(const char *name, const char *answer, const char *part);
+
+#define GET_ROOT "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
 /* One end of a TCP connection that sends and receives raw bytes. */
 struct wire {
 	struct ev_loop *ev;
--- a/test/contract/endpoint.c
+++ b/test/contract/endpoint.c
@@ -1,128 +1,9 @@
 /* The endpoint client against a scripted endpoint. */
 
-#include <fcntl.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include "contract/contract.h"
-
-enum after_answer {
-	AFTER_KEEP,  /* the connection stays open */
-	AFTER_CLOSE, /* orderly end of the stream */
-	AFTER_RESET,
-};
-
-/* What an endpoint does with one request. */
-struct script {
-	const char *answer; /* sent as it is */
-	enum after_answer after;
-};
-
-/* An endpoint that answers its requests in order by a script. */
-struct endpoint {
-	struct ev_loop *ev;
-	uint16_t port;
-	ev_io listener;
-	ev_check check;
-	GPtrArray *wires;	    /* of struct wire */
-	const struct script *steps; /* ends with a NULL answer */
-	uint32_t request_count;
-	GString *last_request;
-};
-
-static void on_accept(struct ev_loop *ev, ev_io *watcher, int revents)
-{
-	struct endpoint *endpoint = watcher->data;
-	int fd = accept(watcher->fd, NULL, NULL);
-
-	(void)revents;
-	CU_ASSERT_FATAL(fd >= 0);
-	g_ptr_array_add(endpoint->wires, wire_new(ev, fd));
-}
-
-static void finish_wire(struct wire *wire, enum after_answer after)
-{
-	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-	int fd = wire->reader.fd;
-
-	send(fd, wire->sent->str, wire->sent->len, MSG_NOSIGNAL);
-	g_string_truncate(wire->sent, 0);
-	if (after == AFTER_KEEP)
-		return;
-	ev_io_stop(wire->ev, &wire->reader);
-	if (after == AFTER_CLOSE) {
-		shutdown(fd, SHUT_WR);
-		return;
-	}
-	/* Closing with a linger time of 0 resets the connection. */
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-	ev_io_set(&wire->reader, dup(STDIN_FILENO), EV_READ);
-	ev_io_set(&wire->writer, wire->reader.fd, EV_WRITE);
-	close(fd);
-}
-
-static void answer_wire(struct endpoint *endpoint, struct wire *wire)
-{
-	const struct script *step = endpoint->steps;
-
-	if (!step->answer || !wire_has_message(wire))
-		return;
-	endpoint->request_count++;
-	endpoint->steps++;
-	g_string_assign(endpoint->last_request, wire->received->str);
-	g_string_truncate(wire->received, 0);
-	g_string_append(wire->sent, step->answer);
-	finish_wire(wire, step->after);
-}
-
-/* Runs after the sockets were read. */
-static void on_check(struct ev_loop *ev, ev_check *watcher, int revents)
-{
-	struct endpoint *endpoint = watcher->data;
-
-	(void)ev;
-	(void)revents;
-	for (guint i = 0; i < endpoint->wires->len; i++)
-		answer_wire(endpoint, endpoint->wires->pdata[i]);
-}
-
-static void free_wire(gpointer wire)
-{
-	wire_free(wire);
-}
-
-static struct endpoint *endpoint_new(struct ev_loop *ev,
-				     const struct script *steps)
-{
-	struct endpoint *endpoint = g_new0(struct endpoint, 1);
-	int fd = contract_bind(&endpoint->port);
-
-	CU_ASSERT_EQUAL_FATAL(listen(fd, 16), 0);
-	endpoint->ev = ev;
-	endpoint->steps = steps;
-	endpoint->wires = g_ptr_array_new_with_free_func(free_wire);
-	endpoint->last_request = g_string_new(NULL);
-	ev_io_init(&endpoint->listener, on_accept, fd, EV_READ);
-	endpoint->listener.data = endpoint;
-	ev_io_start(ev, &endpoint->listener);
-	ev_check_init(&endpoint->check, on_check);
-	/* Below the sockets' priority, so that it sees what they have read. */
-	ev_set_priority(&endpoint->check, EV_MINPRI);
-	endpoint->check.data = endpoint;
-	ev_check_start(ev, &endpoint->check);
-	return endpoint;
-}
-
-static void endpoint_free(struct endpoint *endpoint)
-{
-	g_ptr_array_unref(endpoint->wires);
-	ev_io_stop(endpoint->ev, &endpoint->listener);
-	ev_check_stop(endpoint->ev, &endpoint->check);
-	close(endpoint->listener.fd);
-	g_string_free(endpoint->last_request, TRUE);
-	g_free(endpoint);
-}
+#include "contract/fake_endpoint.h"
 
 /* Stands in for the router: collects how attempts ended. */
 struct outcome {
@@ -150,7 +31,7 @@
 
 struct client_test {
 	struct contract *contract;
-	struct endpoint *endpoint;
+	struct fake_endpoint *endpoint;
 	struct outcome outcome;
 	uint32_t asked_count;
 };
@@ -167,24 +48,23 @@
 	"- {name: pay, member: m, pool: p, path: /pay, urgency: urgent,"
 	" idempotent: false}\n";
 
-static void setup(struct client_test *test, const struct script *steps)
+static void setup(struct client_test *test, const struct fake_step *steps)
 {
 	*test = (struct client_test){ .contract = contract_new() };
 	contract_declare(test->contract, "a.yaml", declarations);
 	contract_start(test->contract, PLUGIN_ENDPOINT, "curl");
 	kernel_start_plugin_with(test->contract->kernel, &outcome_plugin,
 				 &test->outcome);
-	test->endpoint = endpoint_new(test->contract->ev, steps);
+	test->endpoint = fake_endpoint_new(test->contract->ev, steps);
 }
 
 static void teardown(struct client_test *test)
 {
-	endpoint_free(test->endpoint);
+	fake_endpoint_free(test->endpoint);
 	contract_free(test->contract);
 	answer_unref(test->outcome.answer);
 }
 
-/* A request with the given method and path; its id is returned. */
 static struct request *add_request(struct client_test *test, const char *method,
 				   const char *path, const char *body)
 {
@@ -253,17 +133,9 @@
 	CU_ASSERT_EQUAL(outcome->answer != NULL, result == ATTEMPT_ANSWERED);
 }
 
-#define STEPS(...)                                                             \
-	{                                                                      \
-		__VA_ARGS__,                                                   \
-		{                                                              \
-			NULL                                                   \
-		}                                                              \
-	}
-
 struct fault_case {
 	const char *name;
-	struct script steps[2];
+	struct fake_step steps[2];
 	enum attempt_result result;
 	enum verdict verdict;
 	uint32_t status;
@@ -364,25 +236,32 @@
 	return test->endpoint->request_count > 0;
 }
 
+/* Sends an attempt and waits until the endpoint has it. */
+static struct event ask_silent(struct client_test *test, const char *method,
+			       const char *path, const char *body)
+{
+	struct request *request = add_request(test, method, path, body);
+	struct event event = attempt_event(test, request, 30 * USEC_PER_SEC);
+
+	kernel_emit(test->contract->kernel, &event);
+	CU_ASSERT_TRUE(contract_until(test->contract->ev, is_asked, test));
+	return event;
+}
+
 /* Guards against a body past the bound that comes in chunks. */
 static void test_unbounded_chunks(void)
 {
-	static const struct script silent[] = STEPS({ "" });
+	static const struct fake_step silent[] = STEPS({ "" });
 	GString *answer = g_string_new(
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
 	char *chunk = g_strnfill(0x10000, 'c');
 	struct client_test test;
-	struct request *request;
-	struct event event;
 
 	for (uint32_t i = 0; i < 65; i++)
 		g_string_append_printf(answer, "10000\r\n%s\r\n", chunk);
 	g_string_append(answer, "0\r\n\r\n");
 	setup(&test, silent);
-	request = add_request(&test, "GET", "/safe", NULL);
-	event = attempt_event(&test, request, 30 * USEC_PER_SEC);
-	kernel_emit(test.contract->kernel, &event);
-	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_asked, &test));
+	ask_silent(&test, "GET", "/safe", NULL);
 	wire_send(test.endpoint->wires->pdata[0], answer->str, answer->len);
 	test.asked_count++;
 	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_done, &test));
@@ -396,7 +275,7 @@
 /* Guards against a refused connection that is reported as maybe run. */
 static void test_refused(void)
 {
-	static const struct script none[] = { { NULL } };
+	static const struct fake_step none[] = { { NULL } };
 	struct client_test test;
 	struct request *request;
 	struct event event;
@@ -417,7 +296,7 @@
 /* Guards against an attempt that outlives its deadline. */
 static void test_timeout(void)
 {
-	static const struct script silent[] = STEPS({ "" });
+	static const struct fake_step silent[] = STEPS({ "" });
 	struct client_test test;
 	struct request *request;
 	struct event event;
@@ -444,7 +323,7 @@
  */
 static void test_late_answer(void)
 {
-	static const struct script steps[] =
+	static const struct fake_step steps[] =
 		STEPS({ "" },
 		      { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright" });
 	static const char late[] =
@@ -473,7 +352,7 @@
  */
 static void test_broken_reuse(void)
 {
-	static const struct script steps[] =
+	static const struct fake_step steps[] =
 		STEPS({ "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" },
 		      { "", AFTER_CLOSE },
 		      { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb" });
@@ -500,7 +379,7 @@
  */
 static void test_reuse(void)
 {
-	static const struct script steps[] =
+	static const struct fake_step steps[] =
 		STEPS({ "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" },
 		      { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb" },
 		      { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nc" });
@@ -519,16 +398,12 @@
 /* Guards against a cancelled attempt that stays open or ends twice. */
 static void test_cancel(void)
 {
-	static const struct script silent[] = STEPS({ "" });
+	static const struct fake_step silent[] = STEPS({ "" });
 	struct client_test test;
-	struct request *request;
 	struct event event;
 
 	setup(&test, silent);
-	request = add_request(&test, "POST", "/pay", "x");
-	event = attempt_event(&test, request, 30 * USEC_PER_SEC);
-	kernel_emit(test.contract->kernel, &event);
-	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_asked, &test));
+	event = ask_silent(&test, "POST", "/pay", "x");
 	event.type = EVENT_ATTEMPT_CANCEL;
 	send_event(&test, &event);
 	expect("cancel", &test.outcome, ATTEMPT_CANCELLED, VERDICT_MAY_HAVE_RUN,
@@ -543,7 +418,7 @@
 /* Guards against a request that reaches the endpoint changed. */
 static void test_passed_on(void)
 {
-	static const struct script steps[] =
+	static const struct fake_step steps[] =
 		STEPS({ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" },
 		      { "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" });
 	struct client_test test;
@@ -605,7 +480,7 @@
 {
 	for (gsize i = 0; i < G_N_ELEMENTS(relay_cases); i++) {
 		const struct relay_case *one = &relay_cases[i];
-		const struct script steps[] = STEPS({ one->answer });
+		const struct fake_step steps[] = STEPS({ one->answer });
 		struct client_test test;
 		struct request *request;
 		struct event event;
@@ -635,7 +510,7 @@
 /* Guards against a request that has ended meanwhile and is sent anyway. */
 static void test_unknown_request(void)
 {
-	static const struct script none[] = { { NULL } };
+	static const struct fake_step none[] = { { NULL } };
 	struct client_test test;
 	struct request *request;
 	struct event event;
--- a/test/contract/front.c
+++ b/test/contract/front.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "contract/contract.h"
-#include "io/mhd_loop.h"
 
 /* Stands in for the router: answers by path. */
 struct router {
@@ -89,12 +88,15 @@
 	g_free(test->router.last_path);
 }
 
-static void expect(const char *name, const char *answer, const char *part)
+/* A request that the router does not answer, on a connection of its own. */
+static struct wire *send_late(struct ev_loop *ev, const struct front_test *test)
 {
-	if (!strstr(answer, part))
-		printf("\n    %s: expected \"%s\" in: %s\n", name, part,
-		       answer);
-	CU_ASSERT_PTR_NOT_NULL(strstr(answer, part));
+	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct wire *wire =
+		wire_connect(ev, contract_caller_port(test->contract));
+
+	wire_send(wire, late, strlen(late));
+	return wire;
 }
 
 struct exchange_case {
@@ -194,7 +196,8 @@
 		answer = wire_ask(test.wire, one->request);
 		for (gsize k = 0; k < G_N_ELEMENTS(one->parts); k++) {
 			if (one->parts[k])
-				expect(one->name, answer, one->parts[k]);
+				contract_expect(one->name, answer,
+						one->parts[k]);
 		}
 		CU_ASSERT_EQUAL(test.router.new_count, one->new_count);
 		CU_ASSERT_EQUAL(
@@ -248,9 +251,9 @@
 		setup(&test);
 		wire_send(test.wire, head, strlen(head));
 		wire_send(test.wire, body, sizes_bytes[i]);
-		expect("body bound", wire_answer(test.wire),
-		       sizes_bytes[i] <= 1048576 ? "HTTP/1.1 201 "
-						 : "HTTP/1.1 413 ");
+		contract_expect("body bound", wire_answer(test.wire),
+				sizes_bytes[i] <= 1048576 ? "HTTP/1.1 201 "
+							  : "HTTP/1.1 413 ");
 		CU_ASSERT_EQUAL(test.router.new_count,
 				sizes_bytes[i] <= 1048576);
 		g_free(head);
@@ -272,9 +275,9 @@
 					     value);
 
 		setup(&test);
-		expect("header bound", wire_ask(test.wire, text),
-		       sizes_bytes[i] <= 16384 ? "HTTP/1.1 201 "
-					       : "HTTP/1.1 431 ");
+		contract_expect("header bound", wire_ask(test.wire, text),
+				sizes_bytes[i] <= 16384 ? "HTTP/1.1 201 "
+							: "HTTP/1.1 431 ");
 		g_free(text);
 		g_free(value);
 		teardown(&test);
@@ -327,21 +330,17 @@
  */
 static void test_disconnect(void)
 {
-	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
 	struct front_test test;
 	struct wire *other;
 
 	setup(&test);
-	other = wire_connect(test.contract->ev,
-			     contract_caller_port(test.contract));
-	wire_send(other, late, strlen(late));
+	other = send_late(test.contract->ev, &test);
 	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_new, &test.router));
 	wire_free(other);
 	CU_ASSERT_TRUE(
 		contract_until(test.contract->ev, is_gone, &test.router));
-	expect("after a disconnect",
-	       wire_ask(test.wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-	       "HTTP/1.1 201 ");
+	contract_expect("after a disconnect", wire_ask(test.wire, GET_ROOT),
+			"HTTP/1.1 201 ");
 	CU_ASSERT_EQUAL(test.router.gone_count, 1);
 	CU_ASSERT_EQUAL(request_count(kernel_requests(test.contract->kernel)),
 			0);
@@ -353,27 +352,24 @@
  */
 static void test_drain(void)
 {
-	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
 	struct event drain = { .type = EVENT_DRAIN };
 	struct front_test test;
 	struct wire *other;
 	const char *answer;
 
 	setup(&test);
-	other = wire_connect(test.contract->ev,
-			     contract_caller_port(test.contract));
-	wire_send(other, late, strlen(late));
+	other = send_late(test.contract->ev, &test);
 	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_new, &test.router));
 	drain.drain.deadline_us = g_get_monotonic_time() + USEC_PER_SEC;
 	kernel_emit(test.contract->kernel, &drain);
 	kernel_run(test.contract->kernel);
-	answer = wire_ask(test.wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-	expect("drain", answer, "HTTP/1.1 503 ");
-	expect("drain", answer, "Pl-Verdict: not-run");
-	expect("drain", answer, "Retry-After: 1");
+	answer = wire_ask(test.wire, GET_ROOT);
+	contract_expect("drain", answer, "HTTP/1.1 503 ");
+	contract_expect("drain", answer, "Pl-Verdict: not-run");
+	contract_expect("drain", answer, "Retry-After: 1");
 	CU_ASSERT_EQUAL(test.router.new_count, 1);
 	reply(&test.router, test.router.last_id, "/echo");
-	expect("in flight", wire_answer(other), "HTTP/1.1 201 ");
+	contract_expect("in flight", wire_answer(other), "HTTP/1.1 201 ");
 	wire_free(other);
 	teardown(&test);
 }
@@ -386,19 +382,18 @@
 /* Guards against a process that ends without a verdict for its callers. */
 static void test_unfinished(void)
 {
-	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
 	struct front_test test;
 	struct ev_loop *ev = ev_loop_new(EVFLAG_AUTO);
 	struct wire *other;
 
 	setup(&test);
-	other = wire_connect(ev, contract_caller_port(test.contract));
-	wire_send(other, late, strlen(late));
+	other = send_late(ev, &test);
 	CU_ASSERT_TRUE(contract_until(ev, is_sent, other));
 	CU_ASSERT_TRUE(contract_until(test.contract->ev, is_new, &test.router));
 	teardown(&test);
-	expect("unfinished", wire_answer(other), "HTTP/1.1 503 ");
-	expect("unfinished", other->received->str, "Pl-Verdict: may-have-run");
+	contract_expect("unfinished", wire_answer(other), "HTTP/1.1 503 ");
+	contract_expect("unfinished", other->received->str,
+			"Pl-Verdict: may-have-run");
 	wire_free(other);
 	ev_loop_destroy(ev);
 }
@@ -406,16 +401,13 @@
 /* Guards against a front end that keeps the loop busy while it waits. */
 static void test_idle(void)
 {
-	static const char late[] = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
 	struct front_test test;
 	struct wire *other;
 
 	setup(&test);
-	wire_ask(test.wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	wire_ask(test.wire, GET_ROOT);
 	CU_ASSERT_TRUE(contract_idle_turns(test.contract->ev) < 20);
-	other = wire_connect(test.contract->ev,
-			     contract_caller_port(test.contract));
-	wire_send(other, late, strlen(late));
+	other = send_late(test.contract->ev, &test);
 	CU_ASSERT_TRUE(contract_idle_turns(test.contract->ev) < 20);
 	wire_send(test.wire, "GET /par", 8);
 	CU_ASSERT_TRUE(contract_idle_turns(test.contract->ev) < 20);
@@ -423,170 +415,6 @@
 	teardown(&test);
 }
 
-#define SLOW_CONNECTIONS_COUNT 16
-#define BIG_BYTES ((gsize)64 * 1024 * 1024)
-
-/* The binding with a short time for slow clients. */
-struct slow_test {
-	struct ev_loop *ev;
-	struct httpd *httpd;
-	uint32_t request_count;
-	bool big; /* answer with more than the socket buffers hold */
-};
-
-static void slow_request(void *self, struct exchange *exchange)
-{
-	struct slow_test *test = self;
-	GBytes *body = NULL;
-
-	test->request_count++;
-	if (test->big)
-		body = g_bytes_new_take(g_malloc0(BIG_BYTES), BIG_BYTES);
-	exchange_reply(exchange, 200, "", body);
-	if (body)
-		g_bytes_unref(body);
-}
-
-static void slow_gone(void *self, struct exchange *exchange)
-{
-	(void)self;
-	(void)exchange;
-}
-
-static const struct httpd_ops slow_ops = {
-	.request = slow_request,
-	.gone = slow_gone,
-};
-
-static void slow_setup(struct slow_test *test)
-{
-	const struct httpd_limits limits = {
-		.body_max_bytes = 1024,
-		.connections_max_count = SLOW_CONNECTIONS_COUNT,
-		.slow_client_us = 50 * USEC_PER_MSEC,
-	};
-
-	*test = (struct slow_test){ .ev = ev_loop_new(EVFLAG_AUTO) };
-	test->httpd =
-		httpd_new(test->ev, "127.0.0.1:0", &limits, &slow_ops, test);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(test->httpd);
-}
-
-static void slow_teardown(struct slow_test *test)
-{
-	httpd_free(test->httpd);
-	ev_loop_destroy(test->ev);
-}
-
-struct slow_case {
-	const char *name;
-	const char *sent;
-	const char *part; /* of the answer; NULL: closed without one */
-};
-
-static const struct slow_case slow_cases[] = {
-	{ "no request", "", "HTTP/1.1 408 " },
-	{ "half of the headers", "GET / HTTP/1.1\r\nHost:", "HTTP/1.1 408 " },
-	{ "half of the body",
-	  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf",
-	  "HTTP/1.1 408 " },
-	{ "an unfinished chunk",
-	  "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-	  "9\r\nhalf",
-	  "HTTP/1.1 408 " },
-};
-
-/* Guards against clients that hold a connection without a whole request. */
-static void test_slow_sender(void)
-{
-	for (gsize i = 0; i < G_N_ELEMENTS(slow_cases); i++) {
-		struct slow_test test;
-		struct wire *wire;
-
-		slow_setup(&test);
-		wire = wire_connect(test.ev, httpd_port(test.httpd));
-		wire_send(wire, slow_cases[i].sent, strlen(slow_cases[i].sent));
-		CU_ASSERT_TRUE(wire_until_closed(wire));
-		expect(slow_cases[i].name, wire->received->str,
-		       slow_cases[i].part);
-		CU_ASSERT_EQUAL(test.request_count, 0);
-		wire_free(wire);
-		slow_teardown(&test);
-	}
-}
-
-/* Guards against an unasked 408 that a client takes for its next answer. */
-static void test_idle_connection(void)
-{
-	struct slow_test test;
-	struct wire *wire;
-
-	slow_setup(&test);
-	wire = wire_connect(test.ev, httpd_port(test.httpd));
-	expect("first", wire_ask(wire, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-	       "HTTP/1.1 200 ");
-	CU_ASSERT_TRUE(wire_until_closed(wire));
-	CU_ASSERT_PTR_NULL(strstr(wire->received->str, " 408 "));
-	wire_free(wire);
-	slow_teardown(&test);
-}
-
-/* Guards against more connections than the bound, and against one over it
- * that is never served.
- */
-static void test_connection_bound(void)
-{
-	struct wire *wires[SLOW_CONNECTIONS_COUNT];
-	struct slow_test test;
-	struct wire *last;
-	uint32_t closed_count = 0;
-
-	slow_setup(&test);
-	for (gsize i = 0; i < G_N_ELEMENTS(wires); i++)
-		wires[i] = wire_connect(test.ev, httpd_port(test.httpd));
-	last = wire_connect(test.ev, httpd_port(test.httpd));
-	expect("over the bound",
-	       wire_ask(last, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-	       "HTTP/1.1 200 ");
-	for (gsize i = 0; i < G_N_ELEMENTS(wires); i++) {
-		closed_count += wires[i]->closed || wires[i]->received->len;
-		wire_free(wires[i]);
-	}
-	CU_ASSERT_TRUE(closed_count > 0);
-	wire_free(last);
-	slow_teardown(&test);
-}
-
-static bool slow_is_asked(const void *data)
-{
-	return ((const struct slow_test *)data)->request_count > 0;
-}
-
-/* Guards against a client that never reads its answer. */
-static void test_slow_reader(void)
-{
-	static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-	struct slow_test test;
-	struct wire *reader;
-	struct wire *watcher;
-
-	slow_setup(&test);
-	test.big = true;
-	reader = wire_connect(test.ev, httpd_port(test.httpd));
-	ev_io_stop(test.ev, &reader->reader);
-	wire_send(reader, request, strlen(request));
-	/* A connection opened later is closed after the reader's. */
-	CU_ASSERT_TRUE(contract_until(test.ev, slow_is_asked, &test));
-	watcher = wire_connect(test.ev, httpd_port(test.httpd));
-	CU_ASSERT_TRUE(wire_until_closed(watcher));
-	ev_io_start(test.ev, &reader->reader);
-	CU_ASSERT_TRUE(wire_until_closed(reader));
-	CU_ASSERT_TRUE(reader->received->len < BIG_BYTES);
-	wire_free(watcher);
-	wire_free(reader);
-	slow_teardown(&test);
-}
-
 static const CU_TestInfo tests[] = {
 	{ "exchanges", test_exchanges },
 	{ "request_fields", test_request_fields },
@@ -597,10 +425,6 @@
 	{ "drain", test_drain },
 	{ "unfinished", test_unfinished },
 	{ "idle", test_idle },
-	{ "slow_sender", test_slow_sender },
-	{ "idle_connection", test_idle_connection },
-	{ "connection_bound", test_connection_bound },
-	{ "slow_reader", test_slow_reader },
 	CU_TEST_INFO_NULL,
 };
 
--- a/test/contract/operator.c
+++ b/test/contract/operator.c
@@ -31,14 +31,6 @@
 		record_unref(test->log.silent);
 }
 
-static void expect(const char *name, const char *answer, const char *part)
-{
-	if (!strstr(answer, part))
-		printf("\n    %s: expected \"%s\" in: %s\n", name, part,
-		       answer);
-	CU_ASSERT_PTR_NOT_NULL(strstr(answer, part));
-}
-
 static char *make_request(const char *line, const char *body)
 {
 	return g_strdup_printf("%s HTTP/1.1\r\nHost: x\r\n"
@@ -113,9 +105,9 @@
 		struct operator_test test;
 
 		setup(&test);
-		expect(access_cases[i].name,
-		       wire_ask(test.wire, access_cases[i].request),
-		       access_cases[i].part);
+		contract_expect(access_cases[i].name,
+				wire_ask(test.wire, access_cases[i].request),
+				access_cases[i].part);
 		CU_ASSERT_EQUAL(test.log.drain_count, 0);
 		CU_ASSERT_EQUAL(test.log.proposed_count, 0);
 		teardown(&test);
@@ -277,7 +269,8 @@
 		answer = ask(&test, "POST /v1/apply", one->body);
 		for (gsize k = 0; k < G_N_ELEMENTS(one->parts); k++) {
 			if (one->parts[k])
-				expect(one->name, answer, one->parts[k]);
+				contract_expect(one->name, answer,
+						one->parts[k]);
 		}
 		CU_ASSERT_EQUAL(test.log.proposed_count, one->proposed_count);
 		teardown(&test);
@@ -316,14 +309,15 @@
 			g_get_real_time());
 	kernel_run(test.contract->kernel);
 	answer = wire_answer(test.wire);
-	expect("unknown", answer, "HTTP/1.1 504 ");
-	expect("unknown", answer, "\"outcome\":\"unknown\"");
-	expect("unknown", answer, "\"ask_again\":");
+	contract_expect("unknown", answer, "HTTP/1.1 504 ");
+	contract_expect("unknown", answer, "\"outcome\":\"unknown\"");
+	contract_expect("unknown", answer, "\"ask_again\":");
 	/* The late outcome reaches nobody. */
 	fake_log_append(&test.log, test.log.silent);
 	kernel_run(test.contract->kernel);
-	expect("after a late outcome", ask(&test, "GET /v1/status", ""),
-	       "\"name\":\"a.yaml\"");
+	contract_expect("after a late outcome",
+			ask(&test, "GET /v1/status", ""),
+			"\"name\":\"a.yaml\"");
 	teardown(&test);
 }
 
@@ -339,7 +333,8 @@
 	kernel_run(test.contract->kernel);
 	test.wire = wire_connect(test.contract->ev,
 				 contract_operator_port(test.contract));
-	expect("gone", ask(&test, "GET /v1/status", ""), "\"name\":\"a.yaml\"");
+	contract_expect("gone", ask(&test, "GET /v1/status", ""),
+			"\"name\":\"a.yaml\"");
 	teardown(&test);
 }
 
@@ -359,7 +354,7 @@
 	CU_ASSERT_TRUE(
 		contract_until(test.contract->ev, is_proposed, &test.log));
 	teardown(&test);
-	expect("end", wire_answer(other), "\"outcome\":\"unknown\"");
+	contract_expect("end", wire_answer(other), "\"outcome\":\"unknown\"");
 	wire_free(other);
 	ev_loop_destroy(ev);
 	g_free(text);
@@ -469,7 +464,7 @@
 		const char *answer = ask(&test, line, "");
 
 		if (one->count == SIZE_MAX) {
-			expect(line, answer, "HTTP/1.1 400 ");
+			contract_expect(line, answer, "HTTP/1.1 400 ");
 		} else {
 			json_t *json = json_of(answer);
 
@@ -512,17 +507,22 @@
 	struct operator_test test;
 
 	setup(&test);
-	expect("joined", ask(&test, "GET /readyz", ""), "HTTP/1.1 200 ");
+	contract_expect("joined", ask(&test, "GET /readyz", ""),
+			"HTTP/1.1 200 ");
 	contract_join(test.contract, "e1", 8);
-	expect("other incarnation", ask(&test, "GET /readyz", ""),
-	       "HTTP/1.1 503 ");
+	contract_expect("other incarnation", ask(&test, "GET /readyz", ""),
+			"HTTP/1.1 503 ");
 	teardown(&test);
 	setup(&test);
-	expect("drain", ask(&test, "POST /v1/drain", ""), "HTTP/1.1 202 ");
-	expect("drain", ask(&test, "POST /v1/drain", ""), "HTTP/1.1 202 ");
+	contract_expect("drain", ask(&test, "POST /v1/drain", ""),
+			"HTTP/1.1 202 ");
+	contract_expect("drain", ask(&test, "POST /v1/drain", ""),
+			"HTTP/1.1 202 ");
 	CU_ASSERT_EQUAL(test.log.drain_count, 1);
-	expect("draining", ask(&test, "GET /readyz", ""), "HTTP/1.1 503 ");
-	expect("draining", ask(&test, "GET /healthz", ""), "HTTP/1.1 200 ");
+	contract_expect("draining", ask(&test, "GET /readyz", ""),
+			"HTTP/1.1 503 ");
+	contract_expect("draining", ask(&test, "GET /healthz", ""),
+			"HTTP/1.1 200 ");
 	teardown(&test);
 }
 
