Share what the client commands repeat

Change: client_text() and client_parsers are part of client.h; fleet_job.c has job_of().

Conclusion: no change of behaviour.

--- a/src/cmd/apply.c
+++ b/src/cmd/apply.c
@@ -113,13 +113,6 @@
 	return NULL;
 }
 
-static const char *text_of(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return text ? text : "";
-}
-
 /* Text that the request gives for a file, "" for one to be removed. */
 static const char *new_text(const json_t *request, const char *name)
 {
@@ -128,8 +121,8 @@
 	for (size_t i = 0; i < json_array_size(files); i++) {
 		const json_t *file = json_array_get(files, i);
 
-		if (!strcmp(text_of(file, "name"), name))
-			return text_of(file, "text");
+		if (!strcmp(client_text(file, "name"), name))
+			return client_text(file, "text");
 	}
 	return "";
 }
@@ -140,12 +133,12 @@
 
 	for (size_t i = 0; i < json_array_size(files); i++) {
 		const json_t *file = json_array_get(files, i);
-		const char *name = text_of(file, "name");
-		GString *diff = diff_text(text_of(file, "current"),
+		const char *name = client_text(file, "name");
+		GString *diff = diff_text(client_text(file, "current"),
 					  new_text(request, name));
 
 		printf("%s: would %s, base offset %" JSON_INTEGER_FORMAT "%s\n",
-		       name, text_of(file, "change"),
+		       name, client_text(file, "change"),
 		       json_integer_value(json_object_get(file, "base_offset")),
 		       diff->len ? "" : ", no difference");
 		fputs(diff->str, stdout);
@@ -161,26 +154,26 @@
 		const json_t *file = json_array_get(files, i);
 		const json_t *offset = json_object_get(file, "offset");
 
-		printf("%s: %s", text_of(file, "name"),
-		       text_of(file, "outcome"));
+		printf("%s: %s", client_text(file, "name"),
+		       client_text(file, "outcome"));
 		if (offset)
 			printf(" at offset %" JSON_INTEGER_FORMAT,
 			       json_integer_value(offset));
-		if (*text_of(file, "reason"))
-			printf(": %s", text_of(file, "reason"));
+		if (*client_text(file, "reason"))
+			printf(": %s", client_text(file, "reason"));
 		putchar('\n');
 	}
-	if (*text_of(answer, "note"))
-		printf("%s\n", text_of(answer, "note"));
-	if (*text_of(answer, "ask_again"))
-		printf("%s\n", text_of(answer, "ask_again"));
+	if (*client_text(answer, "note"))
+		printf("%s\n", client_text(answer, "note"));
+	if (*client_text(answer, "ask_again"))
+		printf("%s\n", client_text(answer, "ask_again"));
 }
 
 static enum exit_code report(const struct apply_arguments *arguments,
 			     const json_t *request,
 			     const struct client_call *call)
 {
-	const char *outcome = text_of(call->answer, "outcome");
+	const char *outcome = client_text(call->answer, "outcome");
 
 	if (!json_object_get(call->answer, "files")) {
 		enum exit_code code = client_report(call);
@@ -228,17 +221,13 @@
 		  0 },
 		{ 0 },
 	};
-	static const struct argp_child children[] = {
-		{ &client_argp, 0, NULL, 0 },
-		{ 0 },
-	};
 	const struct argp argp = {
 		.options = options,
 		.parser = parse,
 		.args_doc = "[FILE...]",
 		.doc = "Checks declaration files together, then changes them "
 		       "one after the other.",
-		.children = children,
+		.children = client_parsers,
 	};
 	struct apply_arguments arguments = {
 		.paths = g_ptr_array_new(),
--- a/src/cmd/client.c
+++ b/src/cmd/client.c
@@ -67,11 +67,16 @@
 	{ 0 },
 };
 
-const struct argp client_argp = {
+static const struct argp client_argp = {
 	.options = options_list,
 	.parser = parse,
 };
 
+const struct argp_child client_parsers[] = {
+	{ &client_argp, 0, NULL, 0 },
+	{ 0 },
+};
+
 void client_options_clear(struct client_options *options)
 {
 	if (options->servers)
@@ -268,3 +273,10 @@
 		return EXIT_REJECTED;
 	return call->status / 100 == 4 ? EXIT_REJECTED : EXIT_UNKNOWN;
 }
+
+const char *client_text(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
--- a/src/cmd/client.h
+++ b/src/cmd/client.h
@@ -30,8 +30,11 @@
 	char *error;	 /* why there is no answer */
 };
 
-/* A child of the commands' parsers; its input is struct client_options. */
-extern const struct argp client_argp;
+/*
+ * Children of the commands' parsers; the input of the first is
+ * struct client_options.
+ */
+extern const struct argp_child client_parsers[];
 
 void client_options_clear(struct client_options *options);
 
@@ -57,4 +60,7 @@
  */
 enum exit_code client_report(const struct client_call *call);
 
+/* A text of an answer; empty if there is none. */
+const char *client_text(const json_t *object, const char *key);
+
 #endif
--- a/src/cmd/drain.c
+++ b/src/cmd/drain.c
@@ -30,15 +30,11 @@
 
 static int drain_run(int argc, char **argv)
 {
-	static const struct argp_child children[] = {
-		{ &client_argp, 0, NULL, 0 },
-		{ 0 },
-	};
 	const struct argp argp = {
 		.parser = parse,
 		.doc = "Makes each given entry instance finish what is in "
 		       "flight and end.",
-		.children = children,
+		.children = client_parsers,
 	};
 	struct client_options options = { .token = NULL };
 	enum exit_code worst = EXIT_DONE;
--- a/src/cmd/status.c
+++ b/src/cmd/status.c
@@ -29,13 +29,6 @@
 	}
 }
 
-static const char *text_of(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return text ? text : "";
-}
-
 static json_int_t number_of(const json_t *object, const char *key)
 {
 	return json_integer_value(json_object_get(object, key));
@@ -53,10 +46,10 @@
 
 		printf("entry %s: dc %s, incarnation %" JSON_INTEGER_FORMAT
 		       ", callers %s, operators %s\n",
-		       text_of(entry, "name"), text_of(entry, "dc"),
+		       client_text(entry, "name"), client_text(entry, "dc"),
 		       number_of(entry, "incarnation"),
-		       text_of(entry, "caller_address"),
-		       text_of(entry, "operator_address"));
+		       client_text(entry, "caller_address"),
+		       client_text(entry, "operator_address"));
 	}
 }
 
@@ -65,13 +58,13 @@
 	const json_t *endpoint = json_object_get(instance, "endpoint");
 
 	printf("  %s: %s%s, dc %s, rack %s, %" JSON_INTEGER_FORMAT " slots",
-	       text_of(instance, "name"), text_of(instance, "phase"),
-	       flag(instance, "down", ", down"), text_of(instance, "dc"),
-	       text_of(instance, "rack"), number_of(instance, "slots"));
-	if (*text_of(instance, "to_pool"))
-		printf(", to pool %s", text_of(instance, "to_pool"));
-	if (*text_of(instance, "wave"))
-		printf(", wave %s", text_of(instance, "wave"));
+	       client_text(instance, "name"), client_text(instance, "phase"),
+	       flag(instance, "down", ", down"), client_text(instance, "dc"),
+	       client_text(instance, "rack"), number_of(instance, "slots"));
+	if (*client_text(instance, "to_pool"))
+		printf(", to pool %s", client_text(instance, "to_pool"));
+	if (*client_text(instance, "wave"))
+		printf(", wave %s", client_text(instance, "wave"));
 	if (json_is_object(endpoint))
 		printf(", %" JSON_INTEGER_FORMAT " of %" JSON_INTEGER_FORMAT
 		       " in flight here, %" JSON_INTEGER_FORMAT " us%s%s%s",
@@ -94,7 +87,7 @@
 		       " unavailable (at most %" JSON_INTEGER_FORMAT
 		       "), %" JSON_INTEGER_FORMAT
 		       " queued, wait %" JSON_INTEGER_FORMAT " us%s\n",
-		       text_of(pool, "name"), json_array_size(instances),
+		       client_text(pool, "name"), json_array_size(instances),
 		       number_of(pool, "unavailable"),
 		       number_of(pool, "max_unavailable"),
 		       number_of(pool, "queued"), number_of(pool, "wait_us"),
@@ -110,7 +103,7 @@
 		const json_t *wave = json_array_get(waves, i);
 
 		printf("wave %s: %" JSON_INTEGER_FORMAT " instances done%s\n",
-		       text_of(wave, "name"), number_of(wave, "done"),
+		       client_text(wave, "name"), number_of(wave, "done"),
 		       flag(wave, "halted", ", halted"));
 	}
 }
@@ -121,9 +114,9 @@
 		const json_t *job = json_array_get(jobs, i);
 
 		printf("job %s: %s, pool %s, instance %s %s\n",
-		       text_of(job, "name"), text_of(job, "state"),
-		       text_of(job, "pool"), text_of(job, "instance"),
-		       text_of(job, "reason"));
+		       client_text(job, "name"), client_text(job, "state"),
+		       client_text(job, "pool"), client_text(job, "instance"),
+		       client_text(job, "reason"));
 	}
 }
 
@@ -133,7 +126,7 @@
 		const json_t *file = json_array_get(files, i);
 
 		printf("file %s: offset %" JSON_INTEGER_FORMAT "\n",
-		       text_of(file, "name"), number_of(file, "offset"));
+		       client_text(file, "name"), number_of(file, "offset"));
 	}
 }
 
@@ -144,13 +137,13 @@
 	printf("this is %s: dc %s, incarnation %" JSON_INTEGER_FORMAT
 	       ", offset %" JSON_INTEGER_FORMAT ", %" JSON_INTEGER_FORMAT
 	       " requests%s\n",
-	       text_of(status, "entry"), text_of(status, "dc"),
+	       client_text(status, "entry"), client_text(status, "dc"),
 	       number_of(status, "incarnation"), number_of(status, "offset"),
 	       number_of(status, "requests"),
 	       flag(status, "draining", ", draining"));
-	if (*text_of(lease, "holder"))
+	if (*client_text(lease, "holder"))
 		printf("planner %s: token %" JSON_INTEGER_FORMAT "\n",
-		       text_of(lease, "holder"), number_of(lease, "token"));
+		       client_text(lease, "holder"), number_of(lease, "token"));
 	print_entries(json_object_get(status, "entries"));
 	print_files(json_object_get(status, "files"));
 	print_pools(json_object_get(status, "pools"));
@@ -179,16 +172,12 @@
 		{ "json", 'j', NULL, 0, "print one JSON object per server", 0 },
 		{ 0 },
 	};
-	static const struct argp_child children[] = {
-		{ &client_argp, 0, NULL, 0 },
-		{ 0 },
-	};
 	const struct argp argp = {
 		.options = options,
 		.parser = parse,
 		.doc = "Prints what each given entry instance knows of the "
 		       "fleet.",
-		.children = children,
+		.children = client_parsers,
 	};
 	struct status_arguments arguments = { .json = 0 };
 	enum exit_code worst = EXIT_DONE;
--- a/src/cmd/timeline.c
+++ b/src/cmd/timeline.c
@@ -45,13 +45,6 @@
 	}
 }
 
-static const char *text_of(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return text ? text : "";
-}
-
 static uint64_t number_of(const json_t *object, const char *key)
 {
 	return (uint64_t)json_integer_value(json_object_get(object, key));
@@ -95,8 +88,8 @@
 	for (guint i = 0; i < options->servers->len; i++)
 		add_server(servers, options->servers->pdata[i]);
 	for (size_t i = 0; i < json_array_size(entries); i++)
-		add_server(servers, text_of(json_array_get(entries, i),
-					    "operator_address"));
+		add_server(servers, client_text(json_array_get(entries, i),
+						"operator_address"));
 	client_call_free(call);
 	return servers;
 }
@@ -122,7 +115,7 @@
 
 		for (size_t k = 0; k < json_array_size(entries); k++) {
 			struct merged one = {
-				.process = text_of(call->answer, "process"),
+				.process = client_text(call->answer, "process"),
 				.entry = json_array_get(entries, k),
 			};
 
@@ -145,16 +138,16 @@
 
 	printf("%s.%03dZ+%u %s %s", text ? text : "?", (int)(wall_ms % 1000),
 	       (unsigned int)(one->hlc & ((1U << HLC_COUNTER_BITS) - 1)),
-	       one->process, text_of(one->entry, "kind"));
+	       one->process, client_text(one->entry, "kind"));
 	if (request)
 		printf(" request=%" G_GUINT64_FORMAT, request);
 	if (offset)
 		printf(" offset=%" G_GUINT64_FORMAT, offset);
-	if (*text_of(one->entry, "instance"))
-		printf(" instance=%s", text_of(one->entry, "instance"));
-	if (*text_of(one->entry, "pool"))
-		printf(" pool=%s", text_of(one->entry, "pool"));
-	printf(" %s\n", text_of(one->entry, "text"));
+	if (*client_text(one->entry, "instance"))
+		printf(" instance=%s", client_text(one->entry, "instance"));
+	if (*client_text(one->entry, "pool"))
+		printf(" pool=%s", client_text(one->entry, "pool"));
+	printf(" %s\n", client_text(one->entry, "text"));
 	g_free(text);
 	if (time)
 		g_date_time_unref(time);
@@ -171,7 +164,7 @@
 		if (lost)
 			printf("%s has dropped %" G_GUINT64_FORMAT
 			       " older events\n",
-			       text_of(call->answer, "process"), lost);
+			       client_text(call->answer, "process"), lost);
 	}
 }
 
@@ -195,7 +188,8 @@
 		const struct client_call *call = calls->pdata[i];
 
 		if (json_object_get(call->answer, "entries"))
-			json_object_set(lost, text_of(call->answer, "process"),
+			json_object_set(lost,
+					client_text(call->answer, "process"),
 					json_object_get(call->answer, "lost"));
 		else
 			json_array_append_new(unreachable,
@@ -256,16 +250,12 @@
 		{ "json", 'j', NULL, 0, "print one JSON object", 0 },
 		{ 0 },
 	};
-	static const struct argp_child children[] = {
-		{ &client_argp, 0, NULL, 0 },
-		{ 0 },
-	};
 	const struct argp argp = {
 		.options = options,
 		.parser = parse,
 		.doc = "Merges the events of all live entry instances, which "
 		       "the given ones name.",
-		.children = children,
+		.children = client_parsers,
 	};
 	struct timeline_arguments arguments = { .json = 0 };
 	enum exit_code code;
--- a/src/core/fleet_job.c
+++ b/src/core/fleet_job.c
@@ -36,6 +36,12 @@
 		g_hash_table_remove(fleet->jobs_on, instance);
 }
 
+static struct fleet_job *job_of(const struct fleet *fleet,
+				const struct record *record)
+{
+	return g_hash_table_lookup(fleet->jobs, record->job.job);
+}
+
 static void set_state(struct fleet_job *job, enum job_state state,
 		      uint64_t offset, const char *reason)
 {
@@ -71,8 +77,7 @@
 			   const struct record *record,
 			   struct fleet_outcome *outcome)
 {
-	struct fleet_job *job =
-		g_hash_table_lookup(fleet->jobs, record->job.job);
+	struct fleet_job *job = job_of(fleet, record);
 	const struct fleet_instance *instance =
 		fleet_instance(fleet, record->job.instance);
 
@@ -95,8 +100,7 @@
 			   const struct record *record,
 			   struct fleet_outcome *outcome)
 {
-	struct fleet_job *job =
-		g_hash_table_lookup(fleet->jobs, record->job.job);
+	struct fleet_job *job = job_of(fleet, record);
 
 	if (!fleet_fenced(fleet, record, record->job.token, outcome))
 		return false;
@@ -122,8 +126,7 @@
 			 const struct record *record,
 			 struct fleet_outcome *outcome)
 {
-	struct fleet_job *job =
-		g_hash_table_lookup(fleet->jobs, record->job.job);
+	struct fleet_job *job = job_of(fleet, record);
 
 	if (!fleet_fenced(fleet, record, record->job.token, outcome))
 		return false;
@@ -147,8 +150,7 @@
 			    const struct record *record,
 			    struct fleet_outcome *outcome)
 {
-	struct fleet_job *job =
-		g_hash_table_lookup(fleet->jobs, record->job.job);
+	struct fleet_job *job = job_of(fleet, record);
 
 	if (!job || (job->state != JOB_WAITING && job->state != JOB_RUNNING))
 		return fleet_ignore(outcome, "job is not in progress");
@@ -162,8 +164,7 @@
 			       const struct record *record,
 			       struct fleet_outcome *outcome)
 {
-	struct fleet_job *job =
-		g_hash_table_lookup(fleet->jobs, record->job.job);
+	struct fleet_job *job = job_of(fleet, record);
 
 	if (!fleet_fenced(fleet, record, record->job.token, outcome))
 		return false;
