--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -35,6 +35,10 @@
 		wait_for "e$number" answers \
 			"http://127.0.0.1:$((8100 + number))/readyz"
 	done
+	# Those of another run on the same ports would answer as well.
+	for pid in "${pids[@]}"; do
+		kill -0 "$pid" 2>/dev/null || fail "a process has ended"
+	done
 	"$build/persimmonlatch" apply "${client_options[@]}" \
 		--server 127.0.0.1:8101 "$1" >/dev/null ||
 		fail "$1 is not accepted"
