--- a/test/unit/core.c
+++ b/test/unit/core.c
@@ -98,7 +98,7 @@
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
 	GString *text = g_string_new("members: ");
 
-	while (text->len < 256 * 1024)
+	while (text->len < 262144)
 		g_string_append_c(text, '[');
 	CU_ASSERT_PTR_NULL(
 		decl_parse("bad.yaml", text->str, text->len, false, errors));
