Give an instance that is declared again its declared pool

Cause: an instance that is removed while a job runs on it loses its pool; when it was declared again it became active without one and got no work.

Change: it gets the pool of its new declaration.

Figures: fleet_declared_again fails without the change and passes with it.

--- a/src/core/fleet_config.c
+++ b/src/core/fleet_config.c
@@ -79,8 +79,11 @@
 			g_hash_table_insert(fleet->instances,
 					    instance->decl.name, instance);
 		}
-		if (instance->phase == INSTANCE_REMOVED)
+		if (instance->phase == INSTANCE_REMOVED) {
 			instance->phase = INSTANCE_ACTIVE;
+			name_copy(instance->pool, sizeof(instance->pool),
+				  from->pool);
+		}
 		instance->decl = *from;
 	}
 }
