Name the entry instances of the own data centre local peers

Cause: "mate" was a private word for another entry instance of the same data centre. Three comments only restated the function below them, and REBOOT_US needed one to say that it is a bound.

REBOOT_US is REBOOT_MAX_US. The comments are gone.

Conclusion: no change of behaviour.

--- a/src/codec/record_body.h
+++ b/src/codec/record_body.h
@@ -28,7 +28,6 @@
 struct decl *body_unpack_source(const char *file,
 				const ProtobufCBinaryData *source);
 
-/* Serialises any message. */
 GBytes *body_serialise(const ProtobufCMessage *message);
 
 #endif
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -180,7 +180,6 @@
 bool fleet_drained(const struct fleet *fleet,
 		   const struct fleet_instance *instance);
 
-/* Number of jobs that run on an instance. */
 uint32_t fleet_jobs_on(const struct fleet *fleet, const char *instance);
 
 /*
--- a/src/decide/cluster.c
+++ b/src/decide/cluster.c
@@ -21,7 +21,7 @@
 struct cluster {
 	struct kernel *kernel;
 	struct peers *peers;
-	struct digest *mate_digest;
+	struct digest *local_digest;
 	struct digest *remote_digest;
 	struct record *join;  /* until its outcome is known */
 	struct record *leave; /* while it is pending */
@@ -46,7 +46,7 @@
 	cluster->kernel = kernel;
 	cluster->peers = peers_new(kernel);
 	cluster->join_retry_us = DEADLINE_NEVER_US;
-	cluster->mate_digest = digest_new();
+	cluster->local_digest = digest_new();
 	cluster->remote_digest = digest_new();
 	return cluster;
 }
@@ -56,7 +56,7 @@
 	struct cluster *cluster = self;
 
 	peers_free(cluster->peers);
-	digest_free(cluster->mate_digest);
+	digest_free(cluster->local_digest);
 	digest_free(cluster->remote_digest);
 	record_unref(cluster->join);
 	record_unref(cluster->leave);
@@ -246,16 +246,17 @@
 	peer_out_send(cluster->kernel, peer, msg);
 }
 
-static void beat_mates(struct cluster *cluster, const struct digest_plan *plan)
+static void beat_local_peers(struct cluster *cluster,
+			     const struct digest_plan *plan)
 {
-	const GPtrArray *mates = peers_mates(cluster->peers);
+	const GPtrArray *local_peers = peers_local(cluster->peers);
 	GArray *loads = NULL;
 
 	if (cluster->beat_count % 2 == 0)
-		loads = digest_next(cluster->mate_digest, cluster->kernel,
+		loads = digest_next(cluster->local_digest, cluster->kernel,
 				    plan->load_count);
-	for (guint i = 0; i < mates->len; i++) {
-		const struct peer *peer = mates->pdata[i];
+	for (guint i = 0; i < local_peers->len; i++) {
+		const struct peer *peer = local_peers->pdata[i];
 
 		send_heartbeat(cluster, peer->name, loads);
 	}
@@ -321,7 +322,7 @@
 static void beat(struct cluster *cluster)
 {
 	struct digest_plan plan =
-		digest_plan(peers_mates(cluster->peers)->len,
+		digest_plan(peers_local(cluster->peers)->len,
 			    peers_remote(cluster->peers)->len);
 	int64_t now_us = kernel_now_us(cluster->kernel);
 
@@ -331,7 +332,7 @@
 	peers_judge(cluster->peers, plan.remote_round_us);
 	if (!on_roster(cluster))
 		return;
-	beat_mates(cluster, &plan);
+	beat_local_peers(cluster, &plan);
 	beat_remote(cluster, &plan);
 	cluster->beat_count++;
 	propose_gone(cluster);
--- a/src/decide/cluster_digest.c
+++ b/src/decide/cluster_digest.c
@@ -195,7 +195,7 @@
 	return size_bytes;
 }
 
-struct digest_plan digest_plan(uint32_t mate_count, uint32_t remote_count)
+struct digest_plan digest_plan(uint32_t local_count, uint32_t remote_count)
 {
 	struct digest_plan plan = {
 		.remote_round_us = USEC_PER_SEC,
@@ -209,8 +209,8 @@
 			remote_count * USEC_PER_SEC / REMOTE_PER_S;
 	/* Mates get two heartbeats a second, and loads with every other. */
 	base_bytes = BASE_SIZE_BYTES *
-		     (2 * mate_count + MIN(remote_count, REMOTE_PER_S));
-	sent_count = mate_count + MIN(remote_count, REMOTE_PER_S);
+		     (2 * local_count + MIN(remote_count, REMOTE_PER_S));
+	sent_count = local_count + MIN(remote_count, REMOTE_PER_S);
 	if (base_bytes < BUDGET_BYTES_PER_S && sent_count)
 		plan.load_count = (BUDGET_BYTES_PER_S - base_bytes) /
 				  (LOAD_SIZE_BYTES * sent_count);
--- a/src/decide/cluster_digest.h
+++ b/src/decide/cluster_digest.h
@@ -29,9 +29,9 @@
 };
 
 /*
- * mate_count: other entries of the data centre. remote_count: entries of other
+ * local_count: other entries of the data centre. remote_count: entries of other
  * data centres. Keeps what the sender of digests sends within the budget.
  */
-struct digest_plan digest_plan(uint32_t mate_count, uint32_t remote_count);
+struct digest_plan digest_plan(uint32_t local_count, uint32_t remote_count);
 
 #endif
--- a/src/decide/cluster_peers.c
+++ b/src/decide/cluster_peers.c
@@ -8,7 +8,7 @@
 struct peers {
 	struct kernel *kernel;
 	GHashTable *by_name; /* name -> struct peer */
-	GPtrArray *mates;    /* of struct peer, by name */
+	GPtrArray *local;    /* of struct peer, by name */
 	GPtrArray *remote;   /* of struct peer, by name */
 };
 
@@ -19,7 +19,7 @@
 	peers->kernel = kernel;
 	peers->by_name =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	peers->mates = g_ptr_array_new();
+	peers->local = g_ptr_array_new();
 	peers->remote = g_ptr_array_new();
 	return peers;
 }
@@ -27,7 +27,7 @@
 void peers_free(struct peers *peers)
 {
 	g_hash_table_unref(peers->by_name);
-	g_ptr_array_unref(peers->mates);
+	g_ptr_array_unref(peers->local);
 	g_ptr_array_unref(peers->remote);
 	g_free(peers);
 }
@@ -65,7 +65,7 @@
 	const GPtrArray *entries = fleet_entries(fleet);
 
 	g_hash_table_foreach_remove(peers->by_name, is_off_roster, fleet);
-	g_ptr_array_set_size(peers->mates, 0);
+	g_ptr_array_set_size(peers->local, 0);
 	g_ptr_array_set_size(peers->remote, 0);
 	for (guint i = 0; i < entries->len; i++) {
 		const struct fleet_entry *entry = entries->pdata[i];
@@ -78,14 +78,14 @@
 			peer = add_peer(peers, entry);
 		g_ptr_array_add(strcmp(peer->dc, own(peers)->dc) != 0
 					? peers->remote
-					: peers->mates,
+					: peers->local,
 				peer);
 	}
 }
 
-const GPtrArray *peers_mates(const struct peers *peers)
+const GPtrArray *peers_local(const struct peers *peers)
 {
-	return peers->mates;
+	return peers->local;
 }
 
 const GPtrArray *peers_remote(const struct peers *peers)
@@ -179,26 +179,26 @@
  * names above it; a name below the one that sends is judged by itself.
  */
 static int64_t silent_us(const struct peers *peers, const struct peer *peer,
-			 bool mate)
+			 bool is_local)
 {
-	int64_t heard_us = mate ? peer->heard_us
-				: dc_heard_us(peers, peer->dc, peer->name);
+	int64_t heard_us = is_local ? peer->heard_us
+				    : dc_heard_us(peers, peer->dc, peer->name);
 
 	return kernel_now_us(peers->kernel) - MAX(heard_us, peer->added_us);
 }
 
-static void judge(struct peers *peers, struct peer *peer, bool mate,
+static void judge(struct peers *peers, struct peer *peer, bool is_local,
 		  int64_t round_us)
 {
-	int64_t quiet_us = silent_us(peers, peer, mate);
-	int64_t suspect_us = MAX(SUSPECT_US, mate ? 0 : 2 * round_us);
-	int64_t dead_us = MAX(DEAD_US, mate ? 0 : 3 * round_us);
+	int64_t quiet_us = silent_us(peers, peer, is_local);
+	int64_t suspect_us = MAX(SUSPECT_US, is_local ? 0 : 2 * round_us);
+	int64_t dead_us = MAX(DEAD_US, is_local ? 0 : 3 * round_us);
 
 	if (peer->stopped || quiet_us >= dead_us)
 		set_state(peers, peer, PEER_DEAD);
 	else if (quiet_us >= suspect_us)
 		set_state(peers, peer, PEER_SUSPECT);
-	else if (!mate || peer->heard_us)
+	else if (!is_local || peer->heard_us)
 		set_state(peers, peer, PEER_ALIVE);
 	if (!peer->absent || quiet_us < dead_us)
 		peer->gone_since_us = 0;
@@ -208,8 +208,8 @@
 
 void peers_judge(struct peers *peers, int64_t remote_round_us)
 {
-	for (guint i = 0; i < peers->mates->len; i++)
-		judge(peers, peers->mates->pdata[i], true, remote_round_us);
+	for (guint i = 0; i < peers->local->len; i++)
+		judge(peers, peers->local->pdata[i], true, remote_round_us);
 	for (guint i = 0; i < peers->remote->len; i++)
 		judge(peers, peers->remote->pdata[i], false, remote_round_us);
 }
@@ -235,8 +235,8 @@
 
 bool peers_is_lowest(const struct peers *peers)
 {
-	for (guint i = 0; i < peers->mates->len; i++) {
-		const struct peer *peer = peers->mates->pdata[i];
+	for (guint i = 0; i < peers->local->len; i++) {
+		const struct peer *peer = peers->local->pdata[i];
 
 		if (is_live(peer) && strcmp(peer->name, own(peers)->entry) < 0)
 			return false;
@@ -247,19 +247,19 @@
 /* Number of live entries that should report a peer before we do. */
 static uint32_t report_rank(const struct peers *peers, const struct peer *gone)
 {
-	bool mate = !strcmp(gone->dc, own(peers)->dc);
+	bool is_local = !strcmp(gone->dc, own(peers)->dc);
 	uint32_t rank = 0;
 
 	for (uint32_t list = 0; list < 2; list++) {
-		const GPtrArray *all = list ? peers->remote : peers->mates;
+		const GPtrArray *all = list ? peers->remote : peers->local;
 
 		for (guint i = 0; i < all->len; i++) {
 			const struct peer *peer = all->pdata[i];
 			bool nearer = !strcmp(peer->dc, gone->dc);
 
-			if (!is_live(peer) || peer == gone || nearer < mate)
+			if (!is_live(peer) || peer == gone || nearer < is_local)
 				continue;
-			rank += nearer > mate ||
+			rank += nearer > is_local ||
 				strcmp(peer->name, own(peers)->entry) < 0;
 		}
 	}
@@ -272,7 +272,7 @@
 	int64_t now_us = kernel_now_us(peers->kernel);
 
 	for (uint32_t list = 0; list < 2; list++) {
-		const GPtrArray *all = list ? peers->remote : peers->mates;
+		const GPtrArray *all = list ? peers->remote : peers->local;
 
 		for (guint i = 0; i < all->len; i++) {
 			const struct peer *peer = all->pdata[i];
--- a/src/decide/cluster_peers.h
+++ b/src/decide/cluster_peers.h
@@ -27,7 +27,7 @@
 void peers_update(struct peers *peers);
 
 /* The others of our data centre, and those of all others, by name. */
-const GPtrArray *peers_mates(const struct peers *peers);
+const GPtrArray *peers_local(const struct peers *peers);
 const GPtrArray *peers_remote(const struct peers *peers);
 
 void peers_take_msg(struct peers *peers, const struct peer_msg *msg);
--- a/src/decide/planner_steps.c
+++ b/src/decide/planner_steps.c
@@ -10,8 +10,7 @@
 #define DRAIN_US (900 * USEC_PER_SEC)
 /* No planned step of an instance for so long after a drain was given up. */
 #define REST_US (600 * USEC_PER_SEC)
-/* Longest reboot. */
-#define REBOOT_US (600 * USEC_PER_SEC)
+#define REBOOT_MAX_US (600 * USEC_PER_SEC)
 /* A request to reboot that shows no effect is made again. */
 #define REBOOT_RETRY_US (120 * USEC_PER_SEC)
 
@@ -185,7 +184,7 @@
 		    now_us - watched->reboot_sent_us >= REBOOT_RETRY_US)) {
 		ask_reboot(planner, watched);
 	}
-	if (now_us - watched->reboot_seen_us >= REBOOT_US)
+	if (now_us - watched->reboot_seen_us >= REBOOT_MAX_US)
 		end_reboot(planner, instance, true);
 }
 
--- a/src/decide/planner_watch.c
+++ b/src/decide/planner_watch.c
@@ -152,17 +152,17 @@
 		      const struct peer_pool_load *from)
 {
 	const char *dc = peer->msg->dc;
-	bool mate = !strcmp(dc, kernel_settings(planner->kernel)->dc);
+	bool is_local = !strcmp(dc, kernel_settings(planner->kernel)->dc);
 	struct load *load = g_new0(struct load, 1);
 
 	load->at_us = kernel_now_us(planner->kernel);
 	load->demand_us_per_s = from->demand_us_per_s;
 	name_copy(load->pool, NAME_SIZE_BYTES, from->pool);
-	name_copy(load->dc, NAME_SIZE_BYTES, mate ? "" : dc);
+	name_copy(load->dc, NAME_SIZE_BYTES, is_local ? "" : dc);
 	/* Another data centre has one sender at a time, which may change. */
 	g_hash_table_replace(planner->loads,
 			     g_strdup_printf("%s/%s/%s", dc,
-					     mate ? peer->peer : "",
+					     is_local ? peer->peer : "",
 					     from->pool),
 			     load);
 }
--- a/src/decide/slots.c
+++ b/src/decide/slots.c
@@ -41,7 +41,7 @@
 	slots->kernel = kernel;
 	slots->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 endpoint_free);
-	slots->mates = g_ptr_array_new_with_free_func(g_free);
+	slots->peers = g_ptr_array_new_with_free_func(g_free);
 	slots->demands =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	slots->demand_check_us = DEADLINE_NEVER_US;
@@ -55,7 +55,7 @@
 	struct slots *slots = self;
 
 	g_hash_table_unref(slots->endpoints);
-	g_ptr_array_unref(slots->mates);
+	g_ptr_array_unref(slots->peers);
 	g_hash_table_unref(slots->demands);
 	g_free(slots);
 }
@@ -254,7 +254,7 @@
 {
 	slots->member = true;
 	slots->join_offset = own->join_offset;
-	if (slots->unknown_past && !slots->mates->len)
+	if (slots->unknown_past && !slots->peers->len)
 		hold(slots);
 }
 
@@ -264,12 +264,12 @@
 	bool member = own && own->decl.incarnation ==
 				     kernel_incarnation(slots->kernel);
 	bool changed = member != slots->member;
-	GPtrArray *mates = mates_read(slots, &changed);
-	bool ended = mates_ended(slots, mates);
+	GPtrArray *peers = slots_peers_read(slots, &changed);
+	bool ended = slots_peers_ended(slots, peers);
 
 	changed |= ended;
-	g_ptr_array_unref(slots->mates);
-	slots->mates = mates;
+	g_ptr_array_unref(slots->peers);
+	slots->peers = peers;
 	ended |= own_predecessor_ended(slots, own, member);
 	if (!changed && !ended)
 		return;
@@ -288,14 +288,14 @@
 }
 
 /* asks: whether we need the report of the receiver. */
-static void send_ack(struct slots *slots, const struct mate *mate)
+static void send_ack(struct slots *slots, const struct local_peer *peer)
 {
 	struct peer_msg *msg = peer_out_new(slots->kernel, PEER_MSG_SHARE_ACK);
 
 	if (slots->settled)
 		msg->join_offset = fleet_offset(kernel_fleet(slots->kernel));
 	msg->slots_count = !slots->confirmed;
-	peer_out_send(slots->kernel, mate->name, msg);
+	peer_out_send(slots->kernel, peer->name, msg);
 }
 
 static bool fits(const struct slots *slots,
@@ -328,16 +328,16 @@
 	if (!all_fit(slots))
 		return;
 	slots->settled = true;
-	for (guint i = 0; i < slots->mates->len; i++)
-		send_ack(slots, slots->mates->pdata[i]);
+	for (guint i = 0; i < slots->peers->len; i++)
+		send_ack(slots, slots->peers->pdata[i]);
 }
 
 static bool all_acked(const struct slots *slots)
 {
-	for (guint i = 0; i < slots->mates->len; i++) {
-		const struct mate *mate = slots->mates->pdata[i];
+	for (guint i = 0; i < slots->peers->len; i++) {
+		const struct local_peer *peer = slots->peers->pdata[i];
 
-		if (mate->acked_offset < slots->epoch_offset)
+		if (peer->acked_offset < slots->epoch_offset)
 			return false;
 	}
 	return true;
@@ -352,24 +352,24 @@
 		return;
 	slots->confirmed = true;
 	slots_trace(slots, "", "shares of %u entries are in use",
-		    slots->mates->len + 1);
+		    slots->peers->len + 1);
 	each_endpoint(slots, raise_share);
 }
 
 static void take_ack(struct slots *slots, const struct peer_msg *msg)
 {
-	struct mate *mate = slots_mate(slots, msg->from);
+	struct local_peer *peer = slots_peer(slots, msg->from);
 
-	if (!mate || mate->incarnation != msg->incarnation)
+	if (!peer || peer->incarnation != msg->incarnation)
 		return;
-	mate->acked_offset = MAX(mate->acked_offset, msg->join_offset);
+	peer->acked_offset = MAX(peer->acked_offset, msg->join_offset);
 	/* It asks for our report. */
 	if (msg->slots_count && slots->settled) {
 		struct peer_msg *answer =
 			peer_out_new(slots->kernel, PEER_MSG_SHARE_ACK);
 
 		answer->join_offset = fleet_offset(kernel_fleet(slots->kernel));
-		peer_out_send(slots->kernel, mate->name, answer);
+		peer_out_send(slots->kernel, peer->name, answer);
 	}
 }
 
@@ -443,11 +443,11 @@
 
 static void resend(struct slots *slots)
 {
-	for (guint i = 0; !slots->confirmed && i < slots->mates->len; i++) {
-		const struct mate *mate = slots->mates->pdata[i];
+	for (guint i = 0; !slots->confirmed && i < slots->peers->len; i++) {
+		const struct local_peer *peer = slots->peers->pdata[i];
 
-		if (mate->acked_offset < slots->epoch_offset)
-			send_ack(slots, mate);
+		if (peer->acked_offset < slots->epoch_offset)
+			send_ack(slots, peer);
 	}
 	loans_resend(slots);
 }
@@ -479,7 +479,7 @@
 /* A request came in: it may wait for a slot that another entry has idle. */
 static void on_request(struct slots *slots)
 {
-	if (slots->demand_check_us == DEADLINE_NEVER_US && slots->mates->len)
+	if (slots->demand_check_us == DEADLINE_NEVER_US && slots->peers->len)
 		slots->demand_check_us =
 			kernel_now_us(slots->kernel) + 20 * USEC_PER_MSEC;
 }
@@ -488,7 +488,7 @@
 {
 	int64_t now_us = kernel_now_us(slots->kernel);
 
-	if (slots->member && !slots->confirmed && slots->mates->len)
+	if (slots->member && !slots->confirmed && slots->peers->len)
 		slots_resend_later(slots);
 	kernel_wake_at(slots->kernel, slots->resend_us);
 	kernel_wake_at(slots->kernel, slots->demand_check_us);
--- a/src/decide/slots.h
+++ b/src/decide/slots.h
@@ -9,7 +9,7 @@
 #define SLOTS_RESEND_US (500 * USEC_PER_MSEC)
 
 /* Another entry instance of our data centre. */
-struct mate {
+struct local_peer {
 	char name[NAME_SIZE_BYTES];
 	uint64_t incarnation;
 	uint64_t join_offset;
@@ -47,7 +47,7 @@
 struct slots {
 	struct kernel *kernel;
 	GHashTable *endpoints; /* name -> struct slot_endpoint, of our dc */
-	GPtrArray *mates;      /* of struct mate, by name */
+	GPtrArray *peers;      /* of struct local_peer, by name */
 	bool member;	       /* we are on the roster */
 	uint64_t join_offset;  /* our own */
 	uint64_t epoch_offset; /* last change of our data centre's roster */
@@ -72,16 +72,16 @@
 };
 
 struct slot_endpoint *slots_endpoint(struct slots *slots, const char *name);
-struct mate *slots_mate(const struct slots *slots, const char *name);
+struct local_peer *slots_peer(const struct slots *slots, const char *name);
 
 /*
- * The others of our data centre by the roster, of struct mate, with what is
- * known of them. Sets changed if they are not those that we know.
+ * The others of our data centre by the roster, of struct local_peer, with what
+ * is known of them. Sets changed if they are not those that we know.
  */
-GPtrArray *mates_read(struct slots *slots, bool *changed);
+GPtrArray *slots_peers_read(struct slots *slots, bool *changed);
 
 /* Whether one that we know is not among the new ones. */
-bool mates_ended(const struct slots *slots, const GPtrArray *mates);
+bool slots_peers_ended(const struct slots *slots, const GPtrArray *peers);
 
 /* Sends again, after a while, what is not answered. */
 void slots_resend_later(struct slots *slots);
--- a/src/decide/slots_loan.c
+++ b/src/decide/slots_loan.c
@@ -45,14 +45,14 @@
 	return NULL;
 }
 
-static struct loan *loan_new(const struct mate *mate, uint64_t loan_id,
+static struct loan *loan_new(const struct local_peer *peer, uint64_t loan_id,
 			     uint32_t slots_count)
 {
 	struct loan *loan = g_new0(struct loan, 1);
 
-	name_copy(loan->peer, sizeof(loan->peer), mate->name);
-	loan->incarnation = mate->incarnation;
-	loan->join_offset = mate->join_offset;
+	name_copy(loan->peer, sizeof(loan->peer), peer->name);
+	loan->incarnation = peer->incarnation;
+	loan->join_offset = peer->join_offset;
 	loan->loan_id = loan_id;
 	loan->slots_count = slots_count;
 	loan->return_at_us = DEADLINE_NEVER_US;
@@ -72,16 +72,16 @@
 }
 
 static void lend(struct slots *slots, struct slot_endpoint *endpoint,
-		 const struct mate *mate, uint32_t slots_count)
+		 const struct local_peer *peer, uint32_t slots_count)
 {
-	struct loan *loan = loan_new(mate, ++slots->last_loan_id, slots_count);
+	struct loan *loan = loan_new(peer, ++slots->last_loan_id, slots_count);
 
 	g_ptr_array_add(endpoint->lent, loan);
 	slots_refresh(slots, endpoint);
 	counter_add(kernel_counters(slots->kernel), "slots_lent_total",
 		    slots_count);
 	slots_trace(slots, endpoint->name, "lends %u slots to %s", slots_count,
-		    mate->name);
+		    peer->name);
 	send_loan(slots, PEER_MSG_LOAN_GRANT, endpoint->name, loan,
 		  slots_count);
 	slots_resend_later(slots);
@@ -89,7 +89,7 @@
 
 /* The lender has requests of its own waiting: its slots go back first. */
 static void recall(struct slots *slots, struct slot_endpoint *endpoint,
-		   const struct mate *lender)
+		   const struct local_peer *lender)
 {
 	for (guint i = 0; i < endpoint->borrowed->len; i++) {
 		struct loan *loan = endpoint->borrowed->pdata[i];
@@ -119,7 +119,7 @@
 }
 
 /* Lends at most half of the idle slots of each endpoint of the pool. */
-static void take_ask(struct slots *slots, const struct mate *mate,
+static void take_ask(struct slots *slots, const struct local_peer *peer,
 		     const struct peer_msg *msg)
 {
 	const struct fleet *fleet = kernel_fleet(slots->kernel);
@@ -140,13 +140,13 @@
 
 		if (!endpoint)
 			continue;
-		recall(slots, endpoint, mate);
+		recall(slots, endpoint, peer);
 		if (!lends || pool_waits(slots, pool->decl.name) ||
 		    !may_lend(slots, instance, endpoint))
 			continue;
 		count = MIN(idle_count(slots, endpoint) / 2, left_count);
 		if (count)
-			lend(slots, endpoint, mate, count);
+			lend(slots, endpoint, peer, count);
 		left_count -= count;
 	}
 }
@@ -164,16 +164,16 @@
 }
 
 /* A grant that was answered before, and may have been returned since. */
-static void answer_old_grant(struct slots *slots, struct mate *mate,
+static void answer_old_grant(struct slots *slots, struct local_peer *peer,
 			     struct slot_endpoint *endpoint,
 			     const struct peer_msg *msg)
 {
 	struct loan again = { .loan_id = msg->loan_id,
-			      .join_offset = mate->join_offset };
-	bool held = find_loan(endpoint->borrowed, mate->name, msg->loan_id,
+			      .join_offset = peer->join_offset };
+	bool held = find_loan(endpoint->borrowed, peer->name, msg->loan_id,
 			      NULL) != NULL;
 
-	name_copy(again.peer, sizeof(again.peer), mate->name);
+	name_copy(again.peer, sizeof(again.peer), peer->name);
 	if (held)
 		send_loan(slots, PEER_MSG_LOAN_ACK, endpoint->name, &again,
 			  msg->slots_count);
@@ -182,7 +182,7 @@
 			  msg->slots_count);
 }
 
-static void take_grant(struct slots *slots, struct mate *mate,
+static void take_grant(struct slots *slots, struct local_peer *peer,
 		       const struct peer_msg *msg)
 {
 	struct slot_endpoint *endpoint = slots_endpoint(slots, msg->endpoint);
@@ -190,12 +190,12 @@
 
 	if (!endpoint || !slots->member || !msg->slots_count)
 		return;
-	if (msg->loan_id <= mate->last_loan_id) {
-		answer_old_grant(slots, mate, endpoint, msg);
+	if (msg->loan_id <= peer->last_loan_id) {
+		answer_old_grant(slots, peer, endpoint, msg);
 		return;
 	}
-	mate->last_loan_id = msg->loan_id;
-	loan = loan_new(mate, msg->loan_id, msg->slots_count);
+	peer->last_loan_id = msg->loan_id;
+	loan = loan_new(peer, msg->loan_id, msg->slots_count);
 	loan->returning = slots->draining;
 	g_ptr_array_add(endpoint->borrowed, loan);
 	counter_add(kernel_counters(slots->kernel), "slots_borrowed_total",
@@ -206,28 +206,28 @@
 	loans_update(slots, endpoint);
 }
 
-static void take_return(struct slots *slots, const struct mate *mate,
+static void take_return(struct slots *slots, const struct local_peer *peer,
 			const struct peer_msg *msg)
 {
 	struct slot_endpoint *endpoint = slots_endpoint(slots, msg->endpoint);
 	struct loan booked = { .loan_id = msg->loan_id,
-			       .join_offset = mate->join_offset };
+			       .join_offset = peer->join_offset };
 	struct loan *loan;
 	guint index;
 
 	if (!endpoint)
 		return;
-	loan = find_loan(endpoint->lent, mate->name, msg->loan_id, &index);
-	if (loan && loan->incarnation == mate->incarnation) {
+	loan = find_loan(endpoint->lent, peer->name, msg->loan_id, &index);
+	if (loan && loan->incarnation == peer->incarnation) {
 		g_ptr_array_remove_index(endpoint->lent, index);
 		slots_refresh(slots, endpoint);
 	}
-	name_copy(booked.peer, sizeof(booked.peer), mate->name);
+	name_copy(booked.peer, sizeof(booked.peer), peer->name);
 	send_loan(slots, PEER_MSG_LOAN_ACK, endpoint->name, &booked, 0);
 }
 
 /* slots_count tells a received grant from a booked return. */
-static void take_loan_ack(struct slots *slots, const struct mate *mate,
+static void take_loan_ack(struct slots *slots, const struct local_peer *peer,
 			  const struct peer_msg *msg)
 {
 	struct slot_endpoint *endpoint = slots_endpoint(slots, msg->endpoint);
@@ -237,36 +237,36 @@
 	if (!endpoint)
 		return;
 	if (msg->slots_count) {
-		loan = find_loan(endpoint->lent, mate->name, msg->loan_id,
+		loan = find_loan(endpoint->lent, peer->name, msg->loan_id,
 				 NULL);
 		if (loan)
 			loan->answered = true;
 		return;
 	}
-	loan = find_loan(endpoint->returned, mate->name, msg->loan_id, &index);
+	loan = find_loan(endpoint->returned, peer->name, msg->loan_id, &index);
 	if (loan)
 		g_ptr_array_remove_index(endpoint->returned, index);
 }
 
 void loans_take_msg(struct slots *slots, const struct peer_msg *msg)
 {
-	struct mate *mate = slots_mate(slots, msg->from);
+	struct local_peer *peer = slots_peer(slots, msg->from);
 
-	if (!mate || mate->incarnation != msg->incarnation)
+	if (!peer || peer->incarnation != msg->incarnation)
 		return;
 	if (msg->kind == PEER_MSG_LOAN_ASK) {
-		take_ask(slots, mate, msg);
+		take_ask(slots, peer, msg);
 		return;
 	}
 	/* Meant for an earlier incarnation of ours. */
 	if (!slots->member || msg->join_offset != slots->join_offset)
 		return;
 	if (msg->kind == PEER_MSG_LOAN_GRANT)
-		take_grant(slots, mate, msg);
+		take_grant(slots, peer, msg);
 	else if (msg->kind == PEER_MSG_LOAN_RETURN)
-		take_return(slots, mate, msg);
+		take_return(slots, peer, msg);
 	else if (msg->kind == PEER_MSG_LOAN_ACK)
-		take_loan_ack(slots, mate, msg);
+		take_loan_ack(slots, peer, msg);
 }
 
 /*
@@ -293,9 +293,9 @@
 
 static bool is_ended(const struct slots *slots, const struct loan *loan)
 {
-	const struct mate *mate = slots_mate(slots, loan->peer);
+	const struct local_peer *peer = slots_peer(slots, loan->peer);
 
-	return !mate || mate->incarnation != loan->incarnation;
+	return !peer || peer->incarnation != loan->incarnation;
 }
 
 static void remove_ended(const struct slots *slots, GPtrArray *loans)
@@ -443,17 +443,17 @@
 	return demand;
 }
 
-static void ask_mates(struct slots *slots, const char *endpoint,
+static void ask_peers(struct slots *slots, const char *endpoint,
 		      uint32_t wanted_count)
 {
 	uint32_t each_count =
-		(wanted_count + slots->mates->len - 1) / slots->mates->len;
+		(wanted_count + slots->peers->len - 1) / slots->peers->len;
 
-	for (guint i = 0; i < slots->mates->len; i++) {
-		const struct mate *mate = slots->mates->pdata[i];
-		struct loan ask = { .join_offset = mate->join_offset };
+	for (guint i = 0; i < slots->peers->len; i++) {
+		const struct local_peer *peer = slots->peers->pdata[i];
+		struct loan ask = { .join_offset = peer->join_offset };
 
-		name_copy(ask.peer, sizeof(ask.peer), mate->name);
+		name_copy(ask.peer, sizeof(ask.peer), peer->name);
 		send_loan(slots, PEER_MSG_LOAN_ASK, endpoint, &ask,
 			  MIN(each_count, ASK_SLOTS_MAX));
 	}
@@ -475,7 +475,7 @@
 		return DEADLINE_NEVER_US;
 	demand = demand_of(slots, pool->decl.name);
 	if (now_us >= demand->next_ask_us) {
-		ask_mates(slots, endpoint, queued_count);
+		ask_peers(slots, endpoint, queued_count);
 		demand->next_ask_us = now_us + demand->backoff_us;
 		demand->backoff_us = MIN(demand->backoff_us * 2, ASK_MAX_US);
 	}
@@ -487,7 +487,7 @@
 	const GPtrArray *pools = fleet_pools(kernel_fleet(slots->kernel));
 
 	slots->demand_check_us = DEADLINE_NEVER_US;
-	if (!slots->member || !slots->mates->len || slots->draining ||
+	if (!slots->member || !slots->peers->len || slots->draining ||
 	    slots->unsure)
 		return;
 	for (guint i = 0; i < pools->len; i++)
--- a/src/io/mhd_private.h
+++ b/src/io/mhd_private.h
@@ -113,7 +113,6 @@
 enum MHD_Result exchange_receive(struct exchange *exchange, const char *data,
 				 size_t size_bytes);
 
-/* Answers that the body is too large. */
 void exchange_refuse_body(struct exchange *exchange);
 
 #endif
