Return from codec tests after a failed decoding

Cause: clang-tidy does not know that fatal CUnit assertions end a test, and reported null pointers in three new cases.

Change: the cases return as the older ones do; the assertions are the same.

--- a/test/unit/codec.c
+++ b/test/unit/codec.c
@@ -235,7 +235,9 @@
 			g_bytes_new(sources[i], strlen(sources[i]));
 		bytes = record_encode(record);
 		decoded = decode(bytes, reason);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(decoded);
+		CU_ASSERT_PTR_NOT_NULL(decoded);
+		if (!decoded)
+			return;
 		CU_ASSERT_PTR_NULL(decoded->config.decl);
 		record_unref(decoded);
 		record_unref(record);
@@ -504,7 +506,9 @@
 	const void *data = g_bytes_get_data(bytes, &size_bytes);
 	GPtrArray *decoded = batch_decode(data, size_bytes, reason);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(decoded);
+	CU_ASSERT_PTR_NOT_NULL(decoded);
+	if (!decoded)
+		return;
 	CU_ASSERT_EQUAL(decoded->len, records->len);
 	CU_ASSERT_STRING_EQUAL(reason, "");
 	g_ptr_array_unref(decoded);
@@ -695,7 +699,9 @@
 		bytes = framed(&from);
 		data = g_bytes_get_data(bytes, &size_bytes);
 		msg = peer_msg_decode(data, size_bytes, reason);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(msg);
+		CU_ASSERT_PTR_NOT_NULL(msg);
+		if (!msg)
+			return;
 		CU_ASSERT_EQUAL(msg->kind, newer[i].kind);
 		CU_ASSERT_STRING_EQUAL(msg->from, "e1");
 		peer_msg_free(msg);
