--- a/src/cmd/check.c
+++ b/src/cmd/check.c
@@ -34,7 +34,7 @@
 	GPtrArray *paths = g_ptr_array_new();
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *files;
-	int status;
+	int code;
 
 	argp_parse(&argp, argc, argv, 0, NULL, paths);
 	files = files_read(paths, errors);
@@ -44,11 +44,11 @@
 		fprintf(stderr, "%s\n", (char *)errors->pdata[i]);
 	if (!errors->len)
 		printf("%u files are valid\n", files->len);
-	status = errors->len ? EXIT_REJECTED : EXIT_DONE;
+	code = errors->len ? EXIT_REJECTED : EXIT_DONE;
 	g_ptr_array_unref(files);
 	g_ptr_array_unref(errors);
 	g_ptr_array_unref(paths);
-	return status;
+	return code;
 }
 
 static const struct command_ops check_ops = {
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -178,7 +178,7 @@
 {
 	const struct settings *settings = serve->settings;
 	uint64_t incarnation = (uint64_t)(g_get_real_time() / USEC_PER_MSEC);
-	int status = EXIT_REJECTED;
+	int code = EXIT_REJECTED;
 
 	serve->kernel =
 		kernel_new(settings, incarnation,
@@ -189,12 +189,12 @@
 		kernel_emit(serve->kernel,
 			    &(struct event){ .type = EVENT_STARTED });
 		loop_run(serve->loop);
-		status = serve->drained ? EXIT_DONE : EXIT_UNKNOWN;
+		code = serve->drained ? EXIT_DONE : EXIT_UNKNOWN;
 	}
 	/* The plug-ins stop their watchers while the loop still exists. */
 	kernel_free(serve->kernel);
 	loop_free(serve->loop);
-	return status;
+	return code;
 }
 
 static int serve_run(int argc, char **argv)
@@ -211,7 +211,7 @@
 	};
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
 	struct serve serve = { .settings = NULL };
-	int status = EXIT_REJECTED;
+	int code = EXIT_REJECTED;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &path);
 	serve.settings = settings_load(path, errors);
@@ -219,14 +219,14 @@
 		fprintf(stderr, "%s\n", (char *)errors->pdata[i]);
 	g_ptr_array_unref(errors);
 	if (!serve.settings)
-		return status;
+		return code;
 	klog_init(serve.settings->entry);
 	raise_descriptor_limit();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	status = run(&serve);
+	code = run(&serve);
 	curl_global_cleanup();
 	settings_free(serve.settings);
-	return status;
+	return code;
 }
 
 static const struct command_ops serve_ops = {
--- a/src/decide/slots_share.c
+++ b/src/decide/slots_share.c
@@ -6,10 +6,8 @@
 static uint64_t order_key(const char *endpoint, const char *entry)
 {
 	char text[2 * NAME_SIZE_BYTES];
-	int length_bytes =
-		g_snprintf(text, sizeof(text), "%s/%s", endpoint, entry);
-
-	return XXH3_64bits(text, (size_t)length_bytes);
+	g_snprintf(text, sizeof(text), "%s/%s", endpoint, entry);
+	return XXH3_64bits(text, strlen(text));
 }
 
 /*
