Format http_call.h

Cause: make format-check failed on one comment of src/io/http_call.h.

Change: the file is formatted; no code is changed.

Conclusion: none.

--- a/src/io/http_call.h
+++ b/src/io/http_call.h
@@ -15,7 +15,7 @@
 	GBytes *body; /* of a POST; NULL: GET */
 	const char *content_type;
 	const char *if_none_match; /* ETag of a kept answer, or NULL */
-	int64_t timeout_us; /* of the whole exchange */
+	int64_t timeout_us;	   /* of the whole exchange */
 	size_t answer_max_bytes;
 };
 
