--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -75,9 +75,9 @@
 	ROW_REMOTE_ROUND_S,
 	ROW_ZERO_SHARE,
 	ROW_IDLE_US, /* for each role */
-	ROW_MATE_PER_S = ROW_IDLE_US + BED_ROLE_COUNT,
-	ROW_MATE_BYTES_PER_S = ROW_MATE_PER_S + BED_ROLE_COUNT,
-	ROW_REMOTE_PER_S = ROW_MATE_BYTES_PER_S + BED_ROLE_COUNT,
+	ROW_LOCAL_PER_S = ROW_IDLE_US + BED_ROLE_COUNT,
+	ROW_LOCAL_BYTES_PER_S = ROW_LOCAL_PER_S + BED_ROLE_COUNT,
+	ROW_REMOTE_PER_S = ROW_LOCAL_BYTES_PER_S + BED_ROLE_COUNT,
 	ROW_REMOTE_BYTES_PER_S = ROW_REMOTE_PER_S + BED_ROLE_COUNT,
 	ROW_RECEIVED_PER_S = ROW_REMOTE_BYTES_PER_S + BED_ROLE_COUNT,
 	ROW_RECEIVED_BYTES_PER_S = ROW_RECEIVED_PER_S + BED_ROLE_COUNT,
@@ -123,8 +123,8 @@
 static void print_table(void)
 {
 	static const char *const per_role[] = {
-		"CPU us a second, idle",  "messages a s to mates",
-		"bytes a s to mates",	  "messages a s to other dcs",
+		"CPU us a second, idle",  "messages a s, local",
+		"bytes a s, local",	  "messages a s to other dcs",
 		"bytes a s to other dcs", "messages a s received",
 		"bytes a s received",	  "appends a s",
 		"bytes a s appended",
@@ -495,9 +495,9 @@
 
 static void measure_heartbeats(const struct size *size, uint32_t at)
 {
-	uint32_t mate_count = (size->entry_count - 1) / size->dc_count;
-	struct digest_plan plan =
-		digest_plan(mate_count, size->entry_count - mate_count - 1);
+	uint32_t local_peer_count = (size->entry_count - 1) / size->dc_count;
+	struct digest_plan plan = digest_plan(
+		local_peer_count, size->entry_count - local_peer_count - 1);
 	struct peer_msg *msg = peer_msg_new(PEER_MSG_HEARTBEAT);
 	GBytes *bytes;
 
@@ -542,9 +542,10 @@
 	bed_run(bed, IDLE_US);
 	table[ROW_IDLE_US + bed->role][at] =
 		per_s((uint64_t)(cpu_ns() - start_ns)) / 1000;
-	table[ROW_MATE_PER_S + bed->role][at] = per_s(bed->mates.message_count);
-	table[ROW_MATE_BYTES_PER_S + bed->role][at] =
-		per_s(bed->mates.size_bytes);
+	table[ROW_LOCAL_PER_S + bed->role][at] =
+		per_s(bed->local.message_count);
+	table[ROW_LOCAL_BYTES_PER_S + bed->role][at] =
+		per_s(bed->local.size_bytes);
 	table[ROW_REMOTE_PER_S + bed->role][at] =
 		per_s(bed->remote.message_count);
 	table[ROW_REMOTE_BYTES_PER_S + bed->role][at] =
@@ -662,7 +663,7 @@
 	       size->instance_count, size->dc_count, pool_count,
 	       size->pool_count);
 	printf("%8s %8s %10s %10s %10s %12s %12s\n", "entries", "in a dc",
-	       "loads/beat", "mates, s", "remote, s", "append, ms",
+	       "loads/beat", "local, s", "remote, s", "append, ms",
 	       "no share, %");
 	for (uint32_t i = 0; i < G_N_ELEMENTS(entry_counts); i++) {
 		uint32_t dc_entries =
--- a/bench/capacity/bed.c
+++ b/bench/capacity/bed.c
@@ -96,7 +96,7 @@
 	GBytes *bytes = peer_msg_encode(sent->msg);
 	struct traffic *traffic =
 		dc_of(bed, sent->peer) == bed->own % bed->size->dc_count
-			? &bed->mates
+			? &bed->local
 			: &bed->remote;
 
 	traffic->message_count++;
@@ -223,7 +223,7 @@
 	return loads;
 }
 
-static void beat_mates(struct bed *bed, const struct digest_plan *plan)
+static void beat_local(struct bed *bed, const struct digest_plan *plan)
 {
 	uint32_t dc = bed->own % bed->size->dc_count;
 
@@ -288,7 +288,7 @@
 {
 	if (bed->now_us >= bed->next_beat_us) {
 		bed->next_beat_us = bed->now_us + BEAT_US;
-		beat_mates(bed, plan);
+		beat_local(bed, plan);
 	}
 	if (bed->now_us >= bed->next_remote_us) {
 		bed->next_remote_us = bed->now_us + plan->remote_round_us;
@@ -332,7 +332,7 @@
 
 void bed_reset_traffic(struct bed *bed)
 {
-	bed->mates = bed->remote = (struct traffic){ 0 };
+	bed->local = bed->remote = (struct traffic){ 0 };
 	bed->received = bed->appended = (struct traffic){ 0 };
 }
 
--- a/bench/capacity/bed.h
+++ b/bench/capacity/bed.h
@@ -46,7 +46,7 @@
 	uint64_t offset;
 	uint64_t token; /* of the lease, once it is held */
 	uint32_t beat_count;
-	struct traffic mates;	 /* peer messages sent within the data centre */
+	struct traffic local;	 /* peer messages sent within the data centre */
 	struct traffic remote;	 /* peer messages sent to other data centres */
 	struct traffic received; /* peer messages */
 	struct traffic appended; /* batches of records */
--- a/test/unit/cluster.c
+++ b/test/unit/cluster.c
@@ -60,20 +60,20 @@
 static void test_digest_plan(void)
 {
 	static const struct {
-		uint32_t mate_count;
+		uint32_t local_peer_count;
 		uint32_t remote_count;
 	} cases[] = { { 0, 0 },	 { 1, 0 }, { 0, 6 }, { 1, 5 },
 		      { 3, 12 }, { 9, 0 }, { 9, 50 } };
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct digest_plan plan =
-			digest_plan(cases[i].mate_count, cases[i].remote_count);
+		struct digest_plan plan = digest_plan(cases[i].local_peer_count,
+						      cases[i].remote_count);
 		uint64_t remote_per_s = (cases[i].remote_count * USEC_PER_SEC +
 					 plan.remote_round_us - 1) /
 					plan.remote_round_us;
-		uint64_t mate_count = cases[i].mate_count;
-		uint64_t sent_bytes = mate_count * size_bytes(0) +
-				      (mate_count + remote_per_s) *
+		uint64_t local_peer_count = cases[i].local_peer_count;
+		uint64_t sent_bytes = local_peer_count * size_bytes(0) +
+				      (local_peer_count + remote_per_s) *
 					      size_bytes(plan.load_count);
 
 		CU_ASSERT_TRUE(plan.load_count >= 1);
