Wait for started processes to end before their ports are used again

Cause: test/flood right after test/partition failed to start, since entry instances were still draining on the same ports, and its message was hidden.

Change: the shared script waits until each process has ended and prints failures on standard error.

--- a/test/common.sh
+++ b/test/common.sh
@@ -6,22 +6,31 @@
 client_options=(--token-file "$work/token")
 echo "test-token" >"$work/token"
 
-stop_all()
+# Ends what was started, and waits for it: its ports are used again.
+stop_started()
 {
 	for pid in "${pids[@]}"; do
 		kill "$pid" 2>/dev/null
 	done
 	for pid in "${pids[@]}"; do
-		wait "$pid" 2>/dev/null
+		while kill -0 "$pid" 2>/dev/null; do
+			sleep 0.1
+		done
 	done
+	pids=()
+}
+
+stop_all()
+{
+	stop_started
 	rm -rf "$work"
 }
 trap stop_all EXIT
 
 fail()
 {
-	echo "FAILED: $1"
-	tail -n 15 "$work"/*.log
+	echo "FAILED: $1" >&2
+	tail -n 15 "$work"/*.log >&2
 	exit 1
 }
 
