Accept the relay mark only from entry instances

Cause: any caller could send Pl-Relay and so skip its member's quota and the claim of its idempotency key; a repeated payout could then run twice. Found in the read-through.

Change: the header carries an HMAC-SHA256 with the operators' token, which all entry instances share; the front end refuses any other value as malformed and not run. Reading and comparing the token is a module of its own.

Figures: a row of the front end's bad requests was answered 200 before and is refused with 400 now; the mark is checked against a value from another implementation.

Conclusion: the token file must be the same at all entry instances.

--- a/src/io/endpoint_curl.c
+++ b/src/io/endpoint_curl.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "io/curl_loop.h"
+#include "io/token.h"
 #include "kernel/kernel.h"
 
 #define ANSWER_MAX_BYTES (UINT64_C(4) * 1024 * 1024)
@@ -17,6 +18,7 @@
 	struct kernel *kernel;
 	struct curl_loop *loop;
 	GHashTable *attempts; /* set of struct attempt */
+	char *relay_mark;
 };
 
 struct attempt {
@@ -273,7 +275,7 @@
 	if (attempt->info.relayed) {
 		g_snprintf(number, sizeof(number), "%" G_GINT64_FORMAT,
 			   left_ms);
-		add_header(attempt, "Pl-Relay", "1");
+		add_header(attempt, "Pl-Relay", attempt->client->relay_mark);
 		add_header(attempt, "Pl-Deadline-Ms", number);
 		if (request->key[0])
 			add_header(attempt, "Idempotency-Key", request->key);
@@ -432,8 +434,14 @@
 
 static void *client_init(struct kernel *kernel)
 {
-	struct client *client = g_new0(struct client, 1);
+	struct client *client;
+	char *token = token_read(kernel_settings(kernel)->token_file);
 
+	if (!token)
+		return NULL;
+	client = g_new0(struct client, 1);
+	client->relay_mark = token_relay_mark(token);
+	g_free(token);
 	client->kernel = kernel;
 	client->loop = curl_loop_new(kernel_loop(kernel));
 	client->attempts = g_hash_table_new_full(attempt_hash, attempt_equal,
@@ -447,6 +455,7 @@
 
 	g_hash_table_unref(client->attempts);
 	curl_loop_free(client->loop);
+	g_free(client->relay_mark);
 	g_free(client);
 }
 
--- a/src/io/front_http.c
+++ b/src/io/front_http.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "io/mhd_loop.h"
+#include "io/token.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
@@ -17,6 +18,7 @@
 	struct kernel *kernel;
 	struct httpd *httpd;
 	GHashTable *waiting; /* request id -> struct exchange */
+	char *relay_mark;    /* of requests that other entries passed on */
 	bool draining;
 };
 
@@ -25,6 +27,7 @@
 	int64_t deadline_ms; /* 0: none given */
 	const char *key;
 	const char *content_type;
+	bool relayed;
 };
 
 static bool is_visible(const char *text)
@@ -77,6 +80,18 @@
 	return NULL;
 }
 
+static const char *read_relay(const struct front *front,
+			      const struct exchange *exchange,
+			      struct front_headers *headers)
+{
+	const char *value = exchange_header(exchange, "Pl-Relay");
+
+	headers->relayed = value != NULL;
+	if (value && !token_equal(value, front->relay_mark))
+		return "Pl-Relay: only entry instances of this fleet send it";
+	return NULL;
+}
+
 static const char *read_request_line(const struct exchange *exchange)
 {
 	if (strlen(exchange_method(exchange)) >= METHOD_SIZE_BYTES)
@@ -88,7 +103,8 @@
 	return NULL;
 }
 
-static const char *read_request(const struct exchange *exchange,
+static const char *read_request(const struct front *front,
+				const struct exchange *exchange,
 				struct front_headers *headers)
 {
 	const char *reason = read_request_line(exchange);
@@ -99,6 +115,8 @@
 		reason = read_key(exchange, headers);
 	if (!reason)
 		reason = read_content_type(exchange, headers);
+	if (!reason)
+		reason = read_relay(front, exchange, headers);
 	return reason;
 }
 
@@ -117,7 +135,7 @@
 			  headers->content_type);
 	if (headers->key)
 		name_copy(request->key, sizeof(request->key), headers->key);
-	request->relayed = exchange_header(exchange, "Pl-Relay") != NULL;
+	request->relayed = headers->relayed;
 	/* The kernel's clock stands still while the loop waits for input. */
 	request->arrived_us = g_get_monotonic_time();
 	if (headers->deadline_ms)
@@ -143,7 +161,7 @@
 	struct front *front = self;
 	struct event event = { .type = EVENT_REQUEST_NEW };
 	struct front_headers headers = { 0 };
-	const char *reason = read_request(exchange, &headers);
+	const char *reason = read_request(front, exchange, &headers);
 	struct request *request;
 	uint64_t *id;
 
@@ -236,15 +254,18 @@
 		.slow_client_us = SLOW_CLIENT_US,
 	};
 	struct front *front = g_new0(struct front, 1);
+	char *token = token_read(kernel_settings(kernel)->token_file);
 
+	if (!token)
+		goto fail;
+	front->relay_mark = token_relay_mark(token);
 	front->kernel = kernel;
 	front->httpd = httpd_new(kernel_loop(kernel),
 				 kernel_settings(kernel)->caller_address,
 				 &limits, &front_ops, front);
-	if (!front->httpd) {
-		g_free(front);
-		return NULL;
-	}
+	if (!front->httpd)
+		goto fail;
+	g_free(token);
 	front->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, NULL);
 	counter_set(kernel_counters(kernel),
@@ -253,6 +274,11 @@
 	klog_info(LOG_PREFIX, "callers are served on port %u",
 		  httpd_port(front->httpd));
 	return front;
+fail:
+	g_free(token);
+	g_free(front->relay_mark);
+	g_free(front);
+	return NULL;
 }
 
 /* What is still unanswered may have been sent to an endpoint. */
@@ -275,6 +301,7 @@
 	}
 	httpd_free(front->httpd);
 	g_hash_table_unref(front->waiting);
+	g_free(front->relay_mark);
 	g_free(front);
 }
 
--- a/src/io/operator_http.c
+++ b/src/io/operator_http.c
@@ -4,6 +4,7 @@
 
 #include "io/mhd_loop.h"
 #include "io/operator_json.h"
+#include "io/token.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
@@ -291,19 +292,6 @@
 	{ "GET", "/metrics", true, serve_metrics },
 };
 
-/* Takes the same time wherever the two differ. */
-static bool token_equal(const char *given, const char *token)
-{
-	size_t given_bytes = strlen(given);
-	size_t token_bytes = strlen(token);
-	size_t difference = given_bytes ^ token_bytes;
-
-	for (size_t i = 0; i < given_bytes; i++)
-		difference |= (unsigned char)given[i] ^
-			      (unsigned char)token[i % token_bytes];
-	return difference == 0;
-}
-
 static bool is_authorised(const struct operator* operator,
 			  const struct exchange * exchange)
 {
@@ -371,24 +359,6 @@
 	}
 }
 
-static char *read_token(const char *path)
-{
-	GError *error = NULL;
-	gchar *text;
-
-	if (!g_file_get_contents(path, &text, NULL, &error)) {
-		klog_error(LOG_PREFIX, "token file: %s", error->message);
-		g_error_free(error);
-		return NULL;
-	}
-	g_strstrip(text);
-	if (text[0])
-		return text;
-	klog_error(LOG_PREFIX, "token file %s is empty", path);
-	g_free(text);
-	return NULL;
-}
-
 static void operator_fini(void *self)
 {
 	struct operator* operator= self;
@@ -418,7 +388,7 @@
 	struct operator* operator= g_new0(struct operator, 1);
 
 	operator->kernel = kernel;
-	operator->token = read_token(settings->token_file);
+	operator->token = token_read(settings->token_file);
 	if (!operator->token)
 		goto fail;
 	operator->httpd =
--- a/test/contract/contract.h
+++ b/test/contract/contract.h
@@ -13,6 +13,9 @@
 #include "runner/suite.h"
 
 #define CONTRACT_TOKEN "contract-token"
+/* HMAC-SHA256 of "relay" with the token, by another implementation. */
+#define CONTRACT_RELAY_MARK                                                    \
+	"1d8db7229ff008c493869c250ca6bcf1be8e61f661932be66b77c98523c70c7e"
 
 struct contract {
 	struct settings *settings;
--- a/test/contract/endpoint.c
+++ b/test/contract/endpoint.c
@@ -496,7 +496,8 @@
 		expect(one->name, &test.outcome, ATTEMPT_ANSWERED, one->verdict,
 		       one->status);
 		got = test.endpoint->last_request->str;
-		CU_ASSERT_PTR_NOT_NULL(strstr(got, "Pl-Relay: 1\r\n"));
+		CU_ASSERT_PTR_NOT_NULL(
+			strstr(got, "Pl-Relay: " CONTRACT_RELAY_MARK "\r\n"));
 		CU_ASSERT_PTR_NOT_NULL(strstr(got, "Idempotency-Key: 1-k\r\n"));
 		deadline = strstr(got, "Pl-Deadline-Ms: ");
 		CU_ASSERT_PTR_NOT_NULL_FATAL(deadline);
--- a/test/contract/front.c
+++ b/test/contract/front.c
@@ -148,6 +148,10 @@
 	  "GET / HTTP/1.1\r\nHost: x\r\nPl-Deadline-Ms: 86400001\r\n\r\n",
 	  { "HTTP/1.1 400 ", "Pl-Deadline-Ms" },
 	  0 },
+	{ "relay mark of a caller",
+	  "GET / HTTP/1.1\r\nHost: x\r\nPl-Relay: 1\r\n\r\n",
+	  { "HTTP/1.1 400 ", "Pl-Verdict: not-run", "Pl-Relay" },
+	  0 },
 	{ "key too long",
 	  "GET / HTTP/1.1\r\nHost: x\r\nIdempotency-Key: " LONG_150 "\r\n\r\n",
 	  { "HTTP/1.1 400 ", "Pl-Verdict: not-run", "Idempotency-Key" },
@@ -214,7 +218,8 @@
 
 	setup(&test);
 	wire_ask(test.wire, "PUT /a%2Fb?q=%20&q=2 HTTP/1.1\r\nHost: x\r\n"
-			    "Pl-Deadline-Ms: 1500\r\nPl-Relay: 1\r\n"
+			    "Pl-Deadline-Ms: 1500\r\n"
+			    "Pl-Relay: " CONTRACT_RELAY_MARK "\r\n"
 			    "Idempotency-Key: 1700000000000-abc\r\n"
 			    "Content-Type: text/plain; charset=utf-8\r\n"
 			    "Content-Length: 2\r\n\r\nhi");
