Avoid names that are keywords to the formatter

Cause: clang-format takes new and operator for keywords of C++ and spaced them oddly, against the kernel style.

Change: policy tables construct with create; the state of the operator interface is struct operator_api.

Conclusion: none.

--- a/src/decide/planner.c
+++ b/src/decide/planner.c
@@ -35,8 +35,8 @@
 		g_free(planner);
 		return NULL;
 	}
-	planner->moves_self = planner->moves->new ();
-	planner->waves_self = planner->waves->new ();
+	planner->moves_self = planner->moves->create();
+	planner->waves_self = planner->waves->create();
 	planner->pending = pending_new(kernel);
 	planner->heard_us = kernel_now_us(kernel);
 	planner_watch_init(planner);
--- a/src/decide/router.c
+++ b/src/decide/router.c
@@ -25,7 +25,7 @@
 	}
 	router->routes = g_hash_table_new(g_int64_hash, g_int64_equal);
 	router->deadlines = router_deadlines_new();
-	router->retry_state = router->retry->new ();
+	router->retry_state = router->retry->create();
 	router->lenders = g_queue_new();
 	router->waiting = g_queue_new();
 	router_index_init(router);
--- a/src/decide/router_index.c
+++ b/src/decide/router_index.c
@@ -64,7 +64,7 @@
 	pool = g_new0(struct router_pool, 1);
 	name_copy(pool->name, sizeof(pool->name), name);
 	pool->choice = choice_pool_new();
-	pool->queue = router->admission->new ();
+	pool->queue = router->admission->create();
 	pool->state =
 		endpoint_table_pool(kernel_endpoints(router->kernel), name);
 	g_hash_table_insert(router->pools, pool->name, pool);
--- a/src/io/operator_http.c
+++ b/src/io/operator_http.c
@@ -13,8 +13,7 @@
 #define SLOW_CLIENT_US (30 * USEC_PER_SEC)
 #define CONNECTIONS_MAX_COUNT 64
 
-struct operator
-{
+struct operator_api {
 	struct kernel *kernel;
 	struct httpd *httpd;
 	char *token;
@@ -25,7 +24,7 @@
 
 /* An apply request that waits for the log. */
 struct change {
-	struct operator* operator;
+	struct operator_api *api;
 	struct exchange *exchange;
 	struct apply *apply;
 	bool done;
@@ -35,7 +34,7 @@
 	const char *method;
 	const char *path;
 	bool is_open; /* needs no token */
-	void (*serve)(struct operator* operator, struct exchange * exchange);
+	void (*serve)(struct operator_api *api, struct exchange *exchange);
 };
 
 static void reply_json(struct exchange *exchange, uint32_t status, json_t *json)
@@ -109,23 +108,23 @@
 	change->exchange = NULL;
 }
 
-static void start_change(struct operator* operator, struct change * change)
+static void start_change(struct operator_api *api, struct change *change)
 {
 	exchange_set_data(change->exchange, change);
-	g_ptr_array_add(operator->changes, change);
+	g_ptr_array_add(api->changes, change);
 	apply_start(change->apply, g_get_monotonic_time());
 }
 
-static void serve_apply(struct operator* operator, struct exchange * exchange)
+static void serve_apply(struct operator_api *api, struct exchange *exchange)
 {
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
 	struct change *change = g_new0(struct change, 1);
 	uint32_t status = 400;
 	bool dry_run = false;
 
-	change->operator= operator;
+	change->api = api;
 	change->exchange = exchange;
-	change->apply = apply_new(operator->kernel, on_applied, change);
+	change->apply = apply_new(api->kernel, on_applied, change);
 	operator_apply_read(exchange_body(exchange), change->apply, &dry_run,
 			    errors);
 	if (!errors->len) {
@@ -136,23 +135,22 @@
 		reply_json(exchange, status, operator_errors_json(errors));
 		change_free(change);
 	} else if (dry_run) {
-		reply_json(
-			exchange, 200,
-			operator_dry_run_json(change->apply,
-					      kernel_fleet(operator->kernel)));
+		reply_json(exchange, 200,
+			   operator_dry_run_json(change->apply,
+						 kernel_fleet(api->kernel)));
 		change_free(change);
 	} else {
-		start_change(operator, change);
+		start_change(api, change);
 	}
 	g_ptr_array_unref(errors);
 }
 
 /* Status, timeline, drain */
 
-static void serve_status(struct operator* operator, struct exchange * exchange)
+static void serve_status(struct operator_api *api, struct exchange *exchange)
 {
 	reply_json(exchange, 200,
-		   operator_status_json(operator->kernel, operator->draining));
+		   operator_status_json(api->kernel, api->draining));
 }
 
 static bool read_number(const struct exchange *exchange, const char *name,
@@ -171,12 +169,12 @@
 }
 
 /* "ID" or "ENTRY/ID", as in the Pl-Request header. */
-static bool read_request(const struct operator* operator,
-			 const struct exchange * exchange, uint64_t *request_id)
+static bool read_request(const struct operator_api *api,
+			 const struct exchange *exchange, uint64_t *request_id)
 {
 	const char *value = exchange_argument(exchange, "request");
 	const char *slash = value ? strchr(value, '/') : NULL;
-	const char *entry = kernel_settings(operator->kernel)->entry;
+	const char *entry = kernel_settings(api->kernel)->entry;
 	guint64 parsed;
 
 	if (!slash)
@@ -197,15 +195,14 @@
 	return text && text[0] ? text : NULL;
 }
 
-static void serve_timeline(struct operator* operator,
-			   struct exchange * exchange)
+static void serve_timeline(struct operator_api *api, struct exchange *exchange)
 {
 	struct timeline_filter filter = {
 		.instance = non_empty(exchange_argument(exchange, "instance")),
 		.pool = non_empty(exchange_argument(exchange, "pool")),
 	};
 
-	if (!read_request(operator, exchange, &filter.request_id)) {
+	if (!read_request(api, exchange, &filter.request_id)) {
 		reply_error(exchange, 400, "request: expected ID or ENTRY/ID");
 		return;
 	}
@@ -213,70 +210,66 @@
 		reply_error(exchange, 400, "offset: expected an offset");
 		return;
 	}
-	reply_json(exchange, 200,
-		   operator_timeline_json(operator->kernel, &filter));
+	reply_json(exchange, 200, operator_timeline_json(api->kernel, &filter));
 }
 
-static void serve_drain(struct operator* operator, struct exchange * exchange)
+static void serve_drain(struct operator_api *api, struct exchange *exchange)
 {
 	struct event event = { .type = EVENT_DRAIN };
 	int64_t now_us = g_get_monotonic_time();
 
-	if (!operator->draining) {
-		operator->draining = true;
-		operator->drain_deadline_us =
-			now_us + kernel_settings(operator->kernel)
-				->drain_us;
-		event.drain.deadline_us = operator->drain_deadline_us;
-		kernel_emit(operator->kernel, &event);
+	if (!api->draining) {
+		api->draining = true;
+		api->drain_deadline_us =
+			now_us + kernel_settings(api->kernel)->drain_us;
+		event.drain.deadline_us = api->drain_deadline_us;
+		kernel_emit(api->kernel, &event);
 		klog_info(LOG_PREFIX, "draining at an operator's request");
 	}
-	reply_json(
-		exchange, 202,
-		json_pack("{s:s, s:s, s:I}", "outcome", "accepted", "entry",
-			  kernel_settings(operator->kernel)->entry,
-			  "deadline_ms",
-			  (json_int_t)((operator->drain_deadline_us - now_us) /
-				       USEC_PER_MSEC)));
+	reply_json(exchange, 202,
+		   json_pack("{s:s, s:s, s:I}", "outcome", "accepted", "entry",
+			     kernel_settings(api->kernel)->entry, "deadline_ms",
+			     (json_int_t)((api->drain_deadline_us - now_us) /
+					  USEC_PER_MSEC)));
 }
 
 /* Open paths */
 
-static void serve_health(struct operator* operator, struct exchange * exchange)
+static void serve_health(struct operator_api *api, struct exchange *exchange)
 {
-	(void)operator;
+	(void)api;
 	reply_text(exchange, 200, "ok\n");
 }
 
-static const char *not_ready(const struct operator* operator)
+static const char *not_ready(const struct operator_api *api)
 {
-	struct kernel *kernel = operator->kernel;
+	struct kernel *kernel = api->kernel;
 	const struct fleet_entry *entry = fleet_entry(
 		kernel_fleet(kernel), kernel_settings(kernel)->entry);
 
-	if (operator->draining)
+	if (api->draining)
 		return "draining\n";
 	if (!entry || entry->decl.incarnation != kernel_incarnation(kernel))
 		return "this entry instance has not joined the fleet\n";
 	return NULL;
 }
 
-static void serve_ready(struct operator* operator, struct exchange * exchange)
+static void serve_ready(struct operator_api *api, struct exchange *exchange)
 {
-	const char *reason = not_ready(operator);
+	const char *reason = not_ready(api);
 
 	reply_text(exchange, reason ? 503 : 200, reason ? reason : "ready\n");
 }
 
-static void serve_metrics(struct operator* operator, struct exchange * exchange)
+static void serve_metrics(struct operator_api *api, struct exchange *exchange)
 {
-	struct counters *counters = kernel_counters(operator->kernel);
+	struct counters *counters = kernel_counters(api->kernel);
 	GString *text;
 
 	counter_set(counters, "requests_in_progress",
-		    request_count(kernel_requests(operator->kernel)));
+		    request_count(kernel_requests(api->kernel)));
 	counter_set(counters, "timeline_lost_total",
-		    timeline_lost_count(kernel_timeline(operator->kernel)));
+		    timeline_lost_count(kernel_timeline(api->kernel)));
 	text = counters_text(counters);
 	reply_text(exchange, 200, text->str);
 	g_string_free(text, TRUE);
@@ -292,28 +285,28 @@
 	{ "GET", "/metrics", true, serve_metrics },
 };
 
-static bool is_authorised(const struct operator* operator,
-			  const struct exchange * exchange)
+static bool is_authorised(const struct operator_api *api,
+			  const struct exchange *exchange)
 {
 	static const char scheme[] = "Bearer ";
 	const char *value = exchange_header(exchange, "Authorization");
 
 	return value &&
 	       !g_ascii_strncasecmp(value, scheme, sizeof(scheme) - 1) &&
-	       token_equal(value + sizeof(scheme) - 1, operator->token);
+	       token_equal(value + sizeof(scheme) - 1, api->token);
 }
 
 static void operator_request(void *self, struct exchange *exchange)
 {
-	struct operator* operator= self;
+	struct operator_api *api = self;
 	const struct route *route = NULL;
 
 	for (gsize i = 0; !route && i < G_N_ELEMENTS(routes); i++) {
 		if (!strcmp(exchange_path(exchange), routes[i].path))
 			route = &routes[i];
 	}
-	if ((!route || !route->is_open) && !is_authorised(operator, exchange)) {
-		counter_add(kernel_counters(operator->kernel),
+	if ((!route || !route->is_open) && !is_authorised(api, exchange)) {
+		counter_add(kernel_counters(api->kernel),
 			    "operator_unauthorised_total", 1);
 		exchange_add_header(exchange, "WWW-Authenticate", "Bearer");
 		reply_error(exchange, 401, "a valid bearer token is required");
@@ -323,17 +316,17 @@
 		exchange_add_header(exchange, "Allow", route->method);
 		reply_error(exchange, 405, "the path has another method");
 	} else {
-		route->serve(operator, exchange);
+		route->serve(api, exchange);
 	}
 }
 
 static void operator_gone(void *self, struct exchange *exchange)
 {
-	struct operator* operator= self;
+	struct operator_api *api = self;
 	struct change *change = exchange_data(exchange);
 
 	/* Its record may be in the log by now; no further file is proposed. */
-	g_ptr_array_remove(operator->changes, change);
+	g_ptr_array_remove(api->changes, change);
 }
 
 static const struct httpd_ops operator_ops = {
@@ -343,38 +336,38 @@
 
 static void operator_handle(void *self, const struct event *event)
 {
-	struct operator* operator= self;
+	struct operator_api *api = self;
 
 	if (event->type == EVENT_DRAIN) {
-		operator->draining = true;
-		operator->drain_deadline_us = event->drain.deadline_us;
+		api->draining = true;
+		api->drain_deadline_us = event->drain.deadline_us;
 		return;
 	}
-	for (guint i = operator->changes->len; i > 0; i--) {
-		struct change *change = operator->changes->pdata[i - 1];
+	for (guint i = api->changes->len; i > 0; i--) {
+		struct change *change = api->changes->pdata[i - 1];
 
 		apply_handle(change->apply, event);
 		if (change->done)
-			g_ptr_array_remove_index(operator->changes, i - 1);
+			g_ptr_array_remove_index(api->changes, i - 1);
 	}
 }
 
 static void operator_fini(void *self)
 {
-	struct operator* operator= self;
+	struct operator_api *api = self;
 
-	for (guint i = 0; operator->changes && i<operator->changes->len; i++) {
-		struct change *change = operator->changes->pdata[i];
+	for (guint i = 0; api->changes && i < api->changes->len; i++) {
+		struct change *change = api->changes->pdata[i];
 
 		reply_outcome(change->exchange, 504, "unknown",
 			      "this entry instance has ended; GET /v1/status "
 			      "of another one lists the offset of each file");
 	}
-	httpd_free(operator->httpd);
-	if (operator->changes)
-		g_ptr_array_unref(operator->changes);
-	g_free(operator->token);
-	g_free(operator);
+	httpd_free(api->httpd);
+	if (api->changes)
+		g_ptr_array_unref(api->changes);
+	g_free(api->token);
+	g_free(api);
 }
 
 static void *operator_init(struct kernel *kernel)
@@ -385,26 +378,25 @@
 		.connections_max_count = CONNECTIONS_MAX_COUNT,
 		.slow_client_us = SLOW_CLIENT_US,
 	};
-	struct operator* operator= g_new0(struct operator, 1);
+	struct operator_api *api = g_new0(struct operator_api, 1);
 
-	operator->kernel = kernel;
-	operator->token = token_read(settings->token_file);
-	if (!operator->token)
+	api->kernel = kernel;
+	api->token = token_read(settings->token_file);
+	if (!api->token)
 		goto fail;
-	operator->httpd =
-		httpd_new(kernel_loop(kernel), settings->operator_address,
-			  &limits, &operator_ops, operator);
-	if (!operator->httpd)
+	api->httpd = httpd_new(kernel_loop(kernel), settings->operator_address,
+			       &limits, &operator_ops, api);
+	if (!api->httpd)
 		goto fail;
-	operator->changes = g_ptr_array_new_with_free_func(change_free);
+	api->changes = g_ptr_array_new_with_free_func(change_free);
 	counter_set(kernel_counters(kernel),
 		    "listening_port{interface=\"operators\"}",
-		    httpd_port(operator->httpd));
+		    httpd_port(api->httpd));
 	klog_info(LOG_PREFIX, "operators are served on port %u",
-		  httpd_port(operator->httpd));
-	return operator;
+		  httpd_port(api->httpd));
+	return api;
 fail:
-	operator_fini(operator);
+	operator_fini(api);
 	return NULL;
 }
 
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -46,7 +46,7 @@
 
 struct admission_ops {
 	/* The queue of one pool. */
-	void *(*new)(void);
+	void *(*create)(void);
 	void (*free)(void *queue);
 	/*
 	 * Queues an item or refuses it. An item that gives way to it is taken
--- a/src/policy/admission_fair.c
+++ b/src/policy/admission_fair.c
@@ -367,7 +367,7 @@
 }
 
 static const struct admission_ops fair_ops = {
-	.new = fair_new,
+	.create = fair_new,
 	.free = fair_free,
 	.offer = fair_offer,
 	.peek = fair_peek,
--- a/src/policy/admission_fifo.c
+++ b/src/policy/admission_fifo.c
@@ -113,7 +113,7 @@
 }
 
 static const struct admission_ops fifo_ops = {
-	.new = fifo_new,
+	.create = fifo_new,
 	.free = fifo_free,
 	.offer = fifo_offer,
 	.peek = fifo_peek,
--- a/src/policy/moves.h
+++ b/src/policy/moves.h
@@ -11,7 +11,7 @@
 };
 
 struct moves_ops {
-	void *(*new)(void);
+	void *(*create)(void);
 	void (*free)(void *self);
 	/* Once a second while the planner lease is held. */
 	void (*sample)(void *self, const struct plan_view *view);
--- a/src/policy/moves_greedy.c
+++ b/src/policy/moves_greedy.c
@@ -103,7 +103,7 @@
 }
 
 static const struct moves_ops greedy_ops = {
-	.new = greedy_new,
+	.create = greedy_new,
 	.free = greedy_free,
 	.sample = greedy_sample,
 	.note = greedy_note,
--- a/src/policy/moves_none.c
+++ b/src/policy/moves_none.c
@@ -47,7 +47,7 @@
 }
 
 static const struct moves_ops none_ops = {
-	.new = none_new,
+	.create = none_new,
 	.free = none_free,
 	.sample = none_sample,
 	.note = none_note,
--- a/src/policy/moves_steady.c
+++ b/src/policy/moves_steady.c
@@ -354,7 +354,7 @@
 }
 
 static const struct moves_ops steady_ops = {
-	.new = steady_new,
+	.create = steady_new,
 	.free = steady_free,
 	.sample = steady_sample,
 	.note = steady_note,
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -16,7 +16,7 @@
 };
 
 struct retry_ops {
-	void *(*new)(void);
+	void *(*create)(void);
 	void (*free)(void *self);
 	/* A request gets its first attempt. */
 	void (*count)(void *self, const char *member, const char *pool);
--- a/src/policy/retry_budget.c
+++ b/src/policy/retry_budget.c
@@ -83,7 +83,7 @@
 }
 
 static const struct retry_ops budget_ops = {
-	.new = budget_new,
+	.create = budget_new,
 	.free = budget_free,
 	.count = budget_count,
 	.allow = budget_allow,
--- a/src/policy/retry_none.c
+++ b/src/policy/retry_none.c
@@ -28,7 +28,7 @@
 }
 
 static const struct retry_ops none_ops = {
-	.new = none_new,
+	.create = none_new,
 	.free = none_free,
 	.count = none_count,
 	.allow = none_allow,
--- a/src/policy/waves.h
+++ b/src/policy/waves.h
@@ -6,7 +6,7 @@
 #include "policy/plan.h"
 
 struct waves_ops {
-	void *(*new)(void);
+	void *(*create)(void);
 	void (*free)(void *self);
 	/* Once a second while the planner lease is held. */
 	void (*sample)(void *self, const struct plan_view *view);
--- a/src/policy/waves_budget.c
+++ b/src/policy/waves_budget.c
@@ -191,7 +191,7 @@
 }
 
 static const struct waves_ops budget_ops = {
-	.new = budget_new,
+	.create = budget_new,
 	.free = budget_free,
 	.sample = budget_sample,
 	.choose = budget_choose,
--- a/src/policy/waves_serial.c
+++ b/src/policy/waves_serial.c
@@ -54,7 +54,7 @@
 }
 
 static const struct waves_ops serial_ops = {
-	.new = serial_new,
+	.create = serial_new,
 	.free = serial_free,
 	.sample = serial_sample,
 	.choose = serial_choose,
