--- a/src/cmd/client.c
+++ b/src/cmd/client.c
@@ -122,12 +122,10 @@
 {
 	struct running *running = data;
 	struct client_call *call = running->call;
-	long status = 0;
 
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (code == CURLE_OK) {
 		call->result = CLIENT_ANSWERED;
-		call->status = (uint32_t)status;
+		call->status = curl_loop_status(easy);
 		call->answer = json_loadb((const char *)running->received->data,
 					  running->received->len, 0, NULL);
 	} else {
--- a/src/io/curl_loop.c
+++ b/src/io/curl_loop.c
@@ -193,6 +193,14 @@
 	return easy;
 }
 
+uint32_t curl_loop_status(CURL *easy)
+{
+	long code = 0; /* the type that libcurl writes */
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
+	return (uint32_t)code;
+}
+
 bool curl_loop_submit(struct curl_loop *loop, CURL *easy,
 		      void (*done)(void *data, CURL *easy, CURLcode result),
 		      void *data)
--- a/src/io/curl_loop.h
+++ b/src/io/curl_loop.h
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 #include <ev.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 struct curl_loop;
 
@@ -23,6 +24,9 @@
  */
 CURL *curl_loop_easy_new(void);
 
+/* HTTP status of the answer, or 0 if there is none. */
+uint32_t curl_loop_status(CURL *easy);
+
 /*
  * Starts a transfer. The handle stays the caller's, who must not free it
  * before done() is called or curl_loop_cancel() returns. done() is called
--- a/src/io/endpoint_curl.c
+++ b/src/io/endpoint_curl.c
@@ -126,7 +126,7 @@
  * libcurl takes the end of the connection for the end of the headers, or of a
  * body without an announced length; the answer may have been cut off there.
  */
-static bool is_whole(const struct attempt *attempt, long status)
+static bool is_whole(const struct attempt *attempt, uint32_t status)
 {
 	curl_off_t length_bytes = -1;
 
@@ -175,13 +175,12 @@
 	struct client *client = attempt->client;
 	struct event_attempt *info = &attempt->info;
 	struct answer *answer = NULL;
-	long status = 0;
+	uint32_t status = curl_loop_status(easy);
 
 	info->result = result_of(attempt, code);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (info->result == ATTEMPT_ANSWERED && !is_whole(attempt, status))
 		info->result = ATTEMPT_TRUNCATED;
-	info->status = info->result == ATTEMPT_ANSWERED ? (uint32_t)status : 0;
+	info->status = info->result == ATTEMPT_ANSWERED ? status : 0;
 	info->verdict = verdict_of(attempt);
 	info->latency_us = g_get_monotonic_time() - attempt->started_us;
 	if (info->result == ATTEMPT_ANSWERED)
--- a/src/io/http_call.c
+++ b/src/io/http_call.c
@@ -58,7 +58,6 @@
 static void on_done(void *data, CURL *easy, CURLcode code)
 {
 	struct http_call *call = data;
-	long status = 0;
 	struct curl_header *etag;
 	struct http_result result = {
 		.sent = call->sent,
@@ -66,9 +65,8 @@
 		.body = call->answer,
 	};
 
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (result.answered)
-		result.status = (uint32_t)status;
+		result.status = curl_loop_status(easy);
 	if (curl_easy_header(easy, "ETag", 0, CURLH_HEADER, -1, &etag) ==
 	    CURLHE_OK)
 		result.etag = etag->value;
--- a/test/unit/codec.c
+++ b/test/unit/codec.c
@@ -190,26 +190,45 @@
 	g_bytes_unref(bytes);
 }
 
-/* Guards against an append that was changed in one bit or cut short. */
-static void test_batch_damaged(void)
+typedef void *decode_fn(const void *data, size_t size_bytes, char *reason);
+
+/* Cuts a message short, and changes one bit of each byte; none is taken. */
+static void check_damage(GBytes *bytes, decode_fn *decode_one)
 {
-	GPtrArray *records = full_batch();
-	GBytes *bytes = batch_encode(records);
 	char reason[REASON_SIZE_BYTES];
 	gsize size_bytes;
 	const uint8_t *data = g_bytes_get_data(bytes, &size_bytes);
 	uint8_t *copy = g_memdup2(data, size_bytes);
 
 	for (gsize at = 0; at < size_bytes; at++) {
-		CU_ASSERT_PTR_NULL(batch_decode(data, at, reason));
+		CU_ASSERT_PTR_NULL(decode_one(data, at, reason));
 		/* The version may be that of a newer writer. */
 		if (at == 1)
 			continue;
 		copy[at] ^= 1;
-		CU_ASSERT_PTR_NULL(batch_decode(copy, size_bytes, reason));
+		CU_ASSERT_PTR_NULL(decode_one(copy, size_bytes, reason));
 		copy[at] ^= 1;
 	}
 	g_free(copy);
+}
+
+static void *decode_batch(const void *data, size_t size_bytes, char *reason)
+{
+	return batch_decode(data, size_bytes, reason);
+}
+
+static void *decode_peer_msg(const void *data, size_t size_bytes, char *reason)
+{
+	return peer_msg_decode(data, size_bytes, reason);
+}
+
+/* Guards against an append that was changed in one bit or cut short. */
+static void test_batch_damaged(void)
+{
+	GPtrArray *records = full_batch();
+	GBytes *bytes = batch_encode(records);
+
+	check_damage(bytes, decode_batch);
 	g_ptr_array_unref(records);
 	g_bytes_unref(bytes);
 }
@@ -270,21 +289,8 @@
 {
 	struct peer_msg *msg = full_msg(PEER_MSG_LOAN_GRANT);
 	GBytes *bytes = peer_msg_encode(msg);
-	char reason[REASON_SIZE_BYTES];
-	gsize size_bytes;
-	const uint8_t *data = g_bytes_get_data(bytes, &size_bytes);
-	uint8_t *copy = g_memdup2(data, size_bytes);
 
-	for (gsize at = 0; at < size_bytes; at++) {
-		CU_ASSERT_PTR_NULL(peer_msg_decode(data, at, reason));
-		/* The version may be that of a newer sender. */
-		if (at == 1)
-			continue;
-		copy[at] ^= 1;
-		CU_ASSERT_PTR_NULL(peer_msg_decode(copy, size_bytes, reason));
-		copy[at] ^= 1;
-	}
-	g_free(copy);
+	check_damage(bytes, decode_peer_msg);
 	peer_msg_free(msg);
 	g_bytes_unref(bytes);
 }
