Use one clock for all deadlines, which counts suspended time

Cause: machines of the platform are suspended for seconds, and the monotonic clock does not count that time. A holder would wake up and take its lease for current.

Change: clock_now_us() reads CLOCK_BOOTTIME; the loop and all I/O plug-ins use it. HTTP calls take further headers, as orders to machines need them.

--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -9,6 +9,7 @@
 #include <sys/resource.h>
 
 #include "cmd/command.h"
+#include "kernel/clock.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 #include "kernel/loop.h"
@@ -57,7 +58,7 @@
 static void set_end(struct serve *serve, int64_t end_us)
 {
 	struct ev_loop *ev = kernel_loop(serve->kernel);
-	int64_t left_us = MAX(end_us - g_get_monotonic_time(), 0);
+	int64_t left_us = MAX(end_us - clock_now_us(), 0);
 
 	serve->end_us = end_us;
 	ev_timer_stop(ev, &serve->end_timer);
@@ -78,7 +79,7 @@
 static void on_signal(struct ev_loop *ev, ev_signal *watcher, int revents)
 {
 	struct serve *serve = watcher->data;
-	int64_t now_us = g_get_monotonic_time();
+	int64_t now_us = clock_now_us();
 
 	(void)ev;
 	(void)revents;
@@ -122,7 +123,7 @@
 	case EVENT_DRAINED:
 		klog_info(LOG_PREFIX, "drained");
 		serve->drained = true;
-		set_end(serve, g_get_monotonic_time() + LEAVE_MAX_US);
+		set_end(serve, clock_now_us() + LEAVE_MAX_US);
 		break;
 	default:
 		klog_info(LOG_PREFIX, "left the fleet");
--- a/src/io/endpoint_curl.c
+++ b/src/io/endpoint_curl.c
@@ -4,6 +4,7 @@
 
 #include "io/curl_loop.h"
 #include "io/token.h"
+#include "kernel/clock.h"
 #include "kernel/kernel.h"
 
 #define ANSWER_MAX_BYTES (UINT64_C(4) * 1024 * 1024)
@@ -104,7 +105,7 @@
 	case CURLE_FILESIZE_EXCEEDED:
 		return ATTEMPT_TRUNCATED;
 	case CURLE_OPERATION_TIMEDOUT:
-		if (g_get_monotonic_time() >= attempt->info.deadline_us)
+		if (clock_now_us() >= attempt->info.deadline_us)
 			return ATTEMPT_TIMED_OUT;
 		return attempt->connected ? ATTEMPT_TIMED_OUT : ATTEMPT_REFUSED;
 	default:
@@ -182,7 +183,7 @@
 		info->result = ATTEMPT_TRUNCATED;
 	info->status = info->result == ATTEMPT_ANSWERED ? status : 0;
 	info->verdict = verdict_of(attempt);
-	info->latency_us = g_get_monotonic_time() - attempt->started_us;
+	info->latency_us = clock_now_us() - attempt->started_us;
 	if (info->result == ATTEMPT_ANSWERED)
 		answer = take_answer(attempt);
 	emit_done(client, info, answer);
@@ -391,14 +392,14 @@
 		refuse(client, asked, ATTEMPT_CANCELLED);
 		return;
 	}
-	if (asked->deadline_us <= g_get_monotonic_time()) {
+	if (asked->deadline_us <= clock_now_us()) {
 		refuse(client, asked, ATTEMPT_TIMED_OUT);
 		return;
 	}
 	attempt = g_new0(struct attempt, 1);
 	attempt->client = client;
 	attempt->info = *asked;
-	attempt->started_us = g_get_monotonic_time();
+	attempt->started_us = clock_now_us();
 	if (start(client, attempt, request)) {
 		g_hash_table_add(client->attempts, attempt);
 		return;
@@ -417,7 +418,7 @@
 		return;
 	attempt->info.result = ATTEMPT_CANCELLED;
 	attempt->info.verdict = verdict_of(attempt);
-	attempt->info.latency_us = g_get_monotonic_time() - attempt->started_us;
+	attempt->info.latency_us = clock_now_us() - attempt->started_us;
 	attempt->info.status = 0;
 	emit_done(client, &attempt->info, NULL);
 	g_hash_table_remove(client->attempts, attempt);
--- a/src/io/front_http.c
+++ b/src/io/front_http.c
@@ -4,6 +4,7 @@
 
 #include "io/mhd_loop.h"
 #include "io/token.h"
+#include "kernel/clock.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
@@ -137,7 +138,7 @@
 		name_copy(request->key, sizeof(request->key), headers->key);
 	request->relayed = headers->relayed;
 	/* The kernel's clock stands still while the loop waits for input. */
-	request->arrived_us = g_get_monotonic_time();
+	request->arrived_us = clock_now_us();
 	if (headers->deadline_ms)
 		request->deadline_us = request->arrived_us +
 				       headers->deadline_ms * USEC_PER_MSEC;
--- a/src/io/http_call.c
+++ b/src/io/http_call.c
@@ -89,6 +89,9 @@
 		call->headers = curl_slist_append(call->headers, match);
 		g_free(match);
 	}
+	for (size_t i = 0; spec->headers && spec->headers[i]; i++)
+		call->headers =
+			curl_slist_append(call->headers, spec->headers[i]);
 	if (spec->body) {
 		call->body = g_bytes_ref(spec->body);
 		data = g_bytes_get_data(call->body, &size_bytes);
--- a/src/io/http_call.h
+++ b/src/io/http_call.h
@@ -15,7 +15,9 @@
 	GBytes *body; /* of a POST; NULL: GET */
 	const char *content_type;
 	const char *if_none_match; /* ETag of a kept answer, or NULL */
-	int64_t timeout_us;	   /* of the whole exchange */
+	const char *const
+		*headers;   /* "Name: value", NULL at the end; or NULL */
+	int64_t timeout_us; /* of the whole exchange */
 	size_t answer_max_bytes;
 };
 
--- a/src/io/list_http.c
+++ b/src/io/list_http.c
@@ -2,6 +2,7 @@
 
 #include "io/http_call.h"
 #include "io/list_wire.h"
+#include "kernel/clock.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
@@ -133,7 +134,7 @@
 		return;
 	}
 	count(client, "reboots_total{result=\"failed\"}");
-	reboot->retry_at_us = g_get_monotonic_time() + REBOOT_RETRY_US;
+	reboot->retry_at_us = clock_now_us() + REBOOT_RETRY_US;
 	kernel_wake_at(client->kernel, reboot->retry_at_us);
 }
 
@@ -159,7 +160,7 @@
 	reboot->call =
 		http_call_start(client->loop, &spec, reboot_done, reboot);
 	if (!reboot->call) {
-		reboot->retry_at_us = g_get_monotonic_time() + REBOOT_RETRY_US;
+		reboot->retry_at_us = clock_now_us() + REBOOT_RETRY_US;
 		kernel_wake_at(client->kernel, reboot->retry_at_us);
 	}
 	g_bytes_unref(body);
@@ -210,7 +211,7 @@
 
 static void wake(struct list_client *client)
 {
-	int64_t now_us = g_get_monotonic_time();
+	int64_t now_us = clock_now_us();
 
 	if (now_us >= client->poll_at_us) {
 		client->poll_at_us = now_us + POLL_EVERY_US;
--- a/src/io/log_http.c
+++ b/src/io/log_http.c
@@ -5,6 +5,7 @@
 #include "codec/record_codec.h"
 #include "io/http_call.h"
 #include "io/log_wire.h"
+#include "kernel/clock.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
@@ -220,7 +221,7 @@
 static void read_done(void *data, const struct http_result *result)
 {
 	struct log_client *client = data;
-	int64_t now_us = g_get_monotonic_time();
+	int64_t now_us = clock_now_us();
 	int64_t next_us = now_us;
 	struct log_answer answer;
 
@@ -260,7 +261,7 @@
 
 static void read_now(struct log_client *client)
 {
-	client->read_started_us = g_get_monotonic_time();
+	client->read_started_us = clock_now_us();
 	client->read_at_us = DEADLINE_NEVER_US;
 	client->read_from = client->from;
 	client->read_wait_ms = client->reachable ? POLL_WAIT_MS : 0;
@@ -284,7 +285,7 @@
 		if (client->reachable)
 			emit_state(client);
 	} else {
-		client->ask_at_us = g_get_monotonic_time() + BACKOFF_MAX_US;
+		client->ask_at_us = clock_now_us() + BACKOFF_MAX_US;
 		kernel_wake_at(client->kernel, client->ask_at_us);
 	}
 	log_answer_clear(&answer);
@@ -303,7 +304,7 @@
 	client->ask_at_us = DEADLINE_NEVER_US;
 	if (client->ask)
 		return;
-	client->ask_at_us = g_get_monotonic_time() + BACKOFF_MAX_US;
+	client->ask_at_us = clock_now_us() + BACKOFF_MAX_US;
 	kernel_wake_at(client->kernel, client->ask_at_us);
 }
 
@@ -396,7 +397,7 @@
 
 static void wake(struct log_client *client)
 {
-	int64_t now_us = g_get_monotonic_time();
+	int64_t now_us = clock_now_us();
 
 	if (!client->read && now_us >= client->read_at_us)
 		read_now(client);
--- a/src/io/mhd_bounds.c
+++ b/src/io/mhd_bounds.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "io/mhd_private.h"
+#include "kernel/clock.h"
 #include "kernel/klog.h"
 
 #define HEADERS_MAX_BYTES 16384
@@ -27,7 +28,7 @@
 	/* A timer that is armed for an earlier deadline arms itself again. */
 	if (ev_is_active(&httpd->deadline_timer))
 		return;
-	left_us = MAX(first->deadline_us - g_get_monotonic_time(), 0);
+	left_us = MAX(first->deadline_us - clock_now_us(), 0);
 	ev_now_update(httpd->ev);
 	ev_timer_set(&httpd->deadline_timer,
 		     (double)left_us / (double)USEC_PER_SEC, 0.);
@@ -45,8 +46,7 @@
 void conn_set_deadline(struct conn *conn)
 {
 	conn_clear_deadline(conn);
-	conn->deadline_us =
-		g_get_monotonic_time() + conn->httpd->limits.slow_client_us;
+	conn->deadline_us = clock_now_us() + conn->httpd->limits.slow_client_us;
 	g_queue_push_tail_link(&conn->httpd->deadlines, &conn->link);
 	arm_deadline(conn->httpd);
 }
@@ -98,7 +98,7 @@
 	(void)ev;
 	(void)revents;
 	while ((first = g_queue_peek_head(&httpd->deadlines)) &&
-	       first->deadline_us <= g_get_monotonic_time())
+	       first->deadline_us <= clock_now_us())
 		expire(first);
 	arm_deadline(httpd);
 }
--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "io/mhd_private.h"
+#include "kernel/clock.h"
 #include "kernel/klog.h"
 
 /*
@@ -226,14 +227,13 @@
 
 static void flush(struct httpd *httpd)
 {
-	int64_t end_us = g_get_monotonic_time() + FLUSH_MAX_US;
+	int64_t end_us = clock_now_us() + FLUSH_MAX_US;
 	struct pollfd wait = { .fd = httpd->io.fd, .events = POLLIN };
 
 	MHD_run(httpd->daemon);
-	while (httpd->answering_count && g_get_monotonic_time() < end_us) {
+	while (httpd->answering_count && clock_now_us() < end_us) {
 		MHD_UNSIGNED_LONG_LONG next_ms;
-		int64_t wait_ms =
-			(end_us - g_get_monotonic_time()) / USEC_PER_MSEC + 1;
+		int64_t wait_ms = (end_us - clock_now_us()) / USEC_PER_MSEC + 1;
 
 		if (MHD_get_timeout(httpd->daemon, &next_ms) == MHD_YES)
 			wait_ms = MIN(wait_ms, (int64_t)next_ms);
--- a/src/io/operator_http.c
+++ b/src/io/operator_http.c
@@ -5,6 +5,7 @@
 #include "io/mhd_loop.h"
 #include "io/operator_json.h"
 #include "io/token.h"
+#include "kernel/clock.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
 
@@ -112,7 +113,7 @@
 {
 	exchange_set_data(change->exchange, change);
 	g_ptr_array_add(api->changes, change);
-	apply_start(change->apply, g_get_monotonic_time());
+	apply_start(change->apply, clock_now_us());
 }
 
 static void serve_apply(struct operator_api *api, struct exchange *exchange)
@@ -216,7 +217,7 @@
 static void serve_drain(struct operator_api *api, struct exchange *exchange)
 {
 	struct event event = { .type = EVENT_DRAIN };
-	int64_t now_us = g_get_monotonic_time();
+	int64_t now_us = clock_now_us();
 
 	if (!api->draining) {
 		api->draining = true;
--- /dev/null
+++ b/src/kernel/clock.c
@@ -0,0 +1,13 @@
+#include "kernel/clock.h"
+
+#include <time.h>
+
+#include "core/types.h"
+
+int64_t clock_now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (int64_t)now.tv_sec * USEC_PER_SEC + now.tv_nsec / 1000;
+}
--- a/src/kernel/loop.c
+++ b/src/kernel/loop.c
@@ -1,7 +1,10 @@
 #include "kernel/loop.h"
+#include "kernel/clock.h"
 
 #include <ev.h>
 
+#include "kernel/decision_log.h"
+
 struct loop {
 	struct ev_loop *ev;
 	struct kernel *kernel;
@@ -11,8 +14,7 @@
 
 static void advance(struct loop *loop)
 {
-	kernel_set_time(loop->kernel, g_get_monotonic_time(),
-			g_get_real_time());
+	kernel_set_time(loop->kernel, clock_now_us(), g_get_real_time());
 	kernel_run(loop->kernel);
 }
 
@@ -24,7 +26,7 @@
 	ev_timer_stop(loop->ev, &loop->timer);
 	if (next_us == DEADLINE_NEVER_US)
 		return;
-	left_us = MAX(next_us - g_get_monotonic_time(), 0);
+	left_us = MAX(next_us - clock_now_us(), 0);
 	ev_now_update(loop->ev);
 	ev_timer_set(&loop->timer, (double)left_us / (double)USEC_PER_SEC, 0.);
 	ev_timer_start(loop->ev, &loop->timer);
@@ -37,6 +39,7 @@
 	(void)ev;
 	(void)revents;
 	advance(loop);
+	decision_log_flush();
 	arm(loop);
 }
 
@@ -60,7 +63,7 @@
 	ev_timer_init(&loop->timer, on_timer, 0., 0.);
 	loop->timer.data = loop;
 	kernel_set_loop(kernel, loop->ev);
-	kernel_set_time(kernel, g_get_monotonic_time(), g_get_real_time());
+	kernel_set_time(kernel, clock_now_us(), g_get_real_time());
 	return loop;
 }
 
