--- /dev/null
+++ b/src/codec/job_codec.c
@@ -0,0 +1,317 @@
+#include "codec/job_codec.h"
+
+#include <string.h>
+
+#include "codec/proto/job.pb-c.h"
+
+#define KEY_SUBMIT "j/"
+#define KEY_PROGRESS "s/"
+#define KEY_CANCEL "c/"
+#define KEY_HOLDER "holder"
+#define KEY_PREFIX_BYTES 2
+
+/* A cancellation has no fields; an empty value would remove its key. */
+static const uint8_t cancel_value[] = { 1 };
+
+static const char *prefix_of(enum job_record_kind kind)
+{
+	switch (kind) {
+	case JOB_RECORD_SUBMIT:
+		return KEY_SUBMIT;
+	case JOB_RECORD_PROGRESS:
+		return KEY_PROGRESS;
+	case JOB_RECORD_CANCEL:
+		return KEY_CANCEL;
+	default:
+		return NULL;
+	}
+}
+
+uint32_t job_codec_keys(const struct job_record *record,
+			char keys[3][JOB_KEY_MAX_BYTES])
+{
+	static const char *const all[] = { KEY_CANCEL, KEY_PROGRESS,
+					   KEY_SUBMIT };
+	const char *prefix = prefix_of(record->kind);
+
+	if (record->kind == JOB_RECORD_HOLDER) {
+		g_strlcpy(keys[0], KEY_HOLDER, JOB_KEY_MAX_BYTES);
+		return 1;
+	}
+	if (record->kind == JOB_RECORD_DROP) {
+		for (uint32_t i = 0; i < G_N_ELEMENTS(all); i++)
+			g_snprintf(keys[i], JOB_KEY_MAX_BYTES, "%s%s", all[i],
+				   record->id);
+		return G_N_ELEMENTS(all);
+	}
+	if (!prefix)
+		return 0;
+	g_snprintf(keys[0], JOB_KEY_MAX_BYTES, "%s%s", prefix, record->id);
+	return 1;
+}
+
+static void step_to_wire(Pl__JobStep *to, const struct job_step *from)
+{
+	pl__job_step__init(to);
+	to->item_count = from->item_count;
+	to->cpu_milli = from->cpu_milli;
+	to->mem_mb = from->mem_mb;
+	to->gpu_count = from->gpu_count;
+	to->estimate_ms = from->estimate_ms;
+	to->max_per_worker = from->max_per_worker;
+	to->max_unavailable = from->max_unavailable;
+	to->target_ms = from->target_ms;
+	to->after_mask = from->after_mask;
+	to->gang = from->gang;
+	to->one_rack = from->one_rack;
+	to->saves = from->saves;
+	to->copies_allowed = from->copies_allowed;
+	to->lasting = from->lasting;
+	to->filler = from->filler;
+	to->label = (char *)from->label;
+	to->rack = (char *)from->rack;
+	to->image = (char *)from->image;
+}
+
+static GBytes *pack(const ProtobufCMessage *msg)
+{
+	size_t size_bytes = protobuf_c_message_get_packed_size(msg);
+	uint8_t *data = g_malloc(MAX(size_bytes, 1));
+
+	protobuf_c_message_pack(msg, data);
+	return g_bytes_new_take(data, size_bytes);
+}
+
+static GBytes *encode_submit(const struct job_record *record)
+{
+	const struct job_spec *spec = record->spec;
+	Pl__JobSubmission to = PL__JOB_SUBMISSION__INIT;
+	Pl__JobStep *steps = g_new0(Pl__JobStep, spec->steps->len);
+	Pl__JobStep **pointers = g_new0(Pl__JobStep *, spec->steps->len);
+	GBytes *bytes;
+
+	for (guint i = 0; i < spec->steps->len; i++) {
+		step_to_wire(&steps[i],
+			     &g_array_index(spec->steps, struct job_step, i));
+		pointers[i] = &steps[i];
+	}
+	to.queue = (char *)record->queue;
+	to.pool = (char *)record->pool;
+	to.submitted_ms = record->submitted_ms;
+	to.text = spec->text;
+	to.n_steps = spec->steps->len;
+	to.steps = pointers;
+	to.first_due_ms = spec->first_due_ms;
+	to.interval_ms = spec->interval_ms;
+	to.occurrence_count = spec->occurrence_count;
+	bytes = pack(&to.base);
+	g_free(pointers);
+	g_free(steps);
+	return bytes;
+}
+
+static GBytes *encode_progress(const struct job_record *record)
+{
+	Pl__JobProgress to = PL__JOB_PROGRESS__INIT;
+	Pl__JobItem *items = g_new0(Pl__JobItem, record->items->len + 1);
+	Pl__JobItem **pointers = g_new0(Pl__JobItem *, record->items->len + 1);
+	GBytes *bytes;
+
+	for (guint i = 0; i < record->items->len; i++) {
+		const struct job_record_item *item = &g_array_index(
+			record->items, struct job_record_item, i);
+
+		pl__job_item__init(&items[i]);
+		items[i].index = item->index;
+		items[i].run = item->run;
+		items[i].failed_count = item->failed_count;
+		if (item->worker)
+			items[i].worker = (char *)item->worker;
+		if (item->saved)
+			items[i].saved = item->saved;
+		pointers[i] = &items[i];
+	}
+	to.state = record->state;
+	to.begun = record->begun;
+	to.done.data = record->done->data;
+	to.done.len = record->done->len;
+	to.n_items = record->items->len;
+	to.items = pointers;
+	bytes = pack(&to.base);
+	g_free(pointers);
+	g_free(items);
+	return bytes;
+}
+
+static GBytes *encode_holder(const struct job_record *record)
+{
+	Pl__JobHolder to = PL__JOB_HOLDER__INIT;
+
+	to.entry = (char *)record->entry;
+	to.boot_id = record->boot_id;
+	to.token = record->token;
+	to.step = record->step;
+	return pack(&to.base);
+}
+
+GBytes *job_codec_encode(const struct job_record *record)
+{
+	switch (record->kind) {
+	case JOB_RECORD_SUBMIT:
+		return encode_submit(record);
+	case JOB_RECORD_PROGRESS:
+		return encode_progress(record);
+	case JOB_RECORD_CANCEL:
+		return g_bytes_new_static(cancel_value, sizeof(cancel_value));
+	case JOB_RECORD_HOLDER:
+		return encode_holder(record);
+	default:
+		return g_bytes_new(NULL, 0);
+	}
+}
+
+static void step_from_wire(struct job_step *to, const Pl__JobStep *from)
+{
+	to->item_count = from->item_count;
+	to->cpu_milli = from->cpu_milli;
+	to->mem_mb = from->mem_mb;
+	to->gpu_count = from->gpu_count;
+	to->estimate_ms = from->estimate_ms;
+	to->max_per_worker = from->max_per_worker;
+	to->max_unavailable = from->max_unavailable;
+	to->target_ms = from->target_ms;
+	to->after_mask = from->after_mask;
+	to->gang = from->gang;
+	to->one_rack = from->one_rack;
+	to->saves = from->saves;
+	to->copies_allowed = from->copies_allowed;
+	to->lasting = from->lasting;
+	to->filler = from->filler;
+	name_copy(to->label, sizeof(to->label), from->label);
+	name_copy(to->rack, sizeof(to->rack), from->rack);
+	name_copy(to->image, sizeof(to->image), from->image);
+}
+
+static struct job_record *decode_submit(const uint8_t *value, size_t size_bytes)
+{
+	Pl__JobSubmission *from =
+		pl__job_submission__unpack(NULL, size_bytes, value);
+	struct job_record *record;
+
+	if (!from)
+		return NULL;
+	record = job_record_new(JOB_RECORD_SUBMIT);
+	record->spec = job_spec_new();
+	name_copy(record->queue, sizeof(record->queue), from->queue);
+	name_copy(record->pool, sizeof(record->pool), from->pool);
+	record->submitted_ms = from->submitted_ms;
+	record->spec->text = g_strdup(from->text);
+	record->spec->first_due_ms = from->first_due_ms;
+	record->spec->interval_ms = from->interval_ms;
+	record->spec->occurrence_count = from->occurrence_count;
+	for (size_t i = 0; i < from->n_steps; i++) {
+		struct job_step step = { 0 };
+
+		step_from_wire(&step, from->steps[i]);
+		g_array_append_val(record->spec->steps, step);
+	}
+	pl__job_submission__free_unpacked(from, NULL);
+	if (job_spec_check(record->spec)) {
+		job_record_unref(record);
+		return NULL;
+	}
+	return record;
+}
+
+static void item_clear(gpointer data)
+{
+	struct job_record_item *item = data;
+
+	g_free(item->saved);
+}
+
+static struct job_record *decode_progress(const uint8_t *value,
+					  size_t size_bytes)
+{
+	Pl__JobProgress *from =
+		pl__job_progress__unpack(NULL, size_bytes, value);
+	struct job_record *record;
+
+	if (!from)
+		return NULL;
+	record = job_record_new(JOB_RECORD_PROGRESS);
+	record->state = MIN(from->state, JOB_STATE_COUNT - 1);
+	record->begun = from->begun;
+	record->done = g_byte_array_new();
+	g_byte_array_append(record->done, from->done.data,
+			    (guint)from->done.len);
+	record->items =
+		g_array_new(FALSE, TRUE, sizeof(struct job_record_item));
+	g_array_set_clear_func(record->items, item_clear);
+	for (size_t i = 0; i < from->n_items; i++) {
+		const Pl__JobItem *item = from->items[i];
+		struct job_record_item to = {
+			.index = item->index,
+			.run = item->run,
+			.failed_count = item->failed_count,
+			.worker = item->worker[0]
+					  ? g_intern_string(item->worker)
+					  : NULL,
+			.saved = item->saved[0] ? g_strdup(item->saved) : NULL,
+		};
+
+		g_array_append_val(record->items, to);
+	}
+	pl__job_progress__free_unpacked(from, NULL);
+	return record;
+}
+
+static struct job_record *decode_holder(const uint8_t *value, size_t size_bytes)
+{
+	Pl__JobHolder *from = pl__job_holder__unpack(NULL, size_bytes, value);
+	struct job_record *record;
+
+	if (!from)
+		return NULL;
+	record = job_record_new(JOB_RECORD_HOLDER);
+	name_copy(record->entry, sizeof(record->entry), from->entry);
+	record->boot_id = from->boot_id;
+	record->token = from->token;
+	record->step = MIN(from->step, HOLDER_RESIGN);
+	pl__job_holder__free_unpacked(from, NULL);
+	return record;
+}
+
+static struct job_record *decode_of_job(const char *key, const uint8_t *value,
+					size_t size_bytes)
+{
+	const char *id = key + KEY_PREFIX_BYTES;
+	struct job_record *record;
+
+	if (!job_id_is_valid(id))
+		return NULL;
+	if (g_str_has_prefix(key, KEY_SUBMIT))
+		record = size_bytes ? decode_submit(value, size_bytes)
+				    : job_record_new(JOB_RECORD_DROP);
+	else if (!size_bytes)
+		record = job_record_new(JOB_RECORD_UNKNOWN);
+	else if (g_str_has_prefix(key, KEY_PROGRESS))
+		record = decode_progress(value, size_bytes);
+	else
+		record = job_record_new(JOB_RECORD_CANCEL);
+	if (record)
+		g_strlcpy(record->id, id, sizeof(record->id));
+	return record;
+}
+
+struct job_record *job_codec_decode(const char *key, const uint8_t *value,
+				    size_t size_bytes)
+{
+	if (!strcmp(key, KEY_HOLDER))
+		return decode_holder(value, size_bytes);
+	if (g_str_has_prefix(key, KEY_SUBMIT) ||
+	    g_str_has_prefix(key, KEY_PROGRESS) ||
+	    g_str_has_prefix(key, KEY_CANCEL))
+		return decode_of_job(key, value, size_bytes);
+	return job_record_new(JOB_RECORD_UNKNOWN);
+}
--- a/src/codec/snapshot_codec.c
+++ b/src/codec/snapshot_codec.c
@@ -487,7 +487,7 @@
 
 static bool unpack_job(struct fleet_job *to, const Pl__StateJob *from)
 {
-	to->state = (enum job_state)from->state;
+	to->state = (enum fleet_job_state)from->state;
 	to->attempt_count = from->attempt_count;
 	to->changed_offset = from->changed_offset;
 	return from->state <= JOB_ASIDE && from->decl &&
--- a/src/core/event.c
+++ b/src/core/event.c
@@ -1,5 +1,7 @@
 #include "core/event.h"
 
+#include "jobs/msg.h"
+
 static const char *const type_names[EVENT_TYPE_COUNT] = {
 	[EVENT_WAKE] = "wake",
 	[EVENT_STARTED] = "started",
@@ -38,6 +40,23 @@
 	[EVENT_TASK_CHECKPOINT] = "task_checkpoint",
 	[EVENT_TASK_STOP] = "task_stop",
 	[EVENT_TASK_REPORT] = "task_report",
+	[EVENT_STORE_READ] = "store_read",
+	[EVENT_STORE_WRITE] = "store_write",
+	[EVENT_STORE_WRITTEN] = "store_written",
+	[EVENT_JOBS_APPLIED] = "jobs_applied",
+	[EVENT_HOLDER_CHANGED] = "holder_changed",
+	[EVENT_JOB_CALL] = "job_call",
+	[EVENT_JOB_CALL_GONE] = "job_call_gone",
+	[EVENT_JOB_REPLY] = "job_reply",
+	[EVENT_WORKERS_SEEN] = "workers_seen",
+	[EVENT_CONFIG_SEEN] = "config_seen",
+	[EVENT_WAVE_SEEN] = "wave_seen",
+	[EVENT_ORDER] = "order",
+	[EVENT_ORDER_DONE] = "order_done",
+	[EVENT_MACHINES_ASK] = "machines_ask",
+	[EVENT_MACHINES_SEEN] = "machines_seen",
+	[EVENT_MACHINE_ORDER] = "machine_order",
+	[EVENT_MACHINE_ORDERED] = "machine_ordered",
 };
 
 struct answer *answer_new(uint32_t status, const char *content_type,
@@ -90,6 +109,8 @@
 		peer_msg_free(event->peer.msg);
 		break;
 	default:
+		if (event->type >= EVENT_STORE_READ)
+			job_msg_clear(event);
 		break;
 	}
 	answer_unref(event->answer);
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -61,6 +61,24 @@
 	EVENT_TASK_CHECKPOINT, /* to the platform: save its state, then stop */
 	EVENT_TASK_STOP,       /* to the platform: stop without a result */
 	EVENT_TASK_REPORT,     /* platform: how a task goes, or has ended */
+	/* Jobs on the platform's workers; src/jobs/msg.h has their messages. */
+	EVENT_STORE_READ,      /* store: records of jobs were read */
+	EVENT_STORE_WRITE,     /* to the store */
+	EVENT_STORE_WRITTEN,   /* store: how a write ended */
+	EVENT_JOBS_APPLIED,    /* apply: the records of a read are in force */
+	EVENT_HOLDER_CHANGED,  /* lease: the jobs are held here, or no more */
+	EVENT_JOB_CALL,	       /* front end: a caller asks */
+	EVENT_JOB_CALL_GONE,   /* front end: the caller has disconnected */
+	EVENT_JOB_REPLY,       /* to the front end */
+	EVENT_WORKERS_SEEN,    /* directory: workers that came or went */
+	EVENT_CONFIG_SEEN,     /* directory: queues and pools */
+	EVENT_WAVE_SEEN,       /* directory: a maintenance wave */
+	EVENT_ORDER,	       /* to a worker */
+	EVENT_ORDER_DONE,      /* worker: how an order ended */
+	EVENT_MACHINES_ASK,    /* to the machines' list */
+	EVENT_MACHINES_SEEN,   /* the machines' list, or its failure */
+	EVENT_MACHINE_ORDER,   /* move or maintain a machine */
+	EVENT_MACHINE_ORDERED, /* how that ended */
 	EVENT_TYPE_COUNT,
 };
 
@@ -220,6 +238,7 @@
 		struct event_peer peer;
 		struct event_drain drain;
 		struct event_task task;
+		void *msg; /* owned; of the type that src/jobs/msg.h names */
 	};
 	struct answer *answer; /* owned; attempt_done and request_reply */
 };
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -80,7 +80,7 @@
 	uint64_t halt_offset;
 };
 
-enum job_state {
+enum fleet_job_state {
 	JOB_WAITING,
 	JOB_RUNNING,
 	JOB_CANCELLING, /* cancelled while it ran */
@@ -91,7 +91,7 @@
 
 struct fleet_job {
 	struct record_job decl;
-	enum job_state state;
+	enum fleet_job_state state;
 	char instance[NAME_SIZE_BYTES]; /* while running or cancelling */
 	GPtrArray *failed_on;		/* of char *: distinct instances */
 	uint32_t attempt_count;
@@ -189,6 +189,6 @@
 bool claim_key_wall_us(const char *key, int64_t *wall_us);
 
 const char *instance_phase_name(enum instance_phase phase);
-const char *job_state_name(enum job_state state);
+const char *job_state_name(enum fleet_job_state state);
 
 #endif
--- a/src/core/fleet_job.c
+++ b/src/core/fleet_job.c
@@ -10,7 +10,7 @@
 	[JOB_CANCELLED] = "cancelled",	 [JOB_ASIDE] = "aside",
 };
 
-const char *job_state_name(enum job_state state)
+const char *job_state_name(enum fleet_job_state state)
 {
 	return state <= JOB_ASIDE ? state_names[state] : "unknown";
 }
@@ -42,7 +42,7 @@
 	return g_hash_table_lookup(fleet->jobs, record->job.job);
 }
 
-static void set_state(struct fleet_job *job, enum job_state state,
+static void set_state(struct fleet_job *job, enum fleet_job_state state,
 		      uint64_t offset, const char *reason)
 {
 	job->state = state;
--- /dev/null
+++ b/src/jobs/apply.c
@@ -0,0 +1,67 @@
+/*
+ * Applies the records of jobs in the order of the store. EVENT_JOBS_APPLIED
+ * follows at once, so that no plug-in sees the state of a later read.
+ */
+
+#include "jobs/msg.h"
+#include "kernel/kernel.h"
+
+struct apply {
+	struct kernel *kernel;
+	bool held; /* the progress is this process's own */
+};
+
+static void apply_read(struct apply *apply, struct store_read *read)
+{
+	struct job_table *table = kernel_jobs(apply->kernel);
+	struct event applied = { .type = EVENT_JOBS_APPLIED };
+
+	if (read->snapshot && !apply->held)
+		job_table_clear(table);
+	for (guint i = 0; i < read->records->len; i++)
+		job_table_apply(table, read->records->pdata[i],
+				kernel_now_us(apply->kernel), apply->held);
+	applied.msg = g_rc_box_acquire(read);
+	kernel_emit_next(apply->kernel, &applied);
+}
+
+static void apply_handle(void *self, const struct event *event)
+{
+	struct apply *apply = self;
+	const struct holder_changed *changed;
+	const struct config_seen *config;
+
+	switch (event->type) {
+	case EVENT_STORE_READ:
+		apply_read(apply, event->msg);
+		break;
+	case EVENT_CONFIG_SEEN:
+		config = event->msg;
+		kernel_set_queues(apply->kernel, queues_ref(config->queues));
+		break;
+	default:
+		changed = event->msg;
+		apply->held = changed->held;
+		break;
+	}
+}
+
+static void *apply_init(struct kernel *kernel)
+{
+	struct apply *apply = g_new0(struct apply, 1);
+
+	apply->kernel = kernel;
+	return apply;
+}
+
+static const struct plugin apply_plugin = {
+	.name = "apply",
+	.kind = PLUGIN_JOBS,
+	.takes = EVENT_BIT(EVENT_STORE_READ) | EVENT_BIT(EVENT_CONFIG_SEEN) |
+		 EVENT_BIT(EVENT_HOLDER_CHANGED),
+	.init = apply_init,
+	.handle = apply_handle,
+	.fini = g_free,
+};
+
+PLUGIN_REGISTER(apply_plugin)
--- /dev/null
+++ b/src/jobs/lease.c
@@ -0,0 +1,344 @@
+/*
+ * The lease of the jobs: one entry instance at a time places and stops work.
+ *
+ * Claims and renewals are records among those of the jobs. The newest claim in
+ * the order of the store wins, and its offset is the fencing token. The winner
+ * then fences the store itself, so that nothing of an earlier holder can be
+ * written after what the winner reads. Time matters only for liveness.
+ */
+
+#include "jobs/lease.h"
+
+#include <string.h>
+
+#include "jobs/msg.h"
+#include "kernel/decision_log.h"
+#include "kernel/kernel.h"
+
+#define RENEW_US (400 * USEC_PER_MSEC)
+/* Without a record of the holder for so long, others claim. */
+#define SILENCE_US (1200 * USEC_PER_MSEC)
+/* Spreads the claims of several entry instances. */
+#define CLAIM_SPREAD_US (300 * USEC_PER_MSEC)
+#define CLAIM_AGAIN_US (150 * USEC_PER_MSEC)
+/* An entry instance that gave the lease up leaves it to others for so long. */
+#define RESIGNED_US (8 * USEC_PER_SEC)
+
+struct lease {
+	struct kernel *kernel;
+	uint64_t boot_id;
+	bool caught_up; /* a snapshot was read */
+	bool reachable;
+	bool draining;
+	uint64_t end_offset;
+	/* Newest step of a holder in the store */
+	bool known;
+	bool resigned;
+	uint64_t newest_token;
+	uint64_t newest_boot_id;
+	char newest_entry[NAME_SIZE_BYTES];
+	int64_t heard_us; /* of the holder, while the store was reachable */
+	/* Our own part */
+	uint64_t write_id;
+	uint64_t claim_write_id; /* 0: none under way */
+	int64_t claim_again_us;
+	uint64_t fence_write_id; /* 0: none under way */
+	uint64_t fence_token;
+	uint64_t fence_end_offset;
+	bool fenced;
+	bool was_resigned; /* the claim followed a resignation */
+	bool was_known;	   /* there was an earlier holder */
+	int64_t claimed_us;
+	bool held;
+	uint64_t renew_write_id; /* 0: none under way */
+	int64_t renew_us;
+	int64_t renew_sent_us;
+	int64_t confirmed_us; /* send time of the newest write that succeeded */
+	int64_t leave_until_us;
+	int64_t spread_us;
+};
+
+int64_t worker_lease_us(const struct job_bounds *bounds)
+{
+	return MIN(bounds->lease_max_us, WORKER_LEASE_WANTED_US);
+}
+
+int64_t worker_lease_here_us(int64_t lease_us)
+{
+	return lease_us + lease_us * WORKER_CLOCK_SLOW_PERCENT / 100 +
+	       50 * USEC_PER_MSEC;
+}
+
+static uint64_t write_step(struct lease *lease, enum store_writer writer,
+			   enum holder_step step, uint64_t token)
+{
+	struct store_write *write = store_write_new(writer);
+	struct job_record *record;
+
+	/* Odd numbers; those of the plug-in sched are even. */
+	lease->write_id += 2;
+	write->write_id = lease->write_id;
+	write->token = token;
+	write->at_offset = lease->end_offset;
+	if (writer != STORE_WRITER_FENCE) {
+		record = job_record_new(JOB_RECORD_HOLDER);
+		g_strlcpy(record->entry, kernel_settings(lease->kernel)->entry,
+			  sizeof(record->entry));
+		record->boot_id = lease->boot_id;
+		record->token = token;
+		record->step = step;
+		g_ptr_array_add(write->records, record);
+	}
+	kernel_emit_msg(lease->kernel, EVENT_STORE_WRITE, write);
+	return lease->write_id;
+}
+
+static void announce(struct lease *lease, bool held)
+{
+	struct holder_changed *changed = g_rc_box_new0(struct holder_changed);
+	int64_t lease_us =
+		worker_lease_us(&kernel_settings(lease->kernel)->bounds);
+	struct event event = { .type = EVENT_HOLDER_CHANGED };
+
+	lease->held = held;
+	changed->held = held;
+	changed->token = lease->fence_token;
+	if (held && lease->was_known) {
+		changed->earlier_until_us =
+			lease->claimed_us + worker_lease_here_us(lease_us);
+		if (!lease->was_resigned)
+			changed->earlier_until_us += HOLDER_UNCONFIRMED_MAX_US;
+	}
+	decision_log(held ? "hold" : "yield",
+		     "token=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT
+		     " newest_entry=%s",
+		     lease->fence_token, lease->newest_token,
+		     lease->newest_entry);
+	counter_set(kernel_counters(lease->kernel), "jobs_held", held);
+	event.msg = changed;
+	kernel_emit_next(lease->kernel, &event);
+}
+
+static void give_up(struct lease *lease)
+{
+	lease->fenced = false;
+	lease->fence_write_id = 0;
+	lease->renew_write_id = 0;
+	if (lease->held)
+		announce(lease, false);
+}
+
+static void take_up(struct lease *lease)
+{
+	int64_t now_us = kernel_now_us(lease->kernel);
+
+	if (lease->held || !lease->fenced ||
+	    lease->end_offset < lease->fence_end_offset)
+		return;
+	lease->confirmed_us = now_us;
+	lease->renew_us = now_us;
+	announce(lease, true);
+}
+
+static void see_step(struct lease *lease, const struct job_record *record)
+{
+	uint64_t token = record->step == HOLDER_CLAIM ? record->offset + 1
+						      : record->token;
+
+	if (lease->known && token < lease->newest_token)
+		return;
+	if (record->step == HOLDER_CLAIM && record->boot_id == lease->boot_id &&
+	    token > lease->fence_token) {
+		lease->was_known = lease->known;
+		lease->was_resigned = lease->resigned;
+		lease->claimed_us = kernel_now_us(lease->kernel);
+		lease->fence_token = token;
+		lease->fence_write_id = write_step(lease, STORE_WRITER_FENCE,
+						   HOLDER_CLAIM, token);
+	}
+	lease->known = true;
+	lease->resigned = record->step == HOLDER_RESIGN;
+	lease->newest_token = token;
+	lease->newest_boot_id = record->boot_id;
+	g_strlcpy(lease->newest_entry, record->entry,
+		  sizeof(lease->newest_entry));
+	if (record->boot_id != lease->boot_id)
+		give_up(lease);
+}
+
+static void on_applied(struct lease *lease, const struct store_read *read)
+{
+	int64_t now_us = kernel_now_us(lease->kernel);
+
+	if (read->local)
+		return;
+	if (!read->reachable) {
+		lease->reachable = false;
+		return;
+	}
+	/* Silence counts only while the store can be read. */
+	if (!lease->reachable)
+		lease->heard_us = now_us;
+	lease->reachable = true;
+	lease->end_offset = MAX(lease->end_offset, read->end_offset);
+	for (guint i = 0; i < read->records->len; i++) {
+		const struct job_record *record = read->records->pdata[i];
+
+		if (record->kind == JOB_RECORD_HOLDER)
+			see_step(lease, record);
+		if (!read->snapshot && (record->kind == JOB_RECORD_HOLDER ||
+					record->kind == JOB_RECORD_PROGRESS))
+			lease->heard_us = now_us;
+	}
+	if (read->snapshot)
+		lease->caught_up = true;
+	take_up(lease);
+}
+
+static void on_written(struct lease *lease, const struct store_write *write)
+{
+	int64_t now_us = kernel_now_us(lease->kernel);
+
+	if (write->write_id == lease->claim_write_id) {
+		lease->claim_write_id = 0;
+		lease->claim_again_us = now_us + CLAIM_AGAIN_US;
+		return;
+	}
+	if (write->write_id == lease->fence_write_id) {
+		lease->fence_write_id = 0;
+		if (write->result != STORE_DONE)
+			return;
+		lease->fenced = true;
+		lease->fence_end_offset = write->end_offset;
+		take_up(lease);
+		return;
+	}
+	if (write->writer != STORE_WRITER_HOLDER)
+		return;
+	if (write->result == STORE_FENCED && write->token == lease->fence_token)
+		give_up(lease);
+	if (write->write_id != lease->renew_write_id)
+		return;
+	lease->renew_write_id = 0;
+	if (write->result == STORE_DONE)
+		lease->confirmed_us = lease->renew_sent_us;
+}
+
+/* A worker has seen the token of a successor before we read its claim. */
+static void on_order(struct lease *lease, const struct order *order)
+{
+	if (lease->held && order->result == ORDER_FENCED &&
+	    order->token == lease->fence_token) {
+		decision_log("fenced", "worker=%s token=%" G_GUINT64_FORMAT,
+			     order->worker, order->token);
+		give_up(lease);
+	}
+}
+
+static bool may_claim(const struct lease *lease, int64_t now_us)
+{
+	int64_t silence_us = SILENCE_US;
+
+	if (lease->held || lease->draining || !lease->caught_up ||
+	    !lease->reachable || lease->claim_write_id ||
+	    lease->fence_write_id || lease->fenced ||
+	    now_us < lease->claim_again_us || now_us < lease->leave_until_us ||
+	    !kernel_queues(lease->kernel))
+		return false;
+	if (lease->resigned || !lease->known)
+		silence_us = 0;
+	return now_us - lease->heard_us >= silence_us + lease->spread_us;
+}
+
+static void tick(struct lease *lease)
+{
+	int64_t now_us = kernel_now_us(lease->kernel);
+
+	if (lease->held &&
+	    now_us - lease->confirmed_us >= HOLDER_UNCONFIRMED_MAX_US) {
+		decision_log("unconfirmed", "age_ms=%" G_GINT64_FORMAT,
+			     (now_us - lease->confirmed_us) / USEC_PER_MSEC);
+		give_up(lease);
+	}
+	if (lease->held && !lease->renew_write_id &&
+	    now_us >= lease->renew_us) {
+		lease->renew_sent_us = now_us;
+		lease->renew_us = now_us + RENEW_US;
+		lease->renew_write_id =
+			write_step(lease, STORE_WRITER_HOLDER, HOLDER_RENEW,
+				   lease->fence_token);
+	}
+	if (may_claim(lease, now_us)) {
+		decision_log("claim",
+			     "silence_ms=%" G_GINT64_FORMAT
+			     " end_offset=%" G_GUINT64_FORMAT,
+			     (now_us - lease->heard_us) / USEC_PER_MSEC,
+			     lease->end_offset);
+		lease->claim_write_id =
+			write_step(lease, STORE_WRITER_CLAIM, HOLDER_CLAIM, 0);
+	}
+	if (lease->held)
+		kernel_wake_at(lease->kernel, MAX(lease->renew_us, now_us + 1));
+	else
+		kernel_wake_at(lease->kernel, now_us + CLAIM_AGAIN_US);
+}
+
+static void on_drain(struct lease *lease)
+{
+	lease->draining = true;
+	if (!lease->held)
+		return;
+	write_step(lease, STORE_WRITER_HOLDER, HOLDER_RESIGN,
+		   lease->fence_token);
+	give_up(lease);
+}
+
+static void lease_handle(void *self, const struct event *event)
+{
+	struct lease *lease = self;
+
+	switch (event->type) {
+	case EVENT_JOBS_APPLIED:
+		on_applied(lease, event->msg);
+		break;
+	case EVENT_STORE_WRITTEN:
+		on_written(lease, event->msg);
+		break;
+	case EVENT_ORDER_DONE:
+		on_order(lease, event->msg);
+		break;
+	case EVENT_DRAIN:
+		on_drain(lease);
+		break;
+	default:
+		break;
+	}
+	tick(lease);
+}
+
+static void *lease_init(struct kernel *kernel)
+{
+	struct lease *lease = g_new0(struct lease, 1);
+	const char *entry = kernel_settings(kernel)->entry;
+
+	lease->kernel = kernel;
+	lease->boot_id = ((uint64_t)g_rand_int(kernel_random(kernel)) << 32) |
+			 g_rand_int(kernel_random(kernel));
+	lease->write_id = 1;
+	lease->spread_us = g_str_hash(entry) % CLAIM_SPREAD_US;
+	return lease;
+}
+
+static const struct plugin lease_plugin = {
+	.name = "lease",
+	.kind = PLUGIN_JOBS,
+	.takes = EVENT_BIT(EVENT_JOBS_APPLIED) |
+		 EVENT_BIT(EVENT_STORE_WRITTEN) | EVENT_BIT(EVENT_WAKE) |
+		 EVENT_BIT(EVENT_ORDER_DONE) | EVENT_BIT(EVENT_DRAIN) |
+		 EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_RESUMED),
+	.init = lease_init,
+	.handle = lease_handle,
+	.fini = g_free,
+};
+
+PLUGIN_REGISTER(lease_plugin)
--- /dev/null
+++ b/src/jobs/msg.h
@@ -0,0 +1,251 @@
+#ifndef JOBS_MSG_H
+#define JOBS_MSG_H
+
+/*
+ * What the events of jobs carry: between the decision plug-ins in src/jobs and
+ * the plug-ins that speak to callers, workers, the store and the machines.
+ * Each is refcounted with g_rc_box; an event owns one reference.
+ */
+
+#include "jobs/queues.h"
+#include "jobs/record.h"
+
+/* EVENT_STORE_READ: records of the jobs' topic in the order of the store. */
+struct store_read {
+	GPtrArray *records;  /* of struct job_record */
+	uint64_t end_offset; /* one past the newest record in the store */
+	bool snapshot;	/* newest record of each key: state starts from it */
+	bool reachable; /* the read was answered */
+	bool local;	/* stored by this process, not read back yet */
+};
+
+enum store_writer {
+	STORE_WRITER_ENTRY,  /* this entry instance; any record of a caller */
+	STORE_WRITER_HOLDER, /* fenced by token */
+	STORE_WRITER_CLAIM,  /* only if the topic ends at at_offset */
+	STORE_WRITER_FENCE,  /* no records: fences all lower tokens */
+	STORE_WRITER_STATUS, /* status of waves, for the operator */
+};
+
+enum store_result {
+	STORE_DONE,
+	STORE_NOT_DONE, /* certain: nothing was written */
+	STORE_FENCED,	/* certain not written: a higher token has written */
+	STORE_UNKNOWN,	/* of a claim only; all others are settled */
+};
+
+/* EVENT_STORE_WRITE and EVENT_STORE_WRITTEN */
+struct store_write {
+	uint64_t write_id;
+	enum store_writer writer;
+	uint64_t token;	    /* holder, fence */
+	uint64_t at_offset; /* claim */
+	GPtrArray *records; /* of struct job_record */
+	int64_t give_up_us; /* not sent after this; 0: never given up */
+	enum store_result result;
+	uint64_t end_offset; /* done */
+};
+
+enum call_kind {
+	CALL_SUBMIT,
+	CALL_STATE,
+	CALL_CANCEL,
+	CALL_DEPTH,
+};
+
+/* EVENT_JOB_CALL: a caller asks. */
+struct job_call {
+	uint64_t call_id;
+	enum call_kind kind; /* submit, state or cancel; depth is decided */
+	char host[256];
+	char *path;
+	struct job_spec *spec; /* submit; NULL: malformed */
+	int64_t deadline_us;
+};
+
+/* EVENT_JOB_REPLY */
+struct job_reply {
+	uint64_t call_id;
+	uint32_t status;
+	bool has_state;
+	enum job_state state;
+	bool has_depth;
+	uint32_t depth_count;
+	int64_t retry_after_us; /* 0: none */
+	char reason[REASON_SIZE_BYTES];
+};
+
+/* One worker as the platform's directory lists it. */
+struct worker_entry {
+	const char *id; /* interned */
+	char address[ADDRESS_SIZE_BYTES];
+	char pool[NAME_SIZE_BYTES];
+	char dc[NAME_SIZE_BYTES];
+	char machine[NAME_SIZE_BYTES]; /* empty: not told */
+	GPtrArray *labels;	       /* of interned strings; owned */
+	char rack[NAME_SIZE_BYTES];
+	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t gpu_count;
+	bool draining;
+	int64_t leaves_ms; /* draining: least time left; 0: not told */
+	int64_t born_ms;   /* start of this life, wall clock; 0: not told */
+};
+
+/* EVENT_WORKERS_SEEN: changes of the directory, or all of it. */
+struct workers_seen {
+	GPtrArray *entries; /* of struct worker_entry, owned */
+	GPtrArray *removed; /* of interned ids */
+	bool all;	    /* workers that are not in entries are gone */
+};
+
+/* EVENT_CONFIG_SEEN */
+struct config_seen {
+	struct queues *queues; /* owned reference */
+};
+
+/* EVENT_WAVE_SEEN: machines that the operator wants maintained. */
+struct wave_seen {
+	uint64_t wave;
+	GPtrArray *machines; /* of interned names */
+	int64_t duration_us;
+	uint32_t max_count; /* machines down for it at once */
+};
+
+enum order_kind {
+	ORDER_START,
+	ORDER_STOP,
+	ORDER_HOLD, /* renews the lease of all that runs, and lists it */
+	ORDER_PACE,
+};
+
+enum order_result {
+	ORDER_OK,
+	ORDER_FENCED, /* the worker has seen a higher token */
+	ORDER_OLD,    /* that run, or a later one, was stopped or ended */
+	ORDER_LATE,   /* the lease given had lapsed on arrival */
+	ORDER_NO_ROOM,
+	ORDER_NO_TICKET,
+	ORDER_REFUSED,	  /* certain: nothing was done */
+	ORDER_OTHER_LIFE, /* the address belongs to another worker now */
+	ORDER_LOST,	  /* no answer: may have been done, or be done later */
+	ORDER_RESULT_COUNT,
+};
+
+struct running_row {
+	char item[NAME_SIZE_BYTES];
+	uint32_t run;
+	char *saved;
+	uint32_t percent;
+	uint32_t observed; /* tail in ms of an item that serves, or its cpu */
+};
+
+enum item_end {
+	ITEM_END_DONE,
+	ITEM_END_FAILED,
+	ITEM_END_STOPPED,
+	ITEM_END_LAPSED,
+	ITEM_END_BROKEN,
+	ITEM_END_ALONE,
+	ITEM_END_COUNT,
+};
+
+struct ended_row {
+	uint64_t number;
+	char item[NAME_SIZE_BYTES];
+	uint32_t run;
+	enum item_end end;
+	char *saved;
+};
+
+/* EVENT_ORDER and EVENT_ORDER_DONE */
+struct order {
+	enum order_kind kind;
+	const char *worker; /* interned id */
+	char address[ADDRESS_SIZE_BYTES];
+	uint64_t token;
+	char item[NAME_SIZE_BYTES];
+	uint32_t run;
+	struct job_spec *spec; /* start */
+	char *saved;	       /* start; NULL: none */
+	int64_t lease_ms;      /* on the worker's clock; 0: none */
+	uint64_t acked_number;
+	int64_t wait_us;  /* hold: wait so long for an end */
+	uint32_t percent; /* pace */
+	int64_t sent_us;
+	enum order_result result;
+	bool has_clock;
+	int64_t clock_ms; /* of the worker, at some moment of the exchange */
+	int64_t born_ms;  /* hold; 0: not told */
+	GArray *running;  /* hold: of struct running_row */
+	GArray *ended;	  /* hold: of struct ended_row, in order of number */
+};
+
+enum machine_state {
+	MACHINE_UP,
+	MACHINE_MOVING,
+	MACHINE_UPKEEP,
+	MACHINE_DOWN,
+};
+
+struct machine_row {
+	char name[NAME_SIZE_BYTES];
+	char pool[NAME_SIZE_BYTES];
+	char dc[NAME_SIZE_BYTES];
+	enum machine_state state;
+	const char *worker; /* interned id; NULL: none */
+};
+
+/* EVENT_MACHINES_SEEN: the whole list; EVENT_MACHINES_ASK has no message. */
+struct machines_seen {
+	bool answered;
+	GArray *rows; /* of struct machine_row */
+	int64_t asked_us;
+};
+
+enum machine_result {
+	MACHINE_OK,
+	MACHINE_FENCED,
+	MACHINE_BUSY,
+	MACHINE_NOT_OF_WAVE,
+	MACHINE_REFUSED, /* certain: nothing was done */
+	MACHINE_LOST,	 /* no answer: may have been done */
+};
+
+/* EVENT_MACHINE_ORDER and EVENT_MACHINE_ORDERED */
+struct machine_order {
+	bool upkeep; /* else: a move */
+	char machine[NAME_SIZE_BYTES];
+	char pool[NAME_SIZE_BYTES]; /* move */
+	uint64_t wave;		    /* upkeep */
+	uint64_t token;
+	enum machine_result result;
+};
+
+/* EVENT_HOLDER_CHANGED */
+struct holder_changed {
+	bool held; /* by this entry instance */
+	uint64_t token;
+	/* Until then orders of an earlier holder may keep a lease alive. */
+	int64_t earlier_until_us;
+};
+
+struct store_read *store_read_new(void);
+struct store_write *store_write_new(enum store_writer writer);
+struct job_call *job_call_new(void);
+struct workers_seen *workers_seen_new(void);
+struct wave_seen *wave_seen_new(void);
+struct order *order_new(enum order_kind kind);
+struct machines_seen *machines_seen_new(void);
+
+void worker_entry_free(gpointer entry);
+
+/* Any message of this file by the event that carries it. */
+struct event;
+void job_msg_clear(struct event *event);
+
+const char *order_kind_name(enum order_kind kind);
+const char *order_result_name(enum order_result result);
+const char *item_end_name(enum item_end end);
+
+#endif
--- /dev/null
+++ b/src/jobs/sched.c
@@ -0,0 +1,255 @@
+/* The scheduler's plug-in: hands events to its parts, in one fixed order. */
+
+#include "jobs/sched.h"
+
+#include <string.h>
+
+#include "kernel/decision_log.h"
+
+/* Upper bound of the time between two looks at what is due. */
+#define TICK_US (250 * USEC_PER_MSEC)
+/* Passes of placement are this far apart, so that each sees several changes. */
+#define PLACE_GAP_US (5 * USEC_PER_MSEC)
+
+int64_t sched_now_us(const struct sched *sched)
+{
+	return kernel_now_us(sched->kernel);
+}
+
+void sched_wake_at(struct sched *sched, int64_t deadline_us)
+{
+	kernel_wake_at(sched->kernel,
+		       MAX(deadline_us, sched_now_us(sched) + 1));
+}
+
+void sched_want_place(struct sched *sched)
+{
+	sched->place_wanted = true;
+}
+
+const struct queue *sched_queue(const struct sched *sched,
+				const struct job *job)
+{
+	return queues_find(kernel_queues(sched->kernel), job->queue);
+}
+
+const char *sched_pool(const struct sched *sched, const struct job *job)
+{
+	const struct queue *queue = sched_queue(sched, job);
+
+	return queue ? queue->pool : job->pool;
+}
+
+struct job *sched_find_item(const struct sched *sched, const char *name,
+			    uint32_t *index)
+{
+	char id[JOB_ID_SIZE_BYTES];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t in_step;
+	struct job *job;
+
+	if (!job_item_parse(name, id, &occurrence, &step, &in_step))
+		return NULL;
+	job = job_table_find(kernel_jobs(sched->kernel), id);
+	if (!job || occurrence >= job_spec_occurrences(job->spec) ||
+	    step >= job->spec->steps->len ||
+	    in_step >= job_step(job, step)->item_count)
+		return NULL;
+	*index = job_first_item(job, occurrence, step) + in_step;
+	return job;
+}
+
+static void forget_all(struct sched *sched)
+{
+	g_hash_table_remove_all(sched->workers);
+	g_hash_table_remove_all(sched->machines);
+	g_ptr_array_set_size(sched->dirty, 0);
+	g_array_set_size(sched->flushing, 0);
+	sched->flush_write_id = 0;
+	sched->directory_seen = false;
+	sched->machines_known = false;
+	sched->machines_asked = false;
+	sched->ends_unstored = false;
+	for (guint i = 0; i < sched->waves->len; i++) {
+		struct wave *wave = sched->waves->pdata[i];
+
+		wave->status_write_id = 0;
+		wave->active_told = false;
+		for (guint j = 0; j < wave->machines->len; j++) {
+			struct wave_machine *machine = &g_array_index(
+				wave->machines, struct wave_machine, j);
+
+			machine->asked = false;
+			if (machine->step == WAVE_EMPTYING)
+				machine->step = WAVE_WAITING;
+		}
+	}
+}
+
+/* Items that an earlier holder placed may run until their worker was seen. */
+static void take_over_job(struct sched *sched, struct job *job)
+{
+	job->dirty = false;
+	job->wanted = job->state;
+	for (uint32_t i = 0; i < job->items->len; i++) {
+		struct job_item *item = job_item(job, i);
+
+		item->sure = false;
+		item->ordered_us = 0;
+		item->running_us = 0;
+		item->stored_by = 0;
+		item->work_percent = 0;
+		item->retry_us = 0;
+		item->away_us = sched->held_us;
+		item->pace_percent = 100;
+		if (item->phase != ITEM_DONE)
+			item->phase =
+				item->worker ? ITEM_STARTING : ITEM_WAITING;
+		if (item->worker && item->phase != ITEM_DONE)
+			worker_attach(worker_get(sched, item->worker), job, i);
+	}
+	job_recount(job);
+}
+
+static void on_holder(struct sched *sched, const struct holder_changed *changed)
+{
+	GHashTableIter iter;
+	gpointer job;
+
+	forget_all(sched);
+	sched->held = changed->held;
+	sched->token = changed->token;
+	sched->held_us = sched_now_us(sched);
+	sched->earlier_until_us = changed->earlier_until_us;
+	if (!sched->held)
+		return;
+	g_hash_table_iter_init(&iter,
+			       job_table_all(kernel_jobs(sched->kernel)));
+	while (g_hash_table_iter_next(&iter, NULL, &job))
+		take_over_job(sched, job);
+	sched->machines_us = sched->held_us;
+	sched_want_place(sched);
+}
+
+static void on_applied(struct sched *sched, const struct store_read *read)
+{
+	for (guint i = 0; i < read->records->len; i++) {
+		const struct job_record *record = read->records->pdata[i];
+		struct job *job =
+			job_table_find(kernel_jobs(sched->kernel), record->id);
+
+		if (!job)
+			continue;
+		if (record->kind == JOB_RECORD_CANCEL && job->cancelled)
+			job_stop_items(sched, job, "cancelled");
+		if (record->kind == JOB_RECORD_SUBMIT)
+			sched_want_place(sched);
+	}
+}
+
+/* What of the scheduler must happen on the holder after each event. */
+static void advance(struct sched *sched)
+{
+	int64_t now_us = sched_now_us(sched);
+
+	if (now_us >= sched->tick_us) {
+		sched->tick_us = now_us + TICK_US;
+		waves_tick(sched);
+		machines_tick(sched);
+		sched_want_place(sched);
+	}
+	workers_tick(sched);
+	if (sched->place_wanted && now_us >= sched->place_us) {
+		sched->place_wanted = false;
+		sched->place_us = now_us + PLACE_GAP_US;
+		sched_place(sched);
+	}
+	if (sched->place_wanted)
+		sched_wake_at(sched, sched->place_us);
+	sched_flush(sched);
+	sched_wake_at(sched, sched->tick_us);
+}
+
+static void sched_handle(void *self, const struct event *event)
+{
+	struct sched *sched = self;
+
+	if (event->type == EVENT_HOLDER_CHANGED)
+		on_holder(sched, event->msg);
+	else if (event->type == EVENT_WAVE_SEEN)
+		waves_on_seen(sched, event->msg);
+	if (!sched->held)
+		return;
+	switch (event->type) {
+	case EVENT_JOBS_APPLIED:
+		on_applied(sched, event->msg);
+		break;
+	case EVENT_STORE_WRITTEN:
+		sched_on_written(sched, event->msg);
+		waves_on_written(sched, event->msg);
+		break;
+	case EVENT_WORKERS_SEEN:
+		workers_on_seen(sched, event->msg);
+		break;
+	case EVENT_ORDER_DONE:
+		workers_on_order(sched, event->msg);
+		break;
+	case EVENT_MACHINES_SEEN:
+		machines_on_seen(sched, event->msg);
+		break;
+	case EVENT_MACHINE_ORDERED:
+		waves_on_ordered(sched, event->msg);
+		machines_on_ordered(sched, event->msg);
+		break;
+	default:
+		break;
+	}
+	advance(sched);
+}
+
+static void *sched_init(struct kernel *kernel)
+{
+	struct sched *sched = g_new0(struct sched, 1);
+
+	sched->kernel = kernel;
+	sched->bounds = &kernel_settings(kernel)->bounds;
+	sched->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       worker_free);
+	sched->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						machine_free);
+	sched->waves = g_ptr_array_new_with_free_func(wave_free);
+	sched->dirty = g_ptr_array_new();
+	sched->flushing = g_array_new(FALSE, TRUE, sizeof(struct flushed));
+	sched->next_write_id = 2;
+	return sched;
+}
+
+static void sched_fini(void *self)
+{
+	struct sched *sched = self;
+
+	g_hash_table_unref(sched->workers);
+	g_hash_table_unref(sched->machines);
+	g_ptr_array_unref(sched->waves);
+	g_ptr_array_unref(sched->dirty);
+	g_array_unref(sched->flushing);
+	g_free(sched);
+}
+
+static const struct plugin sched_plugin = {
+	.name = "sched",
+	.kind = PLUGIN_JOBS,
+	.takes = EVENT_BIT(EVENT_HOLDER_CHANGED) |
+		 EVENT_BIT(EVENT_JOBS_APPLIED) |
+		 EVENT_BIT(EVENT_STORE_WRITTEN) |
+		 EVENT_BIT(EVENT_WORKERS_SEEN) | EVENT_BIT(EVENT_CONFIG_SEEN) |
+		 EVENT_BIT(EVENT_ORDER_DONE) | EVENT_BIT(EVENT_WAVE_SEEN) |
+		 EVENT_BIT(EVENT_MACHINES_SEEN) |
+		 EVENT_BIT(EVENT_MACHINE_ORDERED) | EVENT_BIT(EVENT_WAKE),
+	.init = sched_init,
+	.handle = sched_handle,
+	.fini = sched_fini,
+};
+
+PLUGIN_REGISTER(sched_plugin)
--- /dev/null
+++ b/src/jobs/sched.h
@@ -0,0 +1,255 @@
+#ifndef JOBS_SCHED_H
+#define JOBS_SCHED_H
+
+/*
+ * What the parts of the scheduler share. The scheduler runs on the holder of
+ * the jobs only: it places work items on workers, stores each placement before
+ * it orders the start, and stores each end before the worker may forget it.
+ */
+
+#include "jobs/lease.h"
+#include "jobs/msg.h"
+#include "kernel/kernel.h"
+
+/* One item on a worker. */
+struct placement {
+	struct job *job;
+	uint32_t index;
+};
+
+enum leaving {
+	LEAVING_NOT,
+	LEAVING_DRAINS, /* the platform takes the worker away */
+	LEAVING_UPKEEP, /* a wave wants its machine */
+	LEAVING_PARKED, /* its machine is to change its pool */
+};
+
+struct worker {
+	const char *id; /* interned */
+	char address[ADDRESS_SIZE_BYTES];
+	char pool[NAME_SIZE_BYTES];
+	char dc[NAME_SIZE_BYTES];
+	char rack[NAME_SIZE_BYTES];
+	GPtrArray *labels; /* of interned strings */
+	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t gpu_count;
+	bool listed; /* the directory has it */
+	bool drains;
+	int64_t leaves_us; /* 0: not told */
+	int64_t born_ms;   /* of its life as the directory tells; 0: not told */
+	int64_t life_ms;   /* of its life as it tells itself; 0: not told */
+
+	bool fenced; /* it has seen our token, and we its lists */
+	bool lost;   /* lapsed or gone; nothing runs there */
+	bool has_clock;
+	int64_t clock_ms; /* its clock at clock_us of ours, or later */
+	int64_t clock_us;
+	int64_t lease_until_us; /* by then all leases given have lapsed */
+
+	uint64_t seen_number;	  /* newest end taken in */
+	uint64_t flushing_number; /* being stored */
+	uint64_t stored_number;	  /* stored */
+	uint64_t acked_number;	  /* told to the worker */
+
+	bool hold_sent;
+	int64_t hold_due_us;
+	int64_t hold_again_us; /* not before */
+	uint32_t lost_count;   /* holds in a row without an answer */
+	int64_t answered_us;
+	int64_t silent_us; /* first hold of that row; 0: it answers */
+
+	uint32_t used_cpu_milli;
+	uint32_t used_mem_mb;
+	uint32_t used_gpu_count;
+	GArray *placed; /* of struct placement */
+
+	enum leaving leaving;
+	int64_t avoid_until_us;	  /* refused or failed work */
+	uint32_t failures_count;  /* ends failed in a row */
+	const char *failed_job;	  /* the first job of that row; interned */
+	uint32_t ejections_count; /* in a row */
+	int64_t fillers_us;	  /* pace of its fillers was last changed */
+};
+
+enum wave_step {
+	WAVE_WAITING,
+	WAVE_EMPTYING,
+	WAVE_ORDERED, /* being maintained */
+	WAVE_DONE,
+};
+
+struct wave_machine {
+	const char *name; /* interned */
+	enum wave_step step;
+	bool asked; /* an order is under way */
+	int64_t ordered_us;
+	int64_t again_us;
+	bool unknown; /* an order got no answer */
+};
+
+struct wave {
+	uint64_t number;
+	GArray *machines; /* of struct wave_machine */
+	uint32_t max_count;
+	int64_t seen_us;
+	int64_t due_us;
+	bool complete;
+	bool active_told;
+	bool complete_told;
+	uint64_t status_write_id; /* under way */
+};
+
+/* A machine of the platform's list. */
+struct machine {
+	const char *name; /* interned */
+	char pool[NAME_SIZE_BYTES];
+	enum machine_state state;
+	const char *worker; /* interned; NULL: none */
+	bool seen;	    /* in the newest list */
+	/* A move that was ordered */
+	bool moving;
+	bool asked;
+	char to_pool[NAME_SIZE_BYTES];
+	int64_t ordered_us;
+	int64_t settled_us; /* it was in its pool since */
+};
+
+struct sched {
+	struct kernel *kernel;
+	const struct job_bounds *bounds;
+	bool held;
+	uint64_t token;
+	int64_t held_us;
+	int64_t earlier_until_us;
+	bool directory_seen;
+
+	GHashTable *workers;  /* id -> struct worker */
+	GHashTable *machines; /* name -> struct machine */
+	GPtrArray *waves;     /* of struct wave, kept while not held */
+
+	GPtrArray *dirty; /* of struct job */
+	GArray *flushing; /* of struct flushed */
+	uint64_t next_write_id;
+	uint64_t flush_write_id; /* 0: none under way */
+	int64_t flush_us;	 /* next one not before */
+	bool ends_unstored;	 /* an end was seen that changed no job */
+
+	bool place_wanted;
+	int64_t place_us; /* next pass not before */
+	int64_t tick_us;
+	bool machines_asked;
+	int64_t machines_us; /* list asked for next */
+	int64_t machines_seen_us;
+	bool machines_known;
+	uint32_t machine_orders_count; /* in this second */
+	int64_t machine_orders_us;
+	void *parking; /* state of the chosen policy */
+};
+
+/* State of a job that is being stored. */
+struct flushed {
+	struct job *job;
+	enum job_state state;
+};
+
+/* sched.c */
+int64_t sched_now_us(const struct sched *sched);
+void sched_want_place(struct sched *sched);
+void sched_wake_at(struct sched *sched, int64_t deadline_us);
+const struct queue *sched_queue(const struct sched *sched,
+				const struct job *job);
+
+/* Name of the pool whose workers run a job. */
+const char *sched_pool(const struct sched *sched, const struct job *job);
+
+/* sched_item.c: the life of an item */
+
+/* Puts an item on a worker; the start is ordered when this is stored. */
+void item_place(struct sched *sched, struct job *job, uint32_t index,
+		struct worker *worker);
+
+/* Takes an item that runs nowhere off its worker. */
+void item_release(struct sched *sched, struct job *job, uint32_t index,
+		  const char *why);
+
+/* A run has ended as its worker lists it. */
+void item_ended(struct sched *sched, struct worker *worker,
+		const struct ended_row *row);
+
+void item_order_start(struct sched *sched, struct job *job, uint32_t index);
+void item_order_stop(struct sched *sched, struct job *job, uint32_t index,
+		     const char *why);
+void item_on_order(struct sched *sched, struct worker *worker,
+		   const struct order *order);
+
+/* Stops whatever of a job still runs. */
+void job_stop_items(struct sched *sched, struct job *job, const char *why);
+
+void job_mark_dirty(struct sched *sched, struct job *job);
+
+/* Lasting items of a step that are not at work. */
+uint32_t step_away_count(const struct job *job, uint32_t occurrence,
+			 uint32_t step);
+
+/* Whether a planned stop of this item keeps to its step's budget. */
+bool item_may_be_stopped(const struct job *job, uint32_t index);
+
+/* Item of an order or a row; NULL if it is not known. */
+struct job *sched_find_item(const struct sched *sched, const char *name,
+			    uint32_t *index);
+
+/* sched_worker.c: what is known of workers */
+struct worker *worker_get(struct sched *sched, const char *id);
+struct worker *worker_find(const struct sched *sched, const char *id);
+void worker_free(gpointer worker);
+void workers_on_seen(struct sched *sched, const struct workers_seen *seen);
+void workers_on_order(struct sched *sched, const struct order *order);
+void workers_tick(struct sched *sched);
+struct order *worker_order(struct sched *sched, struct worker *worker,
+			   enum order_kind kind);
+void worker_send(struct sched *sched, struct worker *worker,
+		 struct order *order);
+/* Nothing runs there any more. */
+void worker_gone(struct sched *sched, struct worker *worker, const char *why);
+void worker_attach(struct worker *worker, struct job *job, uint32_t index);
+void worker_detach(struct worker *worker, const struct job *job,
+		   uint32_t index);
+bool worker_may_take(const struct sched *sched, const struct worker *worker);
+void worker_count_end(struct sched *sched, struct worker *worker,
+		      const struct job *job, bool failed);
+/* The end numbers that were being stored are stored. */
+void workers_stored(struct sched *sched);
+void workers_flushing(struct sched *sched);
+
+/* sched_place.c */
+void sched_place(struct sched *sched);
+
+/* sched_flush.c */
+void sched_flush(struct sched *sched);
+void sched_on_written(struct sched *sched, const struct store_write *write);
+
+/* sched_fill.c: items that fill beside items that serve */
+void fillers_on_hold(struct sched *sched, struct worker *worker);
+
+/* sched_wave.c */
+void waves_on_seen(struct sched *sched, const struct wave_seen *seen);
+void waves_on_ordered(struct sched *sched, const struct machine_order *order);
+void waves_on_machines(struct sched *sched);
+void waves_tick(struct sched *sched);
+void waves_on_written(struct sched *sched, const struct store_write *write);
+void wave_free(gpointer wave);
+bool machine_is_wanted_by_wave(const struct sched *sched, const char *name);
+
+/* sched_machine.c */
+void machines_on_seen(struct sched *sched, const struct machines_seen *seen);
+void machines_tick(struct sched *sched);
+void machine_free(gpointer machine);
+struct machine *machine_find(const struct sched *sched, const char *name);
+struct machine *machine_of_worker(const struct sched *sched,
+				  const struct worker *worker);
+bool machine_order_send(struct sched *sched, const struct machine_order *order);
+void machines_on_ordered(struct sched *sched,
+			 const struct machine_order *order);
+
+#endif
--- /dev/null
+++ b/src/jobs/sched_fill.c
@@ -0,0 +1,101 @@
+/*
+ * Items that fill slow down the items that serve beside them. A worker whose
+ * serving items miss their target has its fillers paced down at once, and up
+ * again slowly.
+ */
+
+#include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+/* Share of the target above which fillers are slowed. */
+#define TARGET_HIGH_PERCENT 95
+/* Share of the target below which fillers may work more. */
+#define TARGET_LOW_PERCENT 60
+#define PACE_DOWN_DIVISOR 4
+#define PACE_DOWN_MIN_PERCENT 6
+#define PACE_UP_PERCENT 20
+#define PACE_UP_AFTER_US (2 * USEC_PER_SEC)
+#define PACE_DOWN_AFTER_US (400 * USEC_PER_MSEC)
+
+/* The worst share of its target that an item on this worker takes. */
+static uint32_t worst_percent(const struct worker *worker)
+{
+	uint32_t worst = 0;
+
+	for (guint i = 0; i < worker->placed->len; i++) {
+		const struct placement *placement =
+			&g_array_index(worker->placed, struct placement, i);
+		const struct job_item *item =
+			job_item(placement->job, placement->index);
+		uint32_t target_ms = job_step(placement->job,
+					      job_item_step(placement->job,
+							    placement->index))
+					     ->target_ms;
+
+		if (target_ms && item->phase == ITEM_RUNNING)
+			worst = MAX(worst, 100 * item->observed / target_ms);
+	}
+	return worst;
+}
+
+static void pace(struct sched *sched, struct worker *worker,
+		 const struct placement *placement, uint32_t percent,
+		 uint32_t worst)
+{
+	struct job_item *item = job_item(placement->job, placement->index);
+	struct order *order;
+
+	if (item->phase != ITEM_RUNNING || item->pace_percent == percent)
+		return;
+	order = worker_order(sched, worker, ORDER_PACE);
+	job_item_name(placement->job, placement->index, order->item,
+		      sizeof(order->item));
+	order->run = item->run;
+	order->percent = percent;
+	item->pace_percent = percent;
+	decision_log("pace", "item=%s worker=%s percent=%u worst_tail=%u%%",
+		     order->item, worker->id, percent, worst);
+	worker_send(sched, worker, order);
+}
+
+static uint32_t slower(uint32_t percent)
+{
+	percent /= PACE_DOWN_DIVISOR;
+	return percent < PACE_DOWN_MIN_PERCENT ? 0 : percent;
+}
+
+static void pace_fillers(struct sched *sched, struct worker *worker, bool up,
+			 uint32_t worst)
+{
+	for (guint i = 0; i < worker->placed->len; i++) {
+		struct placement placement =
+			g_array_index(worker->placed, struct placement, i);
+		const struct job_item *item =
+			job_item(placement.job, placement.index);
+
+		if (!job_step(placement.job,
+			      job_item_step(placement.job, placement.index))
+			     ->filler)
+			continue;
+		pace(sched, worker, &placement,
+		     up ? MIN(item->pace_percent + PACE_UP_PERCENT, 100)
+			: slower(item->pace_percent),
+		     worst);
+	}
+}
+
+void fillers_on_hold(struct sched *sched, struct worker *worker)
+{
+	int64_t now_us = sched_now_us(sched);
+	uint32_t worst = worst_percent(worker);
+
+	if (worst > TARGET_HIGH_PERCENT &&
+	    now_us - worker->fillers_us > PACE_DOWN_AFTER_US) {
+		worker->fillers_us = now_us;
+		pace_fillers(sched, worker, false, worst);
+	} else if (worst < TARGET_LOW_PERCENT &&
+		   now_us - worker->fillers_us > PACE_UP_AFTER_US) {
+		worker->fillers_us = now_us;
+		pace_fillers(sched, worker, true, worst);
+	}
+}
--- /dev/null
+++ b/src/jobs/sched_item.c
@@ -0,0 +1,398 @@
+/*
+ * The life of a work item on the holder:
+ *
+ * waiting -> storing (its placement is written) -> starting (ordered) ->
+ * running -> done, or stopping -> waiting again.
+ *
+ * A run leaves its worker only when the worker lists its end, when an order
+ * that can't be overtaken any more proves that it does not run there, or when
+ * its worker's life or lease has surely ended.
+ */
+
+#include <string.h>
+
+#include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+/* An order without an answer is sent again after this. */
+#define ORDER_AGAIN_US (200 * USEC_PER_MSEC)
+/* A placement that a worker had no room for is tried again after this. */
+#define NO_ROOM_US (100 * USEC_PER_MSEC)
+/* A worker that refuses work as unhealthy is left alone for so long. */
+#define REFUSED_AVOID_US (1500 * USEC_PER_MSEC)
+/* Pause before an item that failed is tried again, times its failures. */
+#define FAILED_AGAIN_US (20 * USEC_PER_MSEC)
+/* Lasting items wait longer, as they may fail for good. */
+#define LASTING_AGAIN_US (200 * USEC_PER_MSEC)
+
+void job_mark_dirty(struct sched *sched, struct job *job)
+{
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	g_ptr_array_add(sched->dirty, job);
+}
+
+static bool is_placed(const struct job_item *item)
+{
+	return item->phase != ITEM_WAITING && item->phase != ITEM_DONE;
+}
+
+void item_place(struct sched *sched, struct job *job, uint32_t index,
+		struct worker *worker)
+{
+	struct job_item *item = job_item(job, index);
+	char name[NAME_SIZE_BYTES];
+
+	item->phase = ITEM_STORING;
+	item->worker = worker->id;
+	item->run++;
+	item->sure = true;
+	item->stored_by = 0;
+	item->ordered_us = 0;
+	item->running_us = 0;
+	item->work_percent = 0;
+	item->pace_percent = 100;
+	job->placed_count++;
+	job->begun = true;
+	if (job->wanted == JOB_PENDING)
+		job->wanted = JOB_ACTIVE;
+	worker_attach(worker, job, index);
+	job_mark_dirty(sched, job);
+	job_item_name(job, index, name, sizeof(name));
+	decision_log("place",
+		     "item=%s run=%u worker=%s cpu_used=%u cpu=%u "
+		     "directory=%s wait_ms=%" G_GINT64_FORMAT,
+		     name, item->run, worker->id, worker->used_cpu_milli,
+		     worker->cpu_milli, worker->drains ? "draining" : "ready",
+		     (sched_now_us(sched) - job->seen_us) / USEC_PER_MSEC);
+}
+
+/* Takes the item off its worker, whatever comes next. */
+static void leave_worker(struct sched *sched, struct job *job, uint32_t index)
+{
+	struct job_item *item = job_item(job, index);
+	struct worker *worker = worker_find(sched, item->worker);
+
+	if (worker)
+		worker_detach(worker, job, index);
+	item->worker = NULL;
+	item->stored_by = 0;
+	item->away_us = sched_now_us(sched);
+	item->work_percent = 0;
+	job->placed_count--;
+	job_mark_dirty(sched, job);
+	sched_want_place(sched);
+}
+
+void item_release(struct sched *sched, struct job *job, uint32_t index,
+		  const char *why)
+{
+	struct job_item *item = job_item(job, index);
+	char name[NAME_SIZE_BYTES];
+
+	if (!is_placed(item))
+		return;
+	job_item_name(job, index, name, sizeof(name));
+	decision_log("release", "item=%s run=%u worker=%s reason=%s", name,
+		     item->run, item->worker, why);
+	leave_worker(sched, job, index);
+	item->phase = ITEM_WAITING;
+}
+
+struct order *item_order(struct sched *sched, struct worker *worker,
+			 struct job *job, uint32_t index, enum order_kind kind);
+
+struct order *item_order(struct sched *sched, struct worker *worker,
+			 struct job *job, uint32_t index, enum order_kind kind)
+{
+	struct order *order = worker_order(sched, worker, kind);
+
+	job_item_name(job, index, order->item, sizeof(order->item));
+	order->run = job_item(job, index)->run;
+	return order;
+}
+
+void item_order_start(struct sched *sched, struct job *job, uint32_t index)
+{
+	struct job_item *item = job_item(job, index);
+	struct worker *worker = worker_find(sched, item->worker);
+	struct order *order;
+
+	if (!worker || !worker->fenced)
+		return;
+	order = item_order(sched, worker, job, index, ORDER_START);
+	order->spec = job_spec_ref(job->spec);
+	order->saved = g_strdup(item->saved);
+	item->phase = ITEM_STARTING;
+	item->ordered_us = sched_now_us(sched);
+	worker_send(sched, worker, order);
+}
+
+static void send_stop(struct sched *sched, struct worker *worker,
+		      struct job *job, uint32_t index)
+{
+	job_item(job, index)->ordered_us = sched_now_us(sched);
+	worker_send(sched, worker,
+		    item_order(sched, worker, job, index, ORDER_STOP));
+}
+
+void item_order_stop(struct sched *sched, struct job *job, uint32_t index,
+		     const char *why)
+{
+	struct job_item *item = job_item(job, index);
+	struct worker *worker;
+	char name[NAME_SIZE_BYTES];
+
+	if (!is_placed(item) || item->phase == ITEM_STOPPING)
+		return;
+	if (item->phase == ITEM_STORING) {
+		item_release(sched, job, index, why);
+		return;
+	}
+	worker = worker_find(sched, item->worker);
+	job_item_name(job, index, name, sizeof(name));
+	decision_log("stop", "item=%s run=%u worker=%s reason=%s", name,
+		     item->run, item->worker, why);
+	item->phase = ITEM_STOPPING;
+	item->sure = false;
+	if (worker && worker->fenced)
+		send_stop(sched, worker, job, index);
+}
+
+void job_stop_items(struct sched *sched, struct job *job, const char *why)
+{
+	job->stop_all = true;
+	for (uint32_t i = 0; i < job->items->len; i++)
+		item_order_stop(sched, job, i, why);
+}
+
+uint32_t step_away_count(const struct job *job, uint32_t occurrence,
+			 uint32_t step)
+{
+	uint32_t first = job_first_item(job, occurrence, step);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++) {
+		const struct job_item *item = job_item(job, first + i);
+
+		if (item->phase != ITEM_RUNNING || item->work_percent < 100)
+			count++;
+	}
+	return count;
+}
+
+bool item_may_be_stopped(const struct job *job, uint32_t index)
+{
+	uint32_t step = job_item_step(job, index);
+	const struct job_item *item = job_item(job, index);
+	uint32_t away_count =
+		step_away_count(job, job_item_occurrence(job, index), step);
+	uint32_t allowed = MAX(job_step(job, step)->max_unavailable, 1);
+
+	if (item->phase != ITEM_RUNNING || item->work_percent < 100)
+		away_count--;
+	return away_count < allowed;
+}
+
+static void set_saved(struct job_item *item, const char *saved)
+{
+	if (!saved || !*saved || !g_strcmp0(saved, item->saved))
+		return;
+	g_free(item->saved);
+	item->saved = g_strdup(saved);
+}
+
+static void fail_job(struct sched *sched, struct job *job)
+{
+	decision_log("fail", "job=%s reason=attempts", job->id);
+	job->wanted = JOB_FAILED;
+	job_mark_dirty(sched, job);
+	job_stop_items(sched, job, "job-failed");
+}
+
+static void item_done(struct sched *sched, struct job *job, uint32_t index)
+{
+	struct job_item *item = job_item(job, index);
+
+	if (is_placed(item))
+		leave_worker(sched, job, index);
+	item->phase = ITEM_DONE;
+	job->left_count--;
+	job_mark_dirty(sched, job);
+	sched_want_place(sched);
+	if (!job->left_count && job->wanted < JOB_COMPLETE) {
+		job->wanted = JOB_COMPLETE;
+		decision_log(
+			"complete",
+			"job=%s age_ms=%" G_GINT64_FORMAT " items=%u", job->id,
+			(sched_now_us(sched) - job->seen_us) / USEC_PER_MSEC,
+			job->items->len);
+	}
+}
+
+/* One end of a gang's member as done stands for all of them. */
+static void gang_done(struct sched *sched, struct job *job, uint32_t index)
+{
+	uint32_t step = job_item_step(job, index);
+	uint32_t first =
+		job_first_item(job, job_item_occurrence(job, index), step);
+
+	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++) {
+		if (job_item(job, first + i)->phase != ITEM_DONE)
+			item_done(sched, job, first + i);
+	}
+}
+
+static void item_failed(struct sched *sched, struct job *job, uint32_t index)
+{
+	const struct job_step *step = job_step(job, job_item_step(job, index));
+	const struct queue *queue = sched_queue(sched, job);
+	struct job_item *item = job_item(job, index);
+
+	item->failed_count++;
+	item->retry_us = sched_now_us(sched) +
+			 (step->lasting ? LASTING_AGAIN_US
+					: FAILED_AGAIN_US * item->failed_count);
+	sched_wake_at(sched, item->retry_us);
+	if (queue && queue->attempts_max && !step->lasting &&
+	    item->failed_count >= queue->attempts_max &&
+	    job->wanted < JOB_COMPLETE)
+		fail_job(sched, job);
+}
+
+void item_ended(struct sched *sched, struct worker *worker,
+		const struct ended_row *row)
+{
+	uint32_t index = 0;
+	struct job *job = sched_find_item(sched, row->item, &index);
+	const struct job_step *step;
+	struct job_item *item;
+	bool current;
+
+	decision_log("end",
+		     "item=%s run=%u worker=%s how=%s number=%" G_GUINT64_FORMAT
+		     " known=%d",
+		     row->item, row->run, worker->id, item_end_name(row->end),
+		     row->number, job != NULL);
+	if (!job)
+		return;
+	item = job_item(job, index);
+	step = job_step(job, job_item_step(job, index));
+	if (item->phase == ITEM_DONE)
+		return;
+	current = is_placed(item) && item->run == row->run &&
+		  item->worker == worker->id;
+	if (row->end == ITEM_END_DONE && !step->lasting) {
+		worker_count_end(sched, worker, job, false);
+		/* A later run that was started for a lost end is not wanted. */
+		if (!current && is_placed(item)) {
+			item_order_stop(sched, job, index, "done-elsewhere");
+			return;
+		}
+		if (step->gang)
+			gang_done(sched, job, index);
+		else
+			item_done(sched, job, index);
+		return;
+	}
+	if (!current)
+		return;
+	set_saved(item, row->saved);
+	item_release(sched, job, index, item_end_name(row->end));
+	if (row->end == ITEM_END_FAILED) {
+		worker_count_end(sched, worker, job, true);
+		item_failed(sched, job, index);
+	}
+}
+
+static void on_start_refused(struct sched *sched, struct worker *worker,
+			     struct job *job, uint32_t index,
+			     const struct order *order)
+{
+	struct job_item *item = job_item(job, index);
+	int64_t now_us = sched_now_us(sched);
+
+	if (order->result == ORDER_NO_ROOM)
+		worker->avoid_until_us = now_us + NO_ROOM_US;
+	if (order->result == ORDER_REFUSED)
+		worker->avoid_until_us = now_us + REFUSED_AVOID_US;
+	/* An earlier order of this run may still arrive. */
+	if (!item->sure) {
+		item_order_stop(sched, job, index,
+				order_result_name(order->result));
+		return;
+	}
+	item_release(sched, job, index, order_result_name(order->result));
+}
+
+static void on_start(struct sched *sched, struct worker *worker,
+		     struct job *job, uint32_t index, const struct order *order)
+{
+	struct job_item *item = job_item(job, index);
+
+	if (item->phase != ITEM_STARTING)
+		return;
+	switch (order->result) {
+	case ORDER_OK:
+		item->phase = ITEM_RUNNING;
+		item->running_us = sched_now_us(sched);
+		item->sure = true;
+		worker->hold_due_us =
+			MIN(worker->hold_due_us, sched_now_us(sched));
+		break;
+	case ORDER_LOST:
+		item->sure = false;
+		item->ordered_us = sched_now_us(sched);
+		sched_wake_at(sched, item->ordered_us + ORDER_AGAIN_US);
+		break;
+	case ORDER_FENCED:
+	case ORDER_OTHER_LIFE:
+		break;
+	default:
+		on_start_refused(sched, worker, job, index, order);
+		break;
+	}
+}
+
+static void on_stop(struct sched *sched, struct worker *worker, struct job *job,
+		    uint32_t index, const struct order *order)
+{
+	struct job_item *item = job_item(job, index);
+
+	if (item->phase != ITEM_STOPPING)
+		return;
+	if (order->result == ORDER_OK) {
+		/* No order of this run can start it from now on. */
+		item->sure = true;
+		item->running_us = sched_now_us(sched);
+		worker->hold_due_us =
+			MIN(worker->hold_due_us, sched_now_us(sched));
+	}
+}
+
+void item_on_order(struct sched *sched, struct worker *worker,
+		   const struct order *order)
+{
+	uint32_t index = 0;
+	struct job *job = sched_find_item(sched, order->item, &index);
+	const struct job_item *item;
+
+	if (order->result != ORDER_OK)
+		decision_log(
+			"order",
+			"kind=%s item=%s run=%u worker=%s result=%s "
+			"took_ms=%" G_GINT64_FORMAT,
+			order_kind_name(order->kind), order->item, order->run,
+			worker->id, order_result_name(order->result),
+			(sched_now_us(sched) - order->sent_us) / USEC_PER_MSEC);
+	if (!job)
+		return;
+	item = job_item(job, index);
+	if (item->run != order->run || item->worker != worker->id)
+		return;
+	if (order->kind == ORDER_START)
+		on_start(sched, worker, job, index, order);
+	else if (order->kind == ORDER_STOP)
+		on_stop(sched, worker, job, index, order);
+}
--- /dev/null
+++ b/src/jobs/sched_machine.c
@@ -0,0 +1,181 @@
+/* The platform's list of machines, and what was ordered of them. */
+
+#include <string.h>
+
+#include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+/* The list is read this often while something depends on it, or not. */
+#define LIST_BUSY_US (700 * USEC_PER_MSEC)
+#define LIST_IDLE_US (3 * USEC_PER_SEC)
+#define LIST_FAILED_US (1 * USEC_PER_SEC)
+/* A list that was asked for later than this after a hold failed counts. */
+#define ORDERS_WINDOW_US USEC_PER_SEC
+/* Part of the platform's rate that is used, in percent. */
+#define ORDERS_USED_PERCENT 50
+/* Holds without an answer after which the list is asked. */
+#define SUSPECT_LOST_COUNT 2
+
+void machine_free(gpointer machine)
+{
+	g_free(machine);
+}
+
+struct machine *machine_find(const struct sched *sched, const char *name)
+{
+	return g_hash_table_lookup(sched->machines, name);
+}
+
+struct machine *machine_of_worker(const struct sched *sched,
+				  const struct worker *worker)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct machine *machine = value;
+
+		if (machine->worker == worker->id)
+			return machine;
+	}
+	return NULL;
+}
+
+static void take_row(struct sched *sched, const struct machine_row *row,
+		     int64_t asked_us)
+{
+	struct machine *machine = machine_find(sched, row->name);
+	struct worker *old;
+
+	if (!machine) {
+		machine = g_new0(struct machine, 1);
+		machine->name = g_intern_string(row->name);
+		g_hash_table_insert(sched->machines, (gpointer)machine->name,
+				    machine);
+	}
+	/* A worker is one life of its machine. */
+	old = worker_find(sched, machine->worker);
+	if (old && !old->lost && old->lost_count && old->silent_us < asked_us &&
+	    (row->state != MACHINE_UP || row->worker != machine->worker))
+		worker_gone(sched, old, "machine-says-so");
+	g_strlcpy(machine->pool, row->pool, sizeof(machine->pool));
+	machine->state = row->state;
+	if (row->worker)
+		machine->worker = row->worker;
+	machine->seen = true;
+}
+
+static gboolean was_not_seen(gpointer name, gpointer value, gpointer data)
+{
+	const struct machine *machine = value;
+
+	(void)name;
+	(void)data;
+	return !machine->seen;
+}
+
+void machines_on_seen(struct sched *sched, const struct machines_seen *seen)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	sched->machines_asked = false;
+	if (!seen->answered) {
+		sched->machines_us = sched_now_us(sched) + LIST_FAILED_US;
+		return;
+	}
+	g_hash_table_iter_init(&iter, sched->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct machine *)value)->seen = false;
+	for (guint i = 0; i < seen->rows->len; i++)
+		take_row(sched,
+			 &g_array_index(seen->rows, struct machine_row, i),
+			 seen->asked_us);
+	g_hash_table_foreach_remove(sched->machines, was_not_seen, NULL);
+	sched->machines_known = true;
+	sched->machines_seen_us = seen->asked_us;
+	waves_on_machines(sched);
+	sched_want_place(sched);
+}
+
+static bool some_worker_is_suspect(const struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *worker = value;
+
+		if (worker->lost_count >= SUSPECT_LOST_COUNT &&
+		    worker->placed->len)
+			return true;
+	}
+	return false;
+}
+
+static bool some_wave_is_open(const struct sched *sched)
+{
+	for (guint i = 0; i < sched->waves->len; i++) {
+		const struct wave *wave = sched->waves->pdata[i];
+
+		if (!wave->complete)
+			return true;
+	}
+	return false;
+}
+
+void machines_tick(struct sched *sched)
+{
+	int64_t now_us = sched_now_us(sched);
+	bool busy = some_worker_is_suspect(sched) || some_wave_is_open(sched);
+
+	if (busy)
+		sched->machines_us =
+			MIN(sched->machines_us,
+			    sched->machines_seen_us + LIST_BUSY_US);
+	if (sched->machines_asked || now_us < sched->machines_us)
+		return;
+	sched->machines_asked = true;
+	sched->machines_us = now_us + LIST_IDLE_US;
+	kernel_emit(sched->kernel,
+		    &(struct event){ .type = EVENT_MACHINES_ASK });
+}
+
+bool machine_order_send(struct sched *sched, const struct machine_order *order)
+{
+	int64_t now_us = sched_now_us(sched);
+	struct machine_order *msg;
+
+	if (now_us - sched->machine_orders_us > ORDERS_WINDOW_US) {
+		sched->machine_orders_us = now_us;
+		sched->machine_orders_count = 0;
+	}
+	if (sched->machine_orders_count >=
+	    MAX(sched->bounds->machine_orders_per_s * ORDERS_USED_PERCENT / 100,
+		1))
+		return false;
+	sched->machine_orders_count++;
+	msg = g_rc_box_new0(struct machine_order);
+	*msg = *order;
+	msg->token = sched->token;
+	decision_log("machine-order",
+		     "machine=%s kind=%s wave=%" G_GUINT64_FORMAT " pool=%s",
+		     msg->machine, msg->upkeep ? "upkeep" : "move", msg->wave,
+		     msg->pool);
+	kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDER, msg);
+	return true;
+}
+
+void machines_on_ordered(struct sched *sched, const struct machine_order *order)
+{
+	struct machine *machine = machine_find(sched, order->machine);
+
+	decision_log("machine-ordered", "machine=%s kind=%s result=%d",
+		     order->machine, order->upkeep ? "upkeep" : "move",
+		     (int)order->result);
+	if (!machine || order->upkeep)
+		return;
+	machine->asked = false;
+}
--- /dev/null
+++ b/src/jobs/sched_place.c
@@ -0,0 +1,354 @@
+/* Which waiting work item goes to which worker, and in which order. */
+
+#include <string.h>
+
+#include "jobs/sched.h"
+
+/* Weights of a worker's score, in thousandths of its free capacity. */
+#define SCORE_RACK_NEAR 2000
+#define SCORE_LASTING_PACKED 300
+#define SCORE_SIBLING_RACK 600
+#define SCORE_BESIDE_FILLER 1500
+#define SCORE_WAVE_AHEAD 3000
+/* Declared run times are far off; none of them counts as shorter. */
+#define ESTIMATE_MIN_US (100 * USEC_PER_MSEC)
+
+/* A job with work that could start now. */
+struct candidate {
+	struct job *job;
+	const char *pool;
+	bool lasting;
+	bool late; /* its objective has passed */
+	uint32_t priority;
+	int64_t objective_us;
+};
+
+struct pass {
+	struct sched *sched;
+	GArray *candidates;  /* of struct candidate */
+	GHashTable *by_pool; /* pool -> GPtrArray of struct worker */
+	int64_t now_us;
+	int64_t wall_ms;
+};
+
+static int64_t chain_us(const struct job *job)
+{
+	int64_t longest_us[JOB_STEPS_MAX_COUNT] = { 0 };
+	int64_t chain = 0;
+
+	for (uint32_t i = 0; i < job->spec->steps->len; i++) {
+		const struct job_step *step = job_step(job, i);
+
+		for (uint32_t j = 0; j < i; j++) {
+			if (step->after_mask >> j & 1)
+				longest_us[i] =
+					MAX(longest_us[i], longest_us[j]);
+		}
+		longest_us[i] +=
+			MAX(step->estimate_ms * USEC_PER_MSEC, ESTIMATE_MIN_US);
+		chain = MAX(chain, longest_us[i]);
+	}
+	return chain;
+}
+
+static void add_candidate(struct pass *pass, struct job *job)
+{
+	const struct queue *queue = sched_queue(pass->sched, job);
+	struct candidate candidate = {
+		.job = job,
+		.pool = sched_pool(pass->sched, job),
+		.lasting = job_step(job, 0)->lasting,
+		.priority = queue ? queue->priority : 0,
+		.objective_us = job->seen_us,
+	};
+
+	if (queue)
+		candidate.objective_us +=
+			queue->target_us +
+			(int64_t)(queue->slack * (double)chain_us(job));
+	candidate.late = candidate.objective_us < pass->now_us;
+	g_array_append_val(pass->candidates, candidate);
+}
+
+static gint compare_candidates(gconstpointer a, gconstpointer b)
+{
+	const struct candidate *left = a;
+	const struct candidate *right = b;
+
+	if (left->lasting != right->lasting)
+		return left->lasting ? -1 : 1;
+	if (left->late != right->late)
+		return left->late ? 1 : -1;
+	if (left->priority != right->priority)
+		return left->priority < right->priority ? -1 : 1;
+	if (left->objective_us != right->objective_us)
+		return left->objective_us < right->objective_us ? -1 : 1;
+	return strcmp(left->job->id, right->job->id);
+}
+
+static GPtrArray *pool_workers(struct pass *pass, const char *pool)
+{
+	GPtrArray *workers = g_hash_table_lookup(pass->by_pool, pool);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (workers)
+		return workers;
+	workers = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, pass->sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *worker = value;
+
+		if (!strcmp(worker->pool, pool) &&
+		    worker_may_take(pass->sched, worker))
+			g_ptr_array_add(workers, value);
+	}
+	g_hash_table_insert(pass->by_pool, g_strdup(pool), workers);
+	return workers;
+}
+
+static bool has_label(const struct worker *worker, const char *label)
+{
+	if (!label[0])
+		return true;
+	for (guint i = 0; worker->labels && i < worker->labels->len; i++) {
+		if (!strcmp(worker->labels->pdata[i], label))
+			return true;
+	}
+	return false;
+}
+
+static bool fits(const struct worker *worker, const struct job_step *step)
+{
+	if (!step->filler &&
+	    worker->used_cpu_milli + step->cpu_milli > worker->cpu_milli)
+		return false;
+	return worker->used_mem_mb + step->mem_mb <= worker->mem_mb &&
+	       worker->used_gpu_count + step->gpu_count <= worker->gpu_count;
+}
+
+/* What a worker runs, as far as it matters to one step. */
+struct neighbours {
+	uint32_t siblings_count; /* items of the step itself */
+	uint32_t lasting_count;
+	uint32_t serving_count;
+	uint32_t fillers_count;
+};
+
+static struct neighbours look_around(const struct worker *worker,
+				     const struct job *job, uint32_t occurrence,
+				     uint32_t step)
+{
+	struct neighbours seen = { 0 };
+
+	for (guint i = 0; i < worker->placed->len; i++) {
+		const struct placement *placement =
+			&g_array_index(worker->placed, struct placement, i);
+		uint32_t their_step =
+			job_item_step(placement->job, placement->index);
+		const struct job_step *theirs =
+			job_step(placement->job, their_step);
+
+		seen.lasting_count += theirs->lasting;
+		seen.serving_count += theirs->target_ms > 0;
+		seen.fillers_count += theirs->filler;
+		if (placement->job == job && their_step == step &&
+		    job_item_occurrence(job, placement->index) == occurrence)
+			seen.siblings_count++;
+	}
+	return seen;
+}
+
+static bool rack_has_sibling(const struct sched *sched, const struct job *job,
+			     uint32_t first, uint32_t count, const char *rack)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const struct worker *worker =
+			worker_find(sched, job_item(job, first + i)->worker);
+
+		if (worker && !strcmp(worker->rack, rack))
+			return true;
+	}
+	return false;
+}
+
+static int64_t score(const struct pass *pass, const struct worker *worker,
+		     const struct job *job, uint32_t occurrence, uint32_t index,
+		     const struct neighbours *seen)
+{
+	const struct job_step *step = job_step(job, index);
+	uint32_t first = job_first_item(job, occurrence, index);
+	const struct machine *machine = machine_of_worker(pass->sched, worker);
+	int64_t free_share = worker->cpu_milli
+				     ? 1000 *
+					       ((int64_t)worker->cpu_milli -
+						worker->used_cpu_milli) /
+					       worker->cpu_milli
+				     : 0;
+	int64_t value;
+
+	if (step->lasting) {
+		/* Packed, so that whole machines come free; off one rack. */
+		value = -free_share / 4 +
+			(int64_t)seen->lasting_count * SCORE_LASTING_PACKED;
+		if (rack_has_sibling(pass->sched, job, first, step->item_count,
+				     worker->rack))
+			value -= SCORE_SIBLING_RACK;
+		if (machine &&
+		    machine_is_wanted_by_wave(pass->sched, machine->name))
+			value -= SCORE_WAVE_AHEAD;
+	} else {
+		value = free_share;
+	}
+	if (step->rack[0] && !strcmp(step->rack, worker->rack))
+		value += SCORE_RACK_NEAR;
+	if (step->one_rack && rack_has_sibling(pass->sched, job, first,
+					       step->item_count, worker->rack))
+		value += SCORE_RACK_NEAR;
+	if (step->filler && seen->serving_count)
+		value -= SCORE_BESIDE_FILLER;
+	if (step->target_ms && seen->fillers_count)
+		value -= SCORE_BESIDE_FILLER;
+	return value;
+}
+
+static struct worker *choose(struct pass *pass, const char *pool,
+			     const struct job *job, uint32_t occurrence,
+			     uint32_t index)
+{
+	const struct job_step *step = job_step(job, index);
+	GPtrArray *workers = pool_workers(pass, pool);
+	struct worker *best = NULL;
+	int64_t best_score = 0;
+
+	for (guint i = 0; i < workers->len; i++) {
+		struct worker *worker = workers->pdata[i];
+		struct neighbours seen;
+		int64_t value;
+
+		if (!fits(worker, step) || !has_label(worker, step->label))
+			continue;
+		seen = look_around(worker, job, occurrence, index);
+		if (step->max_per_worker &&
+		    seen.siblings_count >= step->max_per_worker)
+			continue;
+		value = score(pass, worker, job, occurrence, index, &seen);
+		if (!best || value > best_score ||
+		    (value == best_score && strcmp(worker->id, best->id) < 0)) {
+			best = worker;
+			best_score = value;
+		}
+	}
+	return best;
+}
+
+static void place_items(struct pass *pass, const struct candidate *candidate,
+			uint32_t occurrence, uint32_t index)
+{
+	struct job *job = candidate->job;
+	uint32_t first = job_first_item(job, occurrence, index);
+	uint32_t count = job_step(job, index)->item_count;
+
+	for (uint32_t i = first; i < first + count; i++) {
+		struct job_item *item = job_item(job, i);
+		struct worker *worker;
+
+		if (item->phase != ITEM_WAITING)
+			continue;
+		if (item->retry_us > pass->now_us) {
+			sched_wake_at(pass->sched, item->retry_us);
+			sched_want_place(pass->sched);
+			continue;
+		}
+		worker = choose(pass, candidate->pool, job, occurrence, index);
+		if (!worker)
+			return;
+		item_place(pass->sched, job, i, worker);
+	}
+}
+
+/* All members of a gang are placed together, under one run number, or none. */
+static void place_gang(struct pass *pass, const struct candidate *candidate,
+		       uint32_t occurrence, uint32_t index)
+{
+	struct job *job = candidate->job;
+	uint32_t first = job_first_item(job, occurrence, index);
+	uint32_t count = job_step(job, index)->item_count;
+	uint32_t run = 0;
+	uint32_t placed_count = 0;
+	struct worker *worker;
+
+	for (uint32_t i = first; i < first + count; i++) {
+		if (job_item(job, i)->phase != ITEM_WAITING)
+			return;
+		run = MAX(run, job_item(job, i)->run);
+	}
+	while (placed_count < count) {
+		worker = choose(pass, candidate->pool, job, occurrence, index);
+		if (!worker)
+			break;
+		job_item(job, first + placed_count)->run = run;
+		item_place(pass->sched, job, first + placed_count, worker);
+		placed_count++;
+	}
+	/* Nothing of it was stored or ordered yet. */
+	for (uint32_t i = 0; placed_count < count && i < placed_count; i++)
+		item_release(pass->sched, job, first + i, "gang-incomplete");
+}
+
+static void place_job(struct pass *pass, const struct candidate *candidate)
+{
+	struct job *job = candidate->job;
+
+	for (uint32_t i = 0; i < job_spec_occurrences(job->spec); i++) {
+		int64_t due_ms = job_due_ms(job, i);
+
+		if (due_ms > pass->wall_ms) {
+			sched_wake_at(pass->sched,
+				      pass->now_us + (due_ms - pass->wall_ms) *
+							     USEC_PER_MSEC);
+			break;
+		}
+		for (uint32_t j = 0; j < job->spec->steps->len; j++) {
+			if (!job_step_is_ready(job, i, j))
+				continue;
+			if (job_step(job, j)->gang)
+				place_gang(pass, candidate, i, j);
+			else
+				place_items(pass, candidate, i, j);
+		}
+	}
+}
+
+static bool is_open(const struct job *job)
+{
+	return job->wanted < JOB_COMPLETE && !job->cancelled &&
+	       !job->stop_all && job->placed_count < job->left_count;
+}
+
+void sched_place(struct sched *sched)
+{
+	struct pass pass = {
+		.sched = sched,
+		.now_us = sched_now_us(sched),
+		.wall_ms = kernel_wall_us(sched->kernel) / USEC_PER_MSEC,
+	};
+	GHashTableIter iter;
+	gpointer job;
+
+	pass.candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
+	pass.by_pool = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     (GDestroyNotify)g_ptr_array_unref);
+	g_hash_table_iter_init(&iter,
+			       job_table_all(kernel_jobs(sched->kernel)));
+	while (g_hash_table_iter_next(&iter, NULL, &job)) {
+		if (is_open(job))
+			add_candidate(&pass, job);
+	}
+	g_array_sort(pass.candidates, compare_candidates);
+	for (guint i = 0; i < pass.candidates->len; i++)
+		place_job(&pass,
+			  &g_array_index(pass.candidates, struct candidate, i));
+	g_hash_table_unref(pass.by_pool);
+	g_array_unref(pass.candidates);
+}
--- /dev/null
+++ b/src/jobs/sched_wave.c
@@ -0,0 +1,312 @@
+/*
+ * Waves of upkeep: each machine of a wave is emptied, within the budgets of
+ * the steps that run there, and then maintained, at most max_count at once.
+ */
+
+#include <string.h>
+
+#include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+/* An order of a machine that was refused is sent again after this. */
+#define ORDER_AGAIN_US (500 * USEC_PER_MSEC)
+/* Work that does not last may end by itself for so long. */
+#define EMPTYING_PATIENCE_US (6 * USEC_PER_SEC)
+#define STATUS_AGAIN_US (500 * USEC_PER_MSEC)
+/* Ids of status writes are apart from those of other writers. */
+#define STATUS_WRITE_ID (UINT64_C(1) << 62)
+
+void wave_free(gpointer data)
+{
+	struct wave *wave = data;
+
+	g_array_unref(wave->machines);
+	g_free(wave);
+}
+
+static struct wave *wave_find(const struct sched *sched, uint64_t number)
+{
+	for (guint i = 0; i < sched->waves->len; i++) {
+		struct wave *wave = sched->waves->pdata[i];
+
+		if (wave->number == number)
+			return wave;
+	}
+	return NULL;
+}
+
+static struct wave_machine *wave_machine_find(struct wave *wave,
+					      const char *name)
+{
+	for (guint i = 0; i < wave->machines->len; i++) {
+		struct wave_machine *machine =
+			&g_array_index(wave->machines, struct wave_machine, i);
+
+		if (!strcmp(machine->name, name))
+			return machine;
+	}
+	return NULL;
+}
+
+bool machine_is_wanted_by_wave(const struct sched *sched, const char *name)
+{
+	for (guint i = 0; i < sched->waves->len; i++) {
+		struct wave *wave = sched->waves->pdata[i];
+		const struct wave_machine *machine =
+			wave->complete ? NULL : wave_machine_find(wave, name);
+
+		if (machine && machine->step != WAVE_DONE)
+			return true;
+	}
+	return false;
+}
+
+void waves_on_seen(struct sched *sched, const struct wave_seen *seen)
+{
+	struct wave *wave = wave_find(sched, seen->wave);
+
+	if (wave)
+		return;
+	wave = g_new0(struct wave, 1);
+	wave->number = seen->wave;
+	wave->max_count = MAX(seen->max_count, 1);
+	wave->seen_us = sched_now_us(sched);
+	wave->due_us = wave->seen_us + seen->duration_us;
+	wave->machines = g_array_new(FALSE, TRUE, sizeof(struct wave_machine));
+	for (guint i = 0; i < seen->machines->len; i++) {
+		struct wave_machine machine = {
+			.name = seen->machines->pdata[i],
+		};
+
+		g_array_append_val(wave->machines, machine);
+	}
+	g_ptr_array_add(sched->waves, wave);
+	decision_log("wave-seen",
+		     "wave=%" G_GUINT64_FORMAT
+		     " machines=%u max=%u due_ms=%" G_GINT64_FORMAT,
+		     wave->number, wave->machines->len, wave->max_count,
+		     seen->duration_us / USEC_PER_MSEC);
+}
+
+static uint32_t down_count(const struct wave *wave)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < wave->machines->len; i++) {
+		const struct wave_machine *machine =
+			&g_array_index(wave->machines, struct wave_machine, i);
+
+		if (machine->step == WAVE_ORDERED || machine->asked ||
+		    machine->unknown)
+			count++;
+	}
+	return count;
+}
+
+static uint32_t emptying_count(const struct wave *wave)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < wave->machines->len; i++)
+		count += g_array_index(wave->machines, struct wave_machine, i)
+				 .step == WAVE_EMPTYING;
+	return count;
+}
+
+/* Work that is left on a machine that is to be emptied is moved on. */
+static void empty(struct sched *sched, struct worker *worker, bool patient)
+{
+	for (guint i = worker->placed->len; i > 0; i--) {
+		struct placement placement =
+			g_array_index(worker->placed, struct placement, i - 1);
+		const struct job_step *step =
+			job_step(placement.job,
+				 job_item_step(placement.job, placement.index));
+
+		if (step->lasting ? !item_may_be_stopped(placement.job,
+							 placement.index)
+				  : patient && !step->saves)
+			continue;
+		item_order_stop(sched, placement.job, placement.index,
+				"upkeep");
+	}
+}
+
+static void order_upkeep(struct sched *sched, struct wave *wave,
+			 struct wave_machine *machine)
+{
+	struct machine_order order = { .upkeep = true, .wave = wave->number };
+
+	g_strlcpy(order.machine, machine->name, sizeof(order.machine));
+	if (machine_order_send(sched, &order))
+		machine->asked = true;
+}
+
+static void start_emptying(struct sched *sched, struct wave_machine *machine,
+			   struct worker *worker)
+{
+	machine->step = WAVE_EMPTYING;
+	machine->ordered_us = sched_now_us(sched);
+	if (worker && worker->leaving == LEAVING_NOT)
+		worker->leaving = LEAVING_UPKEEP;
+}
+
+static void advance_machine(struct sched *sched, struct wave *wave,
+			    struct wave_machine *machine)
+{
+	int64_t now_us = sched_now_us(sched);
+	const struct machine *listed = machine_find(sched, machine->name);
+	struct worker *worker =
+		listed ? worker_find(sched, listed->worker) : NULL;
+
+	if (machine->asked || now_us < machine->again_us)
+		return;
+	if (!listed) {
+		/* It has left the platform for good. */
+		if (sched->machines_known && machine->step != WAVE_ORDERED)
+			machine->step = WAVE_DONE;
+		return;
+	}
+	if (listed->state != MACHINE_UP)
+		return;
+	if (machine->step == WAVE_WAITING &&
+	    emptying_count(wave) + down_count(wave) < wave->max_count)
+		start_emptying(sched, machine, worker);
+	if (machine->step != WAVE_EMPTYING)
+		return;
+	if (worker && worker->placed->len) {
+		worker->leaving = MAX(worker->leaving, LEAVING_UPKEEP);
+		empty(sched, worker,
+		      now_us - machine->ordered_us < EMPTYING_PATIENCE_US);
+		return;
+	}
+	if (down_count(wave) < wave->max_count || machine->unknown)
+		order_upkeep(sched, wave, machine);
+}
+
+void waves_on_ordered(struct sched *sched, const struct machine_order *order)
+{
+	struct wave *wave =
+		order->upkeep ? wave_find(sched, order->wave) : NULL;
+	struct wave_machine *machine =
+		wave ? wave_machine_find(wave, order->machine) : NULL;
+	int64_t now_us = sched_now_us(sched);
+
+	if (!machine || !machine->asked)
+		return;
+	machine->asked = false;
+	machine->again_us = now_us + ORDER_AGAIN_US;
+	switch (order->result) {
+	case MACHINE_OK:
+		machine->step = WAVE_ORDERED;
+		machine->unknown = false;
+		machine->ordered_us = now_us;
+		break;
+	case MACHINE_NOT_OF_WAVE:
+		machine->step = WAVE_DONE;
+		machine->unknown = false;
+		break;
+	case MACHINE_LOST:
+		machine->unknown = true;
+		break;
+	default:
+		break;
+	}
+}
+
+/* A machine that was ordered down is done when the list has it up again. */
+void waves_on_machines(struct sched *sched)
+{
+	int64_t now_us = sched_now_us(sched);
+
+	for (guint i = 0; i < sched->waves->len; i++) {
+		struct wave *wave = sched->waves->pdata[i];
+
+		for (guint j = 0; j < wave->machines->len; j++) {
+			struct wave_machine *machine = &g_array_index(
+				wave->machines, struct wave_machine, j);
+			const struct machine *listed =
+				machine_find(sched, machine->name);
+
+			if (machine->step == WAVE_ORDERED &&
+			    sched->machines_seen_us > machine->ordered_us &&
+			    (!listed || (listed->state == MACHINE_UP &&
+					 now_us - machine->ordered_us >
+						 sched->bounds->upkeep_us)))
+				machine->step = WAVE_DONE;
+		}
+	}
+}
+
+static void tell_status(struct sched *sched, struct wave *wave)
+{
+	struct store_write *write;
+	struct job_record *record;
+
+	if (wave->status_write_id || wave->complete_told ||
+	    (wave->active_told && !wave->complete))
+		return;
+	write = store_write_new(STORE_WRITER_STATUS);
+	write->write_id = STATUS_WRITE_ID + sched->next_write_id;
+	sched->next_write_id += 2;
+	write->token = sched->token;
+	record = job_record_new(JOB_RECORD_WAVE_STATUS);
+	record->wave = wave->number;
+	record->complete = wave->complete;
+	g_ptr_array_add(write->records, record);
+	wave->status_write_id = write->write_id;
+	kernel_emit_msg(sched->kernel, EVENT_STORE_WRITE, write);
+}
+
+void waves_on_written(struct sched *sched, const struct store_write *write)
+{
+	if (write->writer != STORE_WRITER_STATUS)
+		return;
+	for (guint i = 0; i < sched->waves->len; i++) {
+		struct wave *wave = sched->waves->pdata[i];
+		const struct job_record *record = write->records->pdata[0];
+
+		if (wave->status_write_id != write->write_id)
+			continue;
+		wave->status_write_id = 0;
+		if (write->result != STORE_DONE)
+			continue;
+		wave->active_told = true;
+		wave->complete_told = record->complete;
+	}
+}
+
+static bool all_done(const struct wave *wave)
+{
+	for (guint i = 0; i < wave->machines->len; i++) {
+		if (g_array_index(wave->machines, struct wave_machine, i)
+			    .step != WAVE_DONE)
+			return false;
+	}
+	return true;
+}
+
+void waves_tick(struct sched *sched)
+{
+	for (guint i = 0; i < sched->waves->len; i++) {
+		struct wave *wave = sched->waves->pdata[i];
+
+		tell_status(sched, wave);
+		if (wave->complete || !sched->machines_known)
+			continue;
+		for (guint j = 0; j < wave->machines->len; j++)
+			advance_machine(sched, wave,
+					&g_array_index(wave->machines,
+						       struct wave_machine, j));
+		if (all_done(wave)) {
+			wave->complete = true;
+			decision_log("wave-complete",
+				     "wave=%" G_GUINT64_FORMAT
+				     " took_ms=%" G_GINT64_FORMAT,
+				     wave->number,
+				     (sched_now_us(sched) - wave->seen_us) /
+					     USEC_PER_MSEC);
+			tell_status(sched, wave);
+		}
+	}
+}
--- /dev/null
+++ b/src/jobs/sched_worker.c
@@ -0,0 +1,582 @@
+/*
+ * What is known of workers: their lists, their leases and their health. A
+ * worker takes new work only after it has seen our token and we have seen its
+ * lists, so that nothing of an earlier holder runs unnoticed.
+ */
+
+#include <string.h>
+
+#include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+/* A hold waits so long for an end; it also renews the lease. */
+#define HOLD_WAIT_US USEC_PER_SEC
+/* Pause after a hold without an answer. */
+#define HOLD_AGAIN_US (200 * USEC_PER_MSEC)
+/* Pause between looks at a worker that does not answer and runs nothing. */
+#define HOLD_IDLE_AGAIN_US USEC_PER_SEC
+#define ORDER_AGAIN_US (200 * USEC_PER_MSEC)
+/* More ends than this in one answer: not all of them are listed. */
+#define ENDS_LISTED_MAX_COUNT 500
+/* Ends failed in a row, of several jobs, after which a worker is ejected. */
+#define EJECT_FAILURES_COUNT 3
+#define EJECT_US (3 * USEC_PER_SEC)
+#define EJECT_DOUBLINGS_MAX 4
+/* An entry of the directory may be late by as much. */
+#define DRAIN_LEAVE_SLACK_US USEC_PER_SEC
+
+struct worker *worker_find(const struct sched *sched, const char *id)
+{
+	return id ? g_hash_table_lookup(sched->workers, id) : NULL;
+}
+
+struct worker *worker_get(struct sched *sched, const char *id)
+{
+	struct worker *worker = worker_find(sched, id);
+
+	if (worker)
+		return worker;
+	worker = g_new0(struct worker, 1);
+	worker->id = g_intern_string(id);
+	worker->placed = g_array_new(FALSE, TRUE, sizeof(struct placement));
+	worker->lease_until_us = sched->earlier_until_us;
+	g_hash_table_insert(sched->workers, (gpointer)worker->id, worker);
+	return worker;
+}
+
+void worker_free(gpointer data)
+{
+	struct worker *worker = data;
+
+	if (worker->labels)
+		g_ptr_array_unref(worker->labels);
+	g_array_unref(worker->placed);
+	g_free(worker);
+}
+
+static void use(struct worker *worker, const struct job *job, uint32_t index,
+		int32_t sign)
+{
+	const struct job_step *step = job_step(job, job_item_step(job, index));
+
+	if (!step->filler)
+		worker->used_cpu_milli += (uint32_t)sign * step->cpu_milli;
+	worker->used_mem_mb += (uint32_t)sign * step->mem_mb;
+	worker->used_gpu_count += (uint32_t)sign * step->gpu_count;
+}
+
+void worker_attach(struct worker *worker, struct job *job, uint32_t index)
+{
+	struct placement placement = { .job = job, .index = index };
+
+	g_array_append_val(worker->placed, placement);
+	use(worker, job, index, 1);
+}
+
+void worker_detach(struct worker *worker, const struct job *job, uint32_t index)
+{
+	for (guint i = 0; i < worker->placed->len; i++) {
+		const struct placement *placement =
+			&g_array_index(worker->placed, struct placement, i);
+
+		if (placement->job != job || placement->index != index)
+			continue;
+		g_array_remove_index_fast(worker->placed, i);
+		use(worker, job, index, -1);
+		return;
+	}
+}
+
+bool worker_may_take(const struct sched *sched, const struct worker *worker)
+{
+	return worker->listed && worker->fenced && !worker->lost &&
+	       worker->has_clock && worker->leaving == LEAVING_NOT &&
+	       worker->lost_count == 0 &&
+	       worker->avoid_until_us <= sched_now_us(sched);
+}
+
+void worker_count_end(struct sched *sched, struct worker *worker,
+		      const struct job *job, bool failed)
+{
+	const char *id = g_intern_string(job->id);
+	uint32_t doublings;
+
+	if (!failed) {
+		worker->failures_count = 0;
+		worker->ejections_count = 0;
+		return;
+	}
+	if (!worker->failures_count)
+		worker->failed_job = id;
+	/* A job that fails everywhere says nothing of its workers. */
+	else if (worker->failed_job == id)
+		return;
+	worker->failures_count++;
+	if (worker->failures_count < EJECT_FAILURES_COUNT)
+		return;
+	worker->failures_count = 0;
+	doublings = MIN(worker->ejections_count, EJECT_DOUBLINGS_MAX);
+	worker->ejections_count++;
+	worker->avoid_until_us = sched_now_us(sched) + (EJECT_US << doublings);
+	decision_log("eject", "worker=%s failures=%d for_ms=%" G_GINT64_FORMAT,
+		     worker->id, EJECT_FAILURES_COUNT,
+		     (worker->avoid_until_us - sched_now_us(sched)) /
+			     USEC_PER_MSEC);
+	sched_wake_at(sched, worker->avoid_until_us);
+}
+
+/* The worker's clock now, or a little less. */
+static int64_t clock_ms(const struct sched *sched, const struct worker *worker)
+{
+	return worker->clock_ms +
+	       (sched_now_us(sched) - worker->clock_us) / USEC_PER_MSEC;
+}
+
+struct order *worker_order(struct sched *sched, struct worker *worker,
+			   enum order_kind kind)
+{
+	struct order *order = order_new(kind);
+
+	order->worker = worker->id;
+	g_strlcpy(order->address, worker->address, sizeof(order->address));
+	order->token = sched->token;
+	if (worker->has_clock && (kind == ORDER_START || kind == ORDER_HOLD))
+		order->lease_ms =
+			clock_ms(sched, worker) +
+			worker_lease_us(sched->bounds) / USEC_PER_MSEC;
+	return order;
+}
+
+void worker_send(struct sched *sched, struct worker *worker,
+		 struct order *order)
+{
+	int64_t until_us;
+
+	order->sent_us = sched_now_us(sched);
+	if (order->lease_ms) {
+		until_us = worker->clock_us +
+			   worker_lease_here_us(
+				   (order->lease_ms - worker->clock_ms) *
+				   USEC_PER_MSEC);
+		worker->lease_until_us = MAX(worker->lease_until_us, until_us);
+	}
+	kernel_emit_msg(sched->kernel, EVENT_ORDER, order);
+}
+
+void worker_gone(struct sched *sched, struct worker *worker, const char *why)
+{
+	if (!worker->lost || worker->placed->len)
+		decision_log("worker-gone",
+			     "worker=%s reason=%s items=%u "
+			     "silent_ms=%" G_GINT64_FORMAT,
+			     worker->id, why, worker->placed->len,
+			     worker->silent_us ? (sched_now_us(sched) -
+						  worker->silent_us) /
+							 USEC_PER_MSEC
+					       : 0);
+	worker->lost = true;
+	worker->fenced = false;
+	while (worker->placed->len) {
+		struct placement placement =
+			g_array_index(worker->placed, struct placement, 0);
+
+		item_release(sched, placement.job, placement.index, why);
+	}
+	worker->seen_number = 0;
+	worker->flushing_number = 0;
+	worker->stored_number = 0;
+	worker->acked_number = 0;
+	sched_want_place(sched);
+}
+
+static void take_entry(struct sched *sched, const struct worker_entry *entry)
+{
+	struct worker *worker = worker_get(sched, entry->id);
+	bool was_listed = worker->listed;
+	bool drained = worker->drains;
+
+	g_strlcpy(worker->address, entry->address, sizeof(worker->address));
+	g_strlcpy(worker->pool, entry->pool, sizeof(worker->pool));
+	g_strlcpy(worker->dc, entry->dc, sizeof(worker->dc));
+	g_strlcpy(worker->rack, entry->rack, sizeof(worker->rack));
+	if (worker->labels)
+		g_ptr_array_unref(worker->labels);
+	worker->labels = g_ptr_array_ref(entry->labels);
+	worker->cpu_milli = entry->cpu_milli;
+	worker->mem_mb = entry->mem_mb;
+	worker->gpu_count = entry->gpu_count;
+	worker->listed = true;
+	worker->drains = entry->draining;
+	worker->leaves_us =
+		entry->leaves_ms
+			? sched_now_us(sched) + entry->leaves_ms * USEC_PER_MSEC
+			: 0;
+	if (worker->drains)
+		worker->leaving = LEAVING_DRAINS;
+	else if (worker->leaving == LEAVING_DRAINS)
+		worker->leaving = LEAVING_NOT;
+	if (entry->born_ms && entry->born_ms != worker->born_ms) {
+		worker->born_ms = entry->born_ms;
+		worker->hold_due_us = 0;
+		worker->hold_again_us = 0;
+	}
+	if (!was_listed || drained != worker->drains) {
+		decision_log("worker-seen",
+			     "worker=%s pool=%s state=%s cpu=%u "
+			     "born=%" G_GINT64_FORMAT,
+			     worker->id, worker->pool,
+			     worker->drains ? "draining" : "ready",
+			     worker->cpu_milli, worker->born_ms);
+		sched_want_place(sched);
+	}
+}
+
+static void unlist(struct sched *sched, struct worker *worker)
+{
+	if (!worker->listed)
+		return;
+	worker->listed = false;
+	decision_log("worker-unlisted", "worker=%s items=%u drained=%d",
+		     worker->id, worker->placed->len, worker->drains);
+	if (worker->drains && worker->leaves_us &&
+	    sched_now_us(sched) + DRAIN_LEAVE_SLACK_US >= worker->leaves_us)
+		worker_gone(sched, worker, "left");
+}
+
+void workers_on_seen(struct sched *sched, const struct workers_seen *seen)
+{
+	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < seen->entries->len; i++) {
+		const struct worker_entry *entry = seen->entries->pdata[i];
+
+		take_entry(sched, entry);
+		g_hash_table_add(present, (gpointer)entry->id);
+	}
+	for (guint i = 0; i < seen->removed->len; i++) {
+		struct worker *worker =
+			worker_find(sched, seen->removed->pdata[i]);
+
+		if (worker)
+			unlist(sched, worker);
+	}
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (seen->all && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		if (!g_hash_table_contains(present, worker->id))
+			unlist(sched, worker);
+	}
+	if (seen->all)
+		sched->directory_seen = true;
+	g_hash_table_unref(present);
+}
+
+static void take_clock(struct sched *sched, struct worker *worker,
+		       const struct order *order)
+{
+	if (!order->has_clock)
+		return;
+	worker->has_clock = true;
+	worker->clock_ms = order->clock_ms;
+	worker->clock_us = sched_now_us(sched);
+}
+
+static const struct running_row *running_row(const struct order *order,
+					     const char *item, uint32_t run)
+{
+	for (guint i = 0; i < order->running->len; i++) {
+		const struct running_row *row =
+			&g_array_index(order->running, struct running_row, i);
+
+		if (row->run == run && !strcmp(row->item, item))
+			return row;
+	}
+	return NULL;
+}
+
+/* Stops a run that nobody here wants. */
+static void stop_stray(struct sched *sched, struct worker *worker,
+		       const struct running_row *row)
+{
+	struct order *order = worker_order(sched, worker, ORDER_STOP);
+
+	decision_log("stop", "item=%s run=%u worker=%s reason=stray", row->item,
+		     row->run, worker->id);
+	g_strlcpy(order->item, row->item, sizeof(order->item));
+	order->run = row->run;
+	worker_send(sched, worker, order);
+}
+
+static void take_running(struct sched *sched, struct worker *worker,
+			 const struct running_row *row)
+{
+	uint32_t index = 0;
+	struct job *job = sched_find_item(sched, row->item, &index);
+	struct job_item *item = job ? job_item(job, index) : NULL;
+
+	if (!item || item->worker != worker->id || item->run != row->run) {
+		stop_stray(sched, worker, row);
+		return;
+	}
+	if (item->phase == ITEM_STARTING) {
+		item->phase = ITEM_RUNNING;
+		item->running_us = sched_now_us(sched);
+	}
+	if (item->phase == ITEM_RUNNING)
+		item->sure = true;
+	item->work_percent = row->percent;
+	item->observed = row->observed;
+	if (row->percent >= 100)
+		item->away_us = 0;
+	else if (!item->away_us)
+		item->away_us = sched_now_us(sched);
+	if (row->saved && *row->saved && g_strcmp0(row->saved, item->saved)) {
+		g_free(item->saved);
+		item->saved = g_strdup(row->saved);
+	}
+	if ((job->stop_all || job_has_ended(job)) &&
+	    item->phase == ITEM_RUNNING)
+		item_order_stop(sched, job, index, "job-ended");
+}
+
+/* Whether an item that is in neither list can't run on this worker. */
+static bool surely_absent(const struct job_item *item,
+			  const struct order *order)
+{
+	switch (item->phase) {
+	case ITEM_STARTING:
+		/* Ordered by an earlier holder, whose token is fenced now. */
+		return !item->ordered_us;
+	case ITEM_RUNNING:
+	case ITEM_STOPPING:
+		return item->sure && item->running_us < order->sent_us;
+	default:
+		return false;
+	}
+}
+
+static void check_absent(struct sched *sched, struct worker *worker,
+			 const struct order *order)
+{
+	char name[NAME_SIZE_BYTES];
+
+	for (guint i = worker->placed->len; i > 0; i--) {
+		struct placement placement =
+			g_array_index(worker->placed, struct placement, i - 1);
+		struct job_item *item =
+			job_item(placement.job, placement.index);
+
+		if (!surely_absent(item, order))
+			continue;
+		job_item_name(placement.job, placement.index, name,
+			      sizeof(name));
+		if (!running_row(order, name, item->run))
+			item_release(sched, placement.job, placement.index,
+				     "absent");
+	}
+}
+
+static void take_lists(struct sched *sched, struct worker *worker,
+		       const struct order *order)
+{
+	for (guint i = 0; i < order->ended->len; i++) {
+		const struct ended_row *row =
+			&g_array_index(order->ended, struct ended_row, i);
+
+		if (row->number <= worker->seen_number)
+			continue;
+		worker->seen_number = row->number;
+		sched->ends_unstored = true;
+		item_ended(sched, worker, row);
+	}
+	for (guint i = 0; i < order->running->len; i++)
+		take_running(
+			sched, worker,
+			&g_array_index(order->running, struct running_row, i));
+	if (order->ended->len < ENDS_LISTED_MAX_COUNT)
+		check_absent(sched, worker, order);
+}
+
+/* Orders of this holder that no answer has settled are sent again. */
+static void send_again(struct sched *sched, struct worker *worker)
+{
+	int64_t now_us = sched_now_us(sched);
+
+	for (guint i = 0; i < worker->placed->len; i++) {
+		struct placement placement =
+			g_array_index(worker->placed, struct placement, i);
+		struct job_item *item =
+			job_item(placement.job, placement.index);
+		struct order *order;
+
+		if (item->sure || now_us < item->ordered_us + ORDER_AGAIN_US)
+			continue;
+		if (item->phase == ITEM_STARTING && item->ordered_us &&
+		    !placement.job->stop_all) {
+			item_order_start(sched, placement.job, placement.index);
+		} else if (item->phase == ITEM_STOPPING) {
+			order = worker_order(sched, worker, ORDER_STOP);
+			job_item_name(placement.job, placement.index,
+				      order->item, sizeof(order->item));
+			order->run = item->run;
+			item->ordered_us = now_us;
+			worker_send(sched, worker, order);
+		} else if (item->phase == ITEM_STARTING &&
+			   placement.job->stop_all) {
+			item_order_stop(sched, placement.job, placement.index,
+					"job-ended");
+		}
+	}
+}
+
+static void on_hold(struct sched *sched, struct worker *worker,
+		    const struct order *order)
+{
+	int64_t now_us = sched_now_us(sched);
+
+	worker->hold_sent = false;
+	if (order->result == ORDER_LOST || order->result == ORDER_REFUSED) {
+		if (!worker->lost_count)
+			worker->silent_us = order->sent_us;
+		worker->lost_count++;
+		worker->hold_again_us =
+			now_us + (worker->placed->len ? HOLD_AGAIN_US
+						      : HOLD_IDLE_AGAIN_US);
+		return;
+	}
+	if (order->result != ORDER_OK)
+		return;
+	if (worker->lost_count)
+		sched_want_place(sched);
+	worker->lost_count = 0;
+	worker->silent_us = 0;
+	worker->answered_us = now_us;
+	if (order->born_ms && order->born_ms != worker->life_ms) {
+		if (worker->life_ms)
+			worker_gone(sched, worker, "reborn");
+		worker->life_ms = order->born_ms;
+	}
+	if (!worker->fenced)
+		sched_want_place(sched);
+	worker->fenced = true;
+	worker->lost = false;
+	worker->acked_number = MAX(worker->acked_number, order->acked_number);
+	take_lists(sched, worker, order);
+	fillers_on_hold(sched, worker);
+	/* Ends must be stored before the next hold, or it returns at once. */
+	worker->hold_due_us = now_us;
+}
+
+void workers_on_order(struct sched *sched, const struct order *order)
+{
+	struct worker *worker = worker_find(sched, order->worker);
+
+	if (!worker || order->token != sched->token)
+		return;
+	take_clock(sched, worker, order);
+	if (order->result == ORDER_OTHER_LIFE) {
+		worker->hold_sent = false;
+		worker_gone(sched, worker, "other-life");
+		worker->hold_again_us =
+			sched_now_us(sched) + HOLD_IDLE_AGAIN_US;
+		return;
+	}
+	if (order->kind == ORDER_HOLD)
+		on_hold(sched, worker, order);
+	else if (order->kind != ORDER_PACE)
+		item_on_order(sched, worker, order);
+}
+
+void workers_flushing(struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		worker->flushing_number = worker->seen_number;
+	}
+}
+
+void workers_stored(struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		worker->stored_number = worker->flushing_number;
+	}
+}
+
+static bool runs_something(const struct worker *worker)
+{
+	for (guint i = 0; i < worker->placed->len; i++) {
+		const struct placement *placement =
+			&g_array_index(worker->placed, struct placement, i);
+		enum item_phase phase =
+			job_item(placement->job, placement->index)->phase;
+
+		if (phase != ITEM_STORING)
+			return true;
+	}
+	return false;
+}
+
+static void hold(struct sched *sched, struct worker *worker)
+{
+	int64_t now_us = sched_now_us(sched);
+	bool runs = runs_something(worker);
+	struct order *order;
+
+	if (worker->hold_sent || now_us < worker->hold_due_us ||
+	    now_us < worker->hold_again_us || !worker->address[0])
+		return;
+	if (worker->fenced) {
+		/* Ends that are not stored would make it return at once. */
+		if (worker->seen_number > worker->stored_number)
+			return;
+		if (!runs && worker->acked_number == worker->stored_number &&
+		    !worker->lost_count)
+			return;
+	} else if (!worker->listed && !worker->placed->len) {
+		return;
+	}
+	order = worker_order(sched, worker, ORDER_HOLD);
+	order->acked_number = worker->stored_number;
+	if (worker->fenced && runs && !worker->lost_count &&
+	    worker->acked_number == worker->stored_number)
+		order->wait_us = HOLD_WAIT_US;
+	worker->hold_sent = true;
+	worker_send(sched, worker, order);
+}
+
+void workers_tick(struct sched *sched)
+{
+	int64_t now_us = sched_now_us(sched);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		if (worker->placed->len && !worker->lost &&
+		    now_us >= worker->lease_until_us &&
+		    (worker->lost_count || !worker->address[0]) &&
+		    sched->directory_seen)
+			worker_gone(sched, worker, "lapsed");
+		hold(sched, worker);
+		if (worker->fenced)
+			send_again(sched, worker);
+		if (worker->hold_again_us > now_us)
+			sched_wake_at(sched, worker->hold_again_us);
+	}
+}
--- /dev/null
+++ b/src/jobs/table.c
@@ -0,0 +1,175 @@
+#include "jobs/table.h"
+
+#include <string.h>
+
+struct job_table {
+	GHashTable *jobs;      /* id -> struct job */
+	GHashTable *cancelled; /* ids whose cancellation came first */
+};
+
+static void job_destroy(gpointer job)
+{
+	job_free(job);
+}
+
+struct job_table *job_table_new(void)
+{
+	struct job_table *table = g_new0(struct job_table, 1);
+
+	table->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    job_destroy);
+	table->cancelled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return table;
+}
+
+void job_table_free(struct job_table *table)
+{
+	if (!table)
+		return;
+	g_hash_table_unref(table->jobs);
+	g_hash_table_unref(table->cancelled);
+	g_free(table);
+}
+
+struct job *job_table_find(const struct job_table *table, const char *id)
+{
+	return g_hash_table_lookup(table->jobs, id);
+}
+
+GHashTable *job_table_all(const struct job_table *table)
+{
+	return table->jobs;
+}
+
+void job_table_clear(struct job_table *table)
+{
+	g_hash_table_remove_all(table->jobs);
+	g_hash_table_remove_all(table->cancelled);
+}
+
+void job_table_set_state(struct job_table *table, struct job *job,
+			 enum job_state state, int64_t now_us)
+{
+	(void)table;
+	if (job->state >= JOB_COMPLETE)
+		return;
+	job->state = state;
+	if (state >= JOB_COMPLETE && !job->ended_us)
+		job->ended_us = now_us;
+}
+
+static void cancel(struct job *job, int64_t now_us)
+{
+	if (job->state >= JOB_COMPLETE || job->cancelled)
+		return;
+	job->cancelled = true;
+	job->state = JOB_CANCELED;
+	job->wanted = JOB_CANCELED;
+	job->ended_us = now_us;
+}
+
+static void apply_submit(struct job_table *table,
+			 const struct job_record *record, int64_t now_us)
+{
+	struct job *job = job_table_find(table, record->id);
+
+	if (job)
+		return;
+	job = job_new(record->id, record->spec);
+	g_strlcpy(job->queue, record->queue, sizeof(job->queue));
+	g_strlcpy(job->pool, record->pool, sizeof(job->pool));
+	job->submitted_ms = record->submitted_ms;
+	job->submit_offset = record->offset;
+	job->seen_us = now_us;
+	g_hash_table_insert(table->jobs, job->id, job);
+	if (g_hash_table_remove(table->cancelled, job->id))
+		cancel(job, now_us);
+}
+
+static void apply_item(struct job *job, const struct job_record_item *kept)
+{
+	struct job_item *item;
+
+	if (kept->index >= job->items->len)
+		return;
+	item = job_item(job, kept->index);
+	item->run = kept->run;
+	item->failed_count = kept->failed_count;
+	item->worker = kept->worker;
+	item->phase = kept->worker ? ITEM_STARTING : ITEM_WAITING;
+	if (kept->saved)
+		item->saved = g_strdup(kept->saved);
+}
+
+static void apply_progress(struct job_table *table,
+			   const struct job_record *record, int64_t now_us)
+{
+	struct job *job = job_table_find(table, record->id);
+
+	if (!job || record->offset < job->state_offset)
+		return;
+	job->state_offset = record->offset;
+	job->begun = record->begun;
+	for (uint32_t i = 0; i < job->items->len; i++) {
+		struct job_item *item = job_item(job, i);
+
+		g_free(item->saved);
+		*item = (struct job_item){ .phase = ITEM_WAITING };
+		if (i / 8 < record->done->len &&
+		    (record->done->data[i / 8] >> (i % 8) & 1))
+			item->phase = ITEM_DONE;
+	}
+	for (guint i = 0; i < record->items->len; i++)
+		apply_item(job, &g_array_index(record->items,
+					       struct job_record_item, i));
+	job_recount(job);
+	job->wanted = record->state;
+	job_table_set_state(table, job, record->state, now_us);
+}
+
+void job_table_apply(struct job_table *table, const struct job_record *record,
+		     int64_t now_us, bool keep_progress)
+{
+	struct job *job = job_table_find(table, record->id);
+
+	switch (record->kind) {
+	case JOB_RECORD_SUBMIT:
+		apply_submit(table, record, now_us);
+		break;
+	case JOB_RECORD_PROGRESS:
+		if (!keep_progress)
+			apply_progress(table, record, now_us);
+		break;
+	case JOB_RECORD_CANCEL:
+		if (job)
+			cancel(job, now_us);
+		else
+			g_hash_table_add(table->cancelled,
+					 g_strdup(record->id));
+		break;
+	case JOB_RECORD_DROP:
+		if (job && record->offset >= job->submit_offset)
+			g_hash_table_remove(table->jobs, record->id);
+		break;
+	default:
+		break;
+	}
+}
+
+uint32_t job_table_depth(const struct job_table *table, const char *queue)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct job *job = value;
+
+		if (!job->begun && !job_has_ended(job) &&
+		    !job->spec->occurrence_count && !strcmp(job->queue, queue))
+			count++;
+	}
+	return count;
+}
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -21,7 +21,10 @@
 	GArray *takers[EVENT_TYPE_COUNT]; /* of struct running */
 	GQueue *queue;			  /* of struct event */
 	bool delivering;
+	bool ready;
 	struct fleet *fleet;
+	struct job_table *jobs;
+	struct queues *queues;
 	struct endpoint_table *endpoints;
 	struct request_table *requests;
 	struct counters *counters;
@@ -44,6 +47,7 @@
 			g_array_new(FALSE, TRUE, sizeof(struct running));
 	kernel->queue = g_queue_new();
 	kernel->fleet = fleet_new();
+	kernel->jobs = job_table_new();
 	kernel->endpoints = endpoint_table_new();
 	kernel->requests = request_table_new();
 	kernel->counters = counters_new();
@@ -76,6 +80,8 @@
 		g_array_unref(kernel->takers[i]);
 	g_queue_free_full(kernel->queue, queued_free);
 	fleet_free(kernel->fleet);
+	job_table_free(kernel->jobs);
+	queues_unref(kernel->queues);
 	endpoint_table_free(kernel->endpoints);
 	request_table_free(kernel->requests);
 	counters_free(kernel->counters);
@@ -165,6 +171,14 @@
 			  g_memdup2(event, sizeof(struct event)));
 }
 
+void kernel_emit_msg(struct kernel *kernel, enum event_type type, void *msg)
+{
+	struct event event = { .type = type };
+
+	event.msg = msg;
+	kernel_emit(kernel, &event);
+}
+
 void kernel_emit_next(struct kernel *kernel, const struct event *event)
 {
 	g_queue_push_head(kernel->queue,
@@ -257,6 +271,34 @@
 	kernel->fleet = fleet;
 }
 
+struct job_table *kernel_jobs(struct kernel *kernel)
+{
+	return kernel->jobs;
+}
+
+const struct queues *kernel_queues(const struct kernel *kernel)
+{
+	return kernel->queues;
+}
+
+void kernel_set_queues(struct kernel *kernel, struct queues *queues)
+{
+	if (!queues)
+		return;
+	queues_unref(kernel->queues);
+	kernel->queues = queues;
+}
+
+bool kernel_is_ready(const struct kernel *kernel)
+{
+	return kernel->ready;
+}
+
+void kernel_set_ready(struct kernel *kernel, bool ready)
+{
+	kernel->ready = ready;
+}
+
 struct endpoint_table *kernel_endpoints(struct kernel *kernel)
 {
 	return kernel->endpoints;
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -10,6 +10,8 @@
 #include "core/endpoint_table.h"
 #include "core/event.h"
 #include "core/fleet.h"
+#include "jobs/queues.h"
+#include "jobs/table.h"
 #include "kernel/counter.h"
 #include "kernel/plugin.h"
 #include "kernel/request.h"
@@ -41,6 +43,9 @@
 /* The chosen table of a policy kind; never NULL for a registered kind. */
 const void *kernel_ops(const struct kernel *kernel, enum plugin_kind kind);
 
+/* Emits an event that carries a message of src/jobs/msg.h; takes it over. */
+void kernel_emit_msg(struct kernel *kernel, enum event_type type, void *msg);
+
 /* Queues an event and takes over what it owns. */
 void kernel_emit(struct kernel *kernel, const struct event *event);
 
@@ -86,6 +91,19 @@
 /* Replaces the replicated state by a snapshot; takes it over. */
 void kernel_set_fleet(struct kernel *kernel, struct fleet *fleet);
 
+/* Jobs as the store keeps them. Changed by apply, and by the holder. */
+struct job_table *kernel_jobs(struct kernel *kernel);
+
+/* Newest configuration of queues; NULL until one was read. */
+const struct queues *kernel_queues(const struct kernel *kernel);
+
+/* Takes over a reference; NULL is ignored. */
+void kernel_set_queues(struct kernel *kernel, struct queues *queues);
+
+/* Whether this entry instance should get callers' work. */
+bool kernel_is_ready(const struct kernel *kernel);
+void kernel_set_ready(struct kernel *kernel, bool ready);
+
 struct endpoint_table *kernel_endpoints(struct kernel *kernel);
 struct request_table *kernel_requests(struct kernel *kernel);
 struct counters *kernel_counters(struct kernel *kernel);
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -20,6 +20,9 @@
 	[PLUGIN_MOVES] = { .name = "moves", .is_choice = true },
 	[PLUGIN_WAVES] = { .name = "waves", .is_choice = true },
 	[PLUGIN_STATE_CODEC] = { .name = "state_codec", .is_choice = true },
+	[PLUGIN_JOBS] = { .name = "jobs" },
+	[PLUGIN_PLATFORM] = { .name = "platform" },
+	[PLUGIN_PARKING] = { .name = "parking", .is_choice = true },
 	[PLUGIN_COMMAND] = { .name = "command" },
 };
 
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -27,6 +27,9 @@
 	PLUGIN_MOVES,	    /* table: struct moves_ops; one */
 	PLUGIN_WAVES,	    /* table: struct waves_ops; one */
 	PLUGIN_STATE_CODEC, /* table: struct state_codec_ops; one */
+	PLUGIN_JOBS,	    /* decisions on jobs; every one is started */
+	PLUGIN_PLATFORM,    /* adapter of the users' platform; every one */
+	PLUGIN_PARKING,	    /* table: struct parking_ops; one */
 	PLUGIN_COMMAND,	    /* subcommands; table: struct command_ops */
 	PLUGIN_KIND_COUNT,
 };
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -54,6 +54,22 @@
 	{ .key = NULL },
 };
 
+static const struct job_bounds default_bounds = {
+	.lease_max_us = 10 * USEC_PER_SEC,
+	.stop_us = USEC_PER_SEC,
+	.gang_wait_us = 3 * USEC_PER_SEC,
+	.status_us = 120 * USEC_PER_SEC,
+	.notice_us = 5 * USEC_PER_SEC,
+	.move_us = 2 * USEC_PER_SEC,
+	.upkeep_us = 2 * USEC_PER_SEC,
+	.machine_lease_us = 3 * USEC_PER_SEC,
+	.early_us = 250 * USEC_PER_MSEC,
+	.interference_us = 4 * USEC_PER_SEC,
+	.skew_us = 5 * USEC_PER_SEC,
+	.remote_penalty = 1.5,
+	.machine_orders_per_s = 32,
+};
+
 struct settings *settings_new(void)
 {
 	struct settings *settings = g_new0(struct settings, 1);
@@ -61,6 +77,7 @@
 	name_copy(settings->entry, sizeof(settings->entry), "entry");
 	name_copy(settings->dc, sizeof(settings->dc), "dc");
 	settings->drain_us = DRAIN_DEFAULT_US;
+	settings->bounds = default_bounds;
 	settings->peers =
 		g_array_new(FALSE, TRUE, sizeof(struct settings_peer));
 	settings->choices =
--- a/test/runner/script_plan.c
+++ b/test/runner/script_plan.c
@@ -229,7 +229,7 @@
 	for (uint32_t i = 0; i <= JOB_ASIDE; i++) {
 		if (counts[i])
 			world_print(world, "           jobs %s: %u",
-				    job_state_name((enum job_state)i),
+				    job_state_name((enum fleet_job_state)i),
 				    counts[i]);
 	}
 	g_ptr_array_unref(jobs);
