Take work on a machine again after its upkeep, and store what a wave ordered

A new holder emptied all machines of a wave again. For a machine that was done, the order returned 200 without effect, so its worker lived on and stayed closed; in the end two of nine workers took all work.

Change: the holder stores which machines of a wave were ordered, and the next one starts from there. A worker is open again when its machine is done.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -8,6 +8,7 @@
 #define KEY_PROGRESS "s/"
 #define KEY_CANCEL "c/"
 #define KEY_HOLDER "holder"
+#define KEY_WAVE "w/"
 #define KEY_PREFIX_BYTES 2
 
 /* A cancellation has no fields; an empty value would remove its key. */
@@ -38,6 +39,11 @@
 		g_strlcpy(keys[0], KEY_HOLDER, JOB_KEY_MAX_BYTES);
 		return 1;
 	}
+	if (record->kind == JOB_RECORD_WAVE) {
+		g_snprintf(keys[0], JOB_KEY_MAX_BYTES,
+			   KEY_WAVE "%" G_GUINT64_FORMAT, record->wave);
+		return 1;
+	}
 	if (record->kind == JOB_RECORD_DROP) {
 		for (uint32_t i = 0; i < G_N_ELEMENTS(all); i++)
 			g_snprintf(keys[i], JOB_KEY_MAX_BYTES, "%s%s", all[i],
@@ -154,6 +160,16 @@
 	return pack(&to.base);
 }
 
+static GBytes *encode_wave(const struct job_record *record)
+{
+	Pl__JobWave to = PL__JOB_WAVE__INIT;
+
+	to.wave = record->wave;
+	to.done.data = record->done->data;
+	to.done.len = record->done->len;
+	return pack(&to.base);
+}
+
 GBytes *job_codec_encode(const struct job_record *record)
 {
 	switch (record->kind) {
@@ -165,6 +181,8 @@
 		return g_bytes_new_static(cancel_value, sizeof(cancel_value));
 	case JOB_RECORD_HOLDER:
 		return encode_holder(record);
+	case JOB_RECORD_WAVE:
+		return encode_wave(record);
 	default:
 		return g_bytes_new(NULL, 0);
 	}
@@ -282,6 +300,22 @@
 	return record;
 }
 
+static struct job_record *decode_wave(const uint8_t *value, size_t size_bytes)
+{
+	Pl__JobWave *from = pl__job_wave__unpack(NULL, size_bytes, value);
+	struct job_record *record;
+
+	if (!from)
+		return NULL;
+	record = job_record_new(JOB_RECORD_WAVE);
+	record->wave = from->wave;
+	record->done = g_byte_array_new();
+	g_byte_array_append(record->done, from->done.data,
+			    (guint)from->done.len);
+	pl__job_wave__free_unpacked(from, NULL);
+	return record;
+}
+
 static struct job_record *decode_of_job(const char *key, const uint8_t *value,
 					size_t size_bytes)
 {
@@ -309,6 +343,8 @@
 {
 	if (!strcmp(key, KEY_HOLDER))
 		return decode_holder(value, size_bytes);
+	if (g_str_has_prefix(key, KEY_WAVE))
+		return decode_wave(value, size_bytes);
 	if (g_str_has_prefix(key, KEY_SUBMIT) ||
 	    g_str_has_prefix(key, KEY_PROGRESS) ||
 	    g_str_has_prefix(key, KEY_CANCEL))
--- a/src/codec/proto/job.pb-c.c
+++ b/src/codec/proto/job.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &pl__job_holder__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pl__job_wave__init
+                     (Pl__JobWave         *message)
+{
+  static const Pl__JobWave init_value = PL__JOB_WAVE__INIT;
+  *message = init_value;
+}
+size_t pl__job_wave__get_packed_size
+                     (const Pl__JobWave *message)
+{
+  assert(message->base.descriptor == &pl__job_wave__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pl__job_wave__pack
+                     (const Pl__JobWave *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pl__job_wave__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pl__job_wave__pack_to_buffer
+                     (const Pl__JobWave *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pl__job_wave__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pl__JobWave *
+       pl__job_wave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pl__JobWave *)
+     protobuf_c_message_unpack (&pl__job_wave__descriptor,
+                                allocator, len, data);
+}
+void   pl__job_wave__free_unpacked
+                     (Pl__JobWave *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pl__job_wave__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor pl__job_step__field_descriptors[18] =
 {
   {
@@ -864,3 +909,54 @@
   (ProtobufCMessageInit) pl__job_holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pl__job_wave__field_descriptors[2] =
+{
+  {
+    "wave",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobWave, wave),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobWave, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pl__job_wave__field_indices_by_name[] = {
+  1,   /* field[1] = done */
+  0,   /* field[0] = wave */
+};
+static const ProtobufCIntRange pl__job_wave__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pl__job_wave__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pl.JobWave",
+  "JobWave",
+  "Pl__JobWave",
+  "pl",
+  sizeof(Pl__JobWave),
+  2,
+  pl__job_wave__field_descriptors,
+  pl__job_wave__field_indices_by_name,
+  1,  pl__job_wave__number_ranges,
+  (ProtobufCMessageInit) pl__job_wave__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/codec/proto/job.pb-c.h
+++ b/src/codec/proto/job.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Pl__JobItem Pl__JobItem;
 typedef struct Pl__JobProgress Pl__JobProgress;
 typedef struct Pl__JobHolder Pl__JobHolder;
+typedef struct Pl__JobWave Pl__JobWave;
 
 
 /* --- enums --- */
@@ -113,6 +114,17 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+struct  Pl__JobWave
+{
+  ProtobufCMessage base;
+  uint64_t wave;
+  ProtobufCBinaryData done;
+};
+#define PL__JOB_WAVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pl__job_wave__descriptor) \
+    , 0, {0,NULL} }
+
+
 /* Pl__JobStep methods */
 void   pl__job_step__init
                      (Pl__JobStep         *message);
@@ -208,6 +220,25 @@
 void   pl__job_holder__free_unpacked
                      (Pl__JobHolder *message,
                       ProtobufCAllocator *allocator);
+/* Pl__JobWave methods */
+void   pl__job_wave__init
+                     (Pl__JobWave         *message);
+size_t pl__job_wave__get_packed_size
+                     (const Pl__JobWave   *message);
+size_t pl__job_wave__pack
+                     (const Pl__JobWave   *message,
+                      uint8_t             *out);
+size_t pl__job_wave__pack_to_buffer
+                     (const Pl__JobWave   *message,
+                      ProtobufCBuffer     *buffer);
+Pl__JobWave *
+       pl__job_wave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pl__job_wave__free_unpacked
+                     (Pl__JobWave *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pl__JobStep_Closure)
@@ -225,6 +256,9 @@
 typedef void (*Pl__JobHolder_Closure)
                  (const Pl__JobHolder *message,
                   void *closure_data);
+typedef void (*Pl__JobWave_Closure)
+                 (const Pl__JobWave *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -236,6 +270,7 @@
 extern const ProtobufCMessageDescriptor pl__job_item__descriptor;
 extern const ProtobufCMessageDescriptor pl__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor pl__job_holder__descriptor;
+extern const ProtobufCMessageDescriptor pl__job_wave__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -12,7 +12,8 @@
 	JOB_RECORD_CANCEL,
 	JOB_RECORD_HOLDER,
 	JOB_RECORD_DROP, /* a job is forgotten: all its keys go */
-	JOB_RECORD_WAVE_STATUS,
+	JOB_RECORD_WAVE_STATUS, /* for the operator */
+	JOB_RECORD_WAVE,	/* for the next holder */
 };
 
 enum holder_step {
@@ -43,14 +44,14 @@
 	/* progress */
 	enum job_state state;
 	bool begun;
-	GByteArray *done; /* bitmap over the items */
+	GByteArray *done; /* bitmap over the items, or a wave's machines */
 	GArray *items;	  /* of struct job_record_item */
 	/* holder */
 	char entry[NAME_SIZE_BYTES];
 	uint64_t boot_id;
 	uint64_t token;
 	enum holder_step step;
-	/* wave status */
+	/* wave, wave status */
 	uint64_t wave;
 	bool complete;
 };
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -71,6 +71,7 @@
 	sched->machines_known = false;
 	sched->machines_asked = false;
 	sched->ends_unstored = false;
+	sched->waves_dirty = false;
 	for (guint i = 0; i < sched->waves->len; i++) {
 		struct wave *wave = sched->waves->pdata[i];
 
@@ -148,6 +149,16 @@
 	}
 }
 
+static void on_wave_records(struct sched *sched, const struct store_read *read)
+{
+	for (guint i = 0; i < read->records->len; i++) {
+		const struct job_record *record = read->records->pdata[i];
+
+		if (record->kind == JOB_RECORD_WAVE)
+			waves_on_record(sched, record);
+	}
+}
+
 /* What of the scheduler must happen on the holder after each event. */
 static void advance(struct sched *sched)
 {
@@ -179,6 +190,8 @@
 		on_holder(sched, event->msg);
 	else if (event->type == EVENT_WAVE_SEEN)
 		waves_on_seen(sched, event->msg);
+	else if (event->type == EVENT_JOBS_APPLIED)
+		on_wave_records(sched, event->msg);
 	if (!sched->held)
 		return;
 	switch (event->type) {
@@ -219,6 +232,9 @@
 	sched->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						machine_free);
 	sched->waves = g_ptr_array_new_with_free_func(wave_free);
+	sched->waves_ordered =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				      (GDestroyNotify)g_byte_array_unref);
 	sched->dirty = g_ptr_array_new();
 	sched->flushing = g_array_new(FALSE, TRUE, sizeof(struct flushed));
 	sched->next_write_id = 2;
@@ -232,6 +248,7 @@
 	g_hash_table_unref(sched->workers);
 	g_hash_table_unref(sched->machines);
 	g_ptr_array_unref(sched->waves);
+	g_hash_table_unref(sched->waves_ordered);
 	g_ptr_array_unref(sched->dirty);
 	g_array_unref(sched->flushing);
 	g_free(sched);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -98,6 +98,7 @@
 	bool active_told;
 	bool complete_told;
 	uint64_t status_write_id; /* under way */
+	bool dirty;		  /* its progress is to be stored */
 };
 
 /* A machine of the platform's list. */
@@ -127,6 +128,9 @@
 	GHashTable *workers;  /* id -> struct worker */
 	GHashTable *machines; /* name -> struct machine */
 	GPtrArray *waves;     /* of struct wave, kept while not held */
+	/* Wave -> GByteArray: its machines that earlier holders have ordered. */
+	GHashTable *waves_ordered;
+	bool waves_dirty;
 
 	GPtrArray *dirty; /* of struct job */
 	GArray *flushing; /* of struct flushed */
@@ -239,6 +243,9 @@
 void waves_tick(struct sched *sched);
 void waves_on_written(struct sched *sched, const struct store_write *write);
 void wave_free(gpointer wave);
+void waves_on_record(struct sched *sched, const struct job_record *record);
+/* Adds the progress of waves that has changed to a write. */
+void waves_add_dirty(struct sched *sched, struct store_write *write);
 bool machine_is_wanted_by_wave(const struct sched *sched, const char *name);
 
 /* sched_machine.c */
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -65,7 +65,8 @@
 	struct store_write *write;
 
 	if (sched->flush_write_id ||
-	    (!sched->dirty->len && !sched->ends_unstored))
+	    (!sched->dirty->len && !sched->ends_unstored &&
+	     !sched->waves_dirty))
 		return;
 	if (now_us < sched->flush_us) {
 		sched_wake_at(sched, sched->flush_us);
@@ -73,7 +74,7 @@
 	}
 	workers_flushing(sched);
 	sched->ends_unstored = false;
-	if (!sched->dirty->len) {
+	if (!sched->dirty->len && !sched->waves_dirty) {
 		/* The ends that were seen changed nothing that is stored. */
 		workers_stored(sched);
 		return;
@@ -85,6 +86,7 @@
 	for (guint i = 0; i < sched->dirty->len; i++)
 		add_job(sched, write, sched->dirty->pdata[i]);
 	g_ptr_array_set_size(sched->dirty, 0);
+	waves_add_dirty(sched, write);
 	if (now_us - sched->held_us > FORGET_GAP_US)
 		add_forgotten(sched, write);
 	sched->flush_write_id = write->write_id;
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -61,6 +61,61 @@
 	return false;
 }
 
+/* What an earlier holder has ordered needs no emptying again. */
+static void take_ordered(struct sched *sched, struct wave *wave)
+{
+	const GByteArray *ordered =
+		g_hash_table_lookup(sched->waves_ordered, &wave->number);
+
+	for (guint i = 0; ordered && i < wave->machines->len; i++) {
+		struct wave_machine *machine = &g_array_index(
+			wave->machines, struct wave_machine, i);
+
+		if (i / 8 < ordered->len &&
+		    (ordered->data[i / 8] >> (i % 8) & 1) &&
+		    machine->step < WAVE_ORDERED)
+			machine->step = WAVE_ORDERED;
+	}
+}
+
+void waves_on_record(struct sched *sched, const struct job_record *record)
+{
+	struct wave *wave = wave_find(sched, record->wave);
+
+	g_hash_table_replace(sched->waves_ordered,
+			     g_memdup2(&record->wave, sizeof(record->wave)),
+			     g_byte_array_ref(record->done));
+	if (wave && !sched->held)
+		take_ordered(sched, wave);
+}
+
+void waves_add_dirty(struct sched *sched, struct store_write *write)
+{
+	sched->waves_dirty = false;
+	for (guint i = 0; i < sched->waves->len; i++) {
+		struct wave *wave = sched->waves->pdata[i];
+		struct job_record *record;
+
+		if (!wave->dirty)
+			continue;
+		wave->dirty = false;
+		record = job_record_new(JOB_RECORD_WAVE);
+		record->wave = wave->number;
+		record->done = g_byte_array_new();
+		g_byte_array_set_size(record->done,
+				      (wave->machines->len + 7) / 8);
+		memset(record->done->data, 0, record->done->len);
+		for (guint j = 0; j < wave->machines->len; j++) {
+			if (g_array_index(wave->machines, struct wave_machine,
+					  j)
+				    .step >= WAVE_ORDERED)
+				record->done->data[j / 8] |=
+					(guint8)(1 << (j % 8));
+		}
+		g_ptr_array_add(write->records, record);
+	}
+}
+
 void waves_on_seen(struct sched *sched, const struct wave_seen *seen)
 {
 	struct wave *wave = wave_find(sched, seen->wave);
@@ -81,6 +136,7 @@
 		g_array_append_val(wave->machines, machine);
 	}
 	g_ptr_array_add(sched->waves, wave);
+	take_ordered(sched, wave);
 	decision_log("wave-seen",
 		     "wave=%" G_GUINT64_FORMAT
 		     " machines=%u max=%u due_ms=%" G_GINT64_FORMAT,
@@ -88,7 +144,7 @@
 		     seen->duration_us / USEC_PER_MSEC);
 }
 
-static uint32_t down_count(const struct wave *wave)
+static uint32_t down_count(const struct sched *sched, const struct wave *wave)
 {
 	uint32_t count = 0;
 
@@ -96,8 +152,12 @@
 		const struct wave_machine *machine =
 			&g_array_index(wave->machines, struct wave_machine, i);
 
+		const struct machine *listed =
+			machine_find(sched, machine->name);
+
 		if (machine->step == WAVE_ORDERED || machine->asked ||
-		    machine->unknown)
+		    machine->unknown ||
+		    (listed && listed->state == MACHINE_UPKEEP))
 			count++;
 	}
 	return count;
@@ -132,6 +192,18 @@
 	}
 }
 
+/* The machine's worker takes work again, unless it leaves for other reasons. */
+static void stop_leaving(struct sched *sched, const struct machine *listed)
+{
+	struct worker *worker =
+		listed ? worker_find(sched, listed->worker) : NULL;
+
+	if (worker && worker->leaving == LEAVING_UPKEEP) {
+		worker->leaving = LEAVING_NOT;
+		sched_want_place(sched);
+	}
+}
+
 static void order_upkeep(struct sched *sched, struct wave *wave,
 			 struct wave_machine *machine)
 {
@@ -170,7 +242,7 @@
 	if (listed->state != MACHINE_UP)
 		return;
 	if (machine->step == WAVE_WAITING &&
-	    emptying_count(wave) + down_count(wave) < wave->max_count)
+	    emptying_count(wave) + down_count(sched, wave) < wave->max_count)
 		start_emptying(sched, machine, worker);
 	if (machine->step != WAVE_EMPTYING)
 		return;
@@ -180,7 +252,7 @@
 		      now_us - machine->ordered_us < EMPTYING_PATIENCE_US);
 		return;
 	}
-	if (down_count(wave) < wave->max_count || machine->unknown)
+	if (down_count(sched, wave) < wave->max_count || machine->unknown)
 		order_upkeep(sched, wave, machine);
 }
 
@@ -199,11 +271,14 @@
 	switch (order->result) {
 	case MACHINE_OK:
 		machine->step = WAVE_ORDERED;
+		wave->dirty = true;
+		sched->waves_dirty = true;
 		machine->unknown = false;
 		machine->ordered_us = now_us;
 		break;
 	case MACHINE_NOT_OF_WAVE:
 		machine->step = WAVE_DONE;
+		stop_leaving(sched, machine_find(sched, machine->name));
 		machine->unknown = false;
 		break;
 	case MACHINE_LOST:
@@ -232,8 +307,10 @@
 			    sched->machines_seen_us > machine->ordered_us &&
 			    (!listed || (listed->state == MACHINE_UP &&
 					 now_us - machine->ordered_us >
-						 sched->bounds->upkeep_us)))
+						 sched->bounds->upkeep_us))) {
 				machine->step = WAVE_DONE;
+				stop_leaving(sched, listed);
+			}
 		}
 	}
 }
