Count a wave's machine as gone only when new lists lack it for 3 s

Ruled out: a machine that leaves the list for a moment (it never did).

Change: lists asked for before the wave was seen say nothing of its machines, and absence must last 3 s. A machine that left is not stored as ordered. Each step of a wave's machine is logged with its reason.

--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -11,7 +11,7 @@
 	JOB_RECORD_PROGRESS,
 	JOB_RECORD_CANCEL,
 	JOB_RECORD_HOLDER,
-	JOB_RECORD_DROP, /* a job is forgotten: all its keys go */
+	JOB_RECORD_DROP,	/* a job is forgotten: all its keys go */
 	JOB_RECORD_WAVE_STATUS, /* for the operator */
 	JOB_RECORD_WAVE,	/* for the next holder */
 };
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -85,7 +85,9 @@
 	bool asked; /* an order is under way */
 	int64_t ordered_us;
 	int64_t again_us;
-	bool unknown; /* an order got no answer */
+	bool unknown;	     /* an order got no answer */
+	int64_t unlisted_us; /* asking time of the first list without it */
+	bool left;	     /* it has left the platform */
 };
 
 struct wave {
@@ -128,7 +130,8 @@
 	GHashTable *workers;  /* id -> struct worker */
 	GHashTable *machines; /* name -> struct machine */
 	GPtrArray *waves;     /* of struct wave, kept while not held */
-	/* Wave -> GByteArray: its machines that earlier holders have ordered. */
+	/* Wave -> GByteArray: its machines that earlier holders have ordered.
+	 */
 	GHashTable *waves_ordered;
 	bool waves_dirty;
 
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -72,6 +72,10 @@
 
 	(void)name;
 	(void)data;
+	if (!machine->seen)
+		decision_log("machine-unlisted", "machine=%s pool=%s worker=%s",
+			     machine->name, machine->pool,
+			     machine->worker ? machine->worker : "");
 	return !machine->seen;
 }
 
@@ -93,6 +97,8 @@
 			 &g_array_index(seen->rows, struct machine_row, i),
 			 seen->asked_us);
 	g_hash_table_foreach_remove(sched->machines, was_not_seen, NULL);
+	if (!sched->machines_known)
+		decision_log("machines-listed", "count=%u", seen->rows->len);
 	sched->machines_known = true;
 	sched->machines_seen_us = seen->asked_us;
 	waves_on_machines(sched);
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -12,7 +12,8 @@
 #define ORDER_AGAIN_US (500 * USEC_PER_MSEC)
 /* Work that does not last may end by itself for so long. */
 #define EMPTYING_PATIENCE_US (6 * USEC_PER_SEC)
-#define STATUS_AGAIN_US (500 * USEC_PER_MSEC)
+/* A machine that no list has for so long has left the platform. */
+#define UNLISTED_GONE_US (3 * USEC_PER_SEC)
 /* Ids of status writes are apart from those of other writers. */
 #define STATUS_WRITE_ID (UINT64_C(1) << 62)
 
@@ -61,6 +62,24 @@
 	return false;
 }
 
+static void set_step(const struct wave *wave, struct wave_machine *machine,
+		     enum wave_step step, const char *why)
+{
+	static const char *const names[] = {
+		[WAVE_WAITING] = "waiting",
+		[WAVE_EMPTYING] = "emptying",
+		[WAVE_ORDERED] = "ordered",
+		[WAVE_DONE] = "done",
+	};
+
+	if (machine->step == step)
+		return;
+	decision_log("wave-machine",
+		     "wave=%" G_GUINT64_FORMAT " machine=%s step=%s reason=%s",
+		     wave->number, machine->name, names[step], why);
+	machine->step = step;
+}
+
 /* What an earlier holder has ordered needs no emptying again. */
 static void take_ordered(struct sched *sched, struct wave *wave)
 {
@@ -68,8 +87,8 @@
 		g_hash_table_lookup(sched->waves_ordered, &wave->number);
 
 	for (guint i = 0; ordered && i < wave->machines->len; i++) {
-		struct wave_machine *machine = &g_array_index(
-			wave->machines, struct wave_machine, i);
+		struct wave_machine *machine =
+			&g_array_index(wave->machines, struct wave_machine, i);
 
 		if (i / 8 < ordered->len &&
 		    (ordered->data[i / 8] >> (i % 8) & 1) &&
@@ -106,9 +125,10 @@
 				      (wave->machines->len + 7) / 8);
 		memset(record->done->data, 0, record->done->len);
 		for (guint j = 0; j < wave->machines->len; j++) {
-			if (g_array_index(wave->machines, struct wave_machine,
-					  j)
-				    .step >= WAVE_ORDERED)
+			const struct wave_machine *machine = &g_array_index(
+				wave->machines, struct wave_machine, j);
+
+			if (machine->step >= WAVE_ORDERED && !machine->left)
 				record->done->data[j / 8] |=
 					(guint8)(1 << (j % 8));
 		}
@@ -214,15 +234,33 @@
 		machine->asked = true;
 }
 
-static void start_emptying(struct sched *sched, struct wave_machine *machine,
-			   struct worker *worker)
+static void start_emptying(struct sched *sched, const struct wave *wave,
+			   struct wave_machine *machine, struct worker *worker)
 {
-	machine->step = WAVE_EMPTYING;
+	set_step(wave, machine, WAVE_EMPTYING, "turn");
 	machine->ordered_us = sched_now_us(sched);
 	if (worker && worker->leaving == LEAVING_NOT)
 		worker->leaving = LEAVING_UPKEEP;
 }
 
+/*
+ * A machine that several lists in a row lack has left for good. A list that
+ * was asked for before the wave was seen does not count: the machine may have
+ * joined since.
+ */
+static void check_unlisted(struct sched *sched, const struct wave *wave,
+			   struct wave_machine *machine)
+{
+	if (sched->machines_seen_us <= wave->seen_us)
+		return;
+	if (!machine->unlisted_us)
+		machine->unlisted_us = sched->machines_seen_us;
+	if (sched->machines_seen_us - machine->unlisted_us < UNLISTED_GONE_US)
+		return;
+	machine->left = true;
+	set_step(wave, machine, WAVE_DONE, "unlisted");
+}
+
 static void advance_machine(struct sched *sched, struct wave *wave,
 			    struct wave_machine *machine)
 {
@@ -234,16 +272,15 @@
 	if (machine->asked || now_us < machine->again_us)
 		return;
 	if (!listed) {
-		/* It has left the platform for good. */
-		if (sched->machines_known && machine->step != WAVE_ORDERED)
-			machine->step = WAVE_DONE;
+		check_unlisted(sched, wave, machine);
 		return;
 	}
+	machine->unlisted_us = 0;
 	if (listed->state != MACHINE_UP)
 		return;
 	if (machine->step == WAVE_WAITING &&
 	    emptying_count(wave) + down_count(sched, wave) < wave->max_count)
-		start_emptying(sched, machine, worker);
+		start_emptying(sched, wave, machine, worker);
 	if (machine->step != WAVE_EMPTYING)
 		return;
 	if (worker && worker->placed->len) {
@@ -270,14 +307,14 @@
 	machine->again_us = now_us + ORDER_AGAIN_US;
 	switch (order->result) {
 	case MACHINE_OK:
-		machine->step = WAVE_ORDERED;
+		set_step(wave, machine, WAVE_ORDERED, "accepted");
 		wave->dirty = true;
 		sched->waves_dirty = true;
 		machine->unknown = false;
 		machine->ordered_us = now_us;
 		break;
 	case MACHINE_NOT_OF_WAVE:
-		machine->step = WAVE_DONE;
+		set_step(wave, machine, WAVE_DONE, "not-of-wave");
 		stop_leaving(sched, machine_find(sched, machine->name));
 		machine->unknown = false;
 		break;
@@ -308,7 +345,7 @@
 			    (!listed || (listed->state == MACHINE_UP &&
 					 now_us - machine->ordered_us >
 						 sched->bounds->upkeep_us))) {
-				machine->step = WAVE_DONE;
+				set_step(wave, machine, WAVE_DONE, "up-again");
 				stop_leaving(sched, listed);
 			}
 		}
