Let the lease of a silent worker lapse, and trust the machine list

Each hold that was tried at a worker without an answer carried a new lease, so the time by which all leases have lapsed moved ahead of us for ever.

Ruled out: a missed removal from the directory (it was unlisted).

Change: a worker that does not answer gets no longer lease than it has. A silent worker that a newer machine list does not have up has ended.

--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -133,6 +133,21 @@
 	sched_want_place(sched);
 }
 
+static void log_job(const struct job *job)
+{
+	const struct job_step *first = job_step(job, 0);
+
+	decision_log("job",
+		     "job=%s queue=%s pool=%s steps=%u items=%u cpu=%u mem=%u "
+		     "estimate_ms=%u lasting=%d filler=%d per_worker=%u "
+		     "away_max=%u target_ms=%u",
+		     job->id, job->queue, job->pool, job->spec->steps->len,
+		     job->items->len, first->cpu_milli, first->mem_mb,
+		     first->estimate_ms, first->lasting, first->filler,
+		     first->max_per_worker, first->max_unavailable,
+		     first->target_ms);
+}
+
 static void on_applied(struct sched *sched, const struct store_read *read)
 {
 	for (guint i = 0; i < read->records->len; i++) {
@@ -144,8 +159,11 @@
 			continue;
 		if (record->kind == JOB_RECORD_CANCEL && job->cancelled)
 			job_stop_items(sched, job, "cancelled");
-		if (record->kind == JOB_RECORD_SUBMIT)
+		if (record->kind == JOB_RECORD_SUBMIT) {
 			sched_want_place(sched);
+			if (!read->local)
+				log_job(job);
+		}
 	}
 }
 
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -9,12 +9,11 @@
 #define LIST_BUSY_US (700 * USEC_PER_MSEC)
 #define LIST_IDLE_US (3 * USEC_PER_SEC)
 #define LIST_FAILED_US (1 * USEC_PER_SEC)
-/* A list that was asked for later than this after a hold failed counts. */
 #define ORDERS_WINDOW_US USEC_PER_SEC
 /* Part of the platform's rate that is used, in percent. */
 #define ORDERS_USED_PERCENT 50
 /* Holds without an answer after which the list is asked. */
-#define SUSPECT_LOST_COUNT 2
+#define SUSPECT_LOST_COUNT 1
 
 void machine_free(gpointer machine)
 {
@@ -42,11 +41,9 @@
 	return NULL;
 }
 
-static void take_row(struct sched *sched, const struct machine_row *row,
-		     int64_t asked_us)
+static void take_row(struct sched *sched, const struct machine_row *row)
 {
 	struct machine *machine = machine_find(sched, row->name);
-	struct worker *old;
 
 	if (!machine) {
 		machine = g_new0(struct machine, 1);
@@ -54,11 +51,6 @@
 		g_hash_table_insert(sched->machines, (gpointer)machine->name,
 				    machine);
 	}
-	/* A worker is one life of its machine. */
-	old = worker_find(sched, machine->worker);
-	if (old && !old->lost && old->lost_count && old->silent_us < asked_us &&
-	    (row->state != MACHINE_UP || row->worker != machine->worker))
-		worker_gone(sched, old, "machine-says-so");
 	g_strlcpy(machine->pool, row->pool, sizeof(machine->pool));
 	machine->state = row->state;
 	if (row->worker)
@@ -79,6 +71,36 @@
 	return !machine->seen;
 }
 
+/*
+ * A worker is one life of a machine. If it is silent, and a list that was asked
+ * for since has no machine that is up with it, its life has ended.
+ */
+static void end_unlisted_workers(struct sched *sched,
+				 const struct machines_seen *seen)
+{
+	GHashTable *up = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < seen->rows->len; i++) {
+		const struct machine_row *row =
+			&g_array_index(seen->rows, struct machine_row, i);
+
+		if (row->state == MACHINE_UP && row->worker)
+			g_hash_table_add(up, (gpointer)row->worker);
+	}
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		if (!worker->lost && worker->lost_count &&
+		    worker->silent_us < seen->asked_us &&
+		    !g_hash_table_contains(up, worker->id))
+			worker_gone(sched, worker, "machine-list");
+	}
+	g_hash_table_unref(up);
+}
+
 void machines_on_seen(struct sched *sched, const struct machines_seen *seen)
 {
 	GHashTableIter iter;
@@ -93,9 +115,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct machine *)value)->seen = false;
 	for (guint i = 0; i < seen->rows->len; i++)
-		take_row(sched,
-			 &g_array_index(seen->rows, struct machine_row, i),
-			 seen->asked_us);
+		take_row(sched, &g_array_index(seen->rows, struct machine_row, i));
+	end_unlisted_workers(sched, seen);
 	g_hash_table_foreach_remove(sched->machines, was_not_seen, NULL);
 	if (!sched->machines_known)
 		decision_log("machines-listed", "count=%u", seen->rows->len);
@@ -114,7 +135,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct worker *worker = value;
 
-		if (worker->lost_count >= SUSPECT_LOST_COUNT &&
+		if (!worker->lost && worker->lost_count >= SUSPECT_LOST_COUNT &&
 		    worker->placed->len)
 			return true;
 	}
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -140,10 +140,18 @@
 	order->worker = worker->id;
 	g_strlcpy(order->address, worker->address, sizeof(order->address));
 	order->token = sched->token;
-	if (worker->has_clock && (kind == ORDER_START || kind == ORDER_HOLD))
-		order->lease_ms =
-			clock_ms(sched, worker) +
-			worker_lease_us(sched->bounds) / USEC_PER_MSEC;
+	if (!worker->has_clock)
+		return order;
+	/*
+	 * A worker that does not answer gets no longer lease than it has, or it
+	 * would never lapse for certain.
+	 */
+	if (worker->lost_count)
+		order->lease_ms = kind == ORDER_START ? worker->lease_ms : 0;
+	else if (kind == ORDER_START || kind == ORDER_HOLD)
+		order->lease_ms = clock_ms(sched, worker) +
+				  worker_lease_us(sched->bounds) /
+					  USEC_PER_MSEC;
 	return order;
 }
 
@@ -154,6 +162,7 @@
 
 	order->sent_us = sched_now_us(sched);
 	if (order->lease_ms) {
+		worker->lease_ms = MAX(worker->lease_ms, order->lease_ms);
 		until_us = worker->clock_us +
 			   worker_lease_here_us(
 				   (order->lease_ms - worker->clock_ms) *
@@ -176,6 +185,7 @@
 					       : 0);
 	worker->lost = true;
 	worker->fenced = false;
+	worker->lease_ms = 0;
 	while (worker->placed->len) {
 		struct placement placement =
 			g_array_index(worker->placed, struct placement, 0);
