Run the decisions on jobs in scripts of virtual time

Change: the script runner has a store with epochs, workers with leases, fences and lists, and machines, all in virtual time over the real plug-ins. Every start is checked: no second run, none after an acknowledged end, none above the capacity, only accepted jobs.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -35,7 +35,6 @@
 	bool known;
 	bool resigned;
 	uint64_t newest_token;
-	uint64_t newest_boot_id;
 	char newest_entry[NAME_SIZE_BYTES];
 	int64_t heard_us; /* of the holder, while the store was reachable */
 	/* Our own part */
@@ -140,6 +139,12 @@
 	announce(lease, true);
 }
 
+static bool is_own(const struct lease *lease, const struct job_record *record)
+{
+	return record->boot_id == lease->boot_id &&
+	       !strcmp(record->entry, kernel_settings(lease->kernel)->entry);
+}
+
 static void see_step(struct lease *lease, const struct job_record *record)
 {
 	uint64_t token = record->step == HOLDER_CLAIM ? record->offset + 1
@@ -147,7 +152,7 @@
 
 	if (lease->known && token < lease->newest_token)
 		return;
-	if (record->step == HOLDER_CLAIM && record->boot_id == lease->boot_id &&
+	if (record->step == HOLDER_CLAIM && is_own(lease, record) &&
 	    token > lease->fence_token) {
 		lease->was_known = lease->known;
 		lease->was_resigned = lease->resigned;
@@ -159,10 +164,9 @@
 	lease->known = true;
 	lease->resigned = record->step == HOLDER_RESIGN;
 	lease->newest_token = token;
-	lease->newest_boot_id = record->boot_id;
 	g_strlcpy(lease->newest_entry, record->entry,
 		  sizeof(lease->newest_entry));
-	if (record->boot_id != lease->boot_id)
+	if (!is_own(lease, record))
 		give_up(lease);
 }
 
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -45,7 +45,7 @@
 	bool has_clock;
 	int64_t clock_ms; /* its clock at clock_us of ours, or later */
 	int64_t clock_us;
-	int64_t lease_ms;	/* the longest one given, on its clock; 0: none */
+	int64_t lease_ms; /* the longest one given, on its clock; 0: none */
 	int64_t lease_until_us; /* by then all leases given have lapsed */
 
 	uint64_t seen_number;	  /* newest end taken in */
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -115,7 +115,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct machine *)value)->seen = false;
 	for (guint i = 0; i < seen->rows->len; i++)
-		take_row(sched, &g_array_index(seen->rows, struct machine_row, i));
+		take_row(sched,
+			 &g_array_index(seen->rows, struct machine_row, i));
 	end_unlisted_workers(sched, seen);
 	g_hash_table_foreach_remove(sched->machines, was_not_seen, NULL);
 	if (!sched->machines_known)
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -149,9 +149,9 @@
 	if (worker->lost_count)
 		order->lease_ms = kind == ORDER_START ? worker->lease_ms : 0;
 	else if (kind == ORDER_START || kind == ORDER_HOLD)
-		order->lease_ms = clock_ms(sched, worker) +
-				  worker_lease_us(sched->bounds) /
-					  USEC_PER_MSEC;
+		order->lease_ms =
+			clock_ms(sched, worker) +
+			worker_lease_us(sched->bounds) / USEC_PER_MSEC;
 	return order;
 }
 
--- /dev/null
+++ b/test/runner/jobs_workers.c
@@ -0,0 +1,454 @@
+/*
+ * Workers with leases, fences, lists of runs, and their machines. Checked for
+ * every start: no second run of an item on a live worker, none after its end
+ * was acknowledged as done, none above the worker's capacity, and only items
+ * of accepted jobs.
+ */
+
+#include <string.h>
+
+#include "runner/jobs_world.h"
+
+#define ORDER_US USEC_PER_MSEC
+#define LOST_US (800 * USEC_PER_MSEC)
+#define STOP_US (100 * USEC_PER_MSEC)
+#define UPKEEP_US (2 * USEC_PER_SEC)
+#define DEFAULT_CPU_MILLI 1000
+
+static void run_clear(gpointer data)
+{
+	(void)data;
+}
+
+static void ended_clear(gpointer data)
+{
+	struct ended_row *row = data;
+
+	g_free(row->saved);
+}
+
+struct fake_worker *fake_worker_find(struct jobs_world *jobs, const char *id)
+{
+	for (guint i = 0; i < jobs->workers->len; i++) {
+		struct fake_worker *worker = jobs->workers->pdata[i];
+
+		if (!strcmp(worker->id, id))
+			return worker;
+	}
+	return NULL;
+}
+
+struct fake_worker *fake_worker_add(struct jobs_world *jobs, const char *id,
+				    const char *pool, uint32_t cpu_milli)
+{
+	struct fake_worker *worker = g_new0(struct fake_worker, 1);
+
+	worker->id = g_intern_string(id);
+	g_strlcpy(worker->pool, pool, sizeof(worker->pool));
+	worker->cpu_milli = cpu_milli;
+	worker->listed = true;
+	worker->born_ms = jobs->world->now_us / USEC_PER_MSEC + 1;
+	worker->next_number = 1;
+	worker->running = g_array_new(FALSE, TRUE, sizeof(struct fake_run));
+	g_array_set_clear_func(worker->running, run_clear);
+	worker->ended = g_array_new(FALSE, TRUE, sizeof(struct ended_row));
+	g_array_set_clear_func(worker->ended, ended_clear);
+	worker->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+	g_ptr_array_add(jobs->workers, worker);
+	return worker;
+}
+
+static void drop_waiting(struct fake_worker *worker)
+{
+	struct event event = { .type = EVENT_ORDER };
+
+	event.msg = worker->waiting;
+	worker->waiting = NULL;
+	event_clear(&event);
+}
+
+void fake_worker_free(gpointer data)
+{
+	struct fake_worker *worker = data;
+
+	drop_waiting(worker);
+	g_array_unref(worker->running);
+	g_array_unref(worker->ended);
+	g_hash_table_unref(worker->closed);
+	g_free(worker);
+}
+
+static void close_run(struct fake_worker *worker, const char *item,
+		      uint32_t run)
+{
+	uint32_t closed = GPOINTER_TO_UINT(
+		g_hash_table_lookup(worker->closed, item));
+
+	if (run > closed)
+		g_hash_table_replace(worker->closed, g_strdup(item),
+				     GUINT_TO_POINTER(run));
+}
+
+static void end_run(struct fake_worker *worker, guint index, enum item_end end)
+{
+	struct fake_run *run =
+		&g_array_index(worker->running, struct fake_run, index);
+	struct ended_row row = {
+		.number = worker->next_number++,
+		.run = run->run,
+		.end = end,
+	};
+
+	g_strlcpy(row.item, run->item, sizeof(row.item));
+	close_run(worker, run->item, run->run);
+	g_array_append_val(worker->ended, row);
+	g_array_remove_index(worker->running, index);
+}
+
+static uint32_t used_cpu_milli(const struct fake_worker *worker)
+{
+	uint32_t used = 0;
+
+	for (guint i = 0; i < worker->running->len; i++)
+		used += g_array_index(worker->running, struct fake_run, i)
+				.cpu_milli;
+	return used;
+}
+
+static bool runs(const struct fake_worker *worker, const char *item,
+		 uint32_t run)
+{
+	for (guint i = 0; i < worker->running->len; i++) {
+		const struct fake_run *running =
+			&g_array_index(worker->running, struct fake_run, i);
+
+		if (!strcmp(running->item, item) &&
+		    (!run || running->run == run))
+			return true;
+	}
+	return false;
+}
+
+static void check_start(struct jobs_world *jobs,
+			const struct fake_worker *worker,
+			const struct order *order, uint32_t cpu_milli)
+{
+	char id[JOB_ID_SIZE_BYTES];
+	uint32_t ignored;
+
+	for (guint i = 0; i < jobs->workers->len; i++) {
+		const struct fake_worker *other = jobs->workers->pdata[i];
+
+		if (!other->dead && runs(other, order->item, 0))
+			jobs_violation(jobs, "%s runs on %s and %s",
+				       order->item, other->id, worker->id);
+	}
+	if (g_hash_table_contains(jobs->done, order->item))
+		jobs_violation(jobs, "%s starts after its end was acknowledged",
+			       order->item);
+	if (used_cpu_milli(worker) + cpu_milli > worker->cpu_milli)
+		jobs_violation(jobs, "%s is above its capacity", worker->id);
+	if (!job_item_parse(order->item, id, &ignored, &ignored, &ignored) ||
+	    !g_hash_table_contains(jobs->accepted, id))
+		jobs_violation(jobs, "%s was not accepted", order->item);
+}
+
+/* The step that an item belongs to is known from its job's text. */
+static const struct job_step *step_of(const struct order *order)
+{
+	char id[JOB_ID_SIZE_BYTES];
+	uint32_t occurrence;
+	uint32_t step = 0;
+	uint32_t index;
+
+	job_item_parse(order->item, id, &occurrence, &step, &index);
+	return &g_array_index(order->spec->steps, struct job_step, step);
+}
+
+static enum order_result start(struct jobs_world *jobs,
+			       struct fake_worker *worker,
+			       const struct order *order)
+{
+	const struct job_step *step = step_of(order);
+	struct fake_run run = {
+		.run = order->run,
+		.cpu_milli = step->cpu_milli,
+		.lasting = step->lasting,
+		.started_us = jobs->world->now_us,
+		.ends_us = step->lasting
+				   ? INT64_MAX
+				   : jobs->world->now_us + jobs->duration_us,
+		.end = worker->fails ? ITEM_END_FAILED : ITEM_END_DONE,
+	};
+
+	if (runs(worker, order->item, order->run))
+		return ORDER_OK;
+	if (order->run <= GPOINTER_TO_UINT(g_hash_table_lookup(worker->closed,
+							       order->item)))
+		return ORDER_OLD;
+	if (used_cpu_milli(worker) + step->cpu_milli > worker->cpu_milli)
+		return ORDER_NO_ROOM;
+	check_start(jobs, worker, order, step->cpu_milli);
+	g_strlcpy(run.item, order->item, sizeof(run.item));
+	g_array_append_val(worker->running, run);
+	return ORDER_OK;
+}
+
+static void stop(struct jobs_world *jobs, struct fake_worker *worker,
+		 const struct order *order)
+{
+	close_run(worker, order->item, order->run);
+	for (guint i = 0; i < worker->running->len; i++) {
+		struct fake_run *run =
+			&g_array_index(worker->running, struct fake_run, i);
+
+		if (strcmp(run->item, order->item) || run->run != order->run)
+			continue;
+		run->end = ITEM_END_STOPPED;
+		run->ends_us = jobs->world->now_us + STOP_US;
+	}
+}
+
+static void acknowledge(struct jobs_world *jobs, struct fake_worker *worker,
+			const struct order *order)
+{
+	worker->acked_number = MAX(worker->acked_number, order->acked_number);
+	while (worker->ended->len) {
+		const struct ended_row *row =
+			&g_array_index(worker->ended, struct ended_row, 0);
+
+		if (row->number > worker->acked_number)
+			return;
+		if (row->end == ITEM_END_DONE)
+			g_hash_table_add(jobs->done, g_strdup(row->item));
+		g_array_remove_index(worker->ended, 0);
+	}
+}
+
+static void fill_lists(const struct fake_worker *worker, struct order *order)
+{
+	g_array_set_size(order->running, 0);
+	g_array_set_size(order->ended, 0);
+	for (guint i = 0; i < worker->running->len; i++) {
+		const struct fake_run *run =
+			&g_array_index(worker->running, struct fake_run, i);
+		struct running_row row = { .run = run->run, .percent = 100 };
+
+		g_strlcpy(row.item, run->item, sizeof(row.item));
+		g_array_append_val(order->running, row);
+	}
+	for (guint i = 0; i < worker->ended->len; i++) {
+		struct ended_row row =
+			g_array_index(worker->ended, struct ended_row, i);
+
+		row.saved = g_strdup(row.saved);
+		g_array_append_val(order->ended, row);
+	}
+}
+
+static void answer(struct jobs_world *jobs, struct fake_worker *worker,
+		   struct jobs_entry *entry, struct order *order)
+{
+	bool lost = worker->cut || worker->dead || worker->lose;
+
+	order->has_clock = !lost;
+	order->clock_ms = jobs->world->now_us / USEC_PER_MSEC;
+	order->born_ms = worker->born_ms;
+	if (lost)
+		order->result = ORDER_LOST;
+	else if (order->kind == ORDER_HOLD)
+		fill_lists(worker, order);
+	jobs_deliver(jobs, entry, EVENT_ORDER_DONE, g_rc_box_acquire(order),
+		     lost ? LOST_US : ORDER_US);
+}
+
+void fake_worker_die(struct jobs_world *jobs, struct fake_worker *worker)
+{
+	worker->dead = true;
+	worker->listed = false;
+	g_array_set_size(worker->running, 0);
+	g_array_set_size(worker->ended, 0);
+	if (worker->waiting)
+		answer(jobs, worker, worker->holder_waits, worker->waiting);
+	drop_waiting(worker);
+}
+
+static void carry_out(struct jobs_world *jobs, struct fake_worker *worker,
+		      struct order *order)
+{
+	if (order->token < worker->fence_token) {
+		order->result = ORDER_FENCED;
+		return;
+	}
+	worker->fence_token = order->token;
+	if (order->lease_ms)
+		worker->lease_until_us =
+			MAX(worker->lease_until_us,
+			    order->lease_ms * USEC_PER_MSEC);
+	order->result = ORDER_OK;
+	switch (order->kind) {
+	case ORDER_START:
+		order->result = start(jobs, worker, order);
+		break;
+	case ORDER_STOP:
+		stop(jobs, worker, order);
+		break;
+	case ORDER_HOLD:
+		acknowledge(jobs, worker, order);
+		break;
+	default:
+		break;
+	}
+}
+
+void fake_worker_order(struct jobs_entry *entry, struct order *order)
+{
+	struct jobs_world *jobs = entry->jobs;
+	struct fake_worker *worker = fake_worker_find(jobs, order->worker);
+
+	if (!worker->dead && !worker->cut)
+		carry_out(jobs, worker, order);
+	if (worker->dead || worker->cut || order->result != ORDER_OK ||
+	    order->kind != ORDER_HOLD || !order->wait_us ||
+	    worker->ended->len) {
+		answer(jobs, worker, entry, order);
+		return;
+	}
+	drop_waiting(worker);
+	worker->waiting = g_rc_box_acquire(order);
+	worker->holder_waits = entry;
+	worker->waits_until_us = jobs->world->now_us + order->wait_us;
+}
+
+static int64_t advance(struct jobs_world *jobs, struct fake_worker *worker)
+{
+	int64_t now_us = jobs->world->now_us;
+	int64_t next_us = INT64_MAX;
+
+	for (guint i = worker->running->len; i > 0; i--) {
+		const struct fake_run *run = &g_array_index(
+			worker->running, struct fake_run, i - 1);
+
+		if (worker->lease_until_us && now_us >= worker->lease_until_us)
+			end_run(worker, i - 1, ITEM_END_LAPSED);
+		else if (now_us >= run->ends_us)
+			end_run(worker, i - 1, run->end);
+		else
+			next_us = MIN(next_us,
+				      MIN(run->ends_us,
+					  worker->lease_until_us
+						  ? worker->lease_until_us
+						  : INT64_MAX));
+	}
+	if (!worker->waiting)
+		return next_us;
+	if (worker->ended->len || now_us >= worker->waits_until_us) {
+		answer(jobs, worker, worker->holder_waits, worker->waiting);
+		drop_waiting(worker);
+		return next_us;
+	}
+	return MIN(next_us, worker->waits_until_us);
+}
+
+int64_t fake_workers_advance(struct jobs_world *jobs)
+{
+	int64_t next_us = INT64_MAX;
+
+	for (guint i = 0; i < jobs->workers->len; i++)
+		next_us = MIN(next_us, advance(jobs, jobs->workers->pdata[i]));
+	return next_us;
+}
+
+void fake_workers_list(struct jobs_world *jobs, struct jobs_entry *entry)
+{
+	struct workers_seen *seen = workers_seen_new();
+
+	for (guint i = 0; i < jobs->workers->len; i++) {
+		const struct fake_worker *worker = jobs->workers->pdata[i];
+		struct worker_entry *listed;
+
+		if (!worker->listed)
+			continue;
+		listed = g_new0(struct worker_entry, 1);
+		listed->id = worker->id;
+		g_strlcpy(listed->address, worker->id,
+			  sizeof(listed->address));
+		g_strlcpy(listed->pool, worker->pool, sizeof(listed->pool));
+		listed->labels = g_ptr_array_new();
+		listed->cpu_milli = worker->cpu_milli;
+		listed->mem_mb = 65536;
+		listed->born_ms = worker->born_ms;
+		g_ptr_array_add(seen->entries, listed);
+	}
+	seen->all = true;
+	jobs_deliver(jobs, entry, EVENT_WORKERS_SEEN, seen, ORDER_US);
+}
+
+/* Machines */
+
+static void refresh(struct jobs_world *jobs, struct fake_machine *machine)
+{
+	if (machine->state == MACHINE_UPKEEP &&
+	    jobs->world->now_us >= machine->up_us)
+		machine->state = MACHINE_UP;
+}
+
+void fake_machines_list(struct jobs_entry *entry)
+{
+	struct jobs_world *jobs = entry->jobs;
+	struct machines_seen *seen = machines_seen_new();
+
+	seen->answered = true;
+	seen->asked_us = jobs->world->now_us;
+	for (guint i = 0; i < jobs->machines->len; i++) {
+		struct fake_machine *machine = jobs->machines->pdata[i];
+		const struct fake_worker *worker =
+			fake_worker_find(jobs, machine->worker);
+		struct machine_row row = { .worker = machine->worker };
+
+		refresh(jobs, machine);
+		row.state = worker->dead ? MACHINE_DOWN : machine->state;
+		g_strlcpy(row.name, machine->name, sizeof(row.name));
+		g_strlcpy(row.pool, worker->pool, sizeof(row.pool));
+		g_array_append_val(seen->rows, row);
+	}
+	jobs_deliver(jobs, entry, EVENT_MACHINES_SEEN, seen, ORDER_US);
+}
+
+void fake_machine_order(struct jobs_entry *entry, struct machine_order *order)
+{
+	struct jobs_world *jobs = entry->jobs;
+	struct world *world = jobs->world;
+
+	world_print(world, "%.3f %s %s %s %s",
+		    (double)world->now_us / USEC_PER_SEC, entry->name,
+		    order->upkeep ? "maintains" : "moves", order->machine,
+		    order->pool);
+	order->result = MACHINE_REFUSED;
+	for (guint i = 0; i < jobs->machines->len; i++) {
+		struct fake_machine *machine = jobs->machines->pdata[i];
+		struct fake_worker *worker =
+			fake_worker_find(jobs, machine->worker);
+
+		if (strcmp(machine->name, order->machine))
+			continue;
+		order->result = MACHINE_OK;
+		if (order->upkeep && machine->upkeeps_count)
+			break;
+		if (worker->running->len)
+			jobs_violation(jobs, "%s is taken down while it works",
+				       worker->id);
+		if (order->upkeep) {
+			machine->upkeeps_count++;
+			machine->state = MACHINE_UPKEEP;
+			machine->up_us = world->now_us + UPKEEP_US;
+		} else {
+			g_strlcpy(worker->pool, order->pool,
+				  sizeof(worker->pool));
+		}
+		break;
+	}
+	jobs_deliver(jobs, entry, EVENT_MACHINE_ORDERED,
+		     g_rc_box_acquire(order), ORDER_US);
+}
--- /dev/null
+++ b/test/runner/jobs_world.c
@@ -0,0 +1,324 @@
+#include "runner/jobs_world.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define CALL_US (2 * USEC_PER_MSEC)
+
+struct delivery {
+	int64_t due_us;
+	uint64_t number;
+	struct jobs_entry *entry;
+	uint32_t boot_count; /* lost if the entry instance was restarted */
+	struct event event;
+};
+
+static void delivery_free(gpointer data)
+{
+	struct delivery *delivery = data;
+
+	event_clear(&delivery->event);
+	g_free(delivery);
+}
+
+static gint compare_deliveries(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct delivery *left = a;
+	const struct delivery *right = b;
+
+	(void)data;
+	if (left->due_us != right->due_us)
+		return left->due_us < right->due_us ? -1 : 1;
+	return left->number < right->number ? -1 : 1;
+}
+
+void jobs_violation(struct jobs_world *jobs, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	world_print(jobs->world, "VIOLATION: %s", text);
+	jobs->world->violation_count++;
+	g_free(text);
+}
+
+void jobs_deliver(struct jobs_world *jobs, struct jobs_entry *entry,
+		  enum event_type type, void *msg, int64_t delay_us)
+{
+	static uint64_t number;
+	struct delivery *delivery = g_new0(struct delivery, 1);
+
+	delivery->due_us = jobs->world->now_us + delay_us;
+	delivery->number = number++;
+	delivery->entry = entry;
+	delivery->boot_count = entry->boot_count;
+	delivery->event.type = type;
+	delivery->event.msg = msg;
+	g_sequence_insert_sorted(jobs->schedule, delivery, compare_deliveries,
+				 NULL);
+}
+
+static void print_reply(struct jobs_entry *entry, const struct job_reply *reply)
+{
+	struct world *world = entry->jobs->world;
+
+	if (entry->jobs->quiet)
+		return;
+	world_print(world, "%.3f %s call %" G_GUINT64_FORMAT ": %u%s%s %s",
+		    (double)world->now_us / USEC_PER_SEC, entry->name,
+		    reply->call_id, reply->status, reply->has_state ? " " : "",
+		    reply->has_state ? job_state_text(reply->state) : "",
+		    reply->reason);
+}
+
+static void print_order(struct jobs_entry *entry, const struct order *order)
+{
+	struct world *world = entry->jobs->world;
+
+	if (order->kind == ORDER_HOLD || entry->jobs->quiet)
+		return;
+	world_print(world, "%.3f %s %s %s run %u on %s",
+		    (double)world->now_us / USEC_PER_SEC, entry->name,
+		    order_kind_name(order->kind), order->item, order->run,
+		    order->worker);
+}
+
+static void on_holder(struct jobs_entry *entry,
+		      const struct holder_changed *changed)
+{
+	struct world *world = entry->jobs->world;
+
+	if (entry->held && !changed->held)
+		entry->snapshot_due = true;
+	entry->held = changed->held;
+	world_print(world, "%.3f %s %s token %" G_GUINT64_FORMAT,
+		    (double)world->now_us / USEC_PER_SEC, entry->name,
+		    changed->held ? "holds" : "yields", changed->token);
+	if (changed->held)
+		fake_workers_list(entry->jobs, entry);
+}
+
+/* The fakes take what the plug-ins send out. */
+static void capture(void *self, const struct event *event)
+{
+	struct jobs_entry *entry = self;
+
+	switch (event->type) {
+	case EVENT_STORE_WRITE:
+		fake_store_write(entry, event->msg);
+		break;
+	case EVENT_ORDER:
+		print_order(entry, event->msg);
+		fake_worker_order(entry, event->msg);
+		break;
+	case EVENT_JOB_REPLY:
+		print_reply(entry, event->msg);
+		break;
+	case EVENT_HOLDER_CHANGED:
+		on_holder(entry, event->msg);
+		break;
+	case EVENT_MACHINES_ASK:
+		fake_machines_list(entry);
+		break;
+	default:
+		fake_machine_order(entry, event->msg);
+		break;
+	}
+}
+
+static const struct plugin capture_plugin = {
+	.name = "~capture",
+	.kind = PLUGIN_PLATFORM,
+	.takes = EVENT_BIT(EVENT_STORE_WRITE) | EVENT_BIT(EVENT_ORDER) |
+		 EVENT_BIT(EVENT_JOB_REPLY) | EVENT_BIT(EVENT_HOLDER_CHANGED) |
+		 EVENT_BIT(EVENT_MACHINES_ASK) | EVENT_BIT(EVENT_MACHINE_ORDER),
+	.handle = capture,
+};
+
+struct jobs_entry *jobs_entry_find(struct jobs_world *jobs, const char *name)
+{
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (!strcmp(entry->name, name))
+			return entry;
+	}
+	return NULL;
+}
+
+static void set_time(struct jobs_entry *entry)
+{
+	const struct world *world = entry->jobs->world;
+
+	kernel_set_time(entry->kernel, world->now_us,
+			world->wall_start_us + world->now_us);
+}
+
+void jobs_entry_start(struct jobs_world *jobs, const char *name)
+{
+	struct jobs_entry *entry = jobs_entry_find(jobs, name);
+	struct config_seen *config = g_rc_box_new0(struct config_seen);
+
+	if (!entry) {
+		entry = g_new0(struct jobs_entry, 1);
+		entry->jobs = jobs;
+		g_strlcpy(entry->name, name, sizeof(entry->name));
+		entry->settings = settings_new();
+		g_strlcpy(entry->settings->entry, name,
+			  sizeof(entry->settings->entry));
+		g_ptr_array_add(jobs->entries, entry);
+	}
+	entry->boot_count++;
+	entry->held = false;
+	entry->read_due = false;
+	entry->snapshot_due = true;
+	entry->kernel = kernel_new(entry->settings, entry->boot_count,
+				   g_str_hash(name) + entry->boot_count);
+	set_time(entry);
+	kernel_start_kind(entry->kernel, PLUGIN_JOBS);
+	kernel_start_plugin_with(entry->kernel, &capture_plugin, entry);
+	config->queues = queues_ref(jobs->queues);
+	jobs_deliver(jobs, entry, EVENT_CONFIG_SEEN, config, CALL_US);
+	fake_store_schedule_read(entry, CALL_US);
+}
+
+void jobs_entry_kill(struct jobs_entry *entry)
+{
+	kernel_free(entry->kernel);
+	entry->kernel = NULL;
+	entry->boot_count++;
+	entry->held = false;
+}
+
+struct jobs_world *jobs_world_get(struct world *world)
+{
+	struct jobs_world *jobs = world->jobs;
+
+	if (jobs)
+		return jobs;
+	jobs = g_new0(struct jobs_world, 1);
+	jobs->world = world;
+	jobs->entries = g_ptr_array_new();
+	jobs->workers = g_ptr_array_new_with_free_func(fake_worker_free);
+	jobs->machines = g_ptr_array_new_with_free_func(g_free);
+	jobs->store = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)job_record_unref);
+	jobs->schedule = g_sequence_new(delivery_free);
+	jobs->queues = queues_new();
+	jobs->duration_us = 800 * USEC_PER_MSEC;
+	jobs->next_call_id = 1;
+	jobs->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   NULL);
+	jobs->accepted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+	world->jobs = jobs;
+	return jobs;
+}
+
+void jobs_world_free(struct jobs_world *jobs)
+{
+	if (!jobs)
+		return;
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		kernel_free(entry->kernel);
+		settings_free(entry->settings);
+		g_free(entry);
+	}
+	g_ptr_array_unref(jobs->entries);
+	g_ptr_array_unref(jobs->workers);
+	g_ptr_array_unref(jobs->machines);
+	g_ptr_array_unref(jobs->store);
+	g_sequence_free(jobs->schedule);
+	queues_unref(jobs->queues);
+	g_hash_table_unref(jobs->done);
+	g_hash_table_unref(jobs->accepted);
+	g_free(jobs);
+}
+
+static bool is_awake(const struct jobs_entry *entry)
+{
+	return entry->kernel &&
+	       entry->jobs->world->now_us >= entry->frozen_until_us;
+}
+
+static int64_t next_time(struct jobs_world *jobs, int64_t until_us)
+{
+	int64_t next_us = MIN(until_us, fake_workers_advance(jobs));
+
+	if (!g_sequence_is_empty(jobs->schedule)) {
+		const struct delivery *first = g_sequence_get(
+			g_sequence_get_begin_iter(jobs->schedule));
+
+		next_us = MIN(next_us, first->due_us);
+	}
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		const struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (entry->kernel)
+			next_us = MIN(next_us,
+				      MAX(kernel_next_wake_us(entry->kernel),
+					  entry->frozen_until_us));
+	}
+	return MAX(next_us, jobs->world->now_us);
+}
+
+static void deliver_due(struct jobs_world *jobs)
+{
+	while (!g_sequence_is_empty(jobs->schedule)) {
+		GSequenceIter *iter = g_sequence_get_begin_iter(jobs->schedule);
+		struct delivery *delivery = g_sequence_get(iter);
+		struct jobs_entry *entry = delivery->entry;
+
+		if (delivery->due_us > jobs->world->now_us)
+			return;
+		if (entry->kernel && !is_awake(entry) &&
+		    delivery->boot_count == entry->boot_count) {
+			/* It waits in the socket of the frozen process. */
+			delivery->due_us = entry->frozen_until_us;
+			g_sequence_sort_changed(iter, compare_deliveries, NULL);
+			continue;
+		}
+		if (entry->kernel &&
+		    delivery->boot_count == entry->boot_count) {
+			struct event event = delivery->event;
+
+			delivery->event.msg = NULL;
+			if (event.type == EVENT_TYPE_COUNT) {
+				fake_store_read(entry);
+			} else {
+				set_time(entry);
+				kernel_emit(entry->kernel, &event);
+				kernel_run(entry->kernel);
+			}
+		}
+		g_sequence_remove(iter);
+	}
+}
+
+static void wake_due(struct jobs_world *jobs)
+{
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (!is_awake(entry))
+			continue;
+		set_time(entry);
+		kernel_run(entry->kernel);
+	}
+}
+
+void jobs_world_run(struct jobs_world *jobs, int64_t duration_us)
+{
+	int64_t until_us = jobs->world->now_us + duration_us;
+
+	while (jobs->world->now_us < until_us) {
+		jobs->world->now_us = next_time(jobs, until_us);
+		deliver_due(jobs);
+		wake_due(jobs);
+	}
+}
--- /dev/null
+++ b/test/runner/jobs_world.h
@@ -0,0 +1,124 @@
+#ifndef RUNNER_JOBS_WORLD_H
+#define RUNNER_JOBS_WORLD_H
+
+/*
+ * A store, workers and machines in virtual time, for the decisions on jobs.
+ * The fakes do what the pages of the platform say, and check what must hold
+ * whatever a script expects.
+ */
+
+#include "jobs/msg.h"
+#include "kernel/kernel.h"
+#include "runner/world.h"
+
+/* One process of the fleet. */
+struct jobs_entry {
+	char name[NAME_SIZE_BYTES];
+	struct jobs_world *jobs;
+	struct settings *settings;
+	struct kernel *kernel; /* NULL: killed */
+	uint32_t boot_count;
+	bool store_cut;
+	int64_t frozen_until_us;
+	uint64_t read_offset;
+	bool read_due; /* a read is scheduled */
+	bool snapshot_due;
+	bool held;
+};
+
+struct fake_run {
+	char item[NAME_SIZE_BYTES];
+	uint32_t run;
+	uint32_t cpu_milli;
+	bool lasting;
+	int64_t started_us;
+	int64_t ends_us;
+	enum item_end end;
+};
+
+struct fake_worker {
+	const char *id; /* interned */
+	char pool[NAME_SIZE_BYTES];
+	char machine[NAME_SIZE_BYTES];
+	uint32_t cpu_milli;
+	bool listed;
+	bool dead;
+	bool cut;	/* orders and answers are lost, it runs on */
+	bool lose;	/* orders are carried out, their answers are lost */
+	bool fails;	/* fails all that it starts */
+	int64_t late_us; /* orders are lost and carried out so late; 0: never */
+	int64_t born_ms;
+	uint64_t fence_token;
+	int64_t lease_until_us;
+	uint64_t acked_number;
+	GArray *running; /* of struct fake_run */
+	GArray *ended;	 /* of struct ended_row */
+	uint64_t next_number;
+	GHashTable *closed; /* item -> highest run stopped or ended, as pointer */
+	struct jobs_entry *holder_waits;
+	struct order *waiting; /* a hold that waits for an end */
+	int64_t waits_until_us;
+};
+
+struct fake_machine {
+	char name[NAME_SIZE_BYTES];
+	const char *worker;
+	enum machine_state state;
+	int64_t up_us;
+	uint32_t upkeeps_count;
+};
+
+struct jobs_world {
+	struct world *world;
+	GPtrArray *entries;  /* of struct jobs_entry */
+	GPtrArray *workers;  /* of struct fake_worker */
+	GPtrArray *machines; /* of struct fake_machine */
+	GPtrArray *store;    /* of struct job_record, NULL: no record */
+	uint64_t epoch;	     /* of the producer of holders */
+	bool store_down;
+	bool store_lose; /* the answer of the next write is late */
+	GSequence *schedule; /* of struct delivery */
+	struct queues *queues;
+	int64_t duration_us; /* of one item */
+	uint64_t next_call_id;
+	GHashTable *done;	/* items whose end was acknowledged as done */
+	GHashTable *accepted;	/* ids that callers were told are accepted */
+	bool quiet;
+};
+
+struct jobs_world *jobs_world_get(struct world *world);
+void jobs_world_free(struct jobs_world *jobs);
+
+/* Advances virtual time. */
+void jobs_world_run(struct jobs_world *jobs, int64_t duration_us);
+
+void jobs_violation(struct jobs_world *jobs, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+
+struct jobs_entry *jobs_entry_find(struct jobs_world *jobs, const char *name);
+void jobs_entry_start(struct jobs_world *jobs, const char *name);
+void jobs_entry_kill(struct jobs_entry *entry);
+
+/* Delivers a message to an entry instance after a delay. */
+void jobs_deliver(struct jobs_world *jobs, struct jobs_entry *entry,
+		  enum event_type type, void *msg, int64_t delay_us);
+
+/* jobs_store.c */
+void fake_store_write(struct jobs_entry *entry, struct store_write *write);
+void fake_store_read(struct jobs_entry *entry);
+void fake_store_schedule_read(struct jobs_entry *entry, int64_t delay_us);
+
+/* jobs_workers.c */
+struct fake_worker *fake_worker_find(struct jobs_world *jobs, const char *id);
+struct fake_worker *fake_worker_add(struct jobs_world *jobs, const char *id,
+				    const char *pool, uint32_t cpu_milli);
+void fake_worker_free(gpointer worker);
+void fake_worker_order(struct jobs_entry *entry, struct order *order);
+/* Ends what is due; returns the next time at which something is. */
+int64_t fake_workers_advance(struct jobs_world *jobs);
+void fake_workers_list(struct jobs_world *jobs, struct jobs_entry *entry);
+void fake_worker_die(struct jobs_world *jobs, struct fake_worker *worker);
+void fake_machines_list(struct jobs_entry *entry);
+void fake_machine_order(struct jobs_entry *entry, struct machine_order *order);
+
+#endif
--- /dev/null
+++ b/test/runner/script_jobs.c
@@ -0,0 +1,276 @@
+/* Commands on jobs; each has the prefix job-. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "runner/jobs_world.h"
+#include "runner/script.h"
+
+static struct jobs_world *jobs_of(struct script *script)
+{
+	return jobs_world_get(script->world);
+}
+
+static struct jobs_entry *entry_of(struct script *script, uint32_t index)
+{
+	struct jobs_entry *entry =
+		jobs_entry_find(jobs_of(script), script_word(script, index));
+
+	if (!entry)
+		script_fail(script, "no entry is called \"%s\"",
+			    script_word(script, index));
+	return entry;
+}
+
+/* job-queue NAME pool=POOL [attempts=N] [priority=N] [target=TIME] */
+static void run_queue(struct script *script)
+{
+	struct queue *queue = queues_add_queue(jobs_of(script)->queues);
+
+	g_strlcpy(queue->name, script_word(script, 1), sizeof(queue->name));
+	g_strlcpy(queue->host, "h", sizeof(queue->host));
+	queue->prefix = g_strdup_printf("/%s/", queue->name);
+	script_copy_option(script, "pool", queue->pool, sizeof(queue->pool));
+	queue->attempts_max = (uint32_t)script_number(script, "attempts", 3);
+	queue->priority = (uint32_t)script_number(script, "priority", 0);
+	queue->slack = 1.6;
+	queue->target_us =
+		script_option_us(script, "target", 600 * USEC_PER_MSEC);
+}
+
+/* job-pool NAME [standby=1] */
+static void run_pool(struct script *script)
+{
+	struct pool *pool = queues_add_pool(jobs_of(script)->queues);
+
+	g_strlcpy(pool->name, script_word(script, 1), sizeof(pool->name));
+	pool->guarded = true;
+	pool->standby = script_number(script, "standby", 0);
+}
+
+/* job-worker ID pool=POOL [cpu=MILLI] [machine=NAME] */
+static void run_worker(struct script *script)
+{
+	struct jobs_world *jobs = jobs_of(script);
+	const char *machine = script_option(script, "machine");
+	struct fake_worker *worker = fake_worker_add(
+		jobs, script_word(script, 1), script_option(script, "pool"),
+		(uint32_t)script_number(script, "cpu", 8000));
+
+	if (machine) {
+		struct fake_machine *made = g_new0(struct fake_machine, 1);
+
+		g_strlcpy(made->name, machine, sizeof(made->name));
+		made->worker = worker->id;
+		g_ptr_array_add(jobs->machines, made);
+	}
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (entry->held)
+			fake_workers_list(jobs, entry);
+	}
+}
+
+/* job-fault WORKER dead|cut|lose|fails|ok */
+static void run_fault(struct script *script)
+{
+	struct fake_worker *worker =
+		fake_worker_find(jobs_of(script), script_word(script, 1));
+	const char *how = script_word(script, 2);
+
+	if (!worker) {
+		script_fail(script, "no worker is called so");
+		return;
+	}
+	if (!strcmp(how, "dead"))
+		fake_worker_die(jobs_of(script), worker);
+	worker->cut = !strcmp(how, "cut");
+	worker->lose = !strcmp(how, "lose");
+	worker->fails = !strcmp(how, "fails");
+}
+
+static void run_entry(struct script *script)
+{
+	for (uint32_t i = 1; i < script->word_count; i++)
+		jobs_entry_start(jobs_of(script), script_word(script, i));
+}
+
+static void run_kill(struct script *script)
+{
+	struct jobs_entry *entry = entry_of(script, 1);
+
+	if (entry)
+		jobs_entry_kill(entry);
+}
+
+/* job-freeze ENTRY TIME */
+static void run_freeze(struct script *script)
+{
+	struct jobs_entry *entry = entry_of(script, 1);
+
+	if (entry)
+		entry->frozen_until_us =
+			script->world->now_us +
+			script_duration_us(script, script_word(script, 2));
+}
+
+/* job-store down|up, or job-store cut ENTRY, or job-store heal ENTRY */
+static void run_store(struct script *script)
+{
+	const char *how = script_word(script, 1);
+	struct jobs_entry *entry;
+
+	if (!strcmp(how, "down") || !strcmp(how, "up")) {
+		jobs_of(script)->store_down = !strcmp(how, "down");
+		return;
+	}
+	entry = entry_of(script, 2);
+	if (entry)
+		entry->store_cut = !strcmp(how, "cut");
+}
+
+static void call(struct script *script, struct jobs_entry *entry,
+		 enum call_kind kind, const char *path, struct job_spec *spec)
+{
+	struct jobs_world *jobs = entry->jobs;
+	struct job_call *msg = job_call_new();
+
+	msg->call_id = jobs->next_call_id++;
+	msg->kind = kind;
+	g_strlcpy(msg->host, "h", sizeof(msg->host));
+	msg->path = g_strdup(path);
+	msg->spec = spec;
+	msg->deadline_us = script->world->now_us + 3 * USEC_PER_SEC;
+	jobs_deliver(jobs, entry, EVENT_JOB_CALL, msg, 0);
+}
+
+/* Steps are written COUNTxCPU and run one after the other. */
+static struct job_spec *read_spec(struct script *script)
+{
+	struct job_spec *spec = job_spec_new();
+	const char *text = script_option(script, "steps");
+	gchar **steps = g_strsplit(text ? text : "1x1000", ",", -1);
+
+	spec->text = g_strdup("text");
+	for (uint32_t i = 0; steps[i]; i++) {
+		struct job_step step = { .estimate_ms = 800, .mem_mb = 100 };
+		char *end;
+
+		step.item_count = (uint32_t)strtoul(steps[i], &end, 10);
+		step.cpu_milli = (uint32_t)strtoul(end + 1, NULL, 10);
+		step.after_mask = i ? UINT64_C(1) << (i - 1) : 0;
+		step.lasting = script_number(script, "lasting", 0);
+		step.gang = script_number(script, "gang", 0);
+		step.max_per_worker =
+			(uint32_t)script_number(script, "per_worker", 0);
+		step.max_unavailable =
+			(uint32_t)script_number(script, "away", 0);
+		g_array_append_val(spec->steps, step);
+	}
+	g_strfreev(steps);
+	return spec;
+}
+
+/* job-submit ENTRY QUEUE/ID [steps=4x1000,2x500] [lasting=1] ... */
+static void run_submit(struct script *script)
+{
+	struct jobs_entry *entry = entry_of(script, 1);
+	char *path = g_strdup_printf("/%s", script_word(script, 2));
+
+	if (entry)
+		call(script, entry, CALL_SUBMIT, path, read_spec(script));
+	g_free(path);
+}
+
+/* job-ask ENTRY state|cancel QUEUE/ID */
+static void run_ask(struct script *script)
+{
+	struct jobs_entry *entry = entry_of(script, 1);
+	char *path = g_strdup_printf("/%s", script_word(script, 3));
+
+	if (entry)
+		call(script, entry,
+		     !strcmp(script_word(script, 2), "cancel") ? CALL_CANCEL
+							       : CALL_STATE,
+		     path, NULL);
+	g_free(path);
+}
+
+/* job-wave NUMBER machines=m1,m2 [max=N] */
+static void run_wave(struct script *script)
+{
+	struct jobs_world *jobs = jobs_of(script);
+	gchar **names = g_strsplit(script_option(script, "machines"), ",", -1);
+
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct wave_seen *seen = wave_seen_new();
+
+		seen->wave = strtoull(script_word(script, 1), NULL, 10);
+		seen->max_count = (uint32_t)script_number(script, "max", 1);
+		seen->duration_us = 30 * USEC_PER_SEC;
+		for (uint32_t j = 0; names[j]; j++)
+			g_ptr_array_add(seen->machines,
+					(gpointer)g_intern_string(names[j]));
+		jobs_deliver(jobs, jobs->entries->pdata[i], EVENT_WAVE_SEEN,
+			     seen, 0);
+	}
+	g_strfreev(names);
+}
+
+static void run_run(struct script *script)
+{
+	jobs_world_run(jobs_of(script),
+		       script_duration_us(script, script_word(script, 1)));
+}
+
+static void run_duration(struct script *script)
+{
+	jobs_of(script)->duration_us =
+		script_duration_us(script, script_word(script, 1));
+}
+
+static void run_quiet(struct script *script)
+{
+	jobs_of(script)->quiet = !strcmp(script_word(script, 1), "on");
+}
+
+static gint compare_ids(gconstpointer a, gconstpointer b)
+{
+	return strcmp(a, b);
+}
+
+/* job-show ENTRY: all jobs as it knows them. */
+static void run_show(struct script *script)
+{
+	struct jobs_entry *entry = entry_of(script, 1);
+	GList *ids;
+
+	if (!entry || !entry->kernel)
+		return;
+	ids = g_list_sort(g_hash_table_get_keys(job_table_all(
+				  kernel_jobs(entry->kernel))),
+			  compare_ids);
+	for (GList *at = ids; at; at = at->next) {
+		const struct job *job =
+			job_table_find(kernel_jobs(entry->kernel), at->data);
+
+		world_print(script->world, "%s job %s %s left %u placed %u",
+			    entry->name, job->id, job_state_text(job->state),
+			    job->left_count, job->placed_count);
+	}
+	g_list_free(ids);
+}
+
+static const struct script_command commands[] = {
+	{ "job-queue", 2, run_queue },	     { "job-pool", 1, run_pool },
+	{ "job-worker", 2, run_worker },     { "job-fault", 2, run_fault },
+	{ "job-entry", 1, run_entry },	     { "job-kill", 1, run_kill },
+	{ "job-freeze", 2, run_freeze },     { "job-store", 1, run_store },
+	{ "job-submit", 2, run_submit },     { "job-ask", 3, run_ask },
+	{ "job-wave", 2, run_wave },	     { "job-run", 1, run_run },
+	{ "job-duration", 1, run_duration }, { "job-quiet", 1, run_quiet },
+	{ "job-show", 1, run_show },
+};
+
+SCRIPT_REGISTER(commands)
--- a/test/runner/world.c
+++ b/test/runner/world.c
@@ -1,5 +1,7 @@
 #include "runner/world.h"
 
+#include "runner/jobs_world.h"
+
 #include <stdarg.h>
 #include <string.h>
 
@@ -95,6 +97,7 @@
 	g_hash_table_unref(world->key_runs);
 	g_hash_table_unref(world->started);
 	g_tree_unref(world->member_counts);
+	jobs_world_free(world->jobs);
 	g_string_free(world->output, TRUE);
 	g_free(world);
 }
--- a/test/runner/world.h
+++ b/test/runner/world.h
@@ -54,6 +54,8 @@
 	bool off;	     /* not on the platform's list */
 };
 
+struct jobs_world;
+
 struct world {
 	int64_t now_us;
 	int64_t wall_start_us;
@@ -84,6 +86,7 @@
 	uint64_t skipped; /* bits of the record kinds that are not printed */
 	char printed_node[NAME_SIZE_BYTES]; /* empty: all nodes */
 	bool quiet;
+	struct jobs_world *jobs; /* made by the first command on jobs */
 	GString *output;
 	uint32_t violation_count;
 	uint32_t reply_counts[VERDICT_COUNT]; /* to callers */
