Move machines to the pools that need them, and park the others

Ruled out: order of work and placement; no order serves twice the room.

Change: the load of each pool is measured (running, ready, arriving, lasting). The policy demand closes machines that are not needed, and moves them when they are empty to the pool that lacks most, or to a standby pool. Run times are learned per queue, as declared ones are far off. A new holder orders no machine before the lease of the earlier one. Lasting items open a closed worker again if no other takes them.

Next: machine-seconds and moves.

--- /dev/null
+++ b/src/jobs/parking_demand.c
@@ -0,0 +1,333 @@
+/*
+ * Machines follow the demand of the pools: one that is not needed is closed to
+ * new work, and moves when it is empty, to a pool that lacks machines or else
+ * to a standby pool, where it costs nothing.
+ */
+
+#include <string.h>
+
+#include "jobs/parking.h"
+#include "kernel/decision_log.h"
+#include "kernel/plugin.h"
+
+/* A machine's cores are never used to the last one. */
+#define USED_PERCENT 90
+/* Machines that a pool keeps beyond its need. */
+#define RESERVE_COUNT 1
+/* A machine is empty for so long before it is moved to a standby pool. */
+#define PARK_AFTER_US (500 * USEC_PER_MSEC)
+
+#define LOG_US USEC_PER_SEC
+
+/* One machine that can be counted on in a pool, or taken from it. */
+struct choice {
+	struct machine *machine;
+	struct worker *worker; /* NULL: a machine that is off */
+	uint32_t used_milli;
+	bool pinned; /* lasting items run there */
+};
+
+static bool is_standby(const struct sched *sched, const char *name)
+{
+	const struct pool *pool =
+		queues_pool(kernel_queues(sched->kernel), name);
+
+	return pool && pool->standby;
+}
+
+static bool is_pinned(const struct worker *worker)
+{
+	for (guint i = 0; i < worker->placed->len; i++) {
+		const struct placement *placement = &g_array_index(
+			worker->placed, struct placement, i);
+
+		if (job_step(placement->job,
+			     job_item_step(placement->job, placement->index))
+			    ->lasting)
+			return true;
+	}
+	return false;
+}
+
+/* The pool that a machine is in, or comes to. */
+static const char *pool_of(const struct machine *machine)
+{
+	return machine->moving ? machine->to_pool : machine->pool;
+}
+
+static void count_machines(struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct pool_load *)value)->have_count = 0;
+	g_hash_table_iter_init(&iter, sched->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct machine *machine = value;
+		const struct worker *worker =
+			worker_find(sched, machine->worker);
+
+		if (machine->state == MACHINE_DOWN ||
+		    (worker && worker->leaving == LEAVING_PARKED) ||
+		    (worker && worker->drains))
+			continue;
+		load_of(sched, pool_of(machine))->have_count++;
+	}
+}
+
+/* Cores of a machine of this pool; machines of a pool are alike. */
+static uint32_t machine_milli(const struct sched *sched, const char *pool)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t any_milli = 0;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *worker = value;
+
+		if (!worker->cpu_milli)
+			continue;
+		any_milli = worker->cpu_milli;
+		if (!strcmp(worker->pool, pool))
+			return any_milli;
+	}
+	return any_milli;
+}
+
+static void set_needs(struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		struct pool_load *load = value;
+		uint64_t milli = (uint64_t)machine_milli(sched, name) *
+				 USED_PERCENT / 100;
+
+		load->standby = is_standby(sched, name);
+		if (load->standby || !milli)
+			continue;
+		load->need_count = (uint32_t)((load->need_milli + milli - 1) /
+					      milli) +
+				   RESERVE_COUNT;
+	}
+}
+
+static bool may_move(const struct sched *sched, const struct machine *machine)
+{
+	return machine->state == MACHINE_UP && !machine->moving &&
+	       !machine->asked && machine->again_us <= sched_now_us(sched) &&
+	       !machine_is_taken_by_wave(sched, machine->name);
+}
+
+static void move(struct sched *sched, struct machine *machine, const char *pool)
+{
+	struct machine_order order = { .upkeep = false };
+
+	g_strlcpy(order.machine, machine->name, sizeof(order.machine));
+	g_strlcpy(order.pool, pool, sizeof(order.pool));
+	if (machine_order_send(sched, &order)) {
+		machine->asked = true;
+		load_of(sched, pool)->have_count++;
+	}
+}
+
+/* The pool that lacks most of what it needs, or NULL. */
+static const char *neediest(struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+	const char *found = NULL;
+	double worst = 1.;
+
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct pool_load *load = value;
+		double share = load->need_count
+				       ? (double)load->have_count /
+						 load->need_count
+				       : 1.;
+
+		if (load->standby || share >= worst)
+			continue;
+		worst = share;
+		found = name;
+	}
+	return found;
+}
+
+static const char *standby_pool(struct sched *sched)
+{
+	const struct queues *queues = kernel_queues(sched->kernel);
+
+	for (guint i = 0; queues && i < queues->pools->len; i++) {
+		const struct pool *pool = queues->pools->pdata[i];
+
+		if (pool->standby)
+			return pool->name;
+	}
+	return NULL;
+}
+
+static GArray *list_choices(struct sched *sched)
+{
+	GArray *choices = g_array_new(FALSE, TRUE, sizeof(struct choice));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct choice choice = { .machine = value };
+
+		if (!may_move(sched, choice.machine))
+			continue;
+		choice.worker = worker_find(sched, choice.machine->worker);
+		if (choice.worker) {
+			choice.used_milli = choice.worker->used_cpu_milli;
+			choice.pinned = is_pinned(choice.worker);
+		}
+		g_array_append_val(choices, choice);
+	}
+	return choices;
+}
+
+static gint compare_choices(gconstpointer a, gconstpointer b)
+{
+	const struct choice *left = a;
+	const struct choice *right = b;
+
+	if (left->used_milli != right->used_milli)
+		return left->used_milli < right->used_milli ? -1 : 1;
+	return strcmp(left->machine->name, right->machine->name);
+}
+
+static void reopen(struct sched *sched, struct worker *worker,
+		   struct pool_load *load)
+{
+	worker->leaving = LEAVING_NOT;
+	load->have_count++;
+	sched_want_place(sched);
+}
+
+/* Opens closed workers of pools that need them again, closes others. */
+static void open_and_close(struct sched *sched, const GArray *choices)
+{
+	/* The fullest are opened first, the emptiest closed first. */
+	for (guint i = choices->len; i > 0; i--) {
+		const struct choice *choice =
+			&g_array_index(choices, struct choice, i - 1);
+		struct pool_load *load =
+			load_of(sched, choice->machine->pool);
+
+		if (choice->worker &&
+		    choice->worker->leaving == LEAVING_PARKED &&
+		    load->have_count < load->need_count)
+			reopen(sched, choice->worker, load);
+	}
+	for (guint i = 0; i < choices->len; i++) {
+		const struct choice *choice =
+			&g_array_index(choices, struct choice, i);
+		struct pool_load *load =
+			load_of(sched, choice->machine->pool);
+
+		if (!choice->worker || choice->pinned || load->standby ||
+		    choice->worker->leaving != LEAVING_NOT ||
+		    load->have_count <= load->need_count)
+			continue;
+		choice->worker->leaving = LEAVING_PARKED;
+		choice->worker->parked_us = sched_now_us(sched);
+		load->have_count--;
+	}
+}
+
+static bool is_free(struct sched *sched, const struct choice *choice)
+{
+	if (load_of(sched, choice->machine->pool)->standby)
+		return true;
+	return choice->worker && choice->worker->leaving == LEAVING_PARKED &&
+	       !choice->worker->placed->len;
+}
+
+static void move_free(struct sched *sched, const GArray *choices)
+{
+	const char *standby = standby_pool(sched);
+	int64_t now_us = sched_now_us(sched);
+
+	for (guint i = 0; i < choices->len; i++) {
+		const struct choice *choice =
+			&g_array_index(choices, struct choice, i);
+		const char *pool;
+
+		if (!is_free(sched, choice) || choice->machine->asked)
+			continue;
+		pool = neediest(sched);
+		if (pool)
+			move(sched, choice->machine, pool);
+		else if (standby &&
+			 !load_of(sched, choice->machine->pool)->standby &&
+			 now_us - choice->worker->parked_us > PARK_AFTER_US)
+			move(sched, choice->machine, standby);
+	}
+}
+
+/* The inputs of the decisions above, at most once a second. */
+static void log_loads(struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	if (sched_now_us(sched) < sched->loads_log_us)
+		return;
+	sched->loads_log_us = sched_now_us(sched) + LOG_US;
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct pool_load *load = value;
+
+		decision_log("load",
+			     "pool=%s have=%u need=%u running=%" G_GUINT64_FORMAT
+			     " ready=%" G_GUINT64_FORMAT
+			     " lasting=%" G_GUINT64_FORMAT
+			     " arriving=%" G_GUINT64_FORMAT,
+			     (const char *)name, load->have_count,
+			     load->need_count, load->running_milli / 1000,
+			     load->ready_milli / 1000,
+			     load->lasting_milli / 1000,
+			     load->arriving_milli / 1000);
+	}
+}
+
+static void demand_tick(struct sched *sched)
+{
+	GArray *choices;
+
+	if (!sched->machines_known || !sched->directory_seen)
+		return;
+	count_machines(sched);
+	set_needs(sched);
+	choices = list_choices(sched);
+	g_array_sort(choices, compare_choices);
+	open_and_close(sched, choices);
+	log_loads(sched);
+	move_free(sched, choices);
+	g_array_unref(choices);
+}
+
+static const struct parking_ops demand_ops = {
+	.tick = demand_tick,
+};
+
+static const struct plugin demand_plugin = {
+	.name = "demand",
+	.kind = PLUGIN_PARKING,
+	.preferred = true,
+	.ops = &demand_ops,
+};
+
+PLUGIN_REGISTER(demand_plugin)
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -4,10 +4,11 @@
 
 #include <string.h>
 
+#include "jobs/parking.h"
 #include "kernel/decision_log.h"
 
 /* Upper bound of the time between two looks at what is due. */
-#define TICK_US (250 * USEC_PER_MSEC)
+#define TICK_US (100 * USEC_PER_MSEC)
 /* Passes of placement are this far apart, so that each sees several changes. */
 #define PLACE_GAP_US (5 * USEC_PER_MSEC)
 
@@ -123,6 +124,10 @@
 	sched->token = changed->token;
 	sched->held_us = sched_now_us(sched);
 	sched->earlier_until_us = changed->earlier_until_us;
+	sched->machine_orders_from_us = sched->held_us;
+	if (changed->earlier_until_us)
+		sched->machine_orders_from_us +=
+			sched->bounds->machine_lease_us;
 	if (!sched->held)
 		return;
 	g_hash_table_iter_init(&iter,
@@ -184,7 +189,9 @@
 
 	if (now_us >= sched->tick_us) {
 		sched->tick_us = now_us + TICK_US;
+		loads_measure(sched);
 		waves_tick(sched);
+		sched->parking->tick(sched);
 		machines_tick(sched);
 		sched_want_place(sched);
 	}
@@ -253,6 +260,11 @@
 	sched->waves_ordered =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_byte_array_unref);
+	sched->parking = kernel_ops(kernel, PLUGIN_PARKING);
+	sched->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sched->run_times =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sched->dirty = g_ptr_array_new();
 	sched->flushing = g_array_new(FALSE, TRUE, sizeof(struct flushed));
 	sched->next_write_id = 2;
@@ -267,6 +279,8 @@
 	g_hash_table_unref(sched->machines);
 	g_ptr_array_unref(sched->waves);
 	g_hash_table_unref(sched->waves_ordered);
+	g_hash_table_unref(sched->loads);
+	g_hash_table_unref(sched->run_times);
 	g_ptr_array_unref(sched->dirty);
 	g_array_unref(sched->flushing);
 	g_free(sched);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -66,6 +66,7 @@
 	GArray *placed; /* of struct placement */
 
 	enum leaving leaving;
+	int64_t parked_us;	  /* closed so that its machine can move */
 	int64_t avoid_until_us;	  /* refused or failed work */
 	uint32_t failures_count;  /* ends failed in a row */
 	const char *failed_job;	  /* the first job of that row; interned */
@@ -116,9 +117,11 @@
 	bool asked;
 	char to_pool[NAME_SIZE_BYTES];
 	int64_t ordered_us;
-	int64_t settled_us; /* it was in its pool since */
+	int64_t again_us; /* not ordered before */
 };
 
+struct parking_ops;
+
 struct sched {
 	struct kernel *kernel;
 	const struct job_bounds *bounds;
@@ -128,9 +131,10 @@
 	int64_t earlier_until_us;
 	bool directory_seen;
 
-	GHashTable *workers;  /* id -> struct worker */
-	GHashTable *machines; /* name -> struct machine */
-	GPtrArray *waves;     /* of struct wave, kept while not held */
+	GHashTable *workers;   /* id -> struct worker */
+	GHashTable *machines;  /* name -> struct machine */
+	GHashTable *run_times; /* queue -> int64_t, mean of items in us */
+	GPtrArray *waves;      /* of struct wave, kept while not held */
 	/* Wave -> GByteArray: its machines that earlier holders have ordered.
 	 */
 	GHashTable *waves_ordered;
@@ -152,7 +156,25 @@
 	bool machines_known;
 	uint32_t machine_orders_count; /* in this second */
 	int64_t machine_orders_us;
-	void *parking; /* state of the chosen policy */
+	const struct parking_ops *parking;
+	GHashTable *loads; /* pool -> struct pool_load */
+	int64_t loads_log_us;
+	int64_t machine_orders_from_us; /* an earlier holder may still order */
+};
+
+/* What a pool has to do, as far as it shows. */
+struct pool_load {
+	int64_t measured_us;
+	uint64_t running_milli; /* of items that do not last */
+	uint64_t ready_milli;	/* could start, on no worker */
+	uint64_t lasting_milli;
+	uint64_t arriving_milli; /* work that comes in, in cores */
+	uint64_t need_milli;	 /* highest need of the newest past */
+	int64_t need_us;	 /* when that was seen */
+	/* Filled in by the parking policy */
+	uint32_t have_count; /* machines that work or come */
+	uint32_t need_count;
+	bool standby;
 };
 
 /* State of a job that is being stored. */
@@ -240,6 +262,15 @@
 /* sched_fill.c: items that fill beside items that serve */
 void fillers_on_hold(struct sched *sched, struct worker *worker);
 
+/* sched_load.c */
+void loads_measure(struct sched *sched);
+struct pool_load *load_of(struct sched *sched, const char *pool);
+/* Takes the run time of an item that has ended as done into account. */
+void loads_learn(struct sched *sched, const struct job *job, int64_t took_us);
+/* How long an item of this step may run, in microseconds. */
+int64_t step_estimate_us(const struct sched *sched, const struct job *job,
+			 uint32_t step);
+
 /* sched_wave.c */
 void waves_on_seen(struct sched *sched, const struct wave_seen *seen);
 void waves_on_ordered(struct sched *sched, const struct machine_order *order);
@@ -251,6 +282,8 @@
 /* Adds the progress of waves that has changed to a write. */
 void waves_add_dirty(struct sched *sched, struct store_write *write);
 bool machine_is_wanted_by_wave(const struct sched *sched, const char *name);
+/* Whether a wave empties or maintains it now. */
+bool machine_is_taken_by_wave(const struct sched *sched, const char *name);
 
 /* sched_machine.c */
 void machines_on_seen(struct sched *sched, const struct machines_seen *seen);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -285,6 +285,9 @@
 		  item->worker == worker->id;
 	if (row->end == ITEM_END_DONE && !step->lasting) {
 		worker_count_end(sched, worker, job, false);
+		if (current && item->running_us)
+			loads_learn(sched, job,
+				    sched_now_us(sched) - item->running_us);
 		/* A later run that was started for a lost end is not wanted. */
 		if (!current && is_placed(item)) {
 			item_order_stop(sched, job, index, "done-elsewhere");
--- /dev/null
+++ b/src/jobs/sched_load.c
@@ -0,0 +1,158 @@
+/* How much work each pool has, and how much more is coming in. */
+
+#include <math.h>
+#include <string.h>
+
+#include "jobs/sched.h"
+
+/* Arrivals of this long a past show how much is coming in. */
+#define ARRIVALS_US (800 * USEC_PER_MSEC)
+/* A need that has passed is kept in mind for so long. */
+#define NEED_KEPT_US (700 * USEC_PER_MSEC)
+/* Weight of one more run time in the mean of its queue, in percent. */
+#define LEARN_PERCENT 10
+#define ESTIMATE_MIN_US (100 * USEC_PER_MSEC)
+#define ESTIMATE_UNKNOWN_US USEC_PER_SEC
+
+void loads_learn(struct sched *sched, const struct job *job, int64_t took_us)
+{
+	int64_t *mean_us = g_hash_table_lookup(sched->run_times, job->queue);
+
+	if (mean_us) {
+		*mean_us += (took_us - *mean_us) * LEARN_PERCENT / 100;
+		return;
+	}
+	mean_us = g_new0(int64_t, 1);
+	*mean_us = took_us;
+	g_hash_table_insert(sched->run_times, g_strdup(job->queue), mean_us);
+}
+
+/* The declared time is far off; the mean of the queue tempers it. */
+int64_t step_estimate_us(const struct sched *sched, const struct job *job,
+			 uint32_t step)
+{
+	const int64_t *mean_us =
+		g_hash_table_lookup(sched->run_times, job->queue);
+	int64_t declared_us =
+		job_step(job, step)->estimate_ms * USEC_PER_MSEC;
+
+	if (!declared_us)
+		return mean_us ? *mean_us : ESTIMATE_UNKNOWN_US;
+	if (mean_us)
+		declared_us =
+			(int64_t)sqrt((double)declared_us * (double)*mean_us);
+	return MAX(declared_us, ESTIMATE_MIN_US);
+}
+
+struct pool_load *load_of(struct sched *sched, const char *pool)
+{
+	struct pool_load *load = g_hash_table_lookup(sched->loads, pool);
+
+	if (load)
+		return load;
+	load = g_new0(struct pool_load, 1);
+	g_hash_table_insert(sched->loads, g_strdup(pool), load);
+	return load;
+}
+
+static void add_items(const struct job *job, struct pool_load *load)
+{
+	for (uint32_t i = 0; i < job_spec_occurrences(job->spec); i++) {
+		for (uint32_t j = 0; j < job->spec->steps->len; j++) {
+			const struct job_step *step = job_step(job, j);
+			uint32_t first = job_first_item(job, i, j);
+			bool ready = job_step_is_ready(job, i, j);
+
+			for (uint32_t k = 0; k < step->item_count; k++) {
+				enum item_phase phase =
+					job_item(job, first + k)->phase;
+
+				if (phase == ITEM_DONE || step->filler)
+					continue;
+				if (step->lasting)
+					load->lasting_milli += step->cpu_milli;
+				else if (phase != ITEM_WAITING)
+					load->running_milli += step->cpu_milli;
+				else if (ready)
+					load->ready_milli += step->cpu_milli;
+			}
+		}
+	}
+}
+
+/* Work of a whole job, in thousandths of a core times microseconds. */
+static uint64_t work_of(const struct sched *sched, const struct job *job)
+{
+	uint64_t work = 0;
+
+	for (uint32_t i = 0; i < job->spec->steps->len; i++) {
+		const struct job_step *step = job_step(job, i);
+
+		if (!step->lasting)
+			work += (uint64_t)step->cpu_milli * step->item_count *
+				(uint64_t)step_estimate_us(sched, job, i);
+	}
+	return work;
+}
+
+static void start_measure(struct sched *sched, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_load *load = value;
+
+		load->measured_us = now_us;
+		load->running_milli = 0;
+		load->ready_milli = 0;
+		load->lasting_milli = 0;
+		load->arriving_milli = 0;
+	}
+}
+
+static void end_measure(struct sched *sched, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_load *load = value;
+		uint64_t need_milli =
+			load->lasting_milli +
+			MAX(load->running_milli + load->ready_milli,
+			    load->arriving_milli);
+
+		if (need_milli >= load->need_milli ||
+		    now_us - load->need_us > NEED_KEPT_US) {
+			load->need_milli = need_milli;
+			load->need_us = now_us;
+		}
+	}
+}
+
+void loads_measure(struct sched *sched)
+{
+	int64_t now_us = sched_now_us(sched);
+	GHashTableIter iter;
+	gpointer value;
+
+	start_measure(sched, now_us);
+	g_hash_table_iter_init(&iter,
+			       job_table_all(kernel_jobs(sched->kernel)));
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct job *job = value;
+		struct pool_load *load;
+
+		if (job->wanted >= JOB_COMPLETE || job->cancelled)
+			continue;
+		load = load_of(sched, sched_pool(sched, job));
+		add_items(job, load);
+		if (now_us - job->seen_us < ARRIVALS_US)
+			load->arriving_milli +=
+				work_of(sched, job) / ARRIVALS_US;
+	}
+	end_measure(sched, now_us);
+}
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -8,6 +8,8 @@
 /* The list is read this often while something depends on it, or not. */
 #define LIST_BUSY_US (700 * USEC_PER_MSEC)
 #define LIST_IDLE_US (3 * USEC_PER_SEC)
+/* A move that was refused is tried again after this. */
+#define MOVE_AGAIN_US (700 * USEC_PER_MSEC)
 #define LIST_FAILED_US (1 * USEC_PER_SEC)
 #define ORDERS_WINDOW_US USEC_PER_SEC
 /* Part of the platform's rate that is used, in percent. */
@@ -41,7 +43,8 @@
 	return NULL;
 }
 
-static void take_row(struct sched *sched, const struct machine_row *row)
+static void take_row(struct sched *sched, const struct machine_row *row,
+		     int64_t asked_us)
 {
 	struct machine *machine = machine_find(sched, row->name);
 
@@ -56,6 +59,10 @@
 	if (row->worker)
 		machine->worker = row->worker;
 	machine->seen = true;
+	/* A list that was asked for before the move took effect is too old. */
+	if (machine->moving && machine->state == MACHINE_UP &&
+	    asked_us > machine->ordered_us + sched->bounds->move_us)
+		machine->moving = false;
 }
 
 static gboolean was_not_seen(gpointer name, gpointer value, gpointer data)
@@ -116,7 +123,8 @@
 		((struct machine *)value)->seen = false;
 	for (guint i = 0; i < seen->rows->len; i++)
 		take_row(sched,
-			 &g_array_index(seen->rows, struct machine_row, i));
+			 &g_array_index(seen->rows, struct machine_row, i),
+			 seen->asked_us);
 	end_unlisted_workers(sched, seen);
 	g_hash_table_foreach_remove(sched->machines, was_not_seen, NULL);
 	if (!sched->machines_known)
@@ -143,6 +151,19 @@
 	return false;
 }
 
+static bool some_machine_moves(const struct sched *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((const struct machine *)value)->moving)
+			return true;
+	}
+	return false;
+}
+
 static bool some_wave_is_open(const struct sched *sched)
 {
 	for (guint i = 0; i < sched->waves->len; i++) {
@@ -157,7 +178,8 @@
 void machines_tick(struct sched *sched)
 {
 	int64_t now_us = sched_now_us(sched);
-	bool busy = some_worker_is_suspect(sched) || some_wave_is_open(sched);
+	bool busy = some_worker_is_suspect(sched) || some_wave_is_open(sched) ||
+		    some_machine_moves(sched);
 
 	if (busy)
 		sched->machines_us =
@@ -176,6 +198,8 @@
 	int64_t now_us = sched_now_us(sched);
 	struct machine_order *msg;
 
+	if (now_us < sched->machine_orders_from_us)
+		return false;
 	if (now_us - sched->machine_orders_us > ORDERS_WINDOW_US) {
 		sched->machine_orders_us = now_us;
 		sched->machine_orders_count = 0;
@@ -206,4 +230,11 @@
 	if (!machine || order->upkeep)
 		return;
 	machine->asked = false;
+	machine->again_us = sched_now_us(sched) + MOVE_AGAIN_US;
+	/* A move without an answer counts as done until the list tells. */
+	if (order->result != MACHINE_OK && order->result != MACHINE_LOST)
+		return;
+	machine->moving = true;
+	machine->ordered_us = sched_now_us(sched);
+	g_strlcpy(machine->to_pool, order->pool, sizeof(machine->to_pool));
 }
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -10,8 +10,6 @@
 #define SCORE_SIBLING_RACK 600
 #define SCORE_BESIDE_FILLER 1500
 #define SCORE_WAVE_AHEAD 3000
-/* Declared run times are far off; none of them counts as shorter. */
-#define ESTIMATE_MIN_US (100 * USEC_PER_MSEC)
 
 /* A job with work that could start now. */
 struct candidate {
@@ -31,7 +29,7 @@
 	int64_t wall_ms;
 };
 
-static int64_t chain_us(const struct job *job)
+static int64_t chain_us(const struct sched *sched, const struct job *job)
 {
 	int64_t longest_us[JOB_STEPS_MAX_COUNT] = { 0 };
 	int64_t chain = 0;
@@ -44,8 +42,7 @@
 				longest_us[i] =
 					MAX(longest_us[i], longest_us[j]);
 		}
-		longest_us[i] +=
-			MAX(step->estimate_ms * USEC_PER_MSEC, ESTIMATE_MIN_US);
+		longest_us[i] += step_estimate_us(sched, job, i);
 		chain = MAX(chain, longest_us[i]);
 	}
 	return chain;
@@ -65,7 +62,8 @@
 	if (queue)
 		candidate.objective_us +=
 			queue->target_us +
-			(int64_t)(queue->slack * (double)chain_us(job));
+			(int64_t)(queue->slack *
+				  (double)chain_us(pass->sched, job));
 	candidate.late = candidate.objective_us < pass->now_us;
 	g_array_append_val(pass->candidates, candidate);
 }
@@ -107,6 +105,30 @@
 	return workers;
 }
 
+static GPtrArray *closed_workers(const struct pass *pass, const char *pool)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pass->sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+		const struct machine *machine =
+			machine_of_worker(pass->sched, worker);
+
+		if (worker->leaving != LEAVING_PARKED ||
+		    strcmp(worker->pool, pool) || !machine || machine->asked ||
+		    machine->moving)
+			continue;
+		worker->leaving = LEAVING_NOT;
+		if (worker_may_take(pass->sched, worker))
+			g_ptr_array_add(workers, worker);
+		worker->leaving = LEAVING_PARKED;
+	}
+	return workers;
+}
+
 static bool has_label(const struct worker *worker, const char *label)
 {
 	if (!label[0])
@@ -212,12 +234,12 @@
 	return value;
 }
 
-static struct worker *choose(struct pass *pass, const char *pool,
-			     const struct job *job, uint32_t occurrence,
-			     uint32_t index)
+static struct worker *choose_among(const struct pass *pass,
+				   const GPtrArray *workers,
+				   const struct job *job, uint32_t occurrence,
+				   uint32_t index)
 {
 	const struct job_step *step = job_step(job, index);
-	GPtrArray *workers = pool_workers(pass, pool);
 	struct worker *best = NULL;
 	int64_t best_score = 0;
 
@@ -242,6 +264,28 @@
 	return best;
 }
 
+static struct worker *choose(struct pass *pass, const char *pool,
+			     const struct job *job, uint32_t occurrence,
+			     uint32_t index)
+{
+	struct worker *worker = choose_among(pass, pool_workers(pass, pool),
+					     job, occurrence, index);
+	GPtrArray *closed;
+
+	if (worker || !job_step(job, index)->lasting)
+		return worker;
+	/*
+	 * The limits of lasting items may need more workers than their cores
+	 * do: one that was closed so that its machine can move stays.
+	 */
+	closed = closed_workers(pass, pool);
+	worker = choose_among(pass, closed, job, occurrence, index);
+	g_ptr_array_unref(closed);
+	if (worker)
+		worker->leaving = LEAVING_NOT;
+	return worker;
+}
+
 static void place_items(struct pass *pass, const struct candidate *candidate,
 			uint32_t occurrence, uint32_t index)
 {
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -80,6 +80,20 @@
 	machine->step = step;
 }
 
+bool machine_is_taken_by_wave(const struct sched *sched, const char *name)
+{
+	for (guint i = 0; i < sched->waves->len; i++) {
+		const struct wave_machine *machine =
+			wave_machine_find(sched->waves->pdata[i], name);
+
+		if (machine && (machine->step == WAVE_EMPTYING ||
+				machine->step == WAVE_ORDERED ||
+				machine->asked || machine->unknown))
+			return true;
+	}
+	return false;
+}
+
 /* What an earlier holder has ordered needs no emptying again. */
 static void take_ordered(struct sched *sched, struct wave *wave)
 {
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -13,6 +13,7 @@
 #define LOST_US (800 * USEC_PER_MSEC)
 #define STOP_US (100 * USEC_PER_MSEC)
 #define UPKEEP_US (2 * USEC_PER_SEC)
+#define MOVE_US (1500 * USEC_PER_MSEC)
 #define DEFAULT_CPU_MILLI 1000
 
 static void run_clear(gpointer data)
@@ -53,8 +54,8 @@
 	g_array_set_clear_func(worker->running, run_clear);
 	worker->ended = g_array_new(FALSE, TRUE, sizeof(struct ended_row));
 	g_array_set_clear_func(worker->ended, ended_clear);
-	worker->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       NULL);
+	worker->closed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_ptr_array_add(jobs->workers, worker);
 	return worker;
 }
@@ -82,8 +83,8 @@
 static void close_run(struct fake_worker *worker, const char *item,
 		      uint32_t run)
 {
-	uint32_t closed = GPOINTER_TO_UINT(
-		g_hash_table_lookup(worker->closed, item));
+	uint32_t closed =
+		GPOINTER_TO_UINT(g_hash_table_lookup(worker->closed, item));
 
 	if (run > closed)
 		g_hash_table_replace(worker->closed, g_strdup(item),
@@ -184,8 +185,8 @@
 
 	if (runs(worker, order->item, order->run))
 		return ORDER_OK;
-	if (order->run <= GPOINTER_TO_UINT(g_hash_table_lookup(worker->closed,
-							       order->item)))
+	if (order->run <=
+	    GPOINTER_TO_UINT(g_hash_table_lookup(worker->closed, order->item)))
 		return ORDER_OLD;
 	if (used_cpu_milli(worker) + step->cpu_milli > worker->cpu_milli)
 		return ORDER_NO_ROOM;
@@ -283,9 +284,8 @@
 	}
 	worker->fence_token = order->token;
 	if (order->lease_ms)
-		worker->lease_until_us =
-			MAX(worker->lease_until_us,
-			    order->lease_ms * USEC_PER_MSEC);
+		worker->lease_until_us = MAX(worker->lease_until_us,
+					     order->lease_ms * USEC_PER_MSEC);
 	order->result = ORDER_OK;
 	switch (order->kind) {
 	case ORDER_START:
@@ -327,8 +327,8 @@
 	int64_t next_us = INT64_MAX;
 
 	for (guint i = worker->running->len; i > 0; i--) {
-		const struct fake_run *run = &g_array_index(
-			worker->running, struct fake_run, i - 1);
+		const struct fake_run *run =
+			&g_array_index(worker->running, struct fake_run, i - 1);
 
 		if (worker->lease_until_us && now_us >= worker->lease_until_us)
 			end_run(worker, i - 1, ITEM_END_LAPSED);
@@ -372,8 +372,7 @@
 			continue;
 		listed = g_new0(struct worker_entry, 1);
 		listed->id = worker->id;
-		g_strlcpy(listed->address, worker->id,
-			  sizeof(listed->address));
+		g_strlcpy(listed->address, worker->id, sizeof(listed->address));
 		g_strlcpy(listed->pool, worker->pool, sizeof(listed->pool));
 		listed->labels = g_ptr_array_new();
 		listed->cpu_milli = worker->cpu_milli;
@@ -389,9 +388,19 @@
 
 static void refresh(struct jobs_world *jobs, struct fake_machine *machine)
 {
-	if (machine->state == MACHINE_UPKEEP &&
-	    jobs->world->now_us >= machine->up_us)
-		machine->state = MACHINE_UP;
+	struct fake_worker *worker = fake_worker_find(jobs, machine->worker);
+
+	if (machine->state == MACHINE_UP ||
+	    jobs->world->now_us < machine->up_us)
+		return;
+	machine->state = MACHINE_UP;
+	worker->listed = true;
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (entry->held)
+			fake_workers_list(jobs, entry);
+	}
 }
 
 void fake_machines_list(struct jobs_entry *entry)
@@ -416,6 +425,24 @@
 	jobs_deliver(jobs, entry, EVENT_MACHINES_SEEN, seen, ORDER_US);
 }
 
+/* The worker's life ends; another one joins the new pool later. */
+static void move(struct jobs_world *jobs, struct fake_machine *machine,
+		 struct fake_worker *worker, const char *pool)
+{
+	char *id = g_strdup_printf("%s+", worker->id);
+	struct fake_worker *next =
+		fake_worker_add(jobs, id, pool, worker->cpu_milli);
+
+	worker->listed = false;
+	worker->dead = true;
+	drop_waiting(worker);
+	next->listed = false;
+	machine->worker = next->id;
+	machine->state = MACHINE_MOVING;
+	machine->up_us = jobs->world->now_us + MOVE_US;
+	g_free(id);
+}
+
 void fake_machine_order(struct jobs_entry *entry, struct machine_order *order)
 {
 	struct jobs_world *jobs = entry->jobs;
@@ -444,8 +471,7 @@
 			machine->state = MACHINE_UPKEEP;
 			machine->up_us = world->now_us + UPKEEP_US;
 		} else {
-			g_strlcpy(worker->pool, order->pool,
-				  sizeof(worker->pool));
+			move(jobs, machine, worker, order->pool);
 		}
 		break;
 	}
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -171,6 +171,8 @@
 			  sizeof(entry->settings->entry));
 		g_ptr_array_add(jobs->entries, entry);
 	}
+	g_hash_table_replace(entry->settings->choices, g_strdup("parking"),
+			     g_strdup(jobs->parking));
 	entry->boot_count++;
 	entry->held = false;
 	entry->read_due = false;
@@ -210,10 +212,11 @@
 	jobs->queues = queues_new();
 	jobs->duration_us = 800 * USEC_PER_MSEC;
 	jobs->next_call_id = 1;
-	jobs->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   NULL);
-	jobs->accepted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       NULL);
+	g_strlcpy(jobs->parking, "none", sizeof(jobs->parking));
+	jobs->done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	jobs->accepted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->jobs = jobs;
 	return jobs;
 }
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -43,9 +43,9 @@
 	uint32_t cpu_milli;
 	bool listed;
 	bool dead;
-	bool cut;	/* orders and answers are lost, it runs on */
-	bool lose;	/* orders are carried out, their answers are lost */
-	bool fails;	/* fails all that it starts */
+	bool cut;	 /* orders and answers are lost, it runs on */
+	bool lose;	 /* orders are carried out, their answers are lost */
+	bool fails;	 /* fails all that it starts */
 	int64_t late_us; /* orders are lost and carried out so late; 0: never */
 	int64_t born_ms;
 	uint64_t fence_token;
@@ -54,7 +54,8 @@
 	GArray *running; /* of struct fake_run */
 	GArray *ended;	 /* of struct ended_row */
 	uint64_t next_number;
-	GHashTable *closed; /* item -> highest run stopped or ended, as pointer */
+	GHashTable
+		*closed; /* item -> highest run stopped or ended, as pointer */
 	struct jobs_entry *holder_waits;
 	struct order *waiting; /* a hold that waits for an end */
 	int64_t waits_until_us;
@@ -76,14 +77,15 @@
 	GPtrArray *store;    /* of struct job_record, NULL: no record */
 	uint64_t epoch;	     /* of the producer of holders */
 	bool store_down;
-	bool store_lose; /* the answer of the next write is late */
+	bool store_lose;     /* the answer of the next write is late */
 	GSequence *schedule; /* of struct delivery */
 	struct queues *queues;
 	int64_t duration_us; /* of one item */
 	uint64_t next_call_id;
-	GHashTable *done;	/* items whose end was acknowledged as done */
-	GHashTable *accepted;	/* ids that callers were told are accepted */
+	GHashTable *done;     /* items whose end was acknowledged as done */
+	GHashTable *accepted; /* ids that callers were told are accepted */
 	bool quiet;
+	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
 };
 
 struct jobs_world *jobs_world_get(struct world *world);
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -235,6 +235,13 @@
 	jobs_of(script)->quiet = !strcmp(script_word(script, 1), "on");
 }
 
+/* job-parking POLICY: of the entries that are started from now on */
+static void run_parking(struct script *script)
+{
+	g_strlcpy(jobs_of(script)->parking, script_word(script, 1),
+		  NAME_SIZE_BYTES);
+}
+
 static gint compare_ids(gconstpointer a, gconstpointer b)
 {
 	return strcmp(a, b);
@@ -248,8 +255,8 @@
 
 	if (!entry || !entry->kernel)
 		return;
-	ids = g_list_sort(g_hash_table_get_keys(job_table_all(
-				  kernel_jobs(entry->kernel))),
+	ids = g_list_sort(g_hash_table_get_keys(
+				  job_table_all(kernel_jobs(entry->kernel))),
 			  compare_ids);
 	for (GList *at = ids; at; at = at->next) {
 		const struct job *job =
@@ -270,7 +277,7 @@
 	{ "job-submit", 2, run_submit },     { "job-ask", 3, run_ask },
 	{ "job-wave", 2, run_wave },	     { "job-run", 1, run_run },
 	{ "job-duration", 1, run_duration }, { "job-quiet", 1, run_quiet },
-	{ "job-show", 1, run_show },
+	{ "job-show", 1, run_show },	     { "job-parking", 1, run_parking },
 };
 
 SCRIPT_REGISTER(commands)
