Maintain idle machines first, and count only machines that take work

Ruled out: packing short items, too.

Change: two passes over a wave's machines; have_count is what takes work or comes; a stuck lasting item asks for one more machine.

--- a/src/jobs/parking_demand.c
+++ b/src/jobs/parking_demand.c
@@ -69,9 +69,9 @@
 		const struct worker *worker =
 			worker_find(sched, machine->worker);
 
-		if (machine->state == MACHINE_DOWN ||
-		    (worker && worker->leaving == LEAVING_PARKED) ||
-		    (worker && worker->drains))
+		if (!machine->moving &&
+		    (machine->state != MACHINE_UP ||
+		     (worker && worker->leaving != LEAVING_NOT)))
 			continue;
 		load_of(sched, pool_of(machine))->have_count++;
 	}
@@ -115,6 +115,10 @@
 		load->need_count = (uint32_t)((load->need_milli + milli - 1) /
 					      milli) +
 				   RESERVE_COUNT;
+		/* Limits of lasting items may need more machines than cores. */
+		if (load->stuck_count)
+			load->need_count =
+				MAX(load->need_count, load->have_count + 1);
 	}
 }
 
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -168,6 +168,7 @@
 	uint64_t running_milli; /* of items that do not last */
 	uint64_t ready_milli;	/* could start, on no worker */
 	uint64_t lasting_milli;
+	uint32_t stuck_count; /* lasting items on no worker */
 	uint64_t arriving_milli; /* work that comes in, in cores */
 	uint64_t need_milli;	 /* highest need of the newest past */
 	int64_t need_us;	 /* when that was seen */
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -69,6 +69,8 @@
 
 				if (phase == ITEM_DONE || step->filler)
 					continue;
+				load->stuck_count += step->lasting &&
+						     phase == ITEM_WAITING;
 				if (step->lasting)
 					load->lasting_milli += step->cpu_milli;
 				else if (phase != ITEM_WAITING)
@@ -108,6 +110,7 @@
 		load->running_milli = 0;
 		load->ready_milli = 0;
 		load->lasting_milli = 0;
+		load->stuck_count = 0;
 		load->arriving_milli = 0;
 	}
 }
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -207,20 +207,17 @@
 						worker->used_cpu_milli) /
 					       worker->cpu_milli
 				     : 0;
-	int64_t value;
+	/* Lasting items are packed, so that whole machines come free. */
+	int64_t value = step->lasting ? -free_share / 4 : free_share;
 
 	if (step->lasting) {
-		/* Packed, so that whole machines come free; off one rack. */
-		value = -free_share / 4 +
-			(int64_t)seen->lasting_count * SCORE_LASTING_PACKED;
+		value += (int64_t)seen->lasting_count * SCORE_LASTING_PACKED;
 		if (rack_has_sibling(pass->sched, job, first, step->item_count,
 				     worker->rack))
 			value -= SCORE_SIBLING_RACK;
 		if (machine &&
 		    machine_is_wanted_by_wave(pass->sched, machine->name))
 			value -= SCORE_WAVE_AHEAD;
-	} else {
-		value = free_share;
 	}
 	if (step->rack[0] && !strcmp(step->rack, worker->rack))
 		value += SCORE_RACK_NEAR;
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -414,6 +414,32 @@
 	return true;
 }
 
+static bool is_idle(const struct sched *sched,
+		    const struct wave_machine *machine)
+{
+	const struct machine *listed = machine_find(sched, machine->name);
+	const struct worker *worker =
+		listed ? worker_find(sched, listed->worker) : NULL;
+
+	return listed && (!worker || !worker->placed->len);
+}
+
+/* Idle machines go first, as nothing has to be moved away from them. */
+static void advance_machines(struct sched *sched, struct wave *wave, bool idle)
+{
+	for (guint i = 0; i < wave->machines->len; i++) {
+		struct wave_machine *machine = &g_array_index(
+			wave->machines, struct wave_machine, i);
+
+		if (machine->step != WAVE_WAITING) {
+			if (!idle)
+				advance_machine(sched, wave, machine);
+		} else if (is_idle(sched, machine) == idle) {
+			advance_machine(sched, wave, machine);
+		}
+	}
+}
+
 void waves_tick(struct sched *sched)
 {
 	for (guint i = 0; i < sched->waves->len; i++) {
@@ -422,10 +448,8 @@
 		tell_status(sched, wave);
 		if (wave->complete || !sched->machines_known)
 			continue;
-		for (guint j = 0; j < wave->machines->len; j++)
-			advance_machine(sched, wave,
-					&g_array_index(wave->machines,
-						       struct wave_machine, j));
+		advance_machines(sched, wave, true);
+		advance_machines(sched, wave, false);
 		if (all_done(wave)) {
 			wave->complete = true;
 			decision_log("wave-complete",
