Place work that can still end in time first, and order machines sooner after a takeover

Cause: in an overload, jobs that could not meet their objective any more took room from those that could. After a takeover no machine was ordered for 3 s, in the middle of a queue's turn. Each end cost a look at a worker.

Change: a job is late when 60% of its remaining chain does not fit before its objective. A machine that is up in the first list of a new holder was last ordered before its move, so it may be ordered 1.5 s after a takeover. The next hold follows 40 ms after the last one.

--- a/src/jobs/parking_demand.c
+++ b/src/jobs/parking_demand.c
@@ -38,8 +38,8 @@
 static bool is_pinned(const struct worker *worker)
 {
 	for (guint i = 0; i < worker->placed->len; i++) {
-		const struct placement *placement = &g_array_index(
-			worker->placed, struct placement, i);
+		const struct placement *placement =
+			&g_array_index(worker->placed, struct placement, i);
 
 		if (job_step(placement->job,
 			     job_item_step(placement->job, placement->index))
@@ -112,9 +112,9 @@
 		load->standby = is_standby(sched, name);
 		if (load->standby || !milli)
 			continue;
-		load->need_count = (uint32_t)((load->need_milli + milli - 1) /
-					      milli) +
-				   RESERVE_COUNT;
+		load->need_count =
+			(uint32_t)((load->need_milli + milli - 1) / milli) +
+			RESERVE_COUNT;
 		/* Limits of lasting items may need more machines than cores. */
 		if (load->stuck_count)
 			load->need_count =
@@ -153,10 +153,9 @@
 	g_hash_table_iter_init(&iter, sched->loads);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct pool_load *load = value;
-		double share = load->need_count
-				       ? (double)load->have_count /
-						 load->need_count
-				       : 1.;
+		double share = load->need_count ? (double)load->have_count /
+							  load->need_count
+						: 1.;
 
 		if (load->standby || share >= worst)
 			continue;
@@ -226,8 +225,7 @@
 	for (guint i = choices->len; i > 0; i--) {
 		const struct choice *choice =
 			&g_array_index(choices, struct choice, i - 1);
-		struct pool_load *load =
-			load_of(sched, choice->machine->pool);
+		struct pool_load *load = load_of(sched, choice->machine->pool);
 
 		if (choice->worker &&
 		    choice->worker->leaving == LEAVING_PARKED &&
@@ -237,8 +235,7 @@
 	for (guint i = 0; i < choices->len; i++) {
 		const struct choice *choice =
 			&g_array_index(choices, struct choice, i);
-		struct pool_load *load =
-			load_of(sched, choice->machine->pool);
+		struct pool_load *load = load_of(sched, choice->machine->pool);
 
 		if (!choice->worker || choice->pinned || load->standby ||
 		    choice->worker->leaving != LEAVING_NOT ||
@@ -294,16 +291,16 @@
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const struct pool_load *load = value;
 
-		decision_log("load",
-			     "pool=%s have=%u need=%u running=%" G_GUINT64_FORMAT
-			     " ready=%" G_GUINT64_FORMAT
-			     " lasting=%" G_GUINT64_FORMAT
-			     " arriving=%" G_GUINT64_FORMAT,
-			     (const char *)name, load->have_count,
-			     load->need_count, load->running_milli / 1000,
-			     load->ready_milli / 1000,
-			     load->lasting_milli / 1000,
-			     load->arriving_milli / 1000);
+		decision_log(
+			"load",
+			"pool=%s have=%u need=%u running=%" G_GUINT64_FORMAT
+			" ready=%" G_GUINT64_FORMAT
+			" lasting=%" G_GUINT64_FORMAT
+			" arriving=%" G_GUINT64_FORMAT,
+			(const char *)name, load->have_count, load->need_count,
+			load->running_milli / 1000, load->ready_milli / 1000,
+			load->lasting_milli / 1000,
+			load->arriving_milli / 1000);
 	}
 }
 
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -124,10 +124,6 @@
 	sched->token = changed->token;
 	sched->held_us = sched_now_us(sched);
 	sched->earlier_until_us = changed->earlier_until_us;
-	sched->machine_orders_from_us = sched->held_us;
-	if (changed->earlier_until_us)
-		sched->machine_orders_from_us +=
-			sched->bounds->machine_lease_us;
 	if (!sched->held)
 		return;
 	g_hash_table_iter_init(&iter,
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -159,7 +159,6 @@
 	const struct parking_ops *parking;
 	GHashTable *loads; /* pool -> struct pool_load */
 	int64_t loads_log_us;
-	int64_t machine_orders_from_us; /* an earlier holder may still order */
 };
 
 /* What a pool has to do, as far as it shows. */
@@ -168,7 +167,7 @@
 	uint64_t running_milli; /* of items that do not last */
 	uint64_t ready_milli;	/* could start, on no worker */
 	uint64_t lasting_milli;
-	uint32_t stuck_count; /* lasting items on no worker */
+	uint32_t stuck_count;	 /* lasting items on no worker */
 	uint64_t arriving_milli; /* work that comes in, in cores */
 	uint64_t need_milli;	 /* highest need of the newest past */
 	int64_t need_us;	 /* when that was seen */
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -33,8 +33,7 @@
 {
 	const int64_t *mean_us =
 		g_hash_table_lookup(sched->run_times, job->queue);
-	int64_t declared_us =
-		job_step(job, step)->estimate_ms * USEC_PER_MSEC;
+	int64_t declared_us = job_step(job, step)->estimate_ms * USEC_PER_MSEC;
 
 	if (!declared_us)
 		return mean_us ? *mean_us : ESTIMATE_UNKNOWN_US;
@@ -69,8 +68,8 @@
 
 				if (phase == ITEM_DONE || step->filler)
 					continue;
-				load->stuck_count += step->lasting &&
-						     phase == ITEM_WAITING;
+				load->stuck_count +=
+					step->lasting && phase == ITEM_WAITING;
 				if (step->lasting)
 					load->lasting_milli += step->cpu_milli;
 				else if (phase != ITEM_WAITING)
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -43,6 +43,23 @@
 	return NULL;
 }
 
+/*
+ * Orders of two holders for one machine must be a lease apart. A machine that
+ * is up was last ordered before its move or its upkeep.
+ */
+static int64_t first_order_us(const struct sched *sched,
+			      const struct machine_row *row)
+{
+	int64_t lease_us = sched->bounds->machine_lease_us;
+
+	if (!sched->earlier_until_us)
+		return 0;
+	if (row->state == MACHINE_UP)
+		lease_us -=
+			MIN(sched->bounds->move_us, sched->bounds->upkeep_us);
+	return sched->held_us + lease_us;
+}
+
 static void take_row(struct sched *sched, const struct machine_row *row,
 		     int64_t asked_us)
 {
@@ -51,6 +68,7 @@
 	if (!machine) {
 		machine = g_new0(struct machine, 1);
 		machine->name = g_intern_string(row->name);
+		machine->again_us = first_order_us(sched, row);
 		g_hash_table_insert(sched->machines, (gpointer)machine->name,
 				    machine);
 	}
@@ -198,8 +216,6 @@
 	int64_t now_us = sched_now_us(sched);
 	struct machine_order *msg;
 
-	if (now_us < sched->machine_orders_from_us)
-		return false;
 	if (now_us - sched->machine_orders_us > ORDERS_WINDOW_US) {
 		sched->machine_orders_us = now_us;
 		sched->machine_orders_count = 0;
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -5,6 +5,8 @@
 #include "jobs/sched.h"
 
 /* Weights of a worker's score, in thousandths of its free capacity. */
+/* Part of an estimated chain that is taken for certain. */
+#define CHAIN_SURE_PERCENT 60
 #define SCORE_RACK_NEAR 2000
 #define SCORE_LASTING_PACKED 300
 #define SCORE_SIBLING_RACK 600
@@ -16,7 +18,7 @@
 	struct job *job;
 	const char *pool;
 	bool lasting;
-	bool late; /* its objective has passed */
+	bool late; /* its objective can't be met */
 	uint32_t priority;
 	int64_t objective_us;
 };
@@ -29,7 +31,20 @@
 	int64_t wall_ms;
 };
 
-static int64_t chain_us(const struct sched *sched, const struct job *job)
+static bool step_has_ended(const struct job *job, uint32_t step)
+{
+	uint32_t first = job_first_item(job, 0, step);
+
+	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++) {
+		if (job_item(job, first + i)->phase != ITEM_DONE)
+			return false;
+	}
+	return true;
+}
+
+/* Longest chain of steps, of all of them or of those that are left. */
+static int64_t chain_us(const struct sched *sched, const struct job *job,
+			bool left)
 {
 	int64_t longest_us[JOB_STEPS_MAX_COUNT] = { 0 };
 	int64_t chain = 0;
@@ -42,7 +57,8 @@
 				longest_us[i] =
 					MAX(longest_us[i], longest_us[j]);
 		}
-		longest_us[i] += step_estimate_us(sched, job, i);
+		if (!left || !step_has_ended(job, i))
+			longest_us[i] += step_estimate_us(sched, job, i);
 		chain = MAX(chain, longest_us[i]);
 	}
 	return chain;
@@ -63,8 +79,11 @@
 		candidate.objective_us +=
 			queue->target_us +
 			(int64_t)(queue->slack *
-				  (double)chain_us(pass->sched, job));
-	candidate.late = candidate.objective_us < pass->now_us;
+				  (double)chain_us(pass->sched, job, false));
+	/* Work that can't end in time any more is worth little. */
+	candidate.late = candidate.objective_us <
+			 pass->now_us + chain_us(pass->sched, job, true) *
+						CHAIN_SURE_PERCENT / 100;
 	g_array_append_val(pass->candidates, candidate);
 }
 
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -290,7 +290,7 @@
 		return;
 	}
 	machine->unlisted_us = 0;
-	if (listed->state != MACHINE_UP)
+	if (listed->state != MACHINE_UP || now_us < listed->again_us)
 		return;
 	if (machine->step == WAVE_WAITING &&
 	    emptying_count(wave) + down_count(sched, wave) < wave->max_count)
@@ -428,8 +428,8 @@
 static void advance_machines(struct sched *sched, struct wave *wave, bool idle)
 {
 	for (guint i = 0; i < wave->machines->len; i++) {
-		struct wave_machine *machine = &g_array_index(
-			wave->machines, struct wave_machine, i);
+		struct wave_machine *machine =
+			&g_array_index(wave->machines, struct wave_machine, i);
 
 		if (machine->step != WAVE_WAITING) {
 			if (!idle)
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -11,6 +11,7 @@
 
 /* A hold waits so long for an end; it also renews the lease. */
 #define HOLD_WAIT_US USEC_PER_SEC
+#define HOLD_GAP_US (40 * USEC_PER_MSEC)
 /* Pause after a hold without an answer. */
 #define HOLD_AGAIN_US (200 * USEC_PER_MSEC)
 /* Pause between looks at a worker that does not answer and runs nothing. */
@@ -476,8 +477,9 @@
 	worker->acked_number = MAX(worker->acked_number, order->acked_number);
 	take_lists(sched, worker, order);
 	fillers_on_hold(sched, worker);
-	/* Ends must be stored before the next hold, or it returns at once. */
-	worker->hold_due_us = now_us;
+	/* Several ends that come close together are listed by one answer. */
+	worker->hold_due_us = now_us + HOLD_GAP_US;
+	sched_wake_at(sched, worker->hold_due_us);
 }
 
 void workers_on_order(struct sched *sched, const struct order *order)
