Pack lasting items, and trust no list that is older than a worker

Cause: lasting items of one pool sat on nine machines where four hold them, which keeps nine machines from being parked.

Change: racks are only a tie-break for lasting items. A machine counts as empty only if its worker is listed and runs nothing, or if it is in a standby pool. A job is late when its whole remaining chain does not fit.

--- a/src/jobs/parking_demand.c
+++ b/src/jobs/parking_demand.c
@@ -191,6 +191,10 @@
 		if (!may_move(sched, choice.machine))
 			continue;
 		choice.worker = worker_find(sched, choice.machine->worker);
+		/* A list that is older than its newest worker tells little. */
+		if (!is_standby(sched, choice.machine->pool) && choice.worker &&
+		    (!choice.worker->listed || choice.worker->lost))
+			continue;
 		if (choice.worker) {
 			choice.used_milli = choice.worker->used_cpu_milli;
 			choice.pinned = is_pinned(choice.worker);
@@ -249,10 +253,10 @@
 
 static bool is_free(struct sched *sched, const struct choice *choice)
 {
-	if (load_of(sched, choice->machine->pool)->standby)
-		return true;
-	return choice->worker && choice->worker->leaving == LEAVING_PARKED &&
-	       !choice->worker->placed->len;
+	if (!machine_is_surely_empty(sched, choice->machine))
+		return false;
+	return load_of(sched, choice->machine->pool)->standby ||
+	       choice->worker->leaving == LEAVING_PARKED;
 }
 
 static void move_free(struct sched *sched, const GArray *choices)
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -292,6 +292,12 @@
 struct machine *machine_find(const struct sched *sched, const char *name);
 struct machine *machine_of_worker(const struct sched *sched,
 				  const struct worker *worker);
+/*
+ * Whether nothing can run on a machine. The list may be older than its newest
+ * worker, so a worker that has ended proves nothing.
+ */
+bool machine_is_surely_empty(const struct sched *sched,
+			     const struct machine *machine);
 bool machine_order_send(struct sched *sched, const struct machine_order *order);
 void machines_on_ordered(struct sched *sched,
 			 const struct machine_order *order);
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -153,6 +153,19 @@
 	sched_want_place(sched);
 }
 
+bool machine_is_surely_empty(const struct sched *sched,
+			     const struct machine *machine)
+{
+	const struct pool *pool =
+		queues_pool(kernel_queues(sched->kernel), machine->pool);
+	const struct worker *worker = worker_find(sched, machine->worker);
+
+	if (pool && pool->standby)
+		return true;
+	return worker && worker->listed && !worker->lost &&
+	       !worker->placed->len;
+}
+
 static bool some_worker_is_suspect(const struct sched *sched)
 {
 	GHashTableIter iter;
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -6,10 +6,10 @@
 
 /* Weights of a worker's score, in thousandths of its free capacity. */
 /* Part of an estimated chain that is taken for certain. */
-#define CHAIN_SURE_PERCENT 60
+#define CHAIN_SURE_PERCENT 100
 #define SCORE_RACK_NEAR 2000
 #define SCORE_LASTING_PACKED 300
-#define SCORE_SIBLING_RACK 600
+#define SCORE_SIBLING_RACK 100
 #define SCORE_BESIDE_FILLER 1500
 #define SCORE_WAVE_AHEAD 3000
 
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -12,6 +12,8 @@
 #define ORDER_AGAIN_US (500 * USEC_PER_MSEC)
 /* Work that does not last may end by itself for so long. */
 #define EMPTYING_PATIENCE_US (6 * USEC_PER_SEC)
+/* The directory shows a machine's worker before, or there is none. */
+#define UNKNOWN_WORKER_US (4 * USEC_PER_SEC)
 /* A machine that no list has for so long has left the platform. */
 #define UNLISTED_GONE_US (3 * USEC_PER_SEC)
 /* Ids of status writes are apart from those of other writers. */
@@ -290,7 +292,8 @@
 		return;
 	}
 	machine->unlisted_us = 0;
-	if (listed->state != MACHINE_UP || now_us < listed->again_us)
+	if (listed->state != MACHINE_UP || now_us < listed->again_us ||
+	    listed->moving || listed->asked)
 		return;
 	if (machine->step == WAVE_WAITING &&
 	    emptying_count(wave) + down_count(sched, wave) < wave->max_count)
@@ -303,6 +306,9 @@
 		      now_us - machine->ordered_us < EMPTYING_PATIENCE_US);
 		return;
 	}
+	if (!machine_is_surely_empty(sched, listed) &&
+	    now_us - machine->ordered_us < UNKNOWN_WORKER_US)
+		return;
 	if (down_count(sched, wave) < wave->max_count || machine->unknown)
 		order_upkeep(sched, wave, machine);
 }
