Give the lease up when most workers can't be reached, and test the decoders

Cause: a holder that is cut off from the workers but not from the store kept the lease while nothing ran; metrics had no latencies; the adapter's decoders had no test of damaged input.

Change: the lease resigns after 1.5 s in which more than half of at least four workers don't answer, and stays away for 8 s. A suite of unit tests for directory, configuration, jobs, orders, topics, settings and records.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -261,7 +261,7 @@
 	const struct job *job =
 		job_table_find(kernel_jobs(callers->kernel), id);
 
-	if (!job || strcmp(job->queue, queue->name))
+	if (!job || strcmp(job->queue, queue->name) != 0)
 		return false;
 	if (call->kind == CALL_CANCEL)
 		cancel(callers, call, job);
@@ -377,6 +377,9 @@
 			i++;
 			continue;
 		}
+		counter_observe(
+			kernel_counters(callers->kernel), "caller_store",
+			kernel_now_us(callers->kernel) - waiting->arrived_us);
 		if (write->result == STORE_DONE)
 			confirm(callers, waiting->call);
 		else
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -21,6 +21,11 @@
 /* Spreads the claims of several entry instances. */
 #define CLAIM_SPREAD_US (300 * USEC_PER_MSEC)
 #define CLAIM_AGAIN_US (150 * USEC_PER_MSEC)
+/* Answers older than this say nothing of a worker. */
+#define REACH_US (4 * USEC_PER_SEC)
+/* Most workers are silent for so long before the lease is given up. */
+#define ISOLATED_MAX_US (1500 * USEC_PER_MSEC)
+#define ISOLATED_MIN_COUNT 4
 /* An entry instance that gave the lease up leaves it to others for so long. */
 #define RESIGNED_US (8 * USEC_PER_SEC)
 
@@ -55,6 +60,14 @@
 	int64_t confirmed_us; /* send time of the newest write that succeeded */
 	int64_t leave_until_us;
 	int64_t spread_us;
+	GHashTable *reached; /* worker -> struct reach, while held */
+	int64_t isolated_us; /* most workers don't answer since; 0: they do */
+};
+
+/* Whether a worker answers this holder. */
+struct reach {
+	int64_t heard_us;
+	int64_t lost_us;
 };
 
 int64_t worker_lease_us(const struct job_bounds *bounds)
@@ -100,6 +113,8 @@
 	struct event event = { .type = EVENT_HOLDER_CHANGED };
 
 	lease->held = held;
+	lease->isolated_us = 0;
+	g_hash_table_remove_all(lease->reached);
 	changed->held = held;
 	changed->token = lease->fence_token;
 	if (held && lease->was_known) {
@@ -228,9 +243,74 @@
 		lease->confirmed_us = lease->renew_sent_us;
 }
 
+static void resign(struct lease *lease)
+{
+	write_step(lease, STORE_WRITER_HOLDER, HOLDER_RESIGN,
+		   lease->fence_token);
+	lease->leave_until_us = kernel_now_us(lease->kernel) + RESIGNED_US;
+	give_up(lease);
+}
+
+static void note_reach(struct lease *lease, const struct order *order)
+{
+	struct reach *reach =
+		g_hash_table_lookup(lease->reached, order->worker);
+
+	if (!reach) {
+		reach = g_new0(struct reach, 1);
+		g_hash_table_insert(lease->reached, (gpointer)order->worker,
+				    reach);
+	}
+	if (order->result == ORDER_LOST)
+		reach->lost_us = kernel_now_us(lease->kernel);
+	else
+		reach->heard_us = kernel_now_us(lease->kernel);
+}
+
+static bool is_isolated(const struct lease *lease, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t lost_count = 0;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, lease->reached);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct reach *reach = value;
+
+		if (now_us - MAX(reach->lost_us, reach->heard_us) > REACH_US)
+			continue;
+		count++;
+		lost_count += reach->lost_us > reach->heard_us;
+	}
+	return count >= ISOLATED_MIN_COUNT && 2 * lost_count > count;
+}
+
+/* Another entry instance may reach the workers that this one does not. */
+static void check_isolated(struct lease *lease)
+{
+	int64_t now_us = kernel_now_us(lease->kernel);
+
+	if (!is_isolated(lease, now_us)) {
+		lease->isolated_us = 0;
+		return;
+	}
+	if (!lease->isolated_us)
+		lease->isolated_us = now_us;
+	if (now_us - lease->isolated_us < ISOLATED_MAX_US)
+		return;
+	decision_log("resign", "reason=isolated token=%" G_GUINT64_FORMAT,
+		     lease->fence_token);
+	resign(lease);
+}
+
 /* A worker has seen the token of a successor before we read its claim. */
 static void on_order(struct lease *lease, const struct order *order)
 {
+	if (lease->held && order->token == lease->fence_token) {
+		note_reach(lease, order);
+		check_isolated(lease);
+	}
 	if (lease->held && order->result == ORDER_FENCED &&
 	    order->token == lease->fence_token) {
 		decision_log("fenced", "worker=%s token=%" G_GUINT64_FORMAT,
@@ -290,11 +370,8 @@
 static void on_drain(struct lease *lease)
 {
 	lease->draining = true;
-	if (!lease->held)
-		return;
-	write_step(lease, STORE_WRITER_HOLDER, HOLDER_RESIGN,
-		   lease->fence_token);
-	give_up(lease);
+	if (lease->held)
+		resign(lease);
 }
 
 static void lease_handle(void *self, const struct event *event)
@@ -329,10 +406,19 @@
 	lease->boot_id = ((uint64_t)g_rand_int(kernel_random(kernel)) << 32) |
 			 g_rand_int(kernel_random(kernel));
 	lease->write_id = 1;
+	lease->reached = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	lease->spread_us = g_str_hash(entry) % CLAIM_SPREAD_US;
 	return lease;
 }
 
+static void lease_fini(void *self)
+{
+	struct lease *lease = self;
+
+	g_hash_table_unref(lease->reached);
+	g_free(lease);
+}
+
 static const struct plugin lease_plugin = {
 	.name = "lease",
 	.kind = PLUGIN_JOBS,
@@ -342,7 +428,7 @@
 		 EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_RESUMED),
 	.init = lease_init,
 	.handle = lease_handle,
-	.fini = g_free,
+	.fini = lease_fini,
 };
 
 PLUGIN_REGISTER(lease_plugin)
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -130,6 +130,8 @@
 	    write->write_id != sched->flush_write_id)
 		return;
 	sched->flush_write_id = 0;
+	counter_observe(kernel_counters(sched->kernel), "store_write",
+			sched_now_us(sched) - sched->flush_us + FLUSH_GAP_US);
 	if (write->result == STORE_DONE)
 		on_stored(sched, write->write_id);
 	else if (write->result == STORE_NOT_DONE)
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -336,6 +336,8 @@
 
 	if (item->phase != ITEM_STARTING)
 		return;
+	counter_observe(kernel_counters(sched->kernel), "start_order",
+			sched_now_us(sched) - order->sent_us);
 	switch (order->result) {
 	case ORDER_OK:
 		item->phase = ITEM_RUNNING;
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -137,8 +137,8 @@
 			machine_of_worker(pass->sched, worker);
 
 		if (worker->leaving != LEAVING_PARKED ||
-		    strcmp(worker->pool, pool) || !machine || machine->asked ||
-		    machine->moving)
+		    strcmp(worker->pool, pool) != 0 || !machine ||
+		    machine->asked || machine->moving)
 			continue;
 		worker->leaving = LEAVING_NOT;
 		if (worker_may_take(pass->sched, worker))
--- a/src/kernel/counter.c
+++ b/src/kernel/counter.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#define NAME_MAX_BYTES 128
+
 struct counters {
 	GTree *values; /* name -> uint64_t */
 };
@@ -50,6 +52,28 @@
 	*value_of(counters, name) = value;
 }
 
+void counter_observe(struct counters *counters, const char *name,
+		     int64_t time_us)
+{
+	static const int64_t bounds_us[] = { 1000,    3000,    10000,
+					     30000,   100000,  300000,
+					     1000000, 3000000, 10000000 };
+	char text[NAME_MAX_BYTES];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bounds_us); i++) {
+		g_snprintf(text, sizeof(text),
+			   "%s_us_bucket{le=\"%" G_GINT64_FORMAT "\"}", name,
+			   bounds_us[i]);
+		counter_add(counters, text, time_us <= bounds_us[i]);
+	}
+	g_snprintf(text, sizeof(text), "%s_us_bucket{le=\"+Inf\"}", name);
+	counter_add(counters, text, 1);
+	g_snprintf(text, sizeof(text), "%s_us_sum", name);
+	counter_add(counters, text, (uint64_t)MAX(time_us, 0));
+	g_snprintf(text, sizeof(text), "%s_us_count", name);
+	counter_add(counters, text, 1);
+}
+
 uint64_t counter_get(const struct counters *counters, const char *name)
 {
 	const uint64_t *value = g_tree_lookup(counters->values, name);
--- a/src/kernel/counter.h
+++ b/src/kernel/counter.h
@@ -20,6 +20,13 @@
 void counter_set(struct counters *counters, const char *name, uint64_t value);
 uint64_t counter_get(const struct counters *counters, const char *name);
 
+/*
+ * Adds a time to a histogram: NAME_us_bucket{le="..."}, NAME_us_sum and
+ * NAME_us_count. name: without labels.
+ */
+void counter_observe(struct counters *counters, const char *name,
+		     int64_t time_us);
+
 /* Prometheus text, names in order, prefixed with "persimmonlatch_". */
 GString *counters_text(const struct counters *counters);
 
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -204,7 +204,8 @@
 		struct fake_run *run =
 			&g_array_index(worker->running, struct fake_run, i);
 
-		if (strcmp(run->item, order->item) || run->run != order->run)
+		if (strcmp(run->item, order->item) != 0 ||
+		    run->run != order->run)
 			continue;
 		run->end = ITEM_END_STOPPED;
 		run->ends_us = jobs->world->now_us + STOP_US;
@@ -251,7 +252,8 @@
 static void answer(struct jobs_world *jobs, struct fake_worker *worker,
 		   struct jobs_entry *entry, struct order *order)
 {
-	bool lost = worker->cut || worker->dead || worker->lose;
+	bool lost = worker->cut || worker->dead || worker->lose ||
+		    entry->workers_cut;
 
 	order->has_clock = !lost;
 	order->clock_ms = jobs->world->now_us / USEC_PER_MSEC;
@@ -307,11 +309,11 @@
 	struct jobs_world *jobs = entry->jobs;
 	struct fake_worker *worker = fake_worker_find(jobs, order->worker);
 
-	if (!worker->dead && !worker->cut)
+	if (!worker->dead && !worker->cut && !entry->workers_cut)
 		carry_out(jobs, worker, order);
-	if (worker->dead || worker->cut || order->result != ORDER_OK ||
-	    order->kind != ORDER_HOLD || !order->wait_us ||
-	    worker->ended->len) {
+	if (worker->dead || worker->cut || entry->workers_cut ||
+	    order->result != ORDER_OK || order->kind != ORDER_HOLD ||
+	    !order->wait_us || worker->ended->len) {
 		answer(jobs, worker, entry, order);
 		return;
 	}
@@ -458,7 +460,7 @@
 		struct fake_worker *worker =
 			fake_worker_find(jobs, machine->worker);
 
-		if (strcmp(machine->name, order->machine))
+		if (strcmp(machine->name, order->machine) != 0)
 			continue;
 		order->result = MACHINE_OK;
 		if (order->upkeep && machine->upkeeps_count)
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -19,6 +19,7 @@
 	struct kernel *kernel; /* NULL: killed */
 	uint32_t boot_count;
 	bool store_cut;
+	bool workers_cut; /* its orders and their answers are lost */
 	int64_t frozen_until_us;
 	uint64_t read_offset;
 	bool read_due; /* a read is scheduled */
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -115,6 +115,15 @@
 			script_duration_us(script, script_word(script, 2));
 }
 
+/* job-split ENTRY on|off: whether it is cut from all workers */
+static void run_split(struct script *script)
+{
+	struct jobs_entry *entry = entry_of(script, 1);
+
+	if (entry)
+		entry->workers_cut = !strcmp(script_word(script, 2), "on");
+}
+
 /* job-store down|up, or job-store cut ENTRY, or job-store heal ENTRY */
 static void run_store(struct script *script)
 {
@@ -277,7 +286,8 @@
 	{ "job-submit", 2, run_submit },     { "job-ask", 3, run_ask },
 	{ "job-wave", 2, run_wave },	     { "job-run", 1, run_run },
 	{ "job-duration", 1, run_duration }, { "job-quiet", 1, run_quiet },
-	{ "job-show", 1, run_show },	     { "job-parking", 1, run_parking },
+	{ "job-split", 2, run_split },	     { "job-show", 1, run_show },
+	{ "job-parking", 1, run_parking },
 };
 
 SCRIPT_REGISTER(commands)
--- /dev/null
+++ b/test/unit/platform.c
@@ -0,0 +1,321 @@
+/*
+ * What the platform sends is decoded once, and whatever is damaged, missing or
+ * of another type is refused: it names no worker to use, and nothing is turned
+ * into a zero.
+ */
+
+#include <string.h>
+
+#include "codec/job_codec.h"
+#include "platform/directory.h"
+#include "platform/job_wire.h"
+#include "platform/node.h"
+#include "platform/order_wire.h"
+#include "platform/topic.h"
+#include "runner/suite.h"
+
+#define WORKER(fields)                                                         \
+	"{\"service\":\"p\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
+	"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,\"mem_mb\":100,"       \
+	"\"gpu\":0},\"labels\":[\"a\",\"r1\"]" fields "}"
+
+static struct worker_entry *read_worker(const char *text, const char **why)
+{
+	return directory_worker("w1", (const uint8_t *)text, strlen(text), why);
+}
+
+static void test_worker(void)
+{
+	const char *why;
+	struct worker_entry *entry =
+		read_worker(WORKER(",\"born\":17,\"unknown\":[1]"), &why);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(entry);
+	CU_ASSERT_STRING_EQUAL(entry->pool, "p");
+	CU_ASSERT_STRING_EQUAL(entry->rack, "r1");
+	CU_ASSERT_EQUAL(entry->cpu_milli, 8000);
+	CU_ASSERT_EQUAL(entry->born_ms, 17);
+	CU_ASSERT_FALSE(entry->draining);
+	worker_entry_free(entry);
+}
+
+static void test_worker_refused(void)
+{
+	static const char *const damaged[] = {
+		"",
+		"{",
+		"[]",
+		"\xff\xfe",
+		"{}",
+		WORKER(",\"born\":1.5"),
+		WORKER(",\"born\":\"x\""),
+		WORKER(",\"state\":\"resting\""),
+		WORKER(",\"state\":7"),
+		WORKER(",\"address\":\"\""),
+		WORKER(",\"address\":7"),
+		WORKER(",\"service\":null"),
+		WORKER(",\"capacity\":8"),
+		WORKER(",\"capacity\":{\"cpu\":-1}"),
+		WORKER(",\"capacity\":{\"cpu\":99999999999}"),
+		WORKER(",\"labels\":\"a\""),
+		WORKER(",\"labels\":[1]"),
+	};
+	const char *why;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(damaged); i++) {
+		CU_ASSERT_PTR_NULL(read_worker(damaged[i], &why));
+		CU_ASSERT_PTR_NOT_NULL(why);
+	}
+}
+
+#define CONFIG(routes)                                                         \
+	"{\"version\":7,\"routes\":[" routes                                   \
+	"],\"services\":[{\"name\":\"p\",\"standby\":true}],"                  \
+	"\"limits\":{\"max_body_bytes\":100}}"
+
+static void test_config(void)
+{
+	static const char text[] = CONFIG(
+		"{\"name\":\"r\",\"host\":\"h.example\","
+		"\"path_prefix\":\"/a/\",\"service\":\"p\",\"priority\":1,"
+		"\"max_attempts\":4,\"slack_factor\":2.2,"
+		"\"target_duration_ms\":600},"
+		"{\"name\":\"s\",\"host\":\"h.example\","
+		"\"path_prefix\":\"/a/b/\",\"service\":\"p\"}");
+	const char *why;
+	const char *rest;
+	struct queues *queues = directory_config((const uint8_t *)text,
+						 strlen(text), &why);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(queues);
+	CU_ASSERT_EQUAL(queues->version, 7);
+	CU_ASSERT_TRUE(queues_pool(queues, "p")->standby);
+	CU_ASSERT_EQUAL(queues_find(queues, "r")->target_us, 600000);
+	CU_ASSERT_STRING_EQUAL(
+		queues_route(queues, "h.example:80", "/a/b/c", &rest)->name,
+		"s");
+	CU_ASSERT_STRING_EQUAL(rest, "c");
+	CU_ASSERT_PTR_NULL(queues_route(queues, "other", "/a/b", &rest));
+	queues_unref(queues);
+}
+
+static void test_config_refused(void)
+{
+	static const char *const damaged[] = {
+		"{",
+		"{\"version\":\"7\"}",
+		"{\"version\":7,\"routes\":{}}",
+		"{\"version\":7,\"routes\":[]}",
+		CONFIG("{}"),
+		CONFIG("{\"name\":\"r\",\"host\":\"h\",\"service\":\"p\"}"),
+	};
+	const char *why;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(damaged); i++) {
+		CU_ASSERT_PTR_NULL(directory_config(
+			(const uint8_t *)damaged[i], strlen(damaged[i]), &why));
+		CU_ASSERT_PTR_NOT_NULL(why);
+	}
+}
+
+static struct job_spec *read_job(const char *text)
+{
+	GBytes *body = g_bytes_new(text, strlen(text));
+	struct job_spec *spec = job_wire_read(body);
+
+	g_bytes_unref(body);
+	return spec;
+}
+
+static void test_job(void)
+{
+	struct job_spec *spec = read_job(
+		"{\"spec\":\"t\",\"steps\":[{\"count\":4,\"cpu\":500},"
+		"{\"count\":2,\"cpu\":900,\"depends_on\":[0],"
+		"\"long_running\":true,\"max_unavailable\":1}],\"times\":2}");
+	const struct job_step *step;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(spec);
+	CU_ASSERT_PTR_NULL(job_spec_check(spec));
+	CU_ASSERT_EQUAL(job_spec_items_per_occurrence(spec), 6);
+	CU_ASSERT_EQUAL(job_spec_occurrences(spec), 2);
+	step = &g_array_index(spec->steps, struct job_step, 1);
+	CU_ASSERT_TRUE(step->lasting);
+	CU_ASSERT_EQUAL(step->after_mask, 1);
+	job_spec_unref(spec);
+}
+
+static void test_job_refused(void)
+{
+	static const char *const damaged[] = {
+		"",
+		"{",
+		"[]",
+		"{\"spec\":\"t\"}",
+		"{\"spec\":\"t\",\"steps\":[7]}",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":-1}]}",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":1,\"gang\":1}]}",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":1,"
+		"\"depends_on\":[64]}]}",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":1}],\"times\":\"2\"}",
+	};
+	static const char *const impossible[] = {
+		"{\"spec\":\"t\",\"steps\":[]}",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":0}]}",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":1,"
+		"\"depends_on\":[0]}]}",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":20001}]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(damaged); i++)
+		CU_ASSERT_PTR_NULL(read_job(damaged[i]));
+	for (size_t i = 0; i < G_N_ELEMENTS(impossible); i++) {
+		struct job_spec *spec = read_job(impossible[i]);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(spec);
+		CU_ASSERT_PTR_NOT_NULL(job_spec_check(spec));
+		job_spec_unref(spec);
+	}
+}
+
+static void check_order(enum order_kind kind, uint32_t status, const char *text,
+			enum order_result expected)
+{
+	struct order *order = order_new(kind);
+	struct event event = { .type = EVENT_ORDER };
+
+	order_wire_read(order, status, text, strlen(text));
+	CU_ASSERT_EQUAL(order->result, expected);
+	event.msg = order;
+	event_clear(&event);
+}
+
+/* Half a list would make running work look ended. */
+static void test_order(void)
+{
+	check_order(ORDER_START, 200, "{\"clock_ms\":1}", ORDER_OK);
+	check_order(ORDER_START, 409, "{\"reason\":\"fence\"}", ORDER_FENCED);
+	check_order(ORDER_START, 409, "{\"reason\":\"room\"}", ORDER_NO_ROOM);
+	check_order(ORDER_START, 409, "{\"reason\":\"new\"}", ORDER_REFUSED);
+	check_order(ORDER_START, 409, "no json", ORDER_REFUSED);
+	check_order(ORDER_START, 421, "", ORDER_OTHER_LIFE);
+	check_order(ORDER_START, 503, "", ORDER_REFUSED);
+	check_order(ORDER_HOLD, 200,
+		    "{\"running\":[[\"a\",1,\"\",100,3]],"
+		    "\"finished\":[[1,\"b\",1,\"done\",\"\"]]}",
+		    ORDER_OK);
+	check_order(ORDER_HOLD, 200, "{\"running\":[]}", ORDER_LOST);
+	check_order(ORDER_HOLD, 200,
+		    "{\"running\":[[\"a\"]],\"finished\":[]}", ORDER_LOST);
+	check_order(ORDER_HOLD, 200,
+		    "{\"running\":[],\"finished\":[[1,\"b\",1,\"odd\",\"\"]]}",
+		    ORDER_LOST);
+}
+
+static void test_topic(void)
+{
+	static const uint8_t read[] = {
+		0, 0, 0, 0, 0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0,
+		0, 0, 4, 1, 'k', 'v', 'w', 0, 0, 0, 2, 1, 'd',
+	};
+	struct topic_batch *batch = topic_batch_new();
+	GBytes *body = g_bytes_new(read, sizeof(read));
+	const struct topic_record *record;
+
+	CU_ASSERT_TRUE(topic_parse_read(body, 5, batch));
+	CU_ASSERT_EQUAL(batch->end_offset, 9);
+	CU_ASSERT_EQUAL_FATAL(batch->records->len, 2);
+	record = &g_array_index(batch->records, struct topic_record, 0);
+	CU_ASSERT_STRING_EQUAL(record->key, "k");
+	CU_ASSERT_EQUAL(record->size_bytes, 2);
+	record = &g_array_index(batch->records, struct topic_record, 1);
+	CU_ASSERT_EQUAL(record->offset, 6);
+	CU_ASSERT_EQUAL(record->size_bytes, 0);
+	topic_batch_free(batch);
+	g_bytes_unref(body);
+	for (size_t length = 1; length < sizeof(read); length++) {
+		bool whole = length == 16 || length == 24;
+
+		batch = topic_batch_new();
+		body = g_bytes_new(read, length);
+		CU_ASSERT_EQUAL(topic_parse_read(body, 5, batch), whole);
+		topic_batch_free(batch);
+		g_bytes_unref(body);
+	}
+}
+
+static void test_node_refused(void)
+{
+	static const char *const damaged[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"node_name\":7}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(damaged); i++) {
+		GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+
+		CU_ASSERT_PTR_NULL(
+			node_parse(damaged[i], strlen(damaged[i]), errors));
+		CU_ASSERT_TRUE(errors->len > 0);
+		g_ptr_array_unref(errors);
+	}
+}
+
+/* A record survives its encoding, and a damaged one is refused. */
+static void test_record(void)
+{
+	struct job_spec *spec = read_job(
+		"{\"spec\":\"t\",\"steps\":[{\"count\":3,\"cpu\":500}]}");
+	struct job *job = job_new("00000000000000a1", spec);
+	struct job_record *record;
+	struct job_record *read;
+	char keys[3][JOB_KEY_MAX_BYTES];
+	gsize size_bytes;
+	GBytes *value;
+
+	job_item(job, 0)->phase = ITEM_DONE;
+	job_item(job, 1)->run = 4;
+	job_item(job, 1)->worker = g_intern_string("w9");
+	job_item(job, 1)->saved = g_strdup("c");
+	job->wanted = JOB_ACTIVE;
+	record = job_record_progress(job);
+	CU_ASSERT_EQUAL(job_codec_keys(record, keys), 1);
+	value = job_codec_encode(record);
+	read = job_codec_decode(keys[0], g_bytes_get_data(value, &size_bytes),
+				g_bytes_get_size(value));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(read);
+	CU_ASSERT_STRING_EQUAL(read->id, job->id);
+	CU_ASSERT_EQUAL(read->state, JOB_ACTIVE);
+	CU_ASSERT_EQUAL(read->done->data[0], 1);
+	CU_ASSERT_EQUAL(
+		g_array_index(read->items, struct job_record_item, 0).run, 4);
+	job_record_unref(read);
+	CU_ASSERT_PTR_NULL(job_codec_decode(keys[0],
+					    (const uint8_t *)"\xff", 1));
+	CU_ASSERT_PTR_NULL(job_codec_decode("j/short",
+					    (const uint8_t *)"x", 1));
+	g_bytes_unref(value);
+	job_record_unref(record);
+	job_free(job);
+	job_spec_unref(spec);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "worker", test_worker },
+	{ "worker refused", test_worker_refused },
+	{ "config", test_config },
+	{ "config refused", test_config_refused },
+	{ "job", test_job },
+	{ "job refused", test_job_refused },
+	{ "order", test_order },
+	{ "topic", test_topic },
+	{ "settings refused", test_node_refused },
+	{ "record", test_record },
+	CU_TEST_INFO_NULL,
+};
+
+static struct suite platform_suite = { .name = "platform", .tests = tests };
+
+SUITE_REGISTER(platform_suite)
