--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -81,6 +81,8 @@
 	int64_t ordered_us;
 	int64_t running_us; /* first seen running; 0: not yet */
 	int64_t away_us;    /* not at work since; lasting items */
+	int64_t progress_us; /* work_percent has changed */
+	uint32_t moved_count; /* times that it was taken from a slow worker */
 	int64_t retry_us;   /* earliest next placement */
 };
 
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -259,6 +259,9 @@
 void sched_flush(struct sched *sched);
 void sched_on_written(struct sched *sched, const struct store_write *write);
 
+/* sched_slow.c: items that stand still or crawl */
+void slow_on_hold(struct sched *sched, struct worker *worker);
+
 /* sched_fill.c: items that fill beside items that serve */
 void fillers_on_hold(struct sched *sched, struct worker *worker);
 
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -52,6 +52,7 @@
 	item->ordered_us = 0;
 	item->running_us = 0;
 	item->work_percent = 0;
+	item->progress_us = 0;
 	item->pace_percent = 100;
 	job->placed_count++;
 	job->begun = true;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -338,6 +338,8 @@
 	}
 	if (item->phase == ITEM_RUNNING)
 		item->sure = true;
+	if (item->work_percent != row->percent || !item->progress_us)
+		item->progress_us = sched_now_us(sched);
 	item->work_percent = row->percent;
 	item->observed = row->observed;
 	if (row->percent >= 100)
@@ -476,6 +478,7 @@
 	worker->lost = false;
 	worker->acked_number = MAX(worker->acked_number, order->acked_number);
 	take_lists(sched, worker, order);
+	slow_on_hold(sched, worker);
 	fillers_on_hold(sched, worker);
 	/* Several ends that come close together are listed by one answer. */
 	worker->hold_due_us = now_us + HOLD_GAP_US;
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -177,7 +177,7 @@
 		.cpu_milli = step->cpu_milli,
 		.lasting = step->lasting,
 		.started_us = jobs->world->now_us,
-		.ends_us = step->lasting
+		.ends_us = step->lasting || worker->stalls
 				   ? INT64_MAX
 				   : jobs->world->now_us + jobs->duration_us,
 		.end = worker->fails ? ITEM_END_FAILED : ITEM_END_DONE,
@@ -228,14 +228,29 @@
 	}
 }
 
-static void fill_lists(const struct fake_worker *worker, struct order *order)
+static uint32_t run_percent(const struct fake_worker *worker,
+			    const struct fake_run *run, int64_t now_us)
+{
+	if (run->ends_us == INT64_MAX)
+		return worker->stalls ? 10 : 100;
+	if (run->ends_us <= run->started_us)
+		return 100;
+	return (uint32_t)(100 * (now_us - run->started_us) /
+			  (run->ends_us - run->started_us));
+}
+
+static void fill_lists(const struct fake_worker *worker, struct order *order,
+		       int64_t now_us)
 {
 	g_array_set_size(order->running, 0);
 	g_array_set_size(order->ended, 0);
 	for (guint i = 0; i < worker->running->len; i++) {
 		const struct fake_run *run =
 			&g_array_index(worker->running, struct fake_run, i);
-		struct running_row row = { .run = run->run, .percent = 100 };
+		struct running_row row = {
+			.run = run->run,
+			.percent = run_percent(worker, run, now_us),
+		};
 
 		g_strlcpy(row.item, run->item, sizeof(row.item));
 		g_array_append_val(order->running, row);
@@ -261,7 +276,7 @@
 	if (lost)
 		order->result = ORDER_LOST;
 	else if (order->kind == ORDER_HOLD)
-		fill_lists(worker, order);
+		fill_lists(worker, order, jobs->world->now_us);
 	jobs_deliver(jobs, entry, EVENT_ORDER_DONE, g_rc_box_acquire(order),
 		     lost ? LOST_US : ORDER_US);
 }
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -47,6 +47,7 @@
 	bool cut;	 /* orders and answers are lost, it runs on */
 	bool lose;	 /* orders are carried out, their answers are lost */
 	bool fails;	 /* fails all that it starts */
+	bool stalls;	 /* what it starts stands still */
 	int64_t late_us; /* orders are lost and carried out so late; 0: never */
 	int64_t born_ms;
 	uint64_t fence_token;
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -72,7 +72,7 @@
 	}
 }
 
-/* job-fault WORKER dead|cut|lose|fails|ok */
+/* job-fault WORKER dead|cut|lose|fails|stalls|ok */
 static void run_fault(struct script *script)
 {
 	struct fake_worker *worker =
@@ -88,6 +88,7 @@
 	worker->cut = !strcmp(how, "cut");
 	worker->lose = !strcmp(how, "lose");
 	worker->fails = !strcmp(how, "fails");
+	worker->stalls = !strcmp(how, "stalls");
 }
 
 static void run_entry(struct script *script)
