See the start of a queue's turn from the arrivals of 300 ms

Cause: the worst windows are those in which a queue's turn starts: arrivals were averaged over 800 ms, and machines take 1.5 s to come.

Change: five arrivals or more within 300 ms count as a rate of their own.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -169,6 +169,8 @@
 	uint64_t lasting_milli;
 	uint32_t stuck_count;	 /* lasting items on no worker */
 	uint64_t arriving_milli; /* work that comes in, in cores */
+	uint64_t rising_milli;	 /* the same over a shorter past */
+	uint32_t rising_count;	 /* jobs of that past */
 	uint64_t need_milli;	 /* highest need of the newest past */
 	int64_t need_us;	 /* when that was seen */
 	/* Filled in by the parking policy */
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -7,6 +7,9 @@
 
 /* Arrivals of this long a past show how much is coming in. */
 #define ARRIVALS_US (800 * USEC_PER_MSEC)
+/* So many arrivals in this shorter past show a sudden rise. */
+#define RISE_US (300 * USEC_PER_MSEC)
+#define RISE_MIN_COUNT 5
 /* A need that has passed is kept in mind for so long. */
 #define NEED_KEPT_US (700 * USEC_PER_MSEC)
 /* Weight of one more run time in the mean of its queue, in percent. */
@@ -96,6 +99,18 @@
 	return work;
 }
 
+static void add_arrival(const struct sched *sched, const struct job *job,
+			struct pool_load *load, int64_t now_us)
+{
+	uint64_t work = work_of(sched, job);
+
+	load->arriving_milli += work / ARRIVALS_US;
+	if (now_us - job->seen_us >= RISE_US)
+		return;
+	load->rising_milli += work / RISE_US;
+	load->rising_count++;
+}
+
 static void start_measure(struct sched *sched, int64_t now_us)
 {
 	GHashTableIter iter;
@@ -111,6 +126,8 @@
 		load->lasting_milli = 0;
 		load->stuck_count = 0;
 		load->arriving_milli = 0;
+		load->rising_milli = 0;
+		load->rising_count = 0;
 	}
 }
 
@@ -122,10 +139,15 @@
 	g_hash_table_iter_init(&iter, sched->loads);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_load *load = value;
-		uint64_t need_milli =
-			load->lasting_milli +
-			MAX(load->running_milli + load->ready_milli,
-			    load->arriving_milli);
+		uint64_t need_milli;
+
+		/* The start of a queue's turn shows here first. */
+		if (load->rising_count >= RISE_MIN_COUNT)
+			load->arriving_milli =
+				MAX(load->arriving_milli, load->rising_milli);
+		need_milli = load->lasting_milli +
+			     MAX(load->running_milli + load->ready_milli,
+				 load->arriving_milli);
 
 		if (need_milli >= load->need_milli ||
 		    now_us - load->need_us > NEED_KEPT_US) {
@@ -153,8 +175,7 @@
 		load = load_of(sched, sched_pool(sched, job));
 		add_items(job, load);
 		if (now_us - job->seen_us < ARRIVALS_US)
-			load->arriving_milli +=
-				work_of(sched, job) / ARRIVALS_US;
+			add_arrival(sched, job, load, now_us);
 	}
 	end_measure(sched, now_us);
 }
--- a/src/jobs/sched_slow.c
+++ b/src/jobs/sched_slow.c
@@ -43,8 +43,8 @@
 		return "stalled";
 	left_us = age_us * (100 - item->work_percent) /
 		  MAX(item->work_percent, 1);
-	if (left_us > CRAWL_FACTOR * step_estimate_us(sched, job, step) +
-			      CRAWL_SLACK_US)
+	if (left_us >
+	    CRAWL_FACTOR * step_estimate_us(sched, job, step) + CRAWL_SLACK_US)
 		return "crawls";
 	return NULL;
 }
@@ -69,8 +69,8 @@
 void slow_on_hold(struct sched *sched, struct worker *worker)
 {
 	for (guint i = worker->placed->len; i > 0; i--) {
-		struct placement placement = g_array_index(
-			worker->placed, struct placement, i - 1);
+		struct placement placement =
+			g_array_index(worker->placed, struct placement, i - 1);
 		struct job_item *item =
 			job_item(placement.job, placement.index);
 		const char *why =
--- a/test/runner/jobs_random.c
+++ b/test/runner/jobs_random.c
@@ -104,8 +104,8 @@
 
 static void store_down_or_up(struct chaos *chaos)
 {
-	line(chaos, chaos->jobs->store_down ? "job-store up"
-					    : "job-store down");
+	line(chaos,
+	     chaos->jobs->store_down ? "job-store up" : "job-store down");
 }
 
 static void cut_or_heal(struct chaos *chaos)
@@ -154,8 +154,8 @@
 }
 
 static void (*const actions[])(struct chaos *chaos) = {
-	submit,	       submit,	  submit,	    submit_again,
-	cancel,	       freeze,	  kill_or_start,    store_down_or_up,
+	submit,	       submit,	     submit,	    submit_again,
+	cancel,	       freeze,	     kill_or_start, store_down_or_up,
 	cut_or_heal,   worker_fault, worker_fault,  worker_dies,
 	split_or_join,
 };
