Keep orders of two holders for one machine a lease apart in all cases

Cause: after a resignation, or after an order that had no effect, a new holder could order a machine less than a lease after the earlier one.

Workers that left long ago are forgotten. The directory's part of the scheduler has a file of its own, and stop orders one function.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -120,6 +120,7 @@
 	if (held && lease->was_known) {
 		changed->earlier_until_us =
 			lease->claimed_us + worker_lease_here_us(lease_us);
+		changed->earlier_resigned = lease->was_resigned;
 		if (!lease->was_resigned)
 			changed->earlier_until_us += HOLDER_UNCONFIRMED_MAX_US;
 	}
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -34,7 +34,8 @@
 	uint32_t cpu_milli;
 	uint32_t mem_mb;
 	uint32_t gpu_count;
-	bool listed; /* the directory has it */
+	bool listed;	     /* the directory has it */
+	int64_t unlisted_us; /* since when it has not */
 	bool drains;
 	int64_t leaves_us; /* 0: not told */
 	int64_t born_ms;   /* of its life as the directory tells; 0: not told */
@@ -129,6 +130,7 @@
 	uint64_t token;
 	int64_t held_us;
 	int64_t earlier_until_us;
+	bool earlier_resigned;
 	bool directory_seen;
 
 	GHashTable *workers;   /* id -> struct worker */
@@ -212,9 +214,18 @@
 void item_order_start(struct sched *sched, struct job *job, uint32_t index);
 void item_order_stop(struct sched *sched, struct job *job, uint32_t index,
 		     const char *why);
+/* An order for one item, not yet sent. */
+struct order *item_order(struct sched *sched, struct worker *worker,
+			 const struct job *job, uint32_t index,
+			 enum order_kind kind);
+void item_send_stop(struct sched *sched, struct worker *worker, struct job *job,
+		    uint32_t index);
 void item_on_order(struct sched *sched, struct worker *worker,
 		   const struct order *order);
 
+/* An order without an answer is sent again after this. */
+#define ORDER_AGAIN_US (200 * USEC_PER_MSEC)
+
 /* Stops whatever of a job still runs. */
 void job_stop_items(struct sched *sched, struct job *job, const char *why);
 
@@ -231,11 +242,13 @@
 struct job *sched_find_item(const struct sched *sched, const char *name,
 			    uint32_t *index);
 
+/* sched_directory.c */
+void workers_on_seen(struct sched *sched, const struct workers_seen *seen);
+
 /* sched_worker.c: what is known of workers */
 struct worker *worker_get(struct sched *sched, const char *id);
 struct worker *worker_find(const struct sched *sched, const char *id);
 void worker_free(gpointer worker);
-void workers_on_seen(struct sched *sched, const struct workers_seen *seen);
 void workers_on_order(struct sched *sched, const struct order *order);
 void workers_tick(struct sched *sched);
 struct order *worker_order(struct sched *sched, struct worker *worker,
--- /dev/null
+++ b/src/jobs/sched_directory.c
@@ -0,0 +1,95 @@
+/* Workers as the directory lists them: they come, drain and leave. */
+
+#include <string.h>
+
+#include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+/* An entry of the directory may be late by as much. */
+#define DRAIN_LEAVE_SLACK_US USEC_PER_SEC
+
+static void take_entry(struct sched *sched, const struct worker_entry *entry)
+{
+	struct worker *worker = worker_get(sched, entry->id);
+	bool was_listed = worker->listed;
+	bool drained = worker->drains;
+
+	g_strlcpy(worker->address, entry->address, sizeof(worker->address));
+	g_strlcpy(worker->pool, entry->pool, sizeof(worker->pool));
+	g_strlcpy(worker->dc, entry->dc, sizeof(worker->dc));
+	g_strlcpy(worker->rack, entry->rack, sizeof(worker->rack));
+	if (worker->labels)
+		g_ptr_array_unref(worker->labels);
+	worker->labels = g_ptr_array_ref(entry->labels);
+	worker->cpu_milli = entry->cpu_milli;
+	worker->mem_mb = entry->mem_mb;
+	worker->gpu_count = entry->gpu_count;
+	worker->listed = true;
+	worker->drains = entry->draining;
+	worker->leaves_us =
+		entry->leaves_ms
+			? sched_now_us(sched) + entry->leaves_ms * USEC_PER_MSEC
+			: 0;
+	if (worker->drains)
+		worker->leaving = LEAVING_DRAINS;
+	else if (worker->leaving == LEAVING_DRAINS)
+		worker->leaving = LEAVING_NOT;
+	if (entry->born_ms && entry->born_ms != worker->born_ms) {
+		worker->born_ms = entry->born_ms;
+		worker->hold_due_us = 0;
+		worker->hold_again_us = 0;
+	}
+	if (!was_listed || drained != worker->drains) {
+		decision_log("worker-seen",
+			     "worker=%s pool=%s state=%s cpu=%u "
+			     "born=%" G_GINT64_FORMAT,
+			     worker->id, worker->pool,
+			     worker->drains ? "draining" : "ready",
+			     worker->cpu_milli, worker->born_ms);
+		sched_want_place(sched);
+	}
+}
+
+static void unlist(struct sched *sched, struct worker *worker)
+{
+	if (!worker->listed)
+		return;
+	worker->listed = false;
+	worker->unlisted_us = sched_now_us(sched);
+	decision_log("worker-unlisted", "worker=%s items=%u drained=%d",
+		     worker->id, worker->placed->len, worker->drains);
+	if (worker->drains && worker->leaves_us &&
+	    sched_now_us(sched) + DRAIN_LEAVE_SLACK_US >= worker->leaves_us)
+		worker_gone(sched, worker, "left");
+}
+
+void workers_on_seen(struct sched *sched, const struct workers_seen *seen)
+{
+	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < seen->entries->len; i++) {
+		const struct worker_entry *entry = seen->entries->pdata[i];
+
+		take_entry(sched, entry);
+		g_hash_table_add(present, (gpointer)entry->id);
+	}
+	for (guint i = 0; i < seen->removed->len; i++) {
+		struct worker *worker =
+			worker_find(sched, seen->removed->pdata[i]);
+
+		if (worker)
+			unlist(sched, worker);
+	}
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (seen->all && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		if (!g_hash_table_contains(present, worker->id))
+			unlist(sched, worker);
+	}
+	if (seen->all)
+		sched->directory_seen = true;
+	g_hash_table_unref(present);
+}
--- a/src/jobs/sched_fill.c
+++ b/src/jobs/sched_fill.c
@@ -47,10 +47,8 @@
 
 	if (item->phase != ITEM_RUNNING || item->pace_percent == percent)
 		return;
-	order = worker_order(sched, worker, ORDER_PACE);
-	job_item_name(placement->job, placement->index, order->item,
-		      sizeof(order->item));
-	order->run = item->run;
+	order = item_order(sched, worker, placement->job, placement->index,
+			   ORDER_PACE);
 	order->percent = percent;
 	item->pace_percent = percent;
 	decision_log("pace", "item=%s worker=%s percent=%u worst_tail=%u%%",
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -14,8 +14,6 @@
 #include "jobs/sched.h"
 #include "kernel/decision_log.h"
 
-/* An order without an answer is sent again after this. */
-#define ORDER_AGAIN_US (200 * USEC_PER_MSEC)
 /* A placement that a worker had no room for is tried again after this. */
 #define NO_ROOM_US (100 * USEC_PER_MSEC)
 /* A worker that refuses work as unhealthy is left alone for so long. */
@@ -102,10 +100,8 @@
 }
 
 struct order *item_order(struct sched *sched, struct worker *worker,
-			 struct job *job, uint32_t index, enum order_kind kind);
-
-struct order *item_order(struct sched *sched, struct worker *worker,
-			 struct job *job, uint32_t index, enum order_kind kind)
+			 const struct job *job, uint32_t index,
+			 enum order_kind kind)
 {
 	struct order *order = worker_order(sched, worker, kind);
 
@@ -130,8 +126,8 @@
 	worker_send(sched, worker, order);
 }
 
-static void send_stop(struct sched *sched, struct worker *worker,
-		      struct job *job, uint32_t index)
+void item_send_stop(struct sched *sched, struct worker *worker, struct job *job,
+		    uint32_t index)
 {
 	job_item(job, index)->ordered_us = sched_now_us(sched);
 	worker_send(sched, worker,
@@ -158,7 +154,7 @@
 	item->phase = ITEM_STOPPING;
 	item->sure = false;
 	if (worker && worker->fenced)
-		send_stop(sched, worker, job, index);
+		item_send_stop(sched, worker, job, index);
 }
 
 void job_stop_items(struct sched *sched, struct job *job, const char *why)
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -10,6 +10,7 @@
 #define LIST_IDLE_US (3 * USEC_PER_SEC)
 /* A move that was refused is tried again after this. */
 #define MOVE_AGAIN_US (700 * USEC_PER_MSEC)
+#define FIRST_ORDER_SLACK_US (300 * USEC_PER_MSEC)
 #define LIST_FAILED_US (1 * USEC_PER_SEC)
 #define ORDERS_WINDOW_US USEC_PER_SEC
 /* Part of the platform's rate that is used, in percent. */
@@ -44,8 +45,9 @@
 }
 
 /*
- * Orders of two holders for one machine must be a lease apart. A machine that
- * is up was last ordered before its move or its upkeep.
+ * Orders of two holders for one machine must be a lease apart. After a silent
+ * holder, a machine that is up was last ordered before its move or upkeep, or
+ * in vain before the silence.
  */
 static int64_t first_order_us(const struct sched *sched,
 			      const struct machine_row *row)
@@ -54,9 +56,10 @@
 
 	if (!sched->earlier_until_us)
 		return 0;
-	if (row->state == MACHINE_UP)
+	if (row->state == MACHINE_UP && !sched->earlier_resigned)
 		lease_us -=
-			MIN(sched->bounds->move_us, sched->bounds->upkeep_us);
+			MIN(sched->bounds->move_us, sched->bounds->upkeep_us) -
+			FIRST_ORDER_SLACK_US;
 	return sched->held_us + lease_us;
 }
 
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -9,7 +9,7 @@
 #include "kernel/decision_log.h"
 
 /* An order of a machine that was refused is sent again after this. */
-#define ORDER_AGAIN_US (500 * USEC_PER_MSEC)
+#define MACHINE_AGAIN_US (500 * USEC_PER_MSEC)
 /* Work that does not last may end by itself for so long. */
 #define EMPTYING_PATIENCE_US (6 * USEC_PER_SEC)
 /* The directory shows a machine's worker before, or there is none. */
@@ -324,7 +324,7 @@
 	if (!machine || !machine->asked)
 		return;
 	machine->asked = false;
-	machine->again_us = now_us + ORDER_AGAIN_US;
+	machine->again_us = now_us + MACHINE_AGAIN_US;
 	switch (order->result) {
 	case MACHINE_OK:
 		set_step(wave, machine, WAVE_ORDERED, "accepted");
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -16,15 +16,14 @@
 #define HOLD_AGAIN_US (200 * USEC_PER_MSEC)
 /* Pause between looks at a worker that does not answer and runs nothing. */
 #define HOLD_IDLE_AGAIN_US USEC_PER_SEC
-#define ORDER_AGAIN_US (200 * USEC_PER_MSEC)
+/* An unlisted worker may be listed again, or answer late. */
+#define FORGET_US (20 * USEC_PER_SEC)
 /* More ends than this in one answer: not all of them are listed. */
 #define ENDS_LISTED_MAX_COUNT 500
 /* Ends failed in a row, of several jobs, after which a worker is ejected. */
 #define EJECT_FAILURES_COUNT 3
 #define EJECT_US (3 * USEC_PER_SEC)
 #define EJECT_DOUBLINGS_MAX 4
-/* An entry of the directory may be late by as much. */
-#define DRAIN_LEAVE_SLACK_US USEC_PER_SEC
 
 struct worker *worker_find(const struct sched *sched, const char *id)
 {
@@ -41,6 +40,7 @@
 	worker->id = g_intern_string(id);
 	worker->placed = g_array_new(FALSE, TRUE, sizeof(struct placement));
 	worker->lease_until_us = sched->earlier_until_us;
+	worker->unlisted_us = sched_now_us(sched);
 	g_hash_table_insert(sched->workers, (gpointer)worker->id, worker);
 	return worker;
 }
@@ -200,91 +200,6 @@
 	sched_want_place(sched);
 }
 
-static void take_entry(struct sched *sched, const struct worker_entry *entry)
-{
-	struct worker *worker = worker_get(sched, entry->id);
-	bool was_listed = worker->listed;
-	bool drained = worker->drains;
-
-	g_strlcpy(worker->address, entry->address, sizeof(worker->address));
-	g_strlcpy(worker->pool, entry->pool, sizeof(worker->pool));
-	g_strlcpy(worker->dc, entry->dc, sizeof(worker->dc));
-	g_strlcpy(worker->rack, entry->rack, sizeof(worker->rack));
-	if (worker->labels)
-		g_ptr_array_unref(worker->labels);
-	worker->labels = g_ptr_array_ref(entry->labels);
-	worker->cpu_milli = entry->cpu_milli;
-	worker->mem_mb = entry->mem_mb;
-	worker->gpu_count = entry->gpu_count;
-	worker->listed = true;
-	worker->drains = entry->draining;
-	worker->leaves_us =
-		entry->leaves_ms
-			? sched_now_us(sched) + entry->leaves_ms * USEC_PER_MSEC
-			: 0;
-	if (worker->drains)
-		worker->leaving = LEAVING_DRAINS;
-	else if (worker->leaving == LEAVING_DRAINS)
-		worker->leaving = LEAVING_NOT;
-	if (entry->born_ms && entry->born_ms != worker->born_ms) {
-		worker->born_ms = entry->born_ms;
-		worker->hold_due_us = 0;
-		worker->hold_again_us = 0;
-	}
-	if (!was_listed || drained != worker->drains) {
-		decision_log("worker-seen",
-			     "worker=%s pool=%s state=%s cpu=%u "
-			     "born=%" G_GINT64_FORMAT,
-			     worker->id, worker->pool,
-			     worker->drains ? "draining" : "ready",
-			     worker->cpu_milli, worker->born_ms);
-		sched_want_place(sched);
-	}
-}
-
-static void unlist(struct sched *sched, struct worker *worker)
-{
-	if (!worker->listed)
-		return;
-	worker->listed = false;
-	decision_log("worker-unlisted", "worker=%s items=%u drained=%d",
-		     worker->id, worker->placed->len, worker->drains);
-	if (worker->drains && worker->leaves_us &&
-	    sched_now_us(sched) + DRAIN_LEAVE_SLACK_US >= worker->leaves_us)
-		worker_gone(sched, worker, "left");
-}
-
-void workers_on_seen(struct sched *sched, const struct workers_seen *seen)
-{
-	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter iter;
-	gpointer value;
-
-	for (guint i = 0; i < seen->entries->len; i++) {
-		const struct worker_entry *entry = seen->entries->pdata[i];
-
-		take_entry(sched, entry);
-		g_hash_table_add(present, (gpointer)entry->id);
-	}
-	for (guint i = 0; i < seen->removed->len; i++) {
-		struct worker *worker =
-			worker_find(sched, seen->removed->pdata[i]);
-
-		if (worker)
-			unlist(sched, worker);
-	}
-	g_hash_table_iter_init(&iter, sched->workers);
-	while (seen->all && g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct worker *worker = value;
-
-		if (!g_hash_table_contains(present, worker->id))
-			unlist(sched, worker);
-	}
-	if (seen->all)
-		sched->directory_seen = true;
-	g_hash_table_unref(present);
-}
-
 static void take_clock(struct sched *sched, struct worker *worker,
 		       const struct order *order)
 {
@@ -423,7 +338,6 @@
 			g_array_index(worker->placed, struct placement, i);
 		struct job_item *item =
 			job_item(placement.job, placement.index);
-		struct order *order;
 
 		if (item->sure || now_us < item->ordered_us + ORDER_AGAIN_US)
 			continue;
@@ -431,12 +345,8 @@
 		    !placement.job->stop_all) {
 			item_order_start(sched, placement.job, placement.index);
 		} else if (item->phase == ITEM_STOPPING) {
-			order = worker_order(sched, worker, ORDER_STOP);
-			job_item_name(placement.job, placement.index,
-				      order->item, sizeof(order->item));
-			order->run = item->run;
-			item->ordered_us = now_us;
-			worker_send(sched, worker, order);
+			item_send_stop(sched, worker, placement.job,
+				       placement.index);
 		} else if (item->phase == ITEM_STARTING &&
 			   placement.job->stop_all) {
 			item_order_stop(sched, placement.job, placement.index,
@@ -573,6 +483,13 @@
 	worker_send(sched, worker, order);
 }
 
+/* A worker that left long ago is forgotten. */
+static bool is_forgettable(const struct worker *worker, int64_t now_us)
+{
+	return !worker->listed && !worker->placed->len && !worker->hold_sent &&
+	       now_us - worker->unlisted_us > FORGET_US;
+}
+
 void workers_tick(struct sched *sched)
 {
 	int64_t now_us = sched_now_us(sched);
@@ -588,6 +505,10 @@
 		    (worker->lost_count || !worker->address[0]) &&
 		    sched->directory_seen)
 			worker_gone(sched, worker, "lapsed");
+		if (is_forgettable(worker, now_us)) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
 		hold(sched, worker);
 		if (worker->fenced)
 			send_again(sched, worker);
