--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -426,7 +426,7 @@
 	struct machines_seen *seen = machines_seen_new();
 
 	/* Scripts without machines have no list. */
-	seen->answered = jobs->machines->len > 0;
+	seen->answered = jobs->machines->len > 0 && !jobs->lists_lost;
 	seen->asked_us = jobs->world->now_us;
 	for (guint i = 0; i < jobs->machines->len; i++) {
 		struct fake_machine *machine = jobs->machines->pdata[i];
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -86,6 +86,7 @@
 	uint64_t next_call_id;
 	GHashTable *done;     /* items whose end was acknowledged as done */
 	GHashTable *accepted; /* ids that callers were told are accepted */
+	bool lists_lost;      /* the machines' list does not answer */
 	bool quiet;
 	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
 };
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -72,6 +72,38 @@
 	}
 }
 
+/* job-lists on|off: whether the machines' list answers */
+static void run_lists(struct script *script)
+{
+	jobs_of(script)->lists_lost = !strcmp(script_word(script, 1), "off");
+}
+
+/* job-reborn MACHINE ID: it has crashed and is up with another worker */
+static void run_reborn(struct script *script)
+{
+	struct jobs_world *jobs = jobs_of(script);
+
+	for (guint i = 0; i < jobs->machines->len; i++) {
+		struct fake_machine *machine = jobs->machines->pdata[i];
+		struct fake_worker *old =
+			fake_worker_find(jobs, machine->worker);
+		struct fake_worker *next;
+
+		if (strcmp(machine->name, script_word(script, 1)) != 0)
+			continue;
+		fake_worker_die(jobs, old);
+		next = fake_worker_add(jobs, script_word(script, 2), old->pool,
+				       old->cpu_milli);
+		machine->worker = next->id;
+	}
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (entry->held)
+			fake_workers_list(jobs, entry);
+	}
+}
+
 /* job-fault WORKER dead|cut|lose|fails|stalls|ok */
 static void run_fault(struct script *script)
 {
@@ -287,7 +319,8 @@
 	{ "job-submit", 2, run_submit },     { "job-ask", 3, run_ask },
 	{ "job-wave", 2, run_wave },	     { "job-run", 1, run_run },
 	{ "job-duration", 1, run_duration }, { "job-quiet", 1, run_quiet },
-	{ "job-split", 2, run_split },	     { "job-show", 1, run_show },
+	{ "job-split", 2, run_split },	     { "job-lists", 1, run_lists },
+	{ "job-reborn", 2, run_reborn },     { "job-show", 1, run_show },
 	{ "job-parking", 1, run_parking },
 };
 
