Ask for advice, and start work of such queues with a ticket

Cause: queues with a recommendation allow only some workers for a step, and a start there must carry a ticket. It was sent without one, refused, and sent again without a pause.

Ruled out: asking for all steps of a job when it is accepted (tickets lapse before late steps are ready); storing tickets (a new holder can ask again).

The stand-in of the workers checks step, worker and time of each ticket.

--- a/src/core/event.c
+++ b/src/core/event.c
@@ -57,6 +57,8 @@
 	[EVENT_MACHINES_SEEN] = "machines_seen",
 	[EVENT_MACHINE_ORDER] = "machine_order",
 	[EVENT_MACHINE_ORDERED] = "machine_ordered",
+	[EVENT_ADVICE_ASK] = "advice_ask",
+	[EVENT_ADVICE_GIVEN] = "advice_given",
 };
 
 struct answer *answer_new(uint32_t status, const char *content_type,
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -79,6 +79,8 @@
 	EVENT_MACHINES_SEEN,   /* the machines' list, or its failure */
 	EVENT_MACHINE_ORDER,   /* move or maintain a machine */
 	EVENT_MACHINE_ORDERED, /* how that ended */
+	EVENT_ADVICE_ASK,      /* which workers may run a step */
+	EVENT_ADVICE_GIVEN,    /* the answer, or its failure */
 	EVENT_TYPE_COUNT,
 };
 
--- a/src/jobs/msg.c
+++ b/src/jobs/msg.c
@@ -91,6 +91,23 @@
 	return msg;
 }
 
+static void advice_row_clear(gpointer data)
+{
+	struct advice_row *row = data;
+
+	g_free(row->ticket);
+}
+
+struct advice *advice_new(void)
+{
+	struct advice *msg = g_rc_box_new0(struct advice);
+
+	msg->workers = g_ptr_array_new();
+	msg->allowed = g_array_new(FALSE, TRUE, sizeof(struct advice_row));
+	g_array_set_clear_func(msg->allowed, advice_row_clear);
+	return msg;
+}
+
 static void store_read_clear(gpointer data)
 {
 	struct store_read *msg = data;
@@ -141,6 +158,7 @@
 
 	job_spec_unref(msg->spec);
 	g_free(msg->saved);
+	g_free(msg->ticket);
 	g_array_unref(msg->running);
 	g_array_unref(msg->ended);
 }
@@ -152,6 +170,14 @@
 	g_array_unref(msg->rows);
 }
 
+static void advice_clear(gpointer data)
+{
+	struct advice *msg = data;
+
+	g_ptr_array_unref(msg->workers);
+	g_array_unref(msg->allowed);
+}
+
 static void nothing_to_clear(gpointer data)
 {
 	(void)data;
@@ -174,6 +200,8 @@
 		[EVENT_MACHINES_SEEN] = machines_seen_clear,
 		[EVENT_MACHINE_ORDER] = nothing_to_clear,
 		[EVENT_MACHINE_ORDERED] = nothing_to_clear,
+		[EVENT_ADVICE_ASK] = advice_clear,
+		[EVENT_ADVICE_GIVEN] = advice_clear,
 		[EVENT_HOLDER_CHANGED] = nothing_to_clear,
 	};
 
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -168,6 +168,7 @@
 	uint32_t run;
 	struct job_spec *spec; /* start */
 	char *saved;	       /* start; NULL: none */
+	char *ticket;	       /* start; NULL: the queue needs none */
 	int64_t lease_ms;      /* on the worker's clock; 0: none */
 	uint64_t acked_number;
 	int64_t wait_us;  /* hold: wait so long for an end */
@@ -222,6 +223,23 @@
 	enum machine_result result;
 };
 
+/* A worker that may run a step. */
+struct advice_row {
+	const char *worker; /* interned id */
+	char *ticket;	    /* its start orders carry it */
+};
+
+/* EVENT_ADVICE_ASK and EVENT_ADVICE_GIVEN: the workers that may run a step. */
+struct advice {
+	char step[NAME_SIZE_BYTES]; /* JOB.OCCURRENCE.STEP */
+	GPtrArray *workers;	    /* of interned ids: asked about */
+	int64_t timeout_us;
+	int64_t asked_us;
+	bool answered;
+	GArray *allowed;  /* of struct advice_row; the others may not */
+	int64_t valid_us; /* of the tickets, from their answer on */
+};
+
 /* EVENT_HOLDER_CHANGED */
 struct holder_changed {
 	bool held; /* by this entry instance */
@@ -238,6 +256,7 @@
 struct wave_seen *wave_seen_new(void);
 struct order *order_new(enum order_kind kind);
 struct machines_seen *machines_seen_new(void);
+struct advice *advice_new(void);
 
 void worker_entry_free(gpointer entry);
 
--- a/src/jobs/queues.h
+++ b/src/jobs/queues.h
@@ -17,7 +17,10 @@
 	double slack;	       /* objective, in lengths of the longest chain */
 	int64_t target_us;     /* added to the objective */
 	int64_t timeout_us;
-	bool needs_advice; /* start orders carry a ticket */
+	/* Only workers that the platform advises may run it, with a ticket. */
+	bool needs_advice;
+	int64_t advice_decision_us; /* of one answer */
+	int64_t advice_period_us;   /* of each worker in it, besides */
 };
 
 struct pool {
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -65,6 +65,8 @@
 {
 	g_hash_table_remove_all(sched->workers);
 	g_hash_table_remove_all(sched->machines);
+	g_hash_table_remove_all(sched->advice);
+	sched->advice_asked = false;
 	g_ptr_array_set_size(sched->dirty, 0);
 	g_array_set_size(sched->flushing, 0);
 	sched->flush_write_id = 0;
@@ -188,6 +190,7 @@
 		sched->tick_us = now_us + TICK_US;
 		loads_measure(sched);
 		waves_tick(sched);
+		advice_tick(sched);
 		sched->parking->tick(sched);
 		machines_tick(sched);
 		sched_want_place(sched);
@@ -230,6 +233,9 @@
 	case EVENT_ORDER_DONE:
 		workers_on_order(sched, event->msg);
 		break;
+	case EVENT_ADVICE_GIVEN:
+		advice_on_given(sched, event->msg);
+		break;
 	case EVENT_MACHINES_SEEN:
 		machines_on_seen(sched, event->msg);
 		break;
@@ -258,6 +264,8 @@
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_byte_array_unref);
 	sched->parking = kernel_ops(kernel, PLUGIN_PARKING);
+	sched->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      step_advice_free);
 	sched->loads =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sched->run_times =
@@ -276,6 +284,7 @@
 	g_hash_table_unref(sched->machines);
 	g_ptr_array_unref(sched->waves);
 	g_hash_table_unref(sched->waves_ordered);
+	g_hash_table_unref(sched->advice);
 	g_hash_table_unref(sched->loads);
 	g_hash_table_unref(sched->run_times);
 	g_ptr_array_unref(sched->dirty);
@@ -292,7 +301,8 @@
 		 EVENT_BIT(EVENT_WORKERS_SEEN) | EVENT_BIT(EVENT_CONFIG_SEEN) |
 		 EVENT_BIT(EVENT_ORDER_DONE) | EVENT_BIT(EVENT_WAVE_SEEN) |
 		 EVENT_BIT(EVENT_MACHINES_SEEN) |
-		 EVENT_BIT(EVENT_MACHINE_ORDERED) | EVENT_BIT(EVENT_WAKE),
+		 EVENT_BIT(EVENT_MACHINE_ORDERED) |
+		 EVENT_BIT(EVENT_ADVICE_GIVEN) | EVENT_BIT(EVENT_WAKE),
 	.init = sched_init,
 	.handle = sched_handle,
 	.fini = sched_fini,
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -158,6 +158,8 @@
 	bool machines_known;
 	uint32_t machine_orders_count; /* in this second */
 	int64_t machine_orders_us;
+	GHashTable *advice; /* step -> struct step_advice */
+	bool advice_asked;  /* a question is under way */
 	const struct parking_ops *parking;
 	GHashTable *loads; /* pool -> struct pool_load */
 	int64_t loads_log_us;
@@ -270,6 +272,29 @@
 /* sched_place.c */
 void sched_place(struct sched *sched);
 
+/* sched_advice.c: which workers may run a step */
+struct step_advice;
+/* What is known of a step; NULL if its queue needs no advice. */
+struct step_advice *advice_of_step(struct sched *sched, const struct job *job,
+				   uint32_t occurrence, uint32_t step);
+/* Whether the worker may run the step, and a valid ticket is at hand. */
+bool advice_allows(const struct sched *sched, const struct step_advice *advice,
+		   const struct worker *worker);
+/* Asks about those of the workers (struct worker) that nothing is known of. */
+void advice_ask(struct sched *sched, const struct job *job, uint32_t occurrence,
+		uint32_t step, const GPtrArray *workers);
+/* Ticket of a start order; NULL if there is none. Caller frees. */
+char *advice_ticket(struct sched *sched, const struct job *job, uint32_t index,
+		    const struct worker *worker);
+/* The worker has refused the ticket. */
+void advice_refused(struct sched *sched, const struct job *job, uint32_t index,
+		    const struct worker *worker);
+/* Its life has ended, and with it all its tickets. */
+void advice_forget_worker(struct sched *sched, const struct worker *worker);
+void advice_on_given(struct sched *sched, const struct advice *msg);
+void advice_tick(struct sched *sched);
+void step_advice_free(gpointer advice);
+
 /* sched_flush.c */
 void sched_flush(struct sched *sched);
 void sched_on_written(struct sched *sched, const struct store_write *write);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -121,6 +121,7 @@
 	order = item_order(sched, worker, job, index, ORDER_START);
 	order->spec = job_spec_ref(job->spec);
 	order->saved = g_strdup(item->saved);
+	order->ticket = advice_ticket(sched, job, index, worker);
 	item->phase = ITEM_STARTING;
 	item->ordered_us = sched_now_us(sched);
 	worker_send(sched, worker, order);
@@ -317,6 +318,8 @@
 		worker->avoid_until_us = now_us + NO_ROOM_US;
 	if (order->result == ORDER_REFUSED)
 		worker->avoid_until_us = now_us + REFUSED_AVOID_US;
+	if (order->result == ORDER_NO_TICKET)
+		advice_refused(sched, job, index, worker);
 	/* An earlier order of this run may still arrive. */
 	if (!item->sure) {
 		item_order_stop(sched, job, index,
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -29,6 +29,7 @@
 	GHashTable *by_pool; /* pool -> GPtrArray of struct worker */
 	int64_t now_us;
 	int64_t wall_ms;
+	const struct step_advice *advice; /* of the step; NULL: needs none */
 };
 
 static bool step_has_ended(const struct job *job, uint32_t step)
@@ -266,6 +267,9 @@
 
 		if (!fits(worker, step) || !has_label(worker, step->label))
 			continue;
+		if (pass->advice &&
+		    !advice_allows(pass->sched, pass->advice, worker))
+			continue;
 		seen = look_around(worker, job, occurrence, index);
 		if (step->max_per_worker &&
 		    seen.siblings_count >= step->max_per_worker)
@@ -356,6 +360,48 @@
 		item_release(pass->sched, job, first + i, "gang-incomplete");
 }
 
+static void ask_advice(struct pass *pass, const struct candidate *candidate,
+		       uint32_t occurrence, uint32_t index)
+{
+	const struct job_step *step = job_step(candidate->job, index);
+	const GPtrArray *workers = pool_workers(pass, candidate->pool);
+	GPtrArray *suited = g_ptr_array_new();
+
+	for (guint i = 0; i < workers->len; i++) {
+		if (fits(workers->pdata[i], step) &&
+		    has_label(workers->pdata[i], step->label))
+			g_ptr_array_add(suited, workers->pdata[i]);
+	}
+	advice_ask(pass->sched, candidate->job, occurrence, index, suited);
+	g_ptr_array_unref(suited);
+}
+
+static bool step_waits(const struct job *job, uint32_t occurrence,
+		       uint32_t index)
+{
+	uint32_t first = job_first_item(job, occurrence, index);
+
+	for (uint32_t i = 0; i < job_step(job, index)->item_count; i++) {
+		if (job_item(job, first + i)->phase == ITEM_WAITING)
+			return true;
+	}
+	return false;
+}
+
+static void place_step(struct pass *pass, const struct candidate *candidate,
+		       uint32_t occurrence, uint32_t index)
+{
+	struct job *job = candidate->job;
+
+	pass->advice = advice_of_step(pass->sched, job, occurrence, index);
+	if (job_step(job, index)->gang)
+		place_gang(pass, candidate, occurrence, index);
+	else
+		place_items(pass, candidate, occurrence, index);
+	if (pass->advice && step_waits(job, occurrence, index))
+		ask_advice(pass, candidate, occurrence, index);
+}
+
 static void place_job(struct pass *pass, const struct candidate *candidate)
 {
 	struct job *job = candidate->job;
@@ -370,12 +416,8 @@
 			break;
 		}
 		for (uint32_t j = 0; j < job->spec->steps->len; j++) {
-			if (!job_step_is_ready(job, i, j))
-				continue;
-			if (job_step(job, j)->gang)
-				place_gang(pass, candidate, i, j);
-			else
-				place_items(pass, candidate, i, j);
+			if (job_step_is_ready(job, i, j))
+				place_step(pass, candidate, i, j);
 		}
 	}
 }
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -187,6 +187,7 @@
 	worker->lost = true;
 	worker->fenced = false;
 	worker->lease_ms = 0;
+	advice_forget_worker(sched, worker);
 	while (worker->placed->len) {
 		struct placement placement =
 			g_array_index(worker->placed, struct placement, 0);
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -14,6 +14,10 @@
 #define STOP_US (100 * USEC_PER_MSEC)
 #define UPKEEP_US (2 * USEC_PER_SEC)
 #define MOVE_US (1500 * USEC_PER_MSEC)
+/* How long an answer takes, and its tickets are valid. */
+#define ADVICE_US (100 * USEC_PER_MSEC)
+#define ADVICE_PERIOD_US (10 * USEC_PER_MSEC)
+#define ADVICE_VALID_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
 
 static void run_clear(gpointer data)
@@ -167,6 +171,72 @@
 	return &g_array_index(order->spec->steps, struct job_step, step);
 }
 
+/* A ticket names the step, the worker and the time until which it is valid. */
+static char *ticket_text(const char *step, const char *worker, int64_t until_us)
+{
+	return g_strdup_printf("%s/%s/%" G_GINT64_FORMAT, step, worker,
+			       until_us);
+}
+
+static bool ticket_is_valid(const struct jobs_world *jobs,
+			    const struct fake_worker *worker,
+			    const struct order *order)
+{
+	const char *until = order->ticket ? strrchr(order->ticket, '/') : NULL;
+	char *step = g_strndup(
+		order->item, (gsize)(strrchr(order->item, '.') - order->item));
+	char *expected;
+	int64_t until_us;
+	bool valid;
+
+	until_us = until ? g_ascii_strtoll(until + 1, NULL, 10) : 0;
+	expected = ticket_text(step, worker->id, until_us);
+	valid = !jobs->tickets_refused && worker->advised &&
+		until_us > jobs->world->now_us &&
+		!g_strcmp0(order->ticket, expected);
+	g_free(expected);
+	g_free(step);
+	return valid;
+}
+
+static bool needs_ticket(const struct jobs_world *jobs, const char *pool)
+{
+	for (guint i = 0; i < jobs->queues->queues->len; i++) {
+		const struct queue *queue = jobs->queues->queues->pdata[i];
+
+		if (!strcmp(queue->pool, pool) && queue->needs_advice)
+			return true;
+	}
+	return false;
+}
+
+void fake_advice(struct jobs_entry *entry, struct advice *advice)
+{
+	struct jobs_world *jobs = entry->jobs;
+	int64_t took_us = ADVICE_US + ADVICE_PERIOD_US * advice->workers->len;
+	struct event event = { .type = EVENT_ADVICE_ASK };
+
+	world_print(jobs->world, "%.3f %s asks for %s about %u workers",
+		    (double)jobs->world->now_us / USEC_PER_SEC, entry->name,
+		    advice->step, advice->workers->len);
+	advice->answered = true;
+	advice->valid_us = ADVICE_VALID_US;
+	for (guint i = 0; i < advice->workers->len; i++) {
+		struct advice_row row = { .worker = advice->workers->pdata[i] };
+		const struct fake_worker *worker =
+			fake_worker_find(jobs, row.worker);
+
+		if (!worker->advised)
+			continue;
+		row.ticket = ticket_text(advice->step, row.worker,
+					 jobs->world->now_us + took_us +
+						 ADVICE_VALID_US);
+		g_array_append_val(advice->allowed, row);
+	}
+	event.msg = g_rc_box_acquire(advice);
+	jobs_deliver(jobs, entry, EVENT_ADVICE_GIVEN, event.msg, took_us);
+}
+
 static enum order_result start(struct jobs_world *jobs,
 			       struct fake_worker *worker,
 			       const struct order *order)
@@ -190,6 +260,9 @@
 		return ORDER_OLD;
 	if (used_cpu_milli(worker) + step->cpu_milli > worker->cpu_milli)
 		return ORDER_NO_ROOM;
+	if (needs_ticket(jobs, worker->pool) &&
+	    !ticket_is_valid(jobs, worker, order))
+		return ORDER_NO_TICKET;
 	check_start(jobs, worker, order, step->cpu_milli);
 	g_strlcpy(run.item, order->item, sizeof(run.item));
 	g_array_append_val(worker->running, run);
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -120,6 +120,9 @@
 	case EVENT_HOLDER_CHANGED:
 		on_holder(entry, event->msg);
 		break;
+	case EVENT_ADVICE_ASK:
+		fake_advice(entry, event->msg);
+		break;
 	case EVENT_MACHINES_ASK:
 		fake_machines_list(entry);
 		break;
@@ -134,7 +137,8 @@
 	.kind = PLUGIN_PLATFORM,
 	.takes = EVENT_BIT(EVENT_STORE_WRITE) | EVENT_BIT(EVENT_ORDER) |
 		 EVENT_BIT(EVENT_JOB_REPLY) | EVENT_BIT(EVENT_HOLDER_CHANGED) |
-		 EVENT_BIT(EVENT_MACHINES_ASK) | EVENT_BIT(EVENT_MACHINE_ORDER),
+		 EVENT_BIT(EVENT_MACHINES_ASK) |
+		 EVENT_BIT(EVENT_MACHINE_ORDER) | EVENT_BIT(EVENT_ADVICE_ASK),
 	.handle = capture,
 };
 
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -48,6 +48,7 @@
 	bool lose;	 /* orders are carried out, their answers are lost */
 	bool fails;	 /* fails all that it starts */
 	bool stalls;	 /* what it starts stands still */
+	bool advised;	 /* may run queues that need advice */
 	int64_t late_us; /* orders are lost and carried out so late; 0: never */
 	int64_t born_ms;
 	uint64_t fence_token;
@@ -85,6 +86,7 @@
 	int64_t duration_us; /* of one item */
 	uint64_t next_call_id;
 	GHashTable *done;     /* items whose end was acknowledged as done */
+	bool tickets_refused; /* workers refuse every ticket */
 	GHashTable *accepted; /* ids that callers were told are accepted */
 	bool lists_lost;      /* the machines' list does not answer */
 	bool quiet;
@@ -123,6 +125,7 @@
 int64_t fake_workers_advance(struct jobs_world *jobs);
 void fake_workers_list(struct jobs_world *jobs, struct jobs_entry *entry);
 void fake_worker_die(struct jobs_world *jobs, struct fake_worker *worker);
+void fake_advice(struct jobs_entry *entry, struct advice *advice);
 void fake_machines_list(struct jobs_entry *entry);
 void fake_machine_order(struct jobs_entry *entry, struct machine_order *order);
 
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -22,7 +22,8 @@
 	return entry;
 }
 
-/* job-queue NAME pool=POOL [attempts=N] [priority=N] [target=TIME] */
+/* job-queue NAME pool=POOL [attempts=N] [priority=N] [target=TIME] [advice=1]
+ */
 static void run_queue(struct script *script)
 {
 	struct queue *queue = queues_add_queue(jobs_of(script)->queues);
@@ -33,6 +34,7 @@
 	script_copy_option(script, "pool", queue->pool, sizeof(queue->pool));
 	queue->attempts_max = (uint32_t)script_number(script, "attempts", 3);
 	queue->priority = (uint32_t)script_number(script, "priority", 0);
+	queue->needs_advice = script_number(script, "advice", 0);
 	queue->slack = 1.6;
 	queue->target_us =
 		script_option_us(script, "target", 600 * USEC_PER_MSEC);
@@ -48,7 +50,7 @@
 	pool->standby = script_number(script, "standby", 0);
 }
 
-/* job-worker ID pool=POOL [cpu=MILLI] [machine=NAME] */
+/* job-worker ID pool=POOL [cpu=MILLI] [machine=NAME] [advised=0] */
 static void run_worker(struct script *script)
 {
 	struct jobs_world *jobs = jobs_of(script);
@@ -57,6 +59,7 @@
 		jobs, script_word(script, 1), script_option(script, "pool"),
 		(uint32_t)script_number(script, "cpu", 8000));
 
+	worker->advised = script_number(script, "advised", 1);
 	if (machine) {
 		struct fake_machine *made = g_new0(struct fake_machine, 1);
 
@@ -123,6 +126,13 @@
 	worker->stalls = !strcmp(how, "stalls");
 }
 
+/* job-tickets ok|refused: whether workers take them */
+static void run_tickets(struct script *script)
+{
+	jobs_of(script)->tickets_refused =
+		!strcmp(script_word(script, 1), "refused");
+}
+
 static void run_entry(struct script *script)
 {
 	for (uint32_t i = 1; i < script->word_count; i++)
@@ -321,7 +331,7 @@
 	{ "job-duration", 1, run_duration }, { "job-quiet", 1, run_quiet },
 	{ "job-split", 2, run_split },	     { "job-lists", 1, run_lists },
 	{ "job-reborn", 2, run_reborn },     { "job-show", 1, run_show },
-	{ "job-parking", 1, run_parking },
+	{ "job-parking", 1, run_parking },   { "job-tickets", 1, run_tickets },
 };
 
 SCRIPT_REGISTER(commands)
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "codec/job_codec.h"
+#include "platform/advice_wire.h"
 #include "platform/directory.h"
 #include "platform/job_wire.h"
 #include "platform/node.h"
@@ -218,6 +219,30 @@
 		    ORDER_LOST);
 }
 
+static void check_advice(const char *text, bool answered, guint allowed_count)
+{
+	struct advice *advice = advice_new();
+	struct event event = { .type = EVENT_ADVICE_GIVEN };
+
+	CU_ASSERT_EQUAL(advice_wire_read(advice, text, strlen(text)), answered);
+	CU_ASSERT_EQUAL(advice->allowed->len, allowed_count);
+	event.msg = advice;
+	event_clear(&event);
+}
+
+/* A damaged row must not make other workers look forbidden. */
+static void test_advice(void)
+{
+	check_advice("{\"allowed\":[[\"w1\",\"t\"]],\"valid_ms\":3000}", true,
+		     1);
+	check_advice("{\"allowed\":[],\"valid_ms\":3000}", true, 0);
+	check_advice("{\"allowed\":[[\"w1\",\"t\"],[\"w2\"]]}", false, 0);
+	check_advice("{\"allowed\":[[\"w1\",\"t\"]],\"valid_ms\":\"x\"}", false,
+		     0);
+	check_advice("{\"valid_ms\":3000}", false, 0);
+	check_advice("", false, 0);
+}
+
 static void test_topic(void)
 {
 	static const uint8_t read[] = {
@@ -309,17 +334,12 @@
 }
 
 static const CU_TestInfo tests[] = {
-	{ "worker", test_worker },
-	{ "worker refused", test_worker_refused },
-	{ "config", test_config },
-	{ "config refused", test_config_refused },
-	{ "job", test_job },
-	{ "job refused", test_job_refused },
-	{ "order", test_order },
-	{ "topic", test_topic },
-	{ "settings refused", test_node_refused },
-	{ "record", test_record },
-	CU_TEST_INFO_NULL,
+	{ "worker", test_worker }, { "worker refused", test_worker_refused },
+	{ "config", test_config }, { "config refused", test_config_refused },
+	{ "job", test_job },	   { "job refused", test_job_refused },
+	{ "order", test_order },   { "advice", test_advice },
+	{ "topic", test_topic },   { "settings refused", test_node_refused },
+	{ "record", test_record }, CU_TEST_INFO_NULL,
 };
 
 static struct suite platform_suite = { .name = "platform", .tests = tests };
