Pack short items too

Cause: short items went to the emptiest worker. Room was left in pieces on all workers of a pool, so that large items (a sixth of a machine) waited while the pool had enough cores in all; and machines came free one after the other, each only when its last item had ended.

Change: the fullest worker with room goes first, for short items as for lasting ones.

Script jobs_packing: the large item waited for the small ones before; it starts at once now.

The other scripts changed only in the names of workers; their faults still hit the worker with the work.

--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -227,8 +227,11 @@
 						worker->used_cpu_milli) /
 					       worker->cpu_milli
 				     : 0;
-	/* Lasting items are packed, so that whole machines come free. */
-	int64_t value = step->lasting ? -free_share / 4 : free_share;
+	/*
+	 * The fullest worker with room goes first: room for large items stays
+	 * in one piece, and whole machines come free.
+	 */
+	int64_t value = step->lasting ? -free_share / 4 : -free_share;
 
 	if (step->lasting) {
 		value += (int64_t)seen->lasting_count * SCORE_LASTING_PACKED;
