Claim at once after the restart of the holder itself

Each process then waited for 1.2 to 1.5 s of silence, though the newest step in the store was of its own former life.

Ruled out: the wall clock of the last step (clocks may step); claims by others before the silence (they can't know).

Change: an entry instance that finds itself as the newest holder, under another boot, claims without a wait. Its former life sends nothing any more, so workers out of reach are waited for as after a resignation.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -41,6 +41,7 @@
 	bool resigned;
 	uint64_t newest_token;
 	char newest_entry[NAME_SIZE_BYTES];
+	uint64_t newest_boot_id;
 	int64_t heard_us; /* of the holder, while the store was reachable */
 	/* Our own part */
 	uint64_t write_id;
@@ -50,8 +51,8 @@
 	uint64_t fence_token;
 	uint64_t fence_end_offset;
 	bool fenced;
-	bool was_resigned; /* the claim followed a resignation */
-	bool was_known;	   /* there was an earlier holder */
+	bool was_ended; /* that holder had resigned or ended when we claimed */
+	bool was_known; /* there was an earlier holder */
 	int64_t claimed_us;
 	bool held;
 	uint64_t renew_write_id; /* 0: none under way */
@@ -120,8 +121,8 @@
 	if (held && lease->was_known) {
 		changed->earlier_until_us =
 			lease->claimed_us + worker_lease_here_us(lease_us);
-		changed->earlier_resigned = lease->was_resigned;
-		if (!lease->was_resigned)
+		changed->earlier_ended = lease->was_ended;
+		if (!lease->was_ended)
 			changed->earlier_until_us += HOLDER_UNCONFIRMED_MAX_US;
 	}
 	decision_log(held ? "hold" : "yield",
@@ -161,6 +162,14 @@
 	       !strcmp(record->entry, kernel_settings(lease->kernel)->entry);
 }
 
+/* One process at a time runs for an entry instance. */
+static bool was_own_life(const struct lease *lease)
+{
+	return lease->known && lease->newest_boot_id != lease->boot_id &&
+	       !strcmp(lease->newest_entry,
+		       kernel_settings(lease->kernel)->entry);
+}
+
 static void see_step(struct lease *lease, const struct job_record *record)
 {
 	uint64_t token = record->step == HOLDER_CLAIM ? record->offset + 1
@@ -171,7 +180,7 @@
 	if (record->step == HOLDER_CLAIM && is_own(lease, record) &&
 	    token > lease->fence_token) {
 		lease->was_known = lease->known;
-		lease->was_resigned = lease->resigned;
+		lease->was_ended = lease->resigned || was_own_life(lease);
 		lease->claimed_us = kernel_now_us(lease->kernel);
 		lease->fence_token = token;
 		lease->fence_write_id = write_step(lease, STORE_WRITER_FENCE,
@@ -182,6 +191,7 @@
 	lease->newest_token = token;
 	g_strlcpy(lease->newest_entry, record->entry,
 		  sizeof(lease->newest_entry));
+	lease->newest_boot_id = record->boot_id;
 	if (!is_own(lease, record))
 		give_up(lease);
 }
@@ -322,7 +332,7 @@
 
 static bool may_claim(const struct lease *lease, int64_t now_us)
 {
-	int64_t silence_us = SILENCE_US;
+	int64_t silence_us = SILENCE_US + lease->spread_us;
 
 	if (lease->held || lease->draining || !lease->caught_up ||
 	    !lease->reachable || lease->claim_write_id ||
@@ -331,8 +341,10 @@
 	    !kernel_queues(lease->kernel))
 		return false;
 	if (lease->resigned || !lease->known)
+		silence_us = lease->spread_us;
+	if (was_own_life(lease))
 		silence_us = 0;
-	return now_us - lease->heard_us >= silence_us + lease->spread_us;
+	return now_us - lease->heard_us >= silence_us;
 }
 
 static void tick(struct lease *lease)
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -130,7 +130,7 @@
 	uint64_t token;
 	int64_t held_us;
 	int64_t earlier_until_us;
-	bool earlier_resigned;
+	bool earlier_ended;
 	bool directory_seen;
 
 	GHashTable *workers;   /* id -> struct worker */
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -56,7 +56,7 @@
 
 	if (!sched->earlier_until_us)
 		return 0;
-	if (row->state == MACHINE_UP && !sched->earlier_resigned)
+	if (row->state == MACHINE_UP && !sched->earlier_ended)
 		lease_us -=
 			MIN(sched->bounds->move_us, sched->bounds->upkeep_us) -
 			FIRST_ORDER_SLACK_US;
