Read the store without a pause while claiming the lease

Cause: a claim is made on the condition that the topic ends where the claimer has read to. Those that do not hold read 150 ms apart, so under load the end had moved, the claim failed and was tried 150 ms later; then the claimer's own claim and the end of the fence were read after up to two more pauses. 0.3 to 0.5 s passed from the first claim to the lease.

Ruled out: claims in a topic of their own (the claim's place among the records of the jobs is what makes the state read after it complete).

Change: the lease tells the store's reader when others wait for what is read (EVENT_STORE_PACE): while it holds or claims. A claim that was in vain is repeated as soon as the records up to the told end were read.

--- a/src/core/event.c
+++ b/src/core/event.c
@@ -41,6 +41,7 @@
 	[EVENT_TASK_STOP] = "task_stop",
 	[EVENT_TASK_REPORT] = "task_report",
 	[EVENT_STORE_READ] = "store_read",
+	[EVENT_STORE_PACE] = "store_pace",
 	[EVENT_STORE_WRITE] = "store_write",
 	[EVENT_STORE_WRITTEN] = "store_written",
 	[EVENT_JOBS_APPLIED] = "jobs_applied",
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -63,6 +63,7 @@
 	EVENT_TASK_REPORT,     /* platform: how a task goes, or has ended */
 	/* Jobs on the platform's workers; src/jobs/msg.h has their messages. */
 	EVENT_STORE_READ,      /* store: records of jobs were read */
+	EVENT_STORE_PACE,      /* to the store: how soon to read again */
 	EVENT_STORE_WRITE,     /* to the store */
 	EVENT_STORE_WRITTEN,   /* store: how a write ended */
 	EVENT_JOBS_APPLIED,    /* apply: the records of a read are in force */
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -47,6 +47,9 @@
 	uint64_t write_id;
 	uint64_t claim_write_id; /* 0: none under way */
 	int64_t claim_again_us;
+	uint64_t claim_from_offset; /* a claim before it is in vain */
+	bool claiming;
+	bool soon;		 /* the store is read without a pause */
 	uint64_t fence_write_id; /* 0: none under way */
 	uint64_t fence_token;
 	uint64_t fence_end_offset;
@@ -82,6 +85,20 @@
 	       50 * USEC_PER_MSEC;
 }
 
+/* Each pause before a read adds to the time without a holder. */
+static void set_pace(struct lease *lease)
+{
+	bool soon = lease->held || lease->claiming;
+	struct store_pace *pace;
+
+	if (soon == lease->soon)
+		return;
+	lease->soon = soon;
+	pace = g_rc_box_new0(struct store_pace);
+	pace->soon = soon;
+	kernel_emit_msg(lease->kernel, EVENT_STORE_PACE, pace);
+}
+
 static uint64_t write_step(struct lease *lease, enum store_writer writer,
 			   enum holder_step step, uint64_t token)
 {
@@ -137,6 +154,7 @@
 
 static void give_up(struct lease *lease)
 {
+	lease->claiming = false;
 	lease->fenced = false;
 	lease->fence_write_id = 0;
 	lease->renew_write_id = 0;
@@ -231,7 +249,9 @@
 
 	if (write->write_id == lease->claim_write_id) {
 		lease->claim_write_id = 0;
-		lease->claim_again_us = now_us + CLAIM_AGAIN_US;
+		lease->claim_from_offset = write->end_offset;
+		if (write->result != STORE_NOT_DONE || !write->end_offset)
+			lease->claim_again_us = now_us + CLAIM_AGAIN_US;
 		return;
 	}
 	if (write->write_id == lease->fence_write_id) {
@@ -337,6 +357,7 @@
 	if (lease->held || lease->draining || !lease->caught_up ||
 	    !lease->reachable || lease->claim_write_id ||
 	    lease->fence_write_id || lease->fenced ||
+	    lease->end_offset < lease->claim_from_offset ||
 	    now_us < lease->claim_again_us || now_us < lease->leave_until_us ||
 	    !kernel_queues(lease->kernel))
 		return false;
@@ -371,9 +392,11 @@
 			     " end_offset=%" G_GUINT64_FORMAT,
 			     (now_us - lease->heard_us) / USEC_PER_MSEC,
 			     lease->end_offset);
+		lease->claiming = true;
 		lease->claim_write_id =
 			write_step(lease, STORE_WRITER_CLAIM, HOLDER_CLAIM, 0);
 	}
+	set_pace(lease);
 	if (lease->held)
 		kernel_wake_at(lease->kernel, MAX(lease->renew_us, now_us + 1));
 	else
--- a/src/jobs/msg.c
+++ b/src/jobs/msg.c
@@ -188,6 +188,7 @@
 	static const GDestroyNotify clear[EVENT_TYPE_COUNT] = {
 		[EVENT_STORE_READ] = store_read_clear,
 		[EVENT_JOBS_APPLIED] = store_read_clear,
+		[EVENT_STORE_PACE] = nothing_to_clear,
 		[EVENT_STORE_WRITE] = store_write_clear,
 		[EVENT_STORE_WRITTEN] = store_write_clear,
 		[EVENT_JOB_CALL] = job_call_clear,
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -19,6 +19,11 @@
 	bool local;	/* stored by this process, not read back yet */
 };
 
+/* EVENT_STORE_PACE */
+struct store_pace {
+	bool soon; /* others wait for what is read here */
+};
+
 enum store_writer {
 	STORE_WRITER_ENTRY,  /* this entry instance; any record of a caller */
 	STORE_WRITER_HOLDER, /* fenced by token */
@@ -43,7 +48,7 @@
 	GPtrArray *records; /* of struct job_record */
 	int64_t give_up_us; /* not sent after this; 0: never given up */
 	enum store_result result;
-	uint64_t end_offset; /* done */
+	uint64_t end_offset; /* done, or a claim that was not */
 };
 
 enum call_kind {
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -107,6 +107,9 @@
 	struct jobs_entry *entry = self;
 
 	switch (event->type) {
+	case EVENT_STORE_PACE:
+		entry->soon = ((const struct store_pace *)event->msg)->soon;
+		break;
 	case EVENT_STORE_WRITE:
 		fake_store_write(entry, event->msg);
 		break;
@@ -135,8 +138,9 @@
 static const struct plugin capture_plugin = {
 	.name = "~capture",
 	.kind = PLUGIN_PLATFORM,
-	.takes = EVENT_BIT(EVENT_STORE_WRITE) | EVENT_BIT(EVENT_ORDER) |
-		 EVENT_BIT(EVENT_JOB_REPLY) | EVENT_BIT(EVENT_HOLDER_CHANGED) |
+	.takes = EVENT_BIT(EVENT_STORE_PACE) | EVENT_BIT(EVENT_STORE_WRITE) |
+		 EVENT_BIT(EVENT_ORDER) | EVENT_BIT(EVENT_JOB_REPLY) |
+		 EVENT_BIT(EVENT_HOLDER_CHANGED) |
 		 EVENT_BIT(EVENT_MACHINES_ASK) |
 		 EVENT_BIT(EVENT_MACHINE_ORDER) | EVENT_BIT(EVENT_ADVICE_ASK),
 	.handle = capture,
@@ -179,6 +183,7 @@
 			     g_strdup(jobs->parking));
 	entry->boot_count++;
 	entry->held = false;
+	entry->soon = false;
 	entry->read_due = false;
 	entry->snapshot_due = true;
 	entry->kernel = kernel_new(entry->settings, entry->boot_count,
