Leave only machines alone that the earlier holder ordered

Cause: orders of two holders for one machine must be a lease apart. A new holder did not know the earlier one's orders and left all machines alone for 1.8 s, or 3 s after a resignation; moves take 1.5 s more. At the restart of all machines, in a queue's turn, the pool stood without machines until then.

Ruled out: taking each machine's last order from the list (an order that was refused or lost does not show there).

Change: an order is told to the store (one record with all machines ordered within the last lease) before it is sent, together with what is written anyway. A new holder leaves those machines alone, all others it may order at once; if no such record is known, it waits as before. If work has come to the machine meanwhile the order is not sent.

The earlier holder had ordered a lasting item to stop; the item still looked at work 0.6 s later and the new holder stopped a second one of the step. The old wait had hidden it. Waves now wait for a lease after a change of the holder. The stand-in checks budgets and turns at machines now; jobs_wave_takeover fails without the wait (VIOLATION), jobs_orders without the record.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -9,6 +9,7 @@
 #define KEY_CANCEL "c/"
 #define KEY_HOLDER "holder"
 #define KEY_WAVE "w/"
+#define KEY_MACHINES "machines"
 #define KEY_PREFIX_BYTES 2
 
 /* A cancellation has no fields; an empty value would remove its key. */
@@ -39,6 +40,10 @@
 		g_strlcpy(keys[0], KEY_HOLDER, JOB_KEY_MAX_BYTES);
 		return 1;
 	}
+	if (record->kind == JOB_RECORD_MACHINES) {
+		g_strlcpy(keys[0], KEY_MACHINES, JOB_KEY_MAX_BYTES);
+		return 1;
+	}
 	if (record->kind == JOB_RECORD_WAVE) {
 		g_snprintf(keys[0], JOB_KEY_MAX_BYTES,
 			   KEY_WAVE "%" G_GUINT64_FORMAT, record->wave);
@@ -170,6 +175,15 @@
 	return pack(&to.base);
 }
 
+static GBytes *encode_machines(const struct job_record *record)
+{
+	Pl__JobMachines to = PL__JOB_MACHINES__INIT;
+
+	to.n_names = record->machines->len;
+	to.names = (char **)record->machines->pdata;
+	return pack(&to.base);
+}
+
 GBytes *job_codec_encode(const struct job_record *record)
 {
 	switch (record->kind) {
@@ -183,6 +197,8 @@
 		return encode_holder(record);
 	case JOB_RECORD_WAVE:
 		return encode_wave(record);
+	case JOB_RECORD_MACHINES:
+		return encode_machines(record);
 	default:
 		return g_bytes_new(NULL, 0);
 	}
@@ -316,6 +332,24 @@
 	return record;
 }
 
+static struct job_record *decode_machines(const uint8_t *value,
+					  size_t size_bytes)
+{
+	Pl__JobMachines *from =
+		pl__job_machines__unpack(NULL, size_bytes, value);
+	struct job_record *record;
+
+	if (!from)
+		return NULL;
+	record = job_record_new(JOB_RECORD_MACHINES);
+	record->machines = g_ptr_array_new();
+	for (size_t i = 0; i < from->n_names; i++)
+		g_ptr_array_add(record->machines,
+				(gpointer)g_intern_string(from->names[i]));
+	pl__job_machines__free_unpacked(from, NULL);
+	return record;
+}
+
 static struct job_record *decode_of_job(const char *key, const uint8_t *value,
 					size_t size_bytes)
 {
@@ -343,6 +377,8 @@
 {
 	if (!strcmp(key, KEY_HOLDER))
 		return decode_holder(value, size_bytes);
+	if (!strcmp(key, KEY_MACHINES))
+		return decode_machines(value, size_bytes);
 	if (g_str_has_prefix(key, KEY_WAVE))
 		return decode_wave(value, size_bytes);
 	if (g_str_has_prefix(key, KEY_SUBMIT) ||
--- a/src/codec/proto/job.pb-c.c
+++ b/src/codec/proto/job.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &pl__job_wave__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pl__job_machines__init
+                     (Pl__JobMachines         *message)
+{
+  static const Pl__JobMachines init_value = PL__JOB_MACHINES__INIT;
+  *message = init_value;
+}
+size_t pl__job_machines__get_packed_size
+                     (const Pl__JobMachines *message)
+{
+  assert(message->base.descriptor == &pl__job_machines__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pl__job_machines__pack
+                     (const Pl__JobMachines *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pl__job_machines__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pl__job_machines__pack_to_buffer
+                     (const Pl__JobMachines *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pl__job_machines__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pl__JobMachines *
+       pl__job_machines__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pl__JobMachines *)
+     protobuf_c_message_unpack (&pl__job_machines__descriptor,
+                                allocator, len, data);
+}
+void   pl__job_machines__free_unpacked
+                     (Pl__JobMachines *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pl__job_machines__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor pl__job_step__field_descriptors[18] =
 {
   {
@@ -960,3 +1005,41 @@
   (ProtobufCMessageInit) pl__job_wave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pl__job_machines__field_descriptors[1] =
+{
+  {
+    "names",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pl__JobMachines, n_names),
+    offsetof(Pl__JobMachines, names),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pl__job_machines__field_indices_by_name[] = {
+  0,   /* field[0] = names */
+};
+static const ProtobufCIntRange pl__job_machines__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pl__job_machines__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pl.JobMachines",
+  "JobMachines",
+  "Pl__JobMachines",
+  "pl",
+  sizeof(Pl__JobMachines),
+  1,
+  pl__job_machines__field_descriptors,
+  pl__job_machines__field_indices_by_name,
+  1,  pl__job_machines__number_ranges,
+  (ProtobufCMessageInit) pl__job_machines__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/codec/proto/job.pb-c.h
+++ b/src/codec/proto/job.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Pl__JobProgress Pl__JobProgress;
 typedef struct Pl__JobHolder Pl__JobHolder;
 typedef struct Pl__JobWave Pl__JobWave;
+typedef struct Pl__JobMachines Pl__JobMachines;
 
 
 /* --- enums --- */
@@ -125,6 +126,17 @@
     , 0, {0,NULL} }
 
 
+struct  Pl__JobMachines
+{
+  ProtobufCMessage base;
+  size_t n_names;
+  char **names;
+};
+#define PL__JOB_MACHINES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pl__job_machines__descriptor) \
+    , 0,NULL }
+
+
 /* Pl__JobStep methods */
 void   pl__job_step__init
                      (Pl__JobStep         *message);
@@ -239,6 +251,25 @@
 void   pl__job_wave__free_unpacked
                      (Pl__JobWave *message,
                       ProtobufCAllocator *allocator);
+/* Pl__JobMachines methods */
+void   pl__job_machines__init
+                     (Pl__JobMachines         *message);
+size_t pl__job_machines__get_packed_size
+                     (const Pl__JobMachines   *message);
+size_t pl__job_machines__pack
+                     (const Pl__JobMachines   *message,
+                      uint8_t             *out);
+size_t pl__job_machines__pack_to_buffer
+                     (const Pl__JobMachines   *message,
+                      ProtobufCBuffer     *buffer);
+Pl__JobMachines *
+       pl__job_machines__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pl__job_machines__free_unpacked
+                     (Pl__JobMachines *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pl__JobStep_Closure)
@@ -259,6 +290,9 @@
 typedef void (*Pl__JobWave_Closure)
                  (const Pl__JobWave *message,
                   void *closure_data);
+typedef void (*Pl__JobMachines_Closure)
+                 (const Pl__JobMachines *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -271,6 +305,7 @@
 extern const ProtobufCMessageDescriptor pl__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor pl__job_holder__descriptor;
 extern const ProtobufCMessageDescriptor pl__job_wave__descriptor;
+extern const ProtobufCMessageDescriptor pl__job_machines__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/jobs/record.c
+++ b/src/jobs/record.c
@@ -9,6 +9,8 @@
 		g_byte_array_unref(record->done);
 	if (record->items)
 		g_array_unref(record->items);
+	if (record->machines)
+		g_ptr_array_unref(record->machines);
 }
 
 struct job_record *job_record_new(enum job_record_kind kind)
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -14,6 +14,7 @@
 	JOB_RECORD_DROP,	/* a job is forgotten: all its keys go */
 	JOB_RECORD_WAVE_STATUS, /* for the operator */
 	JOB_RECORD_WAVE,	/* for the next holder */
+	JOB_RECORD_MACHINES,	/* ordered by the holder lately */
 };
 
 enum holder_step {
@@ -51,6 +52,8 @@
 	uint64_t boot_id;
 	uint64_t token;
 	enum holder_step step;
+	/* machines */
+	GPtrArray *machines; /* of interned names */
 	/* wave, wave status */
 	uint64_t wave;
 	bool complete;
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -65,6 +65,7 @@
 {
 	g_hash_table_remove_all(sched->workers);
 	g_hash_table_remove_all(sched->machines);
+	machine_orders_forget(sched);
 	g_hash_table_remove_all(sched->advice);
 	sched->advice_asked = false;
 	g_ptr_array_set_size(sched->dirty, 0);
@@ -171,13 +172,16 @@
 	}
 }
 
-static void on_wave_records(struct sched *sched, const struct store_read *read)
+static void on_machine_records(struct sched *sched,
+			       const struct store_read *read)
 {
 	for (guint i = 0; i < read->records->len; i++) {
 		const struct job_record *record = read->records->pdata[i];
 
 		if (record->kind == JOB_RECORD_WAVE)
 			waves_on_record(sched, record);
+		else if (record->kind == JOB_RECORD_MACHINES && !sched->held)
+			machine_orders_on_record(sched, record);
 	}
 }
 
@@ -216,7 +220,7 @@
 	else if (event->type == EVENT_WAVE_SEEN)
 		waves_on_seen(sched, event->msg);
 	else if (event->type == EVENT_JOBS_APPLIED)
-		on_wave_records(sched, event->msg);
+		on_machine_records(sched, event->msg);
 	if (!sched->held)
 		return;
 	switch (event->type) {
@@ -263,6 +267,9 @@
 	sched->waves_ordered =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_byte_array_unref);
+	sched->machines_ordered = g_hash_table_new(NULL, NULL);
+	sched->orders_waiting = g_ptr_array_new();
+	sched->orders_storing = g_ptr_array_new();
 	sched->parking = kernel_ops(kernel, PLUGIN_PARKING);
 	sched->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      step_advice_free);
@@ -284,6 +291,10 @@
 	g_hash_table_unref(sched->machines);
 	g_ptr_array_unref(sched->waves);
 	g_hash_table_unref(sched->waves_ordered);
+	machine_orders_forget(sched);
+	g_ptr_array_unref(sched->orders_waiting);
+	g_ptr_array_unref(sched->orders_storing);
+	g_hash_table_unref(sched->machines_ordered);
 	g_hash_table_unref(sched->advice);
 	g_hash_table_unref(sched->loads);
 	g_hash_table_unref(sched->run_times);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -116,6 +116,7 @@
 	/* A move that was ordered */
 	bool moving;
 	bool asked;
+	int64_t told_until_us; /* the next holder is told of the last order */
 	char to_pool[NAME_SIZE_BYTES];
 	int64_t ordered_us;
 	int64_t again_us; /* not ordered before */
@@ -158,6 +159,11 @@
 	bool machines_known;
 	uint32_t machine_orders_count; /* in this second */
 	int64_t machine_orders_us;
+	GPtrArray *orders_waiting; /* of struct machine_order, to be told */
+	GPtrArray *orders_storing; /* in the write that is under way */
+	/* Names, interned: those that earlier holders ordered last. */
+	GHashTable *machines_ordered;
+	bool machines_told; /* they are known */
 	GHashTable *advice; /* step -> struct step_advice */
 	bool advice_asked;  /* a question is under way */
 	const struct parking_ops *parking;
@@ -341,8 +347,22 @@
  */
 bool machine_is_surely_empty(const struct sched *sched,
 			     const struct machine *machine);
-bool machine_order_send(struct sched *sched, const struct machine_order *order);
 void machines_on_ordered(struct sched *sched,
 			 const struct machine_order *order);
 
+/* sched_order.c: orders for machines, which the store learns of first */
+
+/* Earliest time of the first order for a machine. */
+int64_t machine_first_order_us(const struct sched *sched,
+			       const struct machine_row *row);
+/* Whether the order will be sent, or end as refused; false: not now. */
+bool machine_order_send(struct sched *sched, const struct machine_order *order);
+/* Adds the orders that wait to a write. */
+void machine_orders_add(struct sched *sched, struct store_write *write);
+/* Sends them, or ends them as refused if they were not stored. */
+void machine_orders_stored(struct sched *sched, bool stored);
+void machine_orders_on_record(struct sched *sched,
+			      const struct job_record *record);
+void machine_orders_forget(struct sched *sched);
+
 #endif
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -66,7 +66,7 @@
 
 	if (sched->flush_write_id ||
 	    (!sched->dirty->len && !sched->ends_unstored &&
-	     !sched->waves_dirty))
+	     !sched->waves_dirty && !sched->orders_waiting->len))
 		return;
 	if (now_us < sched->flush_us) {
 		sched_wake_at(sched, sched->flush_us);
@@ -74,7 +74,8 @@
 	}
 	workers_flushing(sched);
 	sched->ends_unstored = false;
-	if (!sched->dirty->len && !sched->waves_dirty) {
+	if (!sched->dirty->len && !sched->waves_dirty &&
+	    !sched->orders_waiting->len) {
 		/* The ends that were seen changed nothing that is stored. */
 		workers_stored(sched);
 		return;
@@ -87,6 +88,7 @@
 		add_job(sched, write, sched->dirty->pdata[i]);
 	g_ptr_array_set_size(sched->dirty, 0);
 	waves_add_dirty(sched, write);
+	machine_orders_add(sched, write);
 	if (now_us - sched->held_us > FORGET_GAP_US)
 		add_forgotten(sched, write);
 	sched->flush_write_id = write->write_id;
@@ -142,5 +144,6 @@
 						      .job);
 	if (write->result == STORE_NOT_DONE)
 		sched->ends_unstored = true;
+	machine_orders_stored(sched, write->result == STORE_DONE);
 	g_array_set_size(sched->flushing, 0);
 }
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -10,11 +10,7 @@
 #define LIST_IDLE_US (3 * USEC_PER_SEC)
 /* A move that was refused is tried again after this. */
 #define MOVE_AGAIN_US (700 * USEC_PER_MSEC)
-#define FIRST_ORDER_SLACK_US (300 * USEC_PER_MSEC)
 #define LIST_FAILED_US (1 * USEC_PER_SEC)
-#define ORDERS_WINDOW_US USEC_PER_SEC
-/* Part of the platform's rate that is used, in percent. */
-#define ORDERS_USED_PERCENT 50
 /* Holds without an answer after which the list is asked. */
 #define SUSPECT_LOST_COUNT 1
 
@@ -44,25 +40,6 @@
 	return NULL;
 }
 
-/*
- * Orders of two holders for one machine must be a lease apart. After a silent
- * holder, a machine that is up was last ordered before its move or upkeep, or
- * in vain before the silence.
- */
-static int64_t first_order_us(const struct sched *sched,
-			      const struct machine_row *row)
-{
-	int64_t lease_us = sched->bounds->machine_lease_us;
-
-	if (!sched->earlier_until_us)
-		return 0;
-	if (row->state == MACHINE_UP && !sched->earlier_ended)
-		lease_us -=
-			MIN(sched->bounds->move_us, sched->bounds->upkeep_us) -
-			FIRST_ORDER_SLACK_US;
-	return sched->held_us + lease_us;
-}
-
 static void take_row(struct sched *sched, const struct machine_row *row,
 		     int64_t asked_us)
 {
@@ -71,7 +48,8 @@
 	if (!machine) {
 		machine = g_new0(struct machine, 1);
 		machine->name = g_intern_string(row->name);
-		machine->again_us = first_order_us(sched, row);
+		machine->again_us = machine_first_order_us(sched, row);
+		machine->told_until_us = machine->again_us;
 		g_hash_table_insert(sched->machines, (gpointer)machine->name,
 				    machine);
 	}
@@ -227,31 +205,6 @@
 		    &(struct event){ .type = EVENT_MACHINES_ASK });
 }
 
-bool machine_order_send(struct sched *sched, const struct machine_order *order)
-{
-	int64_t now_us = sched_now_us(sched);
-	struct machine_order *msg;
-
-	if (now_us - sched->machine_orders_us > ORDERS_WINDOW_US) {
-		sched->machine_orders_us = now_us;
-		sched->machine_orders_count = 0;
-	}
-	if (sched->machine_orders_count >=
-	    MAX(sched->bounds->machine_orders_per_s * ORDERS_USED_PERCENT / 100,
-		1))
-		return false;
-	sched->machine_orders_count++;
-	msg = g_rc_box_new0(struct machine_order);
-	*msg = *order;
-	msg->token = sched->token;
-	decision_log("machine-order",
-		     "machine=%s kind=%s wave=%" G_GUINT64_FORMAT " pool=%s",
-		     msg->machine, msg->upkeep ? "upkeep" : "move", msg->wave,
-		     msg->pool);
-	kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDER, msg);
-	return true;
-}
-
 void machines_on_ordered(struct sched *sched, const struct machine_order *order)
 {
 	struct machine *machine = machine_find(sched, order->machine);
--- /dev/null
+++ b/src/jobs/sched_order.c
@@ -0,0 +1,149 @@
+/*
+ * Orders for machines. The store learns of each before it is sent, so that the
+ * next holder knows which machines it must leave alone for a while: orders of
+ * two holders for one machine must be a lease apart.
+ */
+
+#include <string.h>
+
+#include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+#define ORDERS_WINDOW_US USEC_PER_SEC
+/* Part of the platform's rate that is used, in percent. */
+#define ORDERS_USED_PERCENT 50
+#define FIRST_ORDER_SLACK_US (300 * USEC_PER_MSEC)
+
+static bool may_be_ordered_lately(const struct sched *sched, const char *name)
+{
+	return !sched->machines_told ||
+	       g_hash_table_contains(sched->machines_ordered, name);
+}
+
+int64_t machine_first_order_us(const struct sched *sched,
+			       const struct machine_row *row)
+{
+	int64_t lease_us = sched->bounds->machine_lease_us;
+
+	if (!sched->earlier_until_us || !may_be_ordered_lately(sched, row->name))
+		return 0;
+	/*
+	 * After a silent holder, a machine that is up was last ordered before
+	 * its move or upkeep, or in vain before the silence.
+	 */
+	if (row->state == MACHINE_UP && !sched->earlier_ended)
+		lease_us -=
+			MIN(sched->bounds->move_us, sched->bounds->upkeep_us) -
+			FIRST_ORDER_SLACK_US;
+	return sched->held_us + lease_us;
+}
+
+void machine_orders_on_record(struct sched *sched,
+			      const struct job_record *record)
+{
+	g_hash_table_remove_all(sched->machines_ordered);
+	for (guint i = 0; i < record->machines->len; i++)
+		g_hash_table_add(sched->machines_ordered,
+				 record->machines->pdata[i]);
+	sched->machines_told = true;
+}
+
+bool machine_order_send(struct sched *sched, const struct machine_order *order)
+{
+	int64_t now_us = sched_now_us(sched);
+	struct machine *machine = machine_find(sched, order->machine);
+	struct machine_order *msg;
+
+	if (now_us - sched->machine_orders_us > ORDERS_WINDOW_US) {
+		sched->machine_orders_us = now_us;
+		sched->machine_orders_count = 0;
+	}
+	if (!machine || sched->machine_orders_count >=
+				MAX(sched->bounds->machine_orders_per_s *
+					    ORDERS_USED_PERCENT / 100,
+				    1))
+		return false;
+	sched->machine_orders_count++;
+	msg = g_rc_box_new0(struct machine_order);
+	*msg = *order;
+	msg->token = sched->token;
+	machine->told_until_us = now_us + sched->bounds->machine_lease_us;
+	g_ptr_array_add(sched->orders_waiting, msg);
+	return true;
+}
+
+void machine_orders_add(struct sched *sched, struct store_write *write)
+{
+	struct job_record *record;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!sched->orders_waiting->len)
+		return;
+	record = job_record_new(JOB_RECORD_MACHINES);
+	record->machines = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, sched->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct machine *machine = value;
+
+		if (machine->told_until_us > sched_now_us(sched))
+			g_ptr_array_add(record->machines,
+					(gpointer)machine->name);
+	}
+	g_ptr_array_add(write->records, record);
+	g_ptr_array_extend_and_steal(sched->orders_storing,
+				     sched->orders_waiting);
+	sched->orders_waiting = g_ptr_array_new();
+}
+
+/* Work may have come to the machine while its order was stored. */
+static bool is_still_empty(const struct sched *sched,
+			   const struct machine_order *order)
+{
+	const struct machine *machine = machine_find(sched, order->machine);
+	const struct worker *worker =
+		machine ? worker_find(sched, machine->worker) : NULL;
+
+	return machine && (!worker || !worker->placed->len);
+}
+
+static void send(struct sched *sched, struct machine_order *order)
+{
+	struct machine *machine = machine_find(sched, order->machine);
+
+	decision_log("machine-order",
+		     "machine=%s kind=%s wave=%" G_GUINT64_FORMAT " pool=%s",
+		     order->machine, order->upkeep ? "upkeep" : "move",
+		     order->wave, order->pool);
+	machine->told_until_us =
+		sched_now_us(sched) + sched->bounds->machine_lease_us;
+	kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDER, order);
+}
+
+void machine_orders_stored(struct sched *sched, bool stored)
+{
+	for (guint i = 0; i < sched->orders_storing->len; i++) {
+		struct machine_order *order = sched->orders_storing->pdata[i];
+
+		if (stored && is_still_empty(sched, order)) {
+			send(sched, order);
+			continue;
+		}
+		order->result = MACHINE_REFUSED;
+		kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDERED, order);
+	}
+	g_ptr_array_set_size(sched->orders_storing, 0);
+}
+
+static void drop(GPtrArray *orders)
+{
+	for (guint i = 0; i < orders->len; i++)
+		g_rc_box_release(orders->pdata[i]);
+	g_ptr_array_set_size(orders, 0);
+}
+
+void machine_orders_forget(struct sched *sched)
+{
+	drop(sched->orders_waiting);
+	drop(sched->orders_storing);
+}
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -446,13 +446,25 @@
 	}
 }
 
+/*
+ * What an earlier holder ordered last may not show yet: items that are being
+ * stopped still look at work, and machines that go down still look up.
+ */
+static bool may_advance(const struct sched *sched)
+{
+	return sched->machines_known &&
+	       (!sched->earlier_until_us ||
+		sched_now_us(sched) - sched->held_us >=
+			sched->bounds->machine_lease_us);
+}
+
 void waves_tick(struct sched *sched)
 {
 	for (guint i = 0; i < sched->waves->len; i++) {
 		struct wave *wave = sched->waves->pdata[i];
 
 		tell_status(sched, wave);
-		if (wave->complete || !sched->machines_known)
+		if (wave->complete || !may_advance(sched))
 			continue;
 		advance_machines(sched, wave, true);
 		advance_machines(sched, wave, false);
--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -64,6 +64,8 @@
 			g_byte_array_ref(stored->done);
 		if (stored->items)
 			g_array_ref(stored->items);
+		if (stored->machines)
+			g_ptr_array_ref(stored->machines);
 		stored->offset = jobs->store->len;
 		g_ptr_array_add(jobs->store, stored);
 	}
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -11,8 +11,8 @@
 
 #define ORDER_US USEC_PER_MSEC
 #define LOST_US (800 * USEC_PER_MSEC)
-#define STOP_US (100 * USEC_PER_MSEC)
 #define UPKEEP_US (2 * USEC_PER_SEC)
+#define MACHINE_LEASE_US (3 * USEC_PER_SEC)
 #define MOVE_US (1500 * USEC_PER_MSEC)
 /* How long an answer takes, and its tickets are valid. */
 #define ADVICE_US (100 * USEC_PER_MSEC)
@@ -246,6 +246,8 @@
 		.run = order->run,
 		.cpu_milli = step->cpu_milli,
 		.lasting = step->lasting,
+		.step_count = step->item_count,
+		.away_max_count = step->max_unavailable,
 		.started_us = jobs->world->now_us,
 		.ends_us = step->lasting || worker->stalls
 				   ? INT64_MAX
@@ -269,6 +271,41 @@
 	return ORDER_OK;
 }
 
+/* Items of the same step that run and are not being stopped. */
+static uint32_t at_work_count(const struct jobs_world *jobs, const char *item)
+{
+	size_t step_bytes = (size_t)(strrchr(item, '.') - item) + 1;
+	uint32_t count = 0;
+
+	for (guint i = 0; i < jobs->workers->len; i++) {
+		const struct fake_worker *worker = jobs->workers->pdata[i];
+
+		for (guint j = 0; !worker->dead && j < worker->running->len;
+		     j++) {
+			const struct fake_run *run = &g_array_index(
+				worker->running, struct fake_run, j);
+
+			count += !strncmp(run->item, item, step_bytes) &&
+				 run->end != ITEM_END_STOPPED;
+		}
+	}
+	return count;
+}
+
+static void check_stop(struct jobs_world *jobs, const struct fake_run *run)
+{
+	char id[JOB_ID_SIZE_BYTES];
+	uint32_t ignored;
+
+	job_item_parse(run->item, id, &ignored, &ignored, &ignored);
+	if (run->lasting && run->away_max_count &&
+	    !g_hash_table_contains(jobs->cancelled, id) &&
+	    run->step_count - at_work_count(jobs, run->item) >=
+		    run->away_max_count)
+		jobs_violation(jobs, "%s is stopped above its budget",
+			       run->item);
+}
+
 static void stop(struct jobs_world *jobs, struct fake_worker *worker,
 		 const struct order *order)
 {
@@ -280,8 +317,11 @@
 		if (strcmp(run->item, order->item) != 0 ||
 		    run->run != order->run)
 			continue;
+		if (run->end == ITEM_END_STOPPED)
+			continue;
+		check_stop(jobs, run);
 		run->end = ITEM_END_STOPPED;
-		run->ends_us = jobs->world->now_us + STOP_US;
+		run->ends_us = jobs->world->now_us + jobs->stop_us;
 	}
 }
 
@@ -304,7 +344,8 @@
 static uint32_t run_percent(const struct fake_worker *worker,
 			    const struct fake_run *run, int64_t now_us)
 {
-	if (run->ends_us == INT64_MAX)
+	/* An item that is being stopped still looks at work. */
+	if (run->lasting || run->ends_us == INT64_MAX)
 		return worker->stalls ? 10 : 100;
 	if (run->ends_us <= run->started_us)
 		return 100;
@@ -534,6 +575,18 @@
 	g_free(id);
 }
 
+/* Orders of two holders for one machine must be a lease apart. */
+static void check_turns(struct jobs_world *jobs, struct fake_machine *machine,
+			uint64_t token)
+{
+	if (machine->fence_token && token != machine->fence_token &&
+	    jobs->world->now_us - machine->ordered_us < MACHINE_LEASE_US)
+		jobs_violation(jobs, "two holders order %s within its lease",
+			       machine->name);
+	machine->fence_token = token;
+	machine->ordered_us = jobs->world->now_us;
+}
+
 void fake_machine_order(struct jobs_entry *entry, struct machine_order *order)
 {
 	struct jobs_world *jobs = entry->jobs;
@@ -551,6 +604,11 @@
 
 		if (strcmp(machine->name, order->machine) != 0)
 			continue;
+		if (order->token < machine->fence_token) {
+			order->result = MACHINE_FENCED;
+			break;
+		}
+		check_turns(jobs, machine, order->token);
 		order->result = MACHINE_OK;
 		if (order->upkeep && machine->upkeeps_count)
 			break;
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -220,12 +220,15 @@
 	jobs->schedule = g_sequence_new(delivery_free);
 	jobs->queues = queues_new();
 	jobs->duration_us = 800 * USEC_PER_MSEC;
+	jobs->stop_us = 100 * USEC_PER_MSEC;
 	jobs->next_call_id = 1;
 	g_strlcpy(jobs->parking, "none", sizeof(jobs->parking));
 	jobs->done =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	jobs->accepted =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	jobs->cancelled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->jobs = jobs;
 	return jobs;
 }
@@ -249,6 +252,7 @@
 	queues_unref(jobs->queues);
 	g_hash_table_unref(jobs->done);
 	g_hash_table_unref(jobs->accepted);
+	g_hash_table_unref(jobs->cancelled);
 	g_free(jobs);
 }
 
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -33,6 +33,8 @@
 	uint32_t run;
 	uint32_t cpu_milli;
 	bool lasting;
+	uint32_t step_count; /* items of its step */
+	uint32_t away_max_count;
 	int64_t started_us;
 	int64_t ends_us;
 	enum item_end end;
@@ -71,6 +73,8 @@
 	enum machine_state state;
 	int64_t up_us;
 	uint32_t upkeeps_count;
+	uint64_t fence_token;
+	int64_t ordered_us;
 };
 
 struct jobs_world {
@@ -86,10 +90,12 @@
 	struct queues *queues;
 	int64_t duration_us; /* of one item */
 	uint64_t next_call_id;
-	GHashTable *done;     /* items whose end was acknowledged as done */
-	bool tickets_refused; /* workers refuse every ticket */
-	GHashTable *accepted; /* ids that callers were told are accepted */
-	bool lists_lost;      /* the machines' list does not answer */
+	GHashTable *done;      /* items whose end was acknowledged as done */
+	bool tickets_refused;  /* workers refuse every ticket */
+	int64_t stop_us;       /* a run takes so long to stop */
+	GHashTable *accepted;  /* ids that callers were told are accepted */
+	GHashTable *cancelled; /* ids that callers have cancelled */
+	bool lists_lost;       /* the machines' list does not answer */
 	bool quiet;
 	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
 };
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -241,6 +241,9 @@
 	struct jobs_entry *entry = entry_of(script, 1);
 	char *path = g_strdup_printf("/%s", script_word(script, 3));
 
+	if (entry && !strcmp(script_word(script, 2), "cancel"))
+		g_hash_table_add(entry->jobs->cancelled,
+				 g_strdup(strrchr(path, '/') + 1));
 	if (entry)
 		call(script, entry,
 		     !strcmp(script_word(script, 2), "cancel") ? CALL_CANCEL
@@ -282,6 +285,13 @@
 		script_duration_us(script, script_word(script, 1));
 }
 
+/* job-stopping TIME: how long a run takes to stop */
+static void run_stopping(struct script *script)
+{
+	jobs_of(script)->stop_us =
+		script_duration_us(script, script_word(script, 1));
+}
+
 static void run_quiet(struct script *script)
 {
 	jobs_of(script)->quiet = !strcmp(script_word(script, 1), "on");
@@ -332,6 +342,7 @@
 	{ "job-split", 2, run_split },	     { "job-lists", 1, run_lists },
 	{ "job-reborn", 2, run_reborn },     { "job-show", 1, run_show },
 	{ "job-parking", 1, run_parking },   { "job-tickets", 1, run_tickets },
+	{ "job-stopping", 1, run_stopping },
 };
 
 SCRIPT_REGISTER(commands)
