Let waves of a new holder wait for stops only

Cause: after a change of the holder waves waited for a whole lease of 3 s.

Change: waves wait until an item that the earlier holder ordered to stop has ended and its end can be listed (stop_ms and 0.3 s). Machines that the earlier holder may have ordered count as down for the rest of the lease.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -352,6 +352,8 @@
 
 /* sched_order.c: orders for machines, which the store learns of first */
 
+/* Whether an earlier holder may have ordered it within the last lease. */
+bool machine_may_be_ordered(const struct sched *sched, const char *name);
 /* Earliest time of the first order for a machine. */
 int64_t machine_first_order_us(const struct sched *sched,
 			       const struct machine_row *row);
--- a/src/jobs/sched_order.c
+++ b/src/jobs/sched_order.c
@@ -14,10 +14,13 @@
 #define ORDERS_USED_PERCENT 50
 #define FIRST_ORDER_SLACK_US (300 * USEC_PER_MSEC)
 
-static bool may_be_ordered_lately(const struct sched *sched, const char *name)
+bool machine_may_be_ordered(const struct sched *sched, const char *name)
 {
-	return !sched->machines_told ||
-	       g_hash_table_contains(sched->machines_ordered, name);
+	return sched->earlier_until_us &&
+	       sched_now_us(sched) - sched->held_us <
+		       sched->bounds->machine_lease_us &&
+	       (!sched->machines_told ||
+		g_hash_table_contains(sched->machines_ordered, name));
 }
 
 int64_t machine_first_order_us(const struct sched *sched,
@@ -25,7 +28,7 @@
 {
 	int64_t lease_us = sched->bounds->machine_lease_us;
 
-	if (!sched->earlier_until_us || !may_be_ordered_lately(sched, row->name))
+	if (!machine_may_be_ordered(sched, row->name))
 		return 0;
 	/*
 	 * After a silent holder, a machine that is up was last ordered before
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -12,6 +12,8 @@
 #define MACHINE_AGAIN_US (500 * USEC_PER_MSEC)
 /* Work that does not last may end by itself for so long. */
 #define EMPTYING_PATIENCE_US (6 * USEC_PER_SEC)
+/* The end of an item that was stopped is listed after this. */
+#define STOP_SEEN_US (300 * USEC_PER_MSEC)
 /* The directory shows a machine's worker before, or there is none. */
 #define UNKNOWN_WORKER_US (4 * USEC_PER_SEC)
 /* A machine that no list has for so long has left the platform. */
@@ -193,6 +195,7 @@
 
 		if (machine->step == WAVE_ORDERED || machine->asked ||
 		    machine->unknown ||
+		    machine_may_be_ordered(sched, machine->name) ||
 		    (listed && listed->state == MACHINE_UPKEEP))
 			count++;
 	}
@@ -452,10 +455,15 @@
  */
 static bool may_advance(const struct sched *sched)
 {
-	return sched->machines_known &&
-	       (!sched->earlier_until_us ||
-		sched_now_us(sched) - sched->held_us >=
-			sched->bounds->machine_lease_us);
+	int64_t age_us = sched_now_us(sched) - sched->held_us;
+
+	if (!sched->machines_known)
+		return false;
+	if (!sched->earlier_until_us)
+		return true;
+	return age_us >= (sched->machines_told
+				  ? sched->bounds->stop_us + STOP_SEEN_US
+				  : sched->bounds->machine_lease_us);
 }
 
 void waves_tick(struct sched *sched)
