Let the hold that acknowledges ends wait for the next one

Cause: 39% of all holds carried an acknowledgement and did not wait; the next hold, which waited, followed 40 ms later. Each hold counts as a probe.

Ruled out: a longer gap between holds (measured before: ends are seen later and more is lost than the probes cost).

Change: a hold waits for an end whenever something runs, also if it carries an acknowledgement, which takes effect on arrival. Where nothing runs it does not wait, as before.

--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -477,8 +477,7 @@
 	}
 	order = worker_order(sched, worker, ORDER_HOLD);
 	order->acked_number = worker->stored_number;
-	if (worker->fenced && runs && !worker->lost_count &&
-	    worker->acked_number == worker->stored_number)
+	if (worker->fenced && runs && !worker->lost_count)
 		order->wait_us = HOLD_WAIT_US;
 	worker->hold_sent = true;
 	worker_send(sched, worker, order);
