Close the emptiest machine also if it may not be ordered yet

Cause: only machines that could be ordered now were considered for closing. After a change of the holder those are few, and a machine that worked was closed while idle ones stayed open.

Change: whether a machine may be ordered yet matters for its move only.

--- a/src/jobs/parking_demand.c
+++ b/src/jobs/parking_demand.c
@@ -122,10 +122,10 @@
 	}
 }
 
-static bool may_move(const struct sched *sched, const struct machine *machine)
+static bool may_leave(const struct sched *sched, const struct machine *machine)
 {
 	return machine->state == MACHINE_UP && !machine->moving &&
-	       !machine->asked && machine->again_us <= sched_now_us(sched) &&
+	       !machine->asked &&
 	       !machine_is_taken_by_wave(sched, machine->name);
 }
 
@@ -188,7 +188,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct choice choice = { .machine = value };
 
-		if (!may_move(sched, choice.machine))
+		if (!may_leave(sched, choice.machine))
 			continue;
 		choice.worker = worker_find(sched, choice.machine->worker);
 		/* A list that is older than its newest worker tells little. */
@@ -253,7 +253,8 @@
 
 static bool is_free(struct sched *sched, const struct choice *choice)
 {
-	if (!machine_is_surely_empty(sched, choice->machine))
+	if (!machine_is_surely_empty(sched, choice->machine) ||
+	    choice->machine->again_us > sched_now_us(sched))
 		return false;
 	return load_of(sched, choice->machine->pool)->standby ||
 	       choice->worker->leaving == LEAVING_PARKED;
