--- a/src/jobs/apply.c
+++ b/src/jobs/apply.c
@@ -6,11 +6,29 @@
 #include "jobs/msg.h"
 #include "kernel/kernel.h"
 
+#define AGE_MAX_US (20 * USEC_PER_SEC)
+
 struct apply {
 	struct kernel *kernel;
 	bool held; /* the progress is this process's own */
 };
 
+/*
+ * Jobs of a snapshot may be old. Clocks may step, so that an age that can't be
+ * right counts as none, and a long one is bounded.
+ */
+static void set_age(struct apply *apply, const struct job_record *record)
+{
+	struct job *job =
+		job_table_find(kernel_jobs(apply->kernel), record->id);
+	int64_t age_us = kernel_wall_us(apply->kernel) -
+			 record->submitted_ms * USEC_PER_MSEC;
+
+	if (job)
+		job->seen_us = kernel_now_us(apply->kernel) -
+			       CLAMP(age_us, 0, AGE_MAX_US);
+}
+
 static void apply_read(struct apply *apply, struct store_read *read)
 {
 	struct job_table *table = kernel_jobs(apply->kernel);
@@ -18,9 +36,15 @@
 
 	if (read->snapshot && !apply->held)
 		job_table_clear(table);
-	for (guint i = 0; i < read->records->len; i++)
-		job_table_apply(table, read->records->pdata[i],
-				kernel_now_us(apply->kernel), apply->held);
+	for (guint i = 0; i < read->records->len; i++) {
+		const struct job_record *record = read->records->pdata[i];
+
+		job_table_apply(table, record, kernel_now_us(apply->kernel),
+				apply->held);
+		if (read->snapshot && !apply->held &&
+		    record->kind == JOB_RECORD_SUBMIT)
+			set_age(apply, record);
+	}
 	applied.msg = g_rc_box_acquire(read);
 	kernel_emit_next(apply->kernel, &applied);
 }
