Find the machines of the earlier holder by name

Cause: the set of machines that an earlier holder ordered was looked up by pointer, with a name that is not interned. It never matched, so a new holder left no machine alone.

The stand-in's check found it.

Change: the set compares the names.

Measurement: jobs_restart_need: "two holders order m1 within its lease" before, none after.

--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -267,7 +267,7 @@
 	sched->waves_ordered =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_byte_array_unref);
-	sched->machines_ordered = g_hash_table_new(NULL, NULL);
+	sched->machines_ordered = g_hash_table_new(g_str_hash, g_str_equal);
 	sched->orders_waiting = g_ptr_array_new();
 	sched->orders_storing = g_ptr_array_new();
 	sched->parking = kernel_ops(kernel, PLUGIN_PARKING);
