Guard listed machines for a whole lease

Cause: for a silent holder the guard was shortened by the length of a move and counted on 1.2 s of silence. Since only machines that were ordered lately are guarded, the shortcut gains nothing, and it would break the rule for orders in vain once the silence gets shorter.

Change: one length for all, from the moment at which the lease was taken up. The flag that told the two cases apart goes.

Measurement: all scripts; the stand-in checks turns at machines.

Conclusion: less code, stricter.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -140,7 +140,6 @@
 	if (held && lease->was_known) {
 		changed->earlier_until_us =
 			lease->claimed_us + worker_lease_here_us(lease_us);
-		changed->earlier_ended = lease->was_ended;
 		if (!lease->was_ended)
 			changed->earlier_until_us += HOLDER_UNCONFIRMED_MAX_US;
 	}
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -250,7 +250,6 @@
 	uint64_t token;
 	/* Until then orders of an earlier holder may keep a lease alive. */
 	int64_t earlier_until_us;
-	bool earlier_ended; /* it sends nothing more, but did until just now */
 };
 
 struct store_read *store_read_new(void);
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -127,7 +127,6 @@
 	sched->token = changed->token;
 	sched->held_us = sched_now_us(sched);
 	sched->earlier_until_us = changed->earlier_until_us;
-	sched->earlier_ended = changed->earlier_ended;
 	if (!sched->held)
 		return;
 	g_hash_table_iter_init(&iter,
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -131,7 +131,6 @@
 	uint64_t token;
 	int64_t held_us;
 	int64_t earlier_until_us;
-	bool earlier_ended;
 	bool directory_seen;
 
 	GHashTable *workers;   /* id -> struct worker */
@@ -355,8 +354,7 @@
 /* Whether an earlier holder may have ordered it within the last lease. */
 bool machine_may_be_ordered(const struct sched *sched, const char *name);
 /* Earliest time of the first order for a machine. */
-int64_t machine_first_order_us(const struct sched *sched,
-			       const struct machine_row *row);
+int64_t machine_first_order_us(const struct sched *sched, const char *name);
 /* Whether the order will be sent, or end as refused; false: not now. */
 bool machine_order_send(struct sched *sched, const struct machine_order *order);
 /* Adds the orders that wait to a write. */
--- a/src/jobs/sched_order.c
+++ b/src/jobs/sched_order.c
@@ -12,7 +12,6 @@
 #define ORDERS_WINDOW_US USEC_PER_SEC
 /* Part of the platform's rate that is used, in percent. */
 #define ORDERS_USED_PERCENT 50
-#define FIRST_ORDER_SLACK_US (300 * USEC_PER_MSEC)
 
 bool machine_may_be_ordered(const struct sched *sched, const char *name)
 {
@@ -23,22 +22,11 @@
 		g_hash_table_contains(sched->machines_ordered, name));
 }
 
-int64_t machine_first_order_us(const struct sched *sched,
-			       const struct machine_row *row)
+int64_t machine_first_order_us(const struct sched *sched, const char *name)
 {
-	int64_t lease_us = sched->bounds->machine_lease_us;
-
-	if (!machine_may_be_ordered(sched, row->name))
-		return 0;
-	/*
-	 * After a silent holder, a machine that is up was last ordered before
-	 * its move or upkeep, or in vain before the silence.
-	 */
-	if (row->state == MACHINE_UP && !sched->earlier_ended)
-		lease_us -=
-			MIN(sched->bounds->move_us, sched->bounds->upkeep_us) -
-			FIRST_ORDER_SLACK_US;
-	return sched->held_us + lease_us;
+	return machine_may_be_ordered(sched, name)
+		       ? sched->held_us + sched->bounds->machine_lease_us
+		       : 0;
 }
 
 void machine_orders_on_record(struct sched *sched,
