--- /dev/null
+++ b/test/runner/jobs_machines.c
@@ -0,0 +1,124 @@
+/*
+ * Machines of the workers. Checked for every order: nothing runs on a machine
+ * that is taken down, and orders of two holders are a lease apart.
+ */
+
+#include <string.h>
+
+#include "runner/jobs_world.h"
+
+#define ORDER_US USEC_PER_MSEC
+#define UPKEEP_US (2 * USEC_PER_SEC)
+#define MACHINE_LEASE_US (3 * USEC_PER_SEC)
+#define MOVE_US (1500 * USEC_PER_MSEC)
+
+static void refresh(struct jobs_world *jobs, struct fake_machine *machine)
+{
+	struct fake_worker *worker = fake_worker_find(jobs, machine->worker);
+
+	if (machine->state == MACHINE_UP ||
+	    jobs->world->now_us < machine->up_us)
+		return;
+	machine->state = MACHINE_UP;
+	worker->listed = true;
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (entry->held)
+			fake_workers_list(jobs, entry);
+	}
+}
+
+void fake_machines_list(struct jobs_entry *entry)
+{
+	struct jobs_world *jobs = entry->jobs;
+	struct machines_seen *seen = machines_seen_new();
+
+	/* Scripts without machines have no list. */
+	seen->answered = jobs->machines->len > 0 && !jobs->lists_lost;
+	seen->asked_us = jobs->world->now_us;
+	for (guint i = 0; i < jobs->machines->len; i++) {
+		struct fake_machine *machine = jobs->machines->pdata[i];
+		const struct fake_worker *worker =
+			fake_worker_find(jobs, machine->worker);
+		struct machine_row row = { .worker = machine->worker };
+
+		refresh(jobs, machine);
+		row.state = worker->dead ? MACHINE_DOWN : machine->state;
+		g_strlcpy(row.name, machine->name, sizeof(row.name));
+		g_strlcpy(row.pool, worker->pool, sizeof(row.pool));
+		g_array_append_val(seen->rows, row);
+	}
+	jobs_deliver(jobs, entry, EVENT_MACHINES_SEEN, seen, ORDER_US);
+}
+
+/* The worker's life ends; another one joins the new pool later. */
+static void move(struct jobs_world *jobs, struct fake_machine *machine,
+		 struct fake_worker *worker, const char *pool)
+{
+	char *id = g_strdup_printf("%s+", worker->id);
+	struct fake_worker *next =
+		fake_worker_add(jobs, id, pool, worker->cpu_milli);
+
+	worker->listed = false;
+	worker->dead = true;
+	fake_worker_drop_hold(worker);
+	next->listed = false;
+	machine->worker = next->id;
+	machine->state = MACHINE_MOVING;
+	machine->up_us = jobs->world->now_us + MOVE_US;
+	g_free(id);
+}
+
+/* Orders of two holders for one machine must be a lease apart. */
+static void check_turns(struct jobs_world *jobs, struct fake_machine *machine,
+			uint64_t token)
+{
+	if (machine->fence_token && token != machine->fence_token &&
+	    jobs->world->now_us - machine->ordered_us < MACHINE_LEASE_US)
+		jobs_violation(jobs, "two holders order %s within its lease",
+			       machine->name);
+	machine->fence_token = token;
+	machine->ordered_us = jobs->world->now_us;
+}
+
+void fake_machine_order(struct jobs_entry *entry, struct machine_order *order)
+{
+	struct jobs_world *jobs = entry->jobs;
+	struct world *world = jobs->world;
+
+	world_print(world, "%.3f %s %s %s %s",
+		    (double)world->now_us / USEC_PER_SEC, entry->name,
+		    order->upkeep ? "maintains" : "moves", order->machine,
+		    order->pool);
+	order->result = MACHINE_REFUSED;
+	for (guint i = 0; i < jobs->machines->len; i++) {
+		struct fake_machine *machine = jobs->machines->pdata[i];
+		struct fake_worker *worker =
+			fake_worker_find(jobs, machine->worker);
+
+		if (strcmp(machine->name, order->machine) != 0)
+			continue;
+		if (order->token < machine->fence_token) {
+			order->result = MACHINE_FENCED;
+			break;
+		}
+		check_turns(jobs, machine, order->token);
+		order->result = MACHINE_OK;
+		if (order->upkeep && machine->upkeeps_count)
+			break;
+		if (worker->running->len)
+			jobs_violation(jobs, "%s is taken down while it works",
+				       worker->id);
+		if (order->upkeep) {
+			machine->upkeeps_count++;
+			machine->state = MACHINE_UPKEEP;
+			machine->up_us = world->now_us + UPKEEP_US;
+		} else {
+			move(jobs, machine, worker, order->pool);
+		}
+		break;
+	}
+	jobs_deliver(jobs, entry, EVENT_MACHINE_ORDERED,
+		     g_rc_box_acquire(order), ORDER_US);
+}
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -1,8 +1,8 @@
 /*
- * Workers with leases, fences, lists of runs, and their machines. Checked for
- * every start: no second run of an item on a live worker, none after its end
- * was acknowledged as done, none above the worker's capacity, and only items
- * of accepted jobs.
+ * Workers with leases, fences and lists of runs. Checked for every start: no
+ * second run of an item on a live worker, none after its end was acknowledged
+ * as done, none above the worker's capacity, and only items of accepted jobs;
+ * and for every planned stop, that it keeps to the budget of the step.
  */
 
 #include <string.h>
@@ -11,9 +11,6 @@
 
 #define ORDER_US USEC_PER_MSEC
 #define LOST_US (800 * USEC_PER_MSEC)
-#define UPKEEP_US (2 * USEC_PER_SEC)
-#define MACHINE_LEASE_US (3 * USEC_PER_SEC)
-#define MOVE_US (1500 * USEC_PER_MSEC)
 /* How long an answer takes, and its tickets are valid. */
 #define ADVICE_US (100 * USEC_PER_MSEC)
 #define ADVICE_PERIOD_US (10 * USEC_PER_MSEC)
@@ -64,7 +61,7 @@
 	return worker;
 }
 
-static void drop_waiting(struct fake_worker *worker)
+void fake_worker_drop_hold(struct fake_worker *worker)
 {
 	struct event event = { .type = EVENT_ORDER };
 
@@ -77,7 +74,7 @@
 {
 	struct fake_worker *worker = data;
 
-	drop_waiting(worker);
+	fake_worker_drop_hold(worker);
 	g_array_unref(worker->running);
 	g_array_unref(worker->ended);
 	g_hash_table_unref(worker->closed);
@@ -403,7 +400,7 @@
 	g_array_set_size(worker->ended, 0);
 	if (worker->waiting)
 		answer(jobs, worker, worker->holder_waits, worker->waiting);
-	drop_waiting(worker);
+	fake_worker_drop_hold(worker);
 }
 
 static void carry_out(struct jobs_world *jobs, struct fake_worker *worker,
@@ -446,7 +443,7 @@
 		answer(jobs, worker, entry, order);
 		return;
 	}
-	drop_waiting(worker);
+	fake_worker_drop_hold(worker);
 	worker->waiting = g_rc_box_acquire(order);
 	worker->holder_waits = entry;
 	worker->waits_until_us = jobs->world->now_us + order->wait_us;
@@ -476,7 +473,7 @@
 		return next_us;
 	if (worker->ended->len || now_us >= worker->waits_until_us) {
 		answer(jobs, worker, worker->holder_waits, worker->waiting);
-		drop_waiting(worker);
+		fake_worker_drop_hold(worker);
 		return next_us;
 	}
 	return MIN(next_us, worker->waits_until_us);
@@ -514,116 +511,3 @@
 	seen->all = true;
 	jobs_deliver(jobs, entry, EVENT_WORKERS_SEEN, seen, ORDER_US);
 }
-
-/* Machines */
-
-static void refresh(struct jobs_world *jobs, struct fake_machine *machine)
-{
-	struct fake_worker *worker = fake_worker_find(jobs, machine->worker);
-
-	if (machine->state == MACHINE_UP ||
-	    jobs->world->now_us < machine->up_us)
-		return;
-	machine->state = MACHINE_UP;
-	worker->listed = true;
-	for (guint i = 0; i < jobs->entries->len; i++) {
-		struct jobs_entry *entry = jobs->entries->pdata[i];
-
-		if (entry->held)
-			fake_workers_list(jobs, entry);
-	}
-}
-
-void fake_machines_list(struct jobs_entry *entry)
-{
-	struct jobs_world *jobs = entry->jobs;
-	struct machines_seen *seen = machines_seen_new();
-
-	/* Scripts without machines have no list. */
-	seen->answered = jobs->machines->len > 0 && !jobs->lists_lost;
-	seen->asked_us = jobs->world->now_us;
-	for (guint i = 0; i < jobs->machines->len; i++) {
-		struct fake_machine *machine = jobs->machines->pdata[i];
-		const struct fake_worker *worker =
-			fake_worker_find(jobs, machine->worker);
-		struct machine_row row = { .worker = machine->worker };
-
-		refresh(jobs, machine);
-		row.state = worker->dead ? MACHINE_DOWN : machine->state;
-		g_strlcpy(row.name, machine->name, sizeof(row.name));
-		g_strlcpy(row.pool, worker->pool, sizeof(row.pool));
-		g_array_append_val(seen->rows, row);
-	}
-	jobs_deliver(jobs, entry, EVENT_MACHINES_SEEN, seen, ORDER_US);
-}
-
-/* The worker's life ends; another one joins the new pool later. */
-static void move(struct jobs_world *jobs, struct fake_machine *machine,
-		 struct fake_worker *worker, const char *pool)
-{
-	char *id = g_strdup_printf("%s+", worker->id);
-	struct fake_worker *next =
-		fake_worker_add(jobs, id, pool, worker->cpu_milli);
-
-	worker->listed = false;
-	worker->dead = true;
-	drop_waiting(worker);
-	next->listed = false;
-	machine->worker = next->id;
-	machine->state = MACHINE_MOVING;
-	machine->up_us = jobs->world->now_us + MOVE_US;
-	g_free(id);
-}
-
-/* Orders of two holders for one machine must be a lease apart. */
-static void check_turns(struct jobs_world *jobs, struct fake_machine *machine,
-			uint64_t token)
-{
-	if (machine->fence_token && token != machine->fence_token &&
-	    jobs->world->now_us - machine->ordered_us < MACHINE_LEASE_US)
-		jobs_violation(jobs, "two holders order %s within its lease",
-			       machine->name);
-	machine->fence_token = token;
-	machine->ordered_us = jobs->world->now_us;
-}
-
-void fake_machine_order(struct jobs_entry *entry, struct machine_order *order)
-{
-	struct jobs_world *jobs = entry->jobs;
-	struct world *world = jobs->world;
-
-	world_print(world, "%.3f %s %s %s %s",
-		    (double)world->now_us / USEC_PER_SEC, entry->name,
-		    order->upkeep ? "maintains" : "moves", order->machine,
-		    order->pool);
-	order->result = MACHINE_REFUSED;
-	for (guint i = 0; i < jobs->machines->len; i++) {
-		struct fake_machine *machine = jobs->machines->pdata[i];
-		struct fake_worker *worker =
-			fake_worker_find(jobs, machine->worker);
-
-		if (strcmp(machine->name, order->machine) != 0)
-			continue;
-		if (order->token < machine->fence_token) {
-			order->result = MACHINE_FENCED;
-			break;
-		}
-		check_turns(jobs, machine, order->token);
-		order->result = MACHINE_OK;
-		if (order->upkeep && machine->upkeeps_count)
-			break;
-		if (worker->running->len)
-			jobs_violation(jobs, "%s is taken down while it works",
-				       worker->id);
-		if (order->upkeep) {
-			machine->upkeeps_count++;
-			machine->state = MACHINE_UPKEEP;
-			machine->up_us = world->now_us + UPKEEP_US;
-		} else {
-			move(jobs, machine, worker, order->pool);
-		}
-		break;
-	}
-	jobs_deliver(jobs, entry, EVENT_MACHINE_ORDERED,
-		     g_rc_box_acquire(order), ORDER_US);
-}
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -135,6 +135,10 @@
 void fake_workers_list(struct jobs_world *jobs, struct jobs_entry *entry);
 void fake_worker_die(struct jobs_world *jobs, struct fake_worker *worker);
 void fake_advice(struct jobs_entry *entry, struct advice *advice);
+/* Drops a hold that waits; nothing answers it. */
+void fake_worker_drop_hold(struct fake_worker *worker);
+
+/* jobs_machines.c */
 void fake_machines_list(struct jobs_entry *entry);
 void fake_machine_order(struct jobs_entry *entry, struct machine_order *order);
 
