--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "capacity/generate.h"
+#include "capacity/table.h"
 #include "codec/decl_yaml.h"
 #include "codec/peer_codec.h"
 #include "codec/record_codec.h"
@@ -21,142 +21,6 @@
 #define IDLE_US (60 * USEC_PER_SEC)
 #define REPEAT_COUNT 50
 #define REQUEST_COUNT 1000
-#define SIZE_COUNT 4
-
-/* In proportion to the design size; the first is that of today. */
-static const struct size sizes[SIZE_COUNT] = {
-	{ 48, 11, 9, 4, 7 },
-	{ 195, 46, 37, 4, 28 },
-	{ 390, 92, 75, 5, 57 },
-	{ 780, 185, 150, 6, 114 },
-};
-
-static void print_row(const char *name, const double values[SIZE_COUNT])
-{
-	double mean_x = 0, mean_y = 0, up = 0, down = 0;
-
-	for (uint32_t i = 0; i < SIZE_COUNT; i++) {
-		mean_x += (double)sizes[i].instance_count / SIZE_COUNT;
-		mean_y += values[i] / SIZE_COUNT;
-	}
-	for (uint32_t i = 0; i < SIZE_COUNT; i++) {
-		double x = (double)sizes[i].instance_count - mean_x;
-
-		up += x * (values[i] - mean_y);
-		down += x * x;
-	}
-	printf("%-46s", name);
-	for (uint32_t i = 0; i < SIZE_COUNT; i++)
-		printf(" %11.1f", values[i]);
-	printf(" %11.3f\n", up / down);
-}
-
-/* Rows of the table: one value for each size. */
-enum row {
-	ROW_SNAPSHOT_BYTES,
-	ROW_SNAPSHOT_WRITE_US,
-	ROW_SNAPSHOT_READ_US,
-	ROW_KERNEL_EMPTY_BYTES,
-	ROW_KERNEL_BYTES,
-	ROW_FILE_BYTES,
-	ROW_FILE_ENCODE_US,
-	ROW_FILE_DECODE_US,
-	ROW_FILE_APPLY_US,
-	ROW_FILE_KERNEL_US,
-	ROW_LIST_US,
-	ROW_LIST_JSON_BYTES,
-	ROW_REQUEST_BYTES,
-	ROW_REQUEST_US,
-	ROW_CLAIM_HEAP_BYTES,
-	ROW_CLAIM_SNAPSHOT_BYTES,
-	ROW_BEAT_PLAIN_BYTES,
-	ROW_BEAT_LOADS_BYTES,
-	ROW_LOADS_COUNT,
-	ROW_REMOTE_ROUND_S,
-	ROW_ZERO_SHARE,
-	ROW_IDLE_US, /* for each role */
-	ROW_LOCAL_PER_S = ROW_IDLE_US + BED_ROLE_COUNT,
-	ROW_LOCAL_BYTES_PER_S = ROW_LOCAL_PER_S + BED_ROLE_COUNT,
-	ROW_REMOTE_PER_S = ROW_LOCAL_BYTES_PER_S + BED_ROLE_COUNT,
-	ROW_REMOTE_BYTES_PER_S = ROW_REMOTE_PER_S + BED_ROLE_COUNT,
-	ROW_RECEIVED_PER_S = ROW_REMOTE_BYTES_PER_S + BED_ROLE_COUNT,
-	ROW_RECEIVED_BYTES_PER_S = ROW_RECEIVED_PER_S + BED_ROLE_COUNT,
-	ROW_APPENDS_PER_S = ROW_RECEIVED_BYTES_PER_S + BED_ROLE_COUNT,
-	ROW_APPEND_BYTES_PER_S = ROW_APPENDS_PER_S + BED_ROLE_COUNT,
-	ROW_RECORD_BYTES = ROW_APPEND_BYTES_PER_S + BED_ROLE_COUNT,
-	ROW_RECORD_US = ROW_RECORD_BYTES + RECORD_KIND_COUNT,
-	ROW_COUNT = ROW_RECORD_US + RECORD_KIND_COUNT,
-};
-
-static const char *const row_names[ROW_IDLE_US] = {
-	[ROW_SNAPSHOT_BYTES] = "snapshot, bytes",
-	[ROW_SNAPSHOT_WRITE_US] = "snapshot write, us",
-	[ROW_SNAPSHOT_READ_US] = "snapshot read, us",
-	[ROW_KERNEL_EMPTY_BYTES] = "kernel without a fleet, bytes",
-	[ROW_KERNEL_BYTES] = "kernel with the fleet, bytes",
-	[ROW_FILE_BYTES] = "config_put of a member, bytes",
-	[ROW_FILE_ENCODE_US] = "config_put encode, us",
-	[ROW_FILE_DECODE_US] = "config_put decode, us",
-	[ROW_FILE_APPLY_US] = "config_put apply to the state, us",
-	[ROW_FILE_KERNEL_US] = "config_put, all plug-ins, us",
-	[ROW_LIST_US] = "list answer, all plug-ins, us",
-	[ROW_LIST_JSON_BYTES] = "list answer on the wire, bytes of body",
-	[ROW_REQUEST_BYTES] = "open request, bytes",
-	[ROW_REQUEST_US] = "request, all plug-ins, us",
-	[ROW_CLAIM_HEAP_BYTES] = "claim kept, bytes of heap",
-	[ROW_CLAIM_SNAPSHOT_BYTES] = "claim kept, bytes of snapshot",
-	[ROW_BEAT_PLAIN_BYTES] = "heartbeat without loads, bytes",
-	[ROW_BEAT_LOADS_BYTES] = "heartbeat with loads, bytes",
-	[ROW_LOADS_COUNT] = "loads in a heartbeat",
-	[ROW_REMOTE_ROUND_S] = "round of remote digests, s",
-	[ROW_ZERO_SHARE] = "endpoints without a share, %",
-};
-
-static const char *const role_names[BED_ROLE_COUNT] = {
-	[BED_PLAIN] = "entry",
-	[BED_LOWEST] = "entry that sends digests",
-	[BED_PLANNER] = "entry with the planner",
-};
-
-static double table[ROW_COUNT][SIZE_COUNT];
-
-static void print_table(void)
-{
-	static const char *const per_role[] = {
-		"CPU us a second, idle",  "messages a s, local",
-		"bytes a s, local",	  "messages a s to other dcs",
-		"bytes a s to other dcs", "messages a s received",
-		"bytes a s received",	  "appends a s",
-		"bytes a s appended",
-	};
-	char name[128];
-
-	printf("%-46s %11u %11u %11u %11u %11s\n", "instances",
-	       sizes[0].instance_count, sizes[1].instance_count,
-	       sizes[2].instance_count, sizes[3].instance_count, "slope");
-	for (uint32_t row = 0; row < ROW_IDLE_US; row++)
-		print_row(row_names[row], table[row]);
-	for (uint32_t row = ROW_IDLE_US; row < ROW_RECORD_BYTES; row++) {
-		uint32_t role = (row - ROW_IDLE_US) % BED_ROLE_COUNT;
-		uint32_t what = (row - ROW_IDLE_US) / BED_ROLE_COUNT;
-
-		g_snprintf(name, sizeof(name), "%s: %s", role_names[role],
-			   per_role[what]);
-		print_row(name, table[row]);
-	}
-	for (uint32_t row = ROW_RECORD_BYTES; row < ROW_COUNT; row++) {
-		bool is_time = row >= ROW_RECORD_US;
-		uint32_t kind =
-			row - (is_time ? ROW_RECORD_US : ROW_RECORD_BYTES);
-
-		if (!table[row][0])
-			continue;
-		g_snprintf(name, sizeof(name), "%s, %s",
-			   record_kind_name((enum record_kind)kind),
-			   is_time ? "all plug-ins, us" : "bytes");
-		print_row(name, table[row]);
-	}
-}
 
 static double least_us(double known_us, int64_t took_ns)
 {
@@ -176,12 +40,14 @@
 		struct fleet *copy = snapshot_decode(bytes, reason);
 		int64_t read_ns = cpu_ns();
 
-		table[ROW_SNAPSHOT_BYTES][at] = (double)g_bytes_get_size(bytes);
-		table[ROW_SNAPSHOT_WRITE_US][at] =
-			least_us(table[ROW_SNAPSHOT_WRITE_US][at],
+		table_values[ROW_SNAPSHOT_BYTES][at] =
+			(double)g_bytes_get_size(bytes);
+		table_values[ROW_SNAPSHOT_WRITE_US][at] =
+			least_us(table_values[ROW_SNAPSHOT_WRITE_US][at],
 				 written_ns - start_ns);
-		table[ROW_SNAPSHOT_READ_US][at] = least_us(
-			table[ROW_SNAPSHOT_READ_US][at], read_ns - written_ns);
+		table_values[ROW_SNAPSHOT_READ_US][at] =
+			least_us(table_values[ROW_SNAPSHOT_READ_US][at],
+				 read_ns - written_ns);
 		fleet_free(copy);
 		g_bytes_unref(bytes);
 	}
@@ -200,13 +66,15 @@
 	int64_t decoded_ns = cpu_ns();
 
 	g_assert(copy);
-	table[ROW_RECORD_BYTES + record->kind][at] = (double)size_bytes;
+	table_values[ROW_RECORD_BYTES + record->kind][at] = (double)size_bytes;
 	if (record->kind == RECORD_CONFIG_PUT) {
-		table[ROW_FILE_BYTES][at] = (double)size_bytes;
-		table[ROW_FILE_ENCODE_US][at] = least_us(
-			table[ROW_FILE_ENCODE_US][at], encoded_ns - start_ns);
-		table[ROW_FILE_DECODE_US][at] = least_us(
-			table[ROW_FILE_DECODE_US][at], decoded_ns - encoded_ns);
+		table_values[ROW_FILE_BYTES][at] = (double)size_bytes;
+		table_values[ROW_FILE_ENCODE_US][at] =
+			least_us(table_values[ROW_FILE_ENCODE_US][at],
+				 encoded_ns - start_ns);
+		table_values[ROW_FILE_DECODE_US][at] =
+			least_us(table_values[ROW_FILE_DECODE_US][at],
+				 decoded_ns - encoded_ns);
 	}
 	record_unref(copy);
 	g_bytes_unref(bytes);
@@ -217,7 +85,7 @@
 		 uint32_t at)
 {
 	enum record_kind kind = record->kind;
-	double *row = table[ROW_RECORD_US + kind];
+	double *row = table_values[ROW_RECORD_US + kind];
 	int64_t took_ns;
 
 	record_ref(record);
@@ -258,8 +126,9 @@
 		start_ns = cpu_ns();
 		g_assert(fleet_apply(copy, fleet_offset(copy) + 1, record,
 				     &outcome));
-		table[ROW_FILE_APPLY_US][at] = least_us(
-			table[ROW_FILE_APPLY_US][at], cpu_ns() - start_ns);
+		table_values[ROW_FILE_APPLY_US][at] =
+			least_us(table_values[ROW_FILE_APPLY_US][at],
+				 cpu_ns() - start_ns);
 		record_unref(record);
 		fleet_free(copy);
 	}
@@ -273,8 +142,8 @@
 	measure_apply(bed, decl, at);
 	for (uint32_t i = 0; i < REPEAT_COUNT; i++)
 		give(bed, bed_other(bed), next_version(bed, decl), at);
-	table[ROW_FILE_KERNEL_US][at] =
-		table[ROW_RECORD_US + RECORD_CONFIG_PUT][at];
+	table_values[ROW_FILE_KERNEL_US][at] =
+		table_values[ROW_RECORD_US + RECORD_CONFIG_PUT][at];
 }
 
 static struct record *claim_record(struct bed *bed, enum record_kind kind,
@@ -298,7 +167,7 @@
 static void measure_claims(struct bed *bed, uint32_t at)
 {
 	int64_t heap = heap_bytes();
-	double snapshot = table[ROW_SNAPSHOT_BYTES][at];
+	double snapshot = table_values[ROW_SNAPSHOT_BYTES][at];
 	GBytes *bytes;
 
 	for (uint32_t i = 0; i < REQUEST_COUNT; i++) {
@@ -312,10 +181,10 @@
 		record->claim.request_id = request_id;
 		give(bed, bed_other(bed), record, at);
 	}
-	table[ROW_CLAIM_HEAP_BYTES][at] =
+	table_values[ROW_CLAIM_HEAP_BYTES][at] =
 		(double)(heap_bytes() - heap) / REQUEST_COUNT;
 	bytes = snapshot_encode(kernel_fleet(bed->kernel));
-	table[ROW_CLAIM_SNAPSHOT_BYTES][at] =
+	table_values[ROW_CLAIM_SNAPSHOT_BYTES][at] =
 		((double)g_bytes_get_size(bytes) - snapshot) / REQUEST_COUNT;
 	g_bytes_unref(bytes);
 }
@@ -410,8 +279,8 @@
 		bed_list(bed);
 		start_ns = cpu_ns();
 		kernel_run(bed->kernel);
-		table[ROW_LIST_US][at] =
-			least_us(table[ROW_LIST_US][at], cpu_ns() - start_ns);
+		table_values[ROW_LIST_US][at] = least_us(
+			table_values[ROW_LIST_US][at], cpu_ns() - start_ns);
 		bed_step(bed);
 	}
 	for (guint i = 0; i < instances->len; i++) {
@@ -423,7 +292,7 @@
 	for (guint i = 0; i < bed->names->len; i++)
 		size_bytes += strlen("{\"name\":\"\",\"state\":\"live\"},") +
 			      strlen(bed->names->pdata[i]);
-	table[ROW_LIST_JSON_BYTES][at] = (double)size_bytes;
+	table_values[ROW_LIST_JSON_BYTES][at] = (double)size_bytes;
 }
 
 static void add_request(struct bed *bed, uint32_t number)
@@ -463,10 +332,10 @@
 			add_request(bed, i);
 		open_count = request_count(kernel_requests(bed->kernel));
 		if (round && open_count)
-			table[ROW_REQUEST_BYTES][at] =
+			table_values[ROW_REQUEST_BYTES][at] =
 				(double)(heap_bytes() - heap) / open_count;
 		finish_all(bed);
-		table[ROW_REQUEST_US][at] =
+		table_values[ROW_REQUEST_US][at] =
 			(double)(cpu_ns() - start_ns) / 1000 / REQUEST_COUNT;
 		bed_run(bed, 40 * USEC_PER_SEC);
 		finish_all(bed);
@@ -490,7 +359,7 @@
 		count++;
 		zero_count += !state || !state->allowed_count;
 	}
-	table[ROW_ZERO_SHARE][at] = 100.0 * zero_count / MAX(count, 1);
+	table_values[ROW_ZERO_SHARE][at] = 100.0 * zero_count / MAX(count, 1);
 }
 
 static void measure_heartbeats(const struct size *size, uint32_t at)
@@ -507,7 +376,8 @@
 	msg->applied_offset = 1000000;
 	msg->hlc = (uint64_t)BED_WALL_US / 1000 << 16;
 	bytes = peer_msg_encode(msg);
-	table[ROW_BEAT_PLAIN_BYTES][at] = (double)g_bytes_get_size(bytes);
+	table_values[ROW_BEAT_PLAIN_BYTES][at] =
+		(double)g_bytes_get_size(bytes);
 	g_bytes_unref(bytes);
 	msg->loads = g_array_new(FALSE, TRUE, sizeof(struct peer_pool_load));
 	for (uint32_t i = 0; i < plan.load_count; i++) {
@@ -520,9 +390,10 @@
 		g_array_append_val(msg->loads, load);
 	}
 	bytes = peer_msg_encode(msg);
-	table[ROW_BEAT_LOADS_BYTES][at] = (double)g_bytes_get_size(bytes);
-	table[ROW_LOADS_COUNT][at] = plan.load_count;
-	table[ROW_REMOTE_ROUND_S][at] =
+	table_values[ROW_BEAT_LOADS_BYTES][at] =
+		(double)g_bytes_get_size(bytes);
+	table_values[ROW_LOADS_COUNT][at] = plan.load_count;
+	table_values[ROW_REMOTE_ROUND_S][at] =
 		(double)plan.remote_round_us / USEC_PER_SEC;
 	g_bytes_unref(bytes);
 	peer_msg_free(msg);
@@ -540,23 +411,23 @@
 	bed_reset_traffic(bed);
 	start_ns = cpu_ns();
 	bed_run(bed, IDLE_US);
-	table[ROW_IDLE_US + bed->role][at] =
+	table_values[ROW_IDLE_US + bed->role][at] =
 		per_s((uint64_t)(cpu_ns() - start_ns)) / 1000;
-	table[ROW_LOCAL_PER_S + bed->role][at] =
+	table_values[ROW_LOCAL_PER_S + bed->role][at] =
 		per_s(bed->local.message_count);
-	table[ROW_LOCAL_BYTES_PER_S + bed->role][at] =
+	table_values[ROW_LOCAL_BYTES_PER_S + bed->role][at] =
 		per_s(bed->local.size_bytes);
-	table[ROW_REMOTE_PER_S + bed->role][at] =
+	table_values[ROW_REMOTE_PER_S + bed->role][at] =
 		per_s(bed->remote.message_count);
-	table[ROW_REMOTE_BYTES_PER_S + bed->role][at] =
+	table_values[ROW_REMOTE_BYTES_PER_S + bed->role][at] =
 		per_s(bed->remote.size_bytes);
-	table[ROW_RECEIVED_PER_S + bed->role][at] =
+	table_values[ROW_RECEIVED_PER_S + bed->role][at] =
 		per_s(bed->received.message_count);
-	table[ROW_RECEIVED_BYTES_PER_S + bed->role][at] =
+	table_values[ROW_RECEIVED_BYTES_PER_S + bed->role][at] =
 		per_s(bed->received.size_bytes);
-	table[ROW_APPENDS_PER_S + bed->role][at] =
+	table_values[ROW_APPENDS_PER_S + bed->role][at] =
 		per_s(bed->appended.message_count);
-	table[ROW_APPEND_BYTES_PER_S + bed->role][at] =
+	table_values[ROW_APPEND_BYTES_PER_S + bed->role][at] =
 		per_s(bed->appended.size_bytes);
 }
 
@@ -567,14 +438,15 @@
 	struct kernel *kernel = kernel_new(settings, 1, 1);
 
 	kernel_start_kind(kernel, PLUGIN_DECIDE);
-	table[ROW_KERNEL_EMPTY_BYTES][at] = (double)(heap_bytes() - heap);
+	table_values[ROW_KERNEL_EMPTY_BYTES][at] =
+		(double)(heap_bytes() - heap);
 	kernel_free(kernel);
 	settings_free(settings);
 }
 
 static void measure(uint32_t at)
 {
-	const struct size *size = &sizes[at];
+	const struct size *size = &table_sizes[at];
 	GPtrArray *files = generate_files(size);
 	int64_t heap;
 	struct bed *bed;
@@ -589,7 +461,7 @@
 	heap = heap_bytes();
 	bed = bed_new(size, BED_PLAIN, files);
 	measure_idle(bed, at);
-	table[ROW_KERNEL_BYTES][at] = (double)(heap_bytes() - heap);
+	table_values[ROW_KERNEL_BYTES][at] = (double)(heap_bytes() - heap);
 	measure_share(bed, at);
 	measure_snapshot(bed, at);
 	measure_list(bed, at);
@@ -653,7 +525,7 @@
 static void print_entries(void)
 {
 	static const uint32_t entry_counts[] = { 7, 12, 24, 48, 96, 114 };
-	const struct size *size = &sizes[SIZE_COUNT - 1];
+	const struct size *size = &table_sizes[TABLE_SIZE_COUNT - 1];
 	GPtrArray *files = generate_files(size);
 	struct bed *bed = bed_new(size, BED_PLAIN, files);
 	const struct fleet *fleet = kernel_fleet(bed->kernel);
@@ -688,15 +560,15 @@
 {
 	klog_init("bench");
 	if (argc == 2 && !strcmp(argv[1], "declare")) {
-		char *text = generate_all(&sizes[SIZE_COUNT - 1]);
+		char *text = generate_all(&table_sizes[TABLE_SIZE_COUNT - 1]);
 
 		fputs(text, stdout);
 		g_free(text);
 		return 0;
 	}
-	for (uint32_t i = 0; i < SIZE_COUNT; i++)
+	for (uint32_t i = 0; i < TABLE_SIZE_COUNT; i++)
 		measure(i);
-	print_table();
+	table_print();
 	print_entries();
 	return 0;
 }
