Leave workers that are gone out of what a holder reaches

Most workers that they asked did not answer because their machines were down or had moved on, which the directory shows only after three heartbeats.

Ruled out: the directory (it still had them); a longer time until a holder counts as isolated (a holder that is cut off costs as much).

Change: when a holder looks isolated the list of machines is asked for; workers that it does not have up are not counted any more.

Measurement: jobs_isolated_gone: the holder yielded before and holds on now; jobs_isolated still resigns.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -391,8 +391,11 @@
 		lease->isolated_us = 0;
 		return;
 	}
-	if (!lease->isolated_us)
+	if (!lease->isolated_us) {
 		lease->isolated_us = now_us;
+		kernel_emit(lease->kernel,
+			    &(struct event){ .type = EVENT_MACHINES_ASK });
+	}
 	if (now_us - lease->isolated_us < ISOLATED_MAX_US)
 		return;
 	decision_log("resign", "reason=isolated token=%" G_GUINT64_FORMAT,
@@ -400,6 +403,34 @@
 	resign(lease);
 }
 
+/* Workers whose machines are not up with them are gone, not out of reach. */
+static void on_machines(struct lease *lease, const struct machines_seen *seen)
+{
+	GHashTable *up = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter;
+	gpointer worker;
+	gpointer value;
+
+	for (guint i = 0; i < seen->rows->len; i++) {
+		const struct machine_row *row =
+			&g_array_index(seen->rows, struct machine_row, i);
+
+		if (row->state == MACHINE_UP && row->worker)
+			g_hash_table_add(up, (gpointer)row->worker);
+	}
+	g_hash_table_iter_init(&iter, lease->reached);
+	while (g_hash_table_iter_next(&iter, &worker, &value)) {
+		const struct reach *reach = value;
+
+		if (reach->lost_us > reach->heard_us &&
+		    !g_hash_table_contains(up, worker))
+			g_hash_table_iter_remove(&iter);
+	}
+	g_hash_table_unref(up);
+	if (lease->held)
+		check_isolated(lease);
+}
+
 /* A worker has seen the token of a successor before we read its claim. */
 static void on_order(struct lease *lease, const struct order *order)
 {
@@ -489,6 +520,10 @@
 	case EVENT_ORDER_DONE:
 		on_order(lease, event->msg);
 		break;
+	case EVENT_MACHINES_SEEN:
+		if (((const struct machines_seen *)event->msg)->answered)
+			on_machines(lease, event->msg);
+		break;
 	case EVENT_DRAIN:
 		on_drain(lease);
 		break;
@@ -526,7 +561,8 @@
 	.takes = EVENT_BIT(EVENT_JOBS_APPLIED) |
 		 EVENT_BIT(EVENT_STORE_WRITTEN) | EVENT_BIT(EVENT_WAKE) |
 		 EVENT_BIT(EVENT_ORDER_DONE) | EVENT_BIT(EVENT_DRAIN) |
-		 EVENT_BIT(EVENT_STARTED) | EVENT_BIT(EVENT_RESUMED),
+		 EVENT_BIT(EVENT_MACHINES_SEEN) | EVENT_BIT(EVENT_STARTED) |
+		 EVENT_BIT(EVENT_RESUMED),
 	.init = lease_init,
 	.handle = lease_handle,
 	.fini = lease_fini,
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -107,7 +107,8 @@
 	}
 }
 
-/* job-fault WORKER dead|cut|lose|fails|stalls|ok */
+/* job-fault WORKER dead|dark|cut|lose|fails|stalls|ok; dark: dead, but listed
+ */
 static void run_fault(struct script *script)
 {
 	struct fake_worker *worker =
@@ -118,8 +119,9 @@
 		script_fail(script, "no worker is called so");
 		return;
 	}
-	if (!strcmp(how, "dead"))
+	if (!strcmp(how, "dead") || !strcmp(how, "dark"))
 		fake_worker_die(jobs_of(script), worker);
+	worker->listed |= !strcmp(how, "dark");
 	worker->cut = !strcmp(how, "cut");
 	worker->lose = !strcmp(how, "lose");
 	worker->fails = !strcmp(how, "fails");
