Drop a factor of one from the lateness of jobs

The part of a chain that is taken for certain is all of it; the constant was left from trials. No decision changes: all scripts print the same.

--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -5,8 +5,6 @@
 #include "jobs/sched.h"
 
 /* Weights of a worker's score, in thousandths of its free capacity. */
-/* Part of an estimated chain that is taken for certain. */
-#define CHAIN_SURE_PERCENT 100
 #define SCORE_RACK_NEAR 2000
 #define SCORE_LASTING_PACKED 300
 #define SCORE_SIBLING_RACK 100
@@ -84,8 +82,7 @@
 				  (double)chain_us(pass->sched, job, false));
 	/* Work that can't end in time any more is worth little. */
 	candidate.late = candidate.objective_us <
-			 pass->now_us + chain_us(pass->sched, job, true) *
-						CHAIN_SURE_PERCENT / 100;
+			 pass->now_us + chain_us(pass->sched, job, true);
 	g_array_append_val(pass->candidates, candidate);
 }
 
