Let the stand-in of the store time its writes itself

Cause: a write to a slow store was marked as delayed by its address in a set. If its process is killed meanwhile the address stays there, and a later write that happens to get it takes effect at once. The verdict of jobs_claim_busy, in which a process is killed while its writes wait, could depend on the allocator.

Change: the schedule tells events, reads and writes apart by a kind of their own. That also replaces the event type that stood for a read that is due.

Conclusion: the same checks, without the address.

--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -13,13 +13,12 @@
 	return !entry->store_cut && !entry->jobs->store_down;
 }
 
-/* EVENT_TYPE_COUNT marks a read that is due. */
 void fake_store_schedule_read(struct jobs_entry *entry, int64_t delay_us)
 {
 	if (entry->read_due)
 		return;
 	entry->read_due = true;
-	jobs_deliver(entry->jobs, entry, EVENT_TYPE_COUNT, NULL, delay_us);
+	jobs_schedule_read(entry, delay_us);
 }
 
 void fake_store_read(struct jobs_entry *entry)
@@ -102,24 +101,10 @@
 	}
 }
 
-void fake_store_write(struct jobs_entry *entry, struct store_write *write)
+void fake_store_take(struct jobs_entry *entry, struct store_write *write)
 {
 	struct jobs_world *jobs = entry->jobs;
 
-	if (!reaches(entry)) {
-		/* The adapter repeats a write until it is settled. */
-		jobs_deliver(jobs, entry, EVENT_STORE_WRITE,
-			     g_rc_box_acquire(write), READ_FAILED_US);
-		return;
-	}
-	/* A slow store takes the write at the end of its delay. */
-	if (jobs->store_delay_us &&
-	    !g_hash_table_remove(jobs->delayed, write)) {
-		g_hash_table_add(jobs->delayed, write);
-		jobs_deliver(jobs, entry, EVENT_STORE_WRITE,
-			     g_rc_box_acquire(write), jobs->store_delay_us);
-		return;
-	}
 	write->result = take(jobs, write);
 	write->end_offset = jobs->store->len;
 	if (write->result == STORE_DONE)
@@ -133,3 +118,19 @@
 			fake_store_schedule_read(reader, READ_US);
 	}
 }
+
+void fake_store_write(struct jobs_entry *entry, struct store_write *write)
+{
+	struct jobs_world *jobs = entry->jobs;
+
+	if (!reaches(entry)) {
+		/* The adapter repeats a write until it is settled. */
+		jobs_deliver(jobs, entry, EVENT_STORE_WRITE,
+			     g_rc_box_acquire(write), READ_FAILED_US);
+		return;
+	}
+	if (jobs->store_delay_us)
+		jobs_schedule_write(entry, write, jobs->store_delay_us);
+	else
+		fake_store_take(entry, write);
+}
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -5,7 +5,14 @@
 
 #define CALL_US (2 * USEC_PER_MSEC)
 
+enum delivery_kind {
+	DELIVERY_EVENT,	      /* to the plug-ins of the entry instance */
+	DELIVERY_STORE_READ,  /* the store reads for it */
+	DELIVERY_STORE_WRITE, /* the store takes its write */
+};
+
 struct delivery {
+	enum delivery_kind kind;
 	int64_t due_us;
 	uint64_t number;
 	struct jobs_entry *entry;
@@ -45,12 +52,14 @@
 	g_free(text);
 }
 
-void jobs_deliver(struct jobs_world *jobs, struct jobs_entry *entry,
-		  enum event_type type, void *msg, int64_t delay_us)
+static void schedule(struct jobs_world *jobs, struct jobs_entry *entry,
+		     enum delivery_kind kind, enum event_type type, void *msg,
+		     int64_t delay_us)
 {
 	static uint64_t number;
 	struct delivery *delivery = g_new0(struct delivery, 1);
 
+	delivery->kind = kind;
 	delivery->due_us = jobs->world->now_us + delay_us;
 	delivery->number = number++;
 	delivery->entry = entry;
@@ -61,6 +70,25 @@
 				 NULL);
 }
 
+void jobs_deliver(struct jobs_world *jobs, struct jobs_entry *entry,
+		  enum event_type type, void *msg, int64_t delay_us)
+{
+	schedule(jobs, entry, DELIVERY_EVENT, type, msg, delay_us);
+}
+
+void jobs_schedule_read(struct jobs_entry *entry, int64_t delay_us)
+{
+	schedule(entry->jobs, entry, DELIVERY_STORE_READ, EVENT_STORE_READ,
+		 NULL, delay_us);
+}
+
+void jobs_schedule_write(struct jobs_entry *entry, struct store_write *write,
+			 int64_t delay_us)
+{
+	schedule(entry->jobs, entry, DELIVERY_STORE_WRITE, EVENT_STORE_WRITE,
+		 g_rc_box_acquire(write), delay_us);
+}
+
 static void print_reply(struct jobs_entry *entry, const struct job_reply *reply)
 {
 	struct world *world = entry->jobs->world;
@@ -227,7 +255,6 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	jobs->accepted =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	jobs->delayed = g_hash_table_new(NULL, NULL);
 	jobs->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->jobs = jobs;
@@ -254,7 +281,6 @@
 	g_hash_table_unref(jobs->done);
 	g_hash_table_unref(jobs->accepted);
 	g_hash_table_unref(jobs->cancelled);
-	g_hash_table_unref(jobs->delayed);
 	g_free(jobs);
 }
 
@@ -306,8 +332,11 @@
 			struct event event = delivery->event;
 
 			delivery->event.msg = NULL;
-			if (event.type == EVENT_TYPE_COUNT) {
+			if (delivery->kind == DELIVERY_STORE_READ) {
 				fake_store_read(entry);
+			} else if (delivery->kind == DELIVERY_STORE_WRITE) {
+				fake_store_take(entry, event.msg);
+				event_clear(&event);
 			} else {
 				set_time(entry);
 				kernel_emit(entry->kernel, &event);
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -85,8 +85,7 @@
 	GPtrArray *store;    /* of struct job_record, NULL: no record */
 	uint64_t epoch;	     /* of the producer of holders */
 	bool store_down;
-	int64_t store_delay_us; /* each write takes so long */
-	GHashTable *delayed;	/* writes that wait for it */
+	int64_t store_delay_us; /* each write takes effect so late */
 	bool store_lose;	/* the answer of the next write is late */
 	GSequence *schedule;	/* of struct delivery */
 	struct queues *queues;
@@ -119,8 +118,15 @@
 void jobs_deliver(struct jobs_world *jobs, struct jobs_entry *entry,
 		  enum event_type type, void *msg, int64_t delay_us);
 
+/* Has the store read for an entry instance, or take its write, later. */
+void jobs_schedule_read(struct jobs_entry *entry, int64_t delay_us);
+void jobs_schedule_write(struct jobs_entry *entry, struct store_write *write,
+			 int64_t delay_us);
+
 /* jobs_store.c */
 void fake_store_write(struct jobs_entry *entry, struct store_write *write);
+/* The write takes effect now. */
+void fake_store_take(struct jobs_entry *entry, struct store_write *write);
 void fake_store_read(struct jobs_entry *entry);
 void fake_store_schedule_read(struct jobs_entry *entry, int64_t delay_us);
 
