--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -92,12 +92,12 @@
 {
 	struct httpd *httpd = watcher->data;
 	struct epoll_event events[DISCONNECTS_AT_ONCE_COUNT];
-	int count = epoll_wait(httpd->disconnect_fd, events,
-			       DISCONNECTS_AT_ONCE_COUNT, 0);
+	int32_t count = epoll_wait(httpd->disconnect_fd, events,
+				   DISCONNECTS_AT_ONCE_COUNT, 0);
 
 	(void)ev;
 	(void)revents;
-	for (int i = 0; i < count; i++) {
+	for (int32_t i = 0; i < count; i++) {
 		struct conn *conn = events[i].data.ptr;
 
 		if (conn->exchange && conn->exchange->state == EXCHANGE_WAITING)
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -144,6 +144,12 @@
 		   index - job_first_item(job, occurrence, step));
 }
 
+void job_step_name(const struct job *job, uint32_t occurrence, uint32_t step,
+		   char *to, size_t size_bytes)
+{
+	g_snprintf(to, size_bytes, "%s.%u.%u", job->id, occurrence, step);
+}
+
 static bool parse_part(const char **text, uint32_t *value)
 {
 	char *end;
@@ -171,8 +177,7 @@
 	       parse_part(&name, step) && parse_part(&name, index) && !*name;
 }
 
-static bool step_is_done(const struct job *job, uint32_t occurrence,
-			 uint32_t step)
+bool job_step_is_done(const struct job *job, uint32_t occurrence, uint32_t step)
 {
 	uint32_t first = job_first_item(job, occurrence, step);
 
@@ -189,7 +194,7 @@
 	uint64_t mask = job_step(job, step)->after_mask;
 
 	for (uint32_t i = 0; i < job->spec->steps->len; i++) {
-		if ((mask >> i & 1) && !step_is_done(job, occurrence, i))
+		if ((mask >> i & 1) && !job_step_is_done(job, occurrence, i))
 			return false;
 	}
 	return true;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -143,6 +143,13 @@
 bool job_item_parse(const char *name, char *id, uint32_t *occurrence,
 		    uint32_t *step, uint32_t *index);
 
+/* "ID.occurrence.step"; size_bytes of NAME_SIZE_BYTES suffices. */
+void job_step_name(const struct job *job, uint32_t occurrence, uint32_t step,
+		   char *to, size_t size_bytes);
+
+bool job_step_is_done(const struct job *job, uint32_t occurrence,
+		      uint32_t step);
+
 /* Whether all steps that this one depends on are done in its occurrence. */
 bool job_step_is_ready(const struct job *job, uint32_t occurrence,
 		       uint32_t step);
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #include "jobs/msg.h"
+#include "jobs/reach.h"
 #include "kernel/decision_log.h"
 #include "kernel/kernel.h"
 
@@ -25,11 +26,8 @@
 /* Spreads the claims of several entry instances. */
 #define CLAIM_SPREAD_US (300 * USEC_PER_MSEC)
 #define CLAIM_AGAIN_US (150 * USEC_PER_MSEC)
-/* Answers older than this say nothing of a worker. */
-#define REACH_US (4 * USEC_PER_SEC)
 /* Most workers are silent for so long before the lease is given up. */
 #define ISOLATED_MAX_US (1500 * USEC_PER_MSEC)
-#define ISOLATED_MIN_COUNT 4
 /* An entry instance that gave the lease up leaves it to others for so long. */
 #define RESIGNED_US (8 * USEC_PER_SEC)
 
@@ -41,9 +39,8 @@
 	bool draining;
 	uint64_t end_offset;
 	/* Newest step of a holder in the store */
-	bool known;
 	bool resigned;
-	uint64_t newest_token;
+	uint64_t newest_token; /* 0: none is known */
 	char newest_entry[NAME_SIZE_BYTES];
 	uint64_t newest_boot_id;
 	int64_t heard_us; /* of the holder, while the store was reachable */
@@ -57,8 +54,8 @@
 	uint64_t fence_token;
 	uint64_t fence_end_offset;
 	bool fenced;
-	bool was_ended; /* that holder had resigned or ended when we claimed */
-	bool was_known; /* there was an earlier holder */
+	uint64_t replaced_token; /* of the holder before us; 0: none */
+	bool was_ended;		 /* it had resigned or ended when we claimed */
 	int64_t claimed_us;
 	bool held;
 	uint64_t renew_write_id; /* 0: none under way */
@@ -67,16 +64,10 @@
 	int64_t confirmed_us; /* send time of the newest write that succeeded */
 	int64_t leave_until_us;
 	int64_t spread_us;
-	GHashTable *reached; /* worker -> struct reach, while held */
+	struct reach *reach; /* of workers, while held */
 	int64_t isolated_us; /* most workers don't answer since; 0: they do */
 };
 
-/* Whether a worker answers this holder. */
-struct reach {
-	int64_t heard_us;
-	int64_t lost_us;
-};
-
 int64_t worker_lease_us(const struct job_bounds *bounds)
 {
 	return MIN(bounds->lease_max_us, WORKER_LEASE_WANTED_US);
@@ -134,10 +125,10 @@
 
 	lease->held = held;
 	lease->isolated_us = 0;
-	g_hash_table_remove_all(lease->reached);
+	reach_clear(lease->reach);
 	changed->held = held;
 	changed->token = lease->fence_token;
-	if (held && lease->was_known) {
+	if (held && lease->replaced_token) {
 		changed->earlier_until_us =
 			lease->claimed_us + worker_lease_here_us(lease_us);
 		if (!lease->was_ended)
@@ -196,7 +187,7 @@
 /* One process at a time runs for an entry instance. */
 static bool was_own_life(const struct lease *lease)
 {
-	return lease->known && lease->newest_boot_id != lease->boot_id &&
+	return lease->newest_token && lease->newest_boot_id != lease->boot_id &&
 	       !strcmp(lease->newest_entry,
 		       kernel_settings(lease->kernel)->entry);
 }
@@ -228,14 +219,13 @@
 		lease->heard_us += TAKE_UP_US;
 	if (record->step == HOLDER_CLAIM && is_own(lease, record) &&
 	    token > lease->fence_token) {
-		lease->was_known = lease->known;
+		lease->replaced_token = record->token;
 		lease->was_ended = lease->resigned || was_own_life(lease);
 		lease->claimed_us = kernel_now_us(lease->kernel);
 		lease->fence_token = token;
 		lease->fence_write_id = write_step(lease, STORE_WRITER_FENCE,
 						   HOLDER_CLAIM, token);
 	}
-	lease->known = true;
 	lease->resigned = record->step == HOLDER_RESIGN;
 	lease->newest_token = token;
 	g_strlcpy(lease->newest_entry, record->entry,
@@ -347,47 +337,12 @@
 		lease->confirmed_us = lease->renew_sent_us;
 }
 
-static void note_reach(struct lease *lease, const struct order *order)
-{
-	struct reach *reach =
-		g_hash_table_lookup(lease->reached, order->worker);
-
-	if (!reach) {
-		reach = g_new0(struct reach, 1);
-		g_hash_table_insert(lease->reached, (gpointer)order->worker,
-				    reach);
-	}
-	if (order->result == ORDER_LOST)
-		reach->lost_us = kernel_now_us(lease->kernel);
-	else
-		reach->heard_us = kernel_now_us(lease->kernel);
-}
-
-static bool is_isolated(const struct lease *lease, int64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t lost_count = 0;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, lease->reached);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct reach *reach = value;
-
-		if (now_us - MAX(reach->lost_us, reach->heard_us) > REACH_US)
-			continue;
-		count++;
-		lost_count += reach->lost_us > reach->heard_us;
-	}
-	return count >= ISOLATED_MIN_COUNT && 2 * lost_count > count;
-}
-
 /* Another entry instance may reach the workers that this one does not. */
 static void check_isolated(struct lease *lease)
 {
 	int64_t now_us = kernel_now_us(lease->kernel);
 
-	if (!is_isolated(lease, now_us)) {
+	if (!reach_is_lost(lease->reach, now_us)) {
 		lease->isolated_us = 0;
 		return;
 	}
@@ -403,39 +358,19 @@
 	resign(lease);
 }
 
-/* Workers whose machines are not up with them are gone, not out of reach. */
 static void on_machines(struct lease *lease, const struct machines_seen *seen)
 {
-	GHashTable *up = g_hash_table_new(NULL, NULL);
-	GHashTableIter iter;
-	gpointer worker;
-	gpointer value;
-
-	for (guint i = 0; i < seen->rows->len; i++) {
-		const struct machine_row *row =
-			&g_array_index(seen->rows, struct machine_row, i);
-
-		if (row->state == MACHINE_UP && row->worker)
-			g_hash_table_add(up, (gpointer)row->worker);
-	}
-	g_hash_table_iter_init(&iter, lease->reached);
-	while (g_hash_table_iter_next(&iter, &worker, &value)) {
-		const struct reach *reach = value;
-
-		if (reach->lost_us > reach->heard_us &&
-		    !g_hash_table_contains(up, worker))
-			g_hash_table_iter_remove(&iter);
-	}
-	g_hash_table_unref(up);
-	if (lease->held)
-		check_isolated(lease);
+	if (!lease->held || !seen->answered)
+		return;
+	reach_leave_out_gone(lease->reach, seen);
+	check_isolated(lease);
 }
 
 /* A worker has seen the token of a successor before we read its claim. */
 static void on_order(struct lease *lease, const struct order *order)
 {
 	if (lease->held && order->token == lease->fence_token) {
-		note_reach(lease, order);
+		reach_note(lease->reach, order, kernel_now_us(lease->kernel));
 		check_isolated(lease);
 	}
 	if (lease->held && order->result == ORDER_FENCED &&
@@ -456,7 +391,7 @@
 	    now_us < lease->claim_again_us || now_us < lease->leave_until_us ||
 	    !kernel_queues(lease->kernel))
 		return false;
-	if (lease->resigned || !lease->known)
+	if (lease->resigned || !lease->newest_token)
 		silence_us = lease->spread_us;
 	if (was_own_life(lease))
 		silence_us = 0;
@@ -521,8 +456,7 @@
 		on_order(lease, event->msg);
 		break;
 	case EVENT_MACHINES_SEEN:
-		if (((const struct machines_seen *)event->msg)->answered)
-			on_machines(lease, event->msg);
+		on_machines(lease, event->msg);
 		break;
 	case EVENT_DRAIN:
 		on_drain(lease);
@@ -542,7 +476,7 @@
 	lease->boot_id = ((uint64_t)g_rand_int(kernel_random(kernel)) << 32) |
 			 g_rand_int(kernel_random(kernel));
 	lease->write_id = 1;
-	lease->reached = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	lease->reach = reach_new();
 	lease->spread_us = g_str_hash(entry) % CLAIM_SPREAD_US;
 	return lease;
 }
@@ -551,7 +485,7 @@
 {
 	struct lease *lease = self;
 
-	g_hash_table_unref(lease->reached);
+	reach_free(lease->reach);
 	g_free(lease);
 }
 
--- a/src/jobs/msg.c
+++ b/src/jobs/msg.c
@@ -91,6 +91,20 @@
 	return msg;
 }
 
+GHashTable *machines_seen_up(const struct machines_seen *seen)
+{
+	GHashTable *up = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < seen->rows->len; i++) {
+		const struct machine_row *row =
+			&g_array_index(seen->rows, struct machine_row, i);
+
+		if (row->state == MACHINE_UP && row->worker)
+			g_hash_table_add(up, (gpointer)row->worker);
+	}
+	return up;
+}
+
 static void advice_row_clear(gpointer data)
 {
 	struct advice_row *row = data;
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -259,6 +259,8 @@
 struct wave_seen *wave_seen_new(void);
 struct order *order_new(enum order_kind kind);
 struct machines_seen *machines_seen_new(void);
+/* Set of the workers, interned, whose machines are up. Caller unrefs. */
+GHashTable *machines_seen_up(const struct machines_seen *seen);
 struct advice *advice_new(void);
 
 void worker_entry_free(gpointer entry);
--- /dev/null
+++ b/src/jobs/reach.c
@@ -0,0 +1,91 @@
+#include "jobs/reach.h"
+
+/* Answers older than this say nothing of a worker. */
+#define RECENT_US (4 * USEC_PER_SEC)
+/* Fewer workers than this say nothing of the network. */
+#define WORKERS_MIN_COUNT 4
+
+struct answers {
+	int64_t heard_us;
+	int64_t lost_us;
+};
+
+struct reach {
+	GHashTable *workers; /* interned id -> struct answers */
+};
+
+struct reach *reach_new(void)
+{
+	struct reach *reach = g_new0(struct reach, 1);
+
+	reach->workers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	return reach;
+}
+
+void reach_free(struct reach *reach)
+{
+	g_hash_table_unref(reach->workers);
+	g_free(reach);
+}
+
+void reach_clear(struct reach *reach)
+{
+	g_hash_table_remove_all(reach->workers);
+}
+
+void reach_note(struct reach *reach, const struct order *order, int64_t now_us)
+{
+	struct answers *answers =
+		g_hash_table_lookup(reach->workers, order->worker);
+
+	if (!answers) {
+		answers = g_new0(struct answers, 1);
+		g_hash_table_insert(reach->workers, (gpointer)order->worker,
+				    answers);
+	}
+	if (order->result == ORDER_LOST)
+		answers->lost_us = now_us;
+	else
+		answers->heard_us = now_us;
+}
+
+static bool is_lost(const struct answers *answers)
+{
+	return answers->lost_us > answers->heard_us;
+}
+
+void reach_leave_out_gone(struct reach *reach, const struct machines_seen *seen)
+{
+	GHashTable *up = machines_seen_up(seen);
+	GHashTableIter iter;
+	gpointer worker;
+	gpointer answers;
+
+	g_hash_table_iter_init(&iter, reach->workers);
+	while (g_hash_table_iter_next(&iter, &worker, &answers)) {
+		if (is_lost(answers) &&
+		    !g_hash_table_contains(up, worker))
+			g_hash_table_iter_remove(&iter);
+	}
+	g_hash_table_unref(up);
+}
+
+bool reach_is_lost(const struct reach *reach, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t lost_count = 0;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, reach->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct answers *answers = value;
+
+		if (now_us - MAX(answers->lost_us, answers->heard_us) >
+		    RECENT_US)
+			continue;
+		count++;
+		lost_count += is_lost(answers);
+	}
+	return count >= WORKERS_MIN_COUNT && 2 * lost_count > count;
+}
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -266,9 +266,10 @@
 	sched->waves_ordered =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_byte_array_unref);
-	sched->machines_ordered = g_hash_table_new(g_str_hash, g_str_equal);
-	sched->orders_waiting = g_ptr_array_new();
-	sched->orders_storing = g_ptr_array_new();
+	sched->orders_waiting =
+		g_ptr_array_new_with_free_func(g_rc_box_release);
+	sched->orders_storing =
+		g_ptr_array_new_with_free_func(g_rc_box_release);
 	sched->parking = kernel_ops(kernel, PLUGIN_PARKING);
 	sched->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      step_advice_free);
@@ -290,10 +291,10 @@
 	g_hash_table_unref(sched->machines);
 	g_ptr_array_unref(sched->waves);
 	g_hash_table_unref(sched->waves_ordered);
-	machine_orders_forget(sched);
 	g_ptr_array_unref(sched->orders_waiting);
 	g_ptr_array_unref(sched->orders_storing);
-	g_hash_table_unref(sched->machines_ordered);
+	if (sched->machines_ordered)
+		g_hash_table_unref(sched->machines_ordered);
 	g_hash_table_unref(sched->advice);
 	g_hash_table_unref(sched->loads);
 	g_hash_table_unref(sched->run_times);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -160,9 +160,8 @@
 	int64_t machine_orders_us;
 	GPtrArray *orders_waiting; /* of struct machine_order, to be told */
 	GPtrArray *orders_storing; /* in the write that is under way */
-	/* Names, interned: those that earlier holders ordered last. */
+	/* Names of those that earlier holders ordered last; NULL: not told. */
 	GHashTable *machines_ordered;
-	bool machines_told; /* they are known */
 	GHashTable *advice; /* step -> struct step_advice */
 	bool advice_asked;  /* a question is under way */
 	const struct parking_ops *parking;
@@ -289,8 +288,8 @@
 void advice_ask(struct sched *sched, const struct job *job, uint32_t occurrence,
 		uint32_t step, const GPtrArray *workers);
 /* Ticket of a start order; NULL if there is none. Caller frees. */
-char *advice_ticket(struct sched *sched, const struct job *job, uint32_t index,
-		    const struct worker *worker);
+char *advice_ticket(const struct sched *sched, const struct job *job,
+		    uint32_t index, const struct worker *worker);
 /* The worker has refused the ticket. */
 void advice_refused(struct sched *sched, const struct job *job, uint32_t index,
 		    const struct worker *worker);
--- a/src/jobs/sched_advice.c
+++ b/src/jobs/sched_advice.c
@@ -44,12 +44,6 @@
 	g_free(advice);
 }
 
-static void step_name(const struct job *job, uint32_t occurrence, uint32_t step,
-		      char *to, size_t size_bytes)
-{
-	g_snprintf(to, size_bytes, "%s.%u.%u", job->id, occurrence, step);
-}
-
 struct step_advice *advice_of_step(struct sched *sched, const struct job *job,
 				   uint32_t occurrence, uint32_t step)
 {
@@ -59,7 +53,7 @@
 
 	if (!queue || !queue->needs_advice)
 		return NULL;
-	step_name(job, occurrence, step, name, sizeof(name));
+	job_step_name(job, occurrence, step, name, sizeof(name));
 	advice = g_hash_table_lookup(sched->advice, name);
 	if (advice)
 		return advice;
@@ -128,7 +122,7 @@
 	}
 	g_ptr_array_sort(asked, compare_load);
 	msg = advice_new();
-	step_name(job, occurrence, step, msg->step, sizeof(msg->step));
+	job_step_name(job, occurrence, step, msg->step, sizeof(msg->step));
 	for (guint i = 0; i < MIN(asked->len, ASK_MAX_COUNT); i++)
 		g_ptr_array_add(
 			msg->workers,
@@ -185,12 +179,20 @@
 	sched_wake_at(sched, advice->again_us);
 }
 
-char *advice_ticket(struct sched *sched, const struct job *job, uint32_t index,
-		    const struct worker *worker)
+static struct step_advice *find_of_item(const struct sched *sched,
+					const struct job *job, uint32_t index)
+{
+	char name[NAME_SIZE_BYTES];
+
+	job_step_name(job, job_item_occurrence(job, index),
+		      job_item_step(job, index), name, sizeof(name));
+	return g_hash_table_lookup(sched->advice, name);
+}
+
+char *advice_ticket(const struct sched *sched, const struct job *job,
+		    uint32_t index, const struct worker *worker)
 {
-	const struct step_advice *advice =
-		advice_of_step(sched, job, job_item_occurrence(job, index),
-			       job_item_step(job, index));
+	const struct step_advice *advice = find_of_item(sched, job, index);
 	const struct ticket *ticket =
 		advice ? g_hash_table_lookup(advice->tickets, worker->id)
 		       : NULL;
@@ -201,9 +203,7 @@
 void advice_refused(struct sched *sched, const struct job *job, uint32_t index,
 		    const struct worker *worker)
 {
-	struct step_advice *advice =
-		advice_of_step(sched, job, job_item_occurrence(job, index),
-			       job_item_step(job, index));
+	struct step_advice *advice = find_of_item(sched, job, index);
 
 	if (!advice)
 		return;
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -95,17 +95,10 @@
 static void end_unlisted_workers(struct sched *sched,
 				 const struct machines_seen *seen)
 {
-	GHashTable *up = g_hash_table_new(NULL, NULL);
+	GHashTable *up = machines_seen_up(seen);
 	GHashTableIter iter;
 	gpointer value;
 
-	for (guint i = 0; i < seen->rows->len; i++) {
-		const struct machine_row *row =
-			&g_array_index(seen->rows, struct machine_row, i);
-
-		if (row->state == MACHINE_UP && row->worker)
-			g_hash_table_add(up, (gpointer)row->worker);
-	}
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct worker *worker = value;
--- a/src/jobs/sched_order.c
+++ b/src/jobs/sched_order.c
@@ -18,7 +18,7 @@
 	return sched->earlier_until_us &&
 	       sched_now_us(sched) - sched->held_us <
 		       sched->bounds->machine_lease_us &&
-	       (!sched->machines_told ||
+	       (!sched->machines_ordered ||
 		g_hash_table_contains(sched->machines_ordered, name));
 }
 
@@ -32,11 +32,12 @@
 void machine_orders_on_record(struct sched *sched,
 			      const struct job_record *record)
 {
-	g_hash_table_remove_all(sched->machines_ordered);
+	if (sched->machines_ordered)
+		g_hash_table_unref(sched->machines_ordered);
+	sched->machines_ordered = g_hash_table_new(g_str_hash, g_str_equal);
 	for (guint i = 0; i < record->machines->len; i++)
 		g_hash_table_add(sched->machines_ordered,
 				 record->machines->pdata[i]);
-	sched->machines_told = true;
 }
 
 bool machine_order_send(struct sched *sched, const struct machine_order *order)
@@ -66,6 +67,7 @@
 void machine_orders_add(struct sched *sched, struct store_write *write)
 {
 	struct job_record *record;
+	GPtrArray *storing;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -82,9 +84,10 @@
 					(gpointer)machine->name);
 	}
 	g_ptr_array_add(write->records, record);
-	g_ptr_array_extend_and_steal(sched->orders_storing,
-				     sched->orders_waiting);
-	sched->orders_waiting = g_ptr_array_new();
+	/* One write at a time: none is being stored. */
+	storing = sched->orders_waiting;
+	sched->orders_waiting = sched->orders_storing;
+	sched->orders_storing = storing;
 }
 
 /* Work may have come to the machine while its order was stored. */
@@ -108,7 +111,8 @@
 		     order->wave, order->pool);
 	machine->told_until_us =
 		sched_now_us(sched) + sched->bounds->machine_lease_us;
-	kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDER, order);
+	kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDER,
+			g_rc_box_acquire(order));
 }
 
 void machine_orders_stored(struct sched *sched, bool stored)
@@ -121,20 +125,14 @@
 			continue;
 		}
 		order->result = MACHINE_REFUSED;
-		kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDERED, order);
+		kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDERED,
+				g_rc_box_acquire(order));
 	}
 	g_ptr_array_set_size(sched->orders_storing, 0);
 }
 
-static void drop(GPtrArray *orders)
-{
-	for (guint i = 0; i < orders->len; i++)
-		g_rc_box_release(orders->pdata[i]);
-	g_ptr_array_set_size(orders, 0);
-}
-
 void machine_orders_forget(struct sched *sched)
 {
-	drop(sched->orders_waiting);
-	drop(sched->orders_storing);
+	g_ptr_array_set_size(sched->orders_waiting, 0);
+	g_ptr_array_set_size(sched->orders_storing, 0);
 }
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -31,17 +31,6 @@
 	const struct step_advice *advice; /* of the step; NULL: needs none */
 };
 
-static bool step_has_ended(const struct job *job, uint32_t step)
-{
-	uint32_t first = job_first_item(job, 0, step);
-
-	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++) {
-		if (job_item(job, first + i)->phase != ITEM_DONE)
-			return false;
-	}
-	return true;
-}
-
 /* Longest chain of steps, of all of them or of those that are left. */
 static int64_t chain_us(const struct sched *sched, const struct job *job,
 			bool left)
@@ -57,7 +46,7 @@
 				longest_us[i] =
 					MAX(longest_us[i], longest_us[j]);
 		}
-		if (!left || !step_has_ended(job, i))
+		if (!left || !job_step_is_done(job, 0, i))
 			longest_us[i] += step_estimate_us(sched, job, i);
 		chain = MAX(chain, longest_us[i]);
 	}
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -461,7 +461,7 @@
 		return false;
 	if (!sched->earlier_until_us)
 		return true;
-	return age_us >= (sched->machines_told
+	return age_us >= (sched->machines_ordered
 				  ? sched->bounds->stop_us + STOP_SEEN_US
 				  : sched->bounds->machine_lease_us);
 }
--- a/src/main.c
+++ b/src/main.c
@@ -70,7 +70,7 @@
 	};
 	const struct command_ops *ops;
 	char *name;
-	int status;
+	int32_t status;
 
 	argp_err_exit_status = EXIT_USAGE;
 	if (argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &arguments))
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -333,13 +333,75 @@
 	job_spec_unref(spec);
 }
 
+/* Without the names, the next holder would order the same machines. */
+static void test_record_machines(void)
+{
+	struct job_record *record = job_record_new(JOB_RECORD_MACHINES);
+	char keys[3][JOB_KEY_MAX_BYTES];
+	struct job_record *read;
+	GBytes *value;
+
+	record->machines = g_ptr_array_new();
+	g_ptr_array_add(record->machines, (gpointer)g_intern_string("m1"));
+	g_ptr_array_add(record->machines, (gpointer)g_intern_string("m2"));
+	CU_ASSERT_EQUAL(job_codec_keys(record, keys), 1);
+	value = job_codec_encode(record);
+	read = job_codec_decode(keys[0], g_bytes_get_data(value, NULL),
+				g_bytes_get_size(value));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(read);
+	CU_ASSERT_EQUAL(read->kind, JOB_RECORD_MACHINES);
+	CU_ASSERT_EQUAL_FATAL(read->machines->len, 2);
+	CU_ASSERT_STRING_EQUAL(read->machines->pdata[1], "m2");
+	CU_ASSERT_PTR_NULL(
+		job_codec_decode(keys[0], (const uint8_t *)"\xff", 1));
+	job_record_unref(read);
+	g_bytes_unref(value);
+	job_record_unref(record);
+}
+
+/* Under one key a claim in vain would hide the holder's newest step. */
+static void test_record_claim(void)
+{
+	struct job_record *record = job_record_new(JOB_RECORD_HOLDER);
+	char keys[3][JOB_KEY_MAX_BYTES];
+	char renew_keys[3][JOB_KEY_MAX_BYTES];
+	struct job_record *read;
+	GBytes *value;
+
+	g_strlcpy(record->entry, "e1", sizeof(record->entry));
+	record->token = 7;
+	record->step = HOLDER_CLAIM;
+	CU_ASSERT_EQUAL(job_codec_keys(record, keys), 1);
+	value = job_codec_encode(record);
+	record->step = HOLDER_RENEW;
+	CU_ASSERT_EQUAL(job_codec_keys(record, renew_keys), 1);
+	CU_ASSERT_STRING_NOT_EQUAL(keys[0], renew_keys[0]);
+	read = job_codec_decode(keys[0], g_bytes_get_data(value, NULL),
+				g_bytes_get_size(value));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(read);
+	CU_ASSERT_EQUAL(read->step, HOLDER_CLAIM);
+	CU_ASSERT_EQUAL(read->token, 7);
+	CU_ASSERT_STRING_EQUAL(read->entry, "e1");
+	job_record_unref(read);
+	g_bytes_unref(value);
+	job_record_unref(record);
+}
+
 static const CU_TestInfo tests[] = {
-	{ "worker", test_worker }, { "worker refused", test_worker_refused },
-	{ "config", test_config }, { "config refused", test_config_refused },
-	{ "job", test_job },	   { "job refused", test_job_refused },
-	{ "order", test_order },   { "advice", test_advice },
-	{ "topic", test_topic },   { "settings refused", test_node_refused },
-	{ "record", test_record }, CU_TEST_INFO_NULL,
+	{ "worker", test_worker },
+	{ "worker refused", test_worker_refused },
+	{ "config", test_config },
+	{ "config refused", test_config_refused },
+	{ "job", test_job },
+	{ "job refused", test_job_refused },
+	{ "order", test_order },
+	{ "advice", test_advice },
+	{ "topic", test_topic },
+	{ "settings refused", test_node_refused },
+	{ "record", test_record },
+	{ "record of machines", test_record_machines },
+	{ "record of a claim", test_record_claim },
+	CU_TEST_INFO_NULL,
 };
 
 static struct suite platform_suite = { .name = "platform", .tests = tests };
