Believe a list of machines only if it is newer than the loss

Cause: a holder that looks isolated leaves out workers that the list of machines does not have up. A list that was asked for before a worker joined does not have it either, so a worker that is out of reach could be left out.

The scheduler already asks for the same before it takes a worker for gone.

Change: only workers whose newest loss is not younger than the list's request are left out.

Conclusion: stricter.

--- a/src/jobs/reach.c
+++ b/src/jobs/reach.c
@@ -64,6 +64,7 @@
 	g_hash_table_iter_init(&iter, reach->workers);
 	while (g_hash_table_iter_next(&iter, &worker, &answers)) {
 		if (is_lost(answers) &&
+		    ((struct answers *)answers)->lost_us <= seen->asked_us &&
 		    !g_hash_table_contains(up, worker))
 			g_hash_table_iter_remove(&iter);
 	}
--- /dev/null
+++ b/test/unit/reach.c
@@ -0,0 +1,107 @@
+/*
+ * A holder that is cut off from its workers must notice it, and one whose
+ * workers are gone must not take itself for cut off.
+ */
+
+#include "core/event.h"
+#include "jobs/reach.h"
+#include "runner/suite.h"
+
+#define WORKERS_COUNT 6
+
+static const char *worker_id(uint32_t index)
+{
+	static const char *const ids[WORKERS_COUNT] = { "w0", "w1", "w2",
+							"w3", "w4", "w5" };
+
+	return g_intern_string(ids[index]);
+}
+
+static void note(struct reach *reach, uint32_t index, enum order_result result,
+		 int64_t now_us)
+{
+	struct order *order = order_new(ORDER_HOLD);
+	struct event event = { .type = EVENT_ORDER };
+
+	order->worker = worker_id(index);
+	order->result = result;
+	reach_note(reach, order, now_us);
+	event.msg = order;
+	event_clear(&event);
+}
+
+/* A list that has only some workers up with their machines. */
+static void leave_out(struct reach *reach, uint32_t up_count, int64_t asked_us)
+{
+	struct machines_seen *seen = machines_seen_new();
+	struct event event = { .type = EVENT_MACHINES_SEEN };
+
+	seen->answered = true;
+	seen->asked_us = asked_us;
+	for (uint32_t i = 0; i < up_count; i++) {
+		struct machine_row row = { .state = MACHINE_UP,
+					   .worker = worker_id(i) };
+
+		g_array_append_val(seen->rows, row);
+	}
+	reach_leave_out_gone(reach, seen);
+	event.msg = seen;
+	event_clear(&event);
+}
+
+/* The first two answer, the others do not, all of them at 1 s. */
+static struct reach *mostly_lost(void)
+{
+	struct reach *reach = reach_new();
+
+	for (uint32_t i = 0; i < WORKERS_COUNT; i++)
+		note(reach, i, i < 2 ? ORDER_OK : ORDER_LOST, USEC_PER_SEC);
+	return reach;
+}
+
+static void test_lost(void)
+{
+	struct reach *reach = mostly_lost();
+
+	CU_ASSERT_TRUE(reach_is_lost(reach, USEC_PER_SEC));
+	/* Their machines are up: it is the network. */
+	leave_out(reach, WORKERS_COUNT, 2 * USEC_PER_SEC);
+	CU_ASSERT_TRUE(reach_is_lost(reach, 2 * USEC_PER_SEC));
+	CU_ASSERT_FALSE(reach_is_lost(reach, 6 * USEC_PER_SEC));
+	reach_clear(reach);
+	CU_ASSERT_FALSE(reach_is_lost(reach, 2 * USEC_PER_SEC));
+	reach_free(reach);
+}
+
+/* A list that is older than the loss does not tell that a worker is gone. */
+static void test_gone(void)
+{
+	struct reach *reach = mostly_lost();
+
+	leave_out(reach, 2, USEC_PER_SEC - 1);
+	CU_ASSERT_TRUE(reach_is_lost(reach, USEC_PER_SEC));
+	leave_out(reach, 2, USEC_PER_SEC);
+	CU_ASSERT_FALSE(reach_is_lost(reach, USEC_PER_SEC));
+	reach_free(reach);
+}
+
+static void test_few(void)
+{
+	struct reach *reach = reach_new();
+
+	for (uint32_t i = 0; i < 3; i++)
+		note(reach, i, ORDER_LOST, USEC_PER_SEC);
+	CU_ASSERT_FALSE(reach_is_lost(reach, USEC_PER_SEC));
+	reach_free(reach);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "lost", test_lost },
+	{ "gone", test_gone },
+	{ "few", test_few },
+	CU_TEST_INFO_NULL,
+};
+
+static struct suite reach_suite = { .name = "reach", .tests = tests };
+
+SUITE_REGISTER(reach_suite)
