--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -5,8 +5,8 @@
  * token that it replaces: the first one in the order of the store wins, and its
  * offset is the new token. The winner then fences the store itself, so that
  * nothing of an earlier holder can be written after what the winner reads. Time
- * matters only for liveness, and so does what a reader of the newest records
- * alone can't tell: two that believe to hold are told apart by their tokens.
+ * matters only for liveness. A reader of the newest records alone may miss a
+ * claim; of two entry instances that believe to hold, the higher token wins.
  */
 
 #include "jobs/lease.h"
@@ -49,7 +49,7 @@
 	uint64_t claim_write_id; /* 0: none under way */
 	int64_t claim_again_us;
 	bool claiming;
-	bool soon;		 /* the store is read without a pause */
+	bool urgent;		 /* the store is read without a pause */
 	uint64_t fence_write_id; /* 0: none under way */
 	uint64_t fence_token;
 	uint64_t fence_end_offset;
@@ -82,14 +82,14 @@
 /* Each pause before a read adds to the time without a holder. */
 static void set_pace(struct lease *lease)
 {
-	bool soon = lease->held || lease->claiming;
+	bool urgent = lease->held || lease->claiming;
 	struct store_pace *pace;
 
-	if (soon == lease->soon)
+	if (urgent == lease->urgent)
 		return;
-	lease->soon = soon;
+	lease->urgent = urgent;
 	pace = g_rc_box_new0(struct store_pace);
-	pace->soon = soon;
+	pace->urgent = urgent;
 	kernel_emit_msg(lease->kernel, EVENT_STORE_PACE, pace);
 }
 
@@ -208,7 +208,8 @@
 						      : record->token;
 
 	if (!is_in_force(lease, record)) {
-		/* A repeated claim is in vain even if the first one was not. */
+		/* A repeated claim is void even if the first one was in force.
+		 */
 		if (is_own(lease, record) &&
 		    lease->newest_boot_id != lease->boot_id)
 			lease->claiming = false;
@@ -262,8 +263,8 @@
 }
 
 /*
- * The newest records come in no order. What the holder told last is where the
- * claims since then start from.
+ * The newest records come in no order. The claims that are newer than the
+ * holder's last renewal or resignation are checked from there on.
  */
 static void see_snapshot(struct lease *lease, const struct store_read *read)
 {
@@ -342,7 +343,7 @@
 {
 	int64_t now_us = kernel_now_us(lease->kernel);
 
-	if (!reach_is_lost(lease->reach, now_us)) {
+	if (!reach_is_isolated(lease->reach, now_us)) {
 		lease->isolated_us = 0;
 		return;
 	}
@@ -362,7 +363,7 @@
 {
 	if (!lease->held || !seen->answered)
 		return;
-	reach_leave_out_gone(lease->reach, seen);
+	reach_drop_gone(lease->reach, seen);
 	check_isolated(lease);
 }
 
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -21,7 +21,7 @@
 
 /* EVENT_STORE_PACE */
 struct store_pace {
-	bool soon; /* others wait for what is read here */
+	bool urgent; /* others wait for what is read here */
 };
 
 enum store_writer {
--- a/src/jobs/reach.c
+++ b/src/jobs/reach.c
@@ -54,7 +54,7 @@
 	return answers->lost_us > answers->heard_us;
 }
 
-void reach_leave_out_gone(struct reach *reach, const struct machines_seen *seen)
+void reach_drop_gone(struct reach *reach, const struct machines_seen *seen)
 {
 	GHashTable *up = machines_seen_up(seen);
 	GHashTableIter iter;
@@ -71,7 +71,7 @@
 	g_hash_table_unref(up);
 }
 
-bool reach_is_lost(const struct reach *reach, int64_t now_us)
+bool reach_is_isolated(const struct reach *reach, int64_t now_us)
 {
 	GHashTableIter iter;
 	gpointer value;
--- a/src/jobs/reach.h
+++ b/src/jobs/reach.h
@@ -17,13 +17,12 @@
 void reach_note(struct reach *reach, const struct order *order, int64_t now_us);
 
 /*
- * Leaves out workers whose machines the list does not have up with them: they
+ * Drops workers whose machines the list does not have up with them: they
  * are gone, not out of reach.
  */
-void reach_leave_out_gone(struct reach *reach,
-			  const struct machines_seen *seen);
+void reach_drop_gone(struct reach *reach, const struct machines_seen *seen);
 
 /* Whether most of the workers that were asked lately do not answer. */
-bool reach_is_lost(const struct reach *reach, int64_t now_us);
+bool reach_is_isolated(const struct reach *reach, int64_t now_us);
 
 #endif
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -116,7 +116,7 @@
 	/* A move that was ordered */
 	bool moving;
 	bool asked;
-	int64_t told_until_us; /* the next holder is told of the last order */
+	int64_t recorded_until_us; /* its last order stays in the record */
 	char to_pool[NAME_SIZE_BYTES];
 	int64_t ordered_us;
 	int64_t again_us; /* not ordered before */
@@ -158,9 +158,9 @@
 	bool machines_known;
 	uint32_t machine_orders_count; /* in this second */
 	int64_t machine_orders_us;
-	GPtrArray *orders_waiting; /* of struct machine_order, to be told */
+	GPtrArray *orders_waiting; /* of struct machine_order, not stored */
 	GPtrArray *orders_storing; /* in the write that is under way */
-	/* Names of those that earlier holders ordered last; NULL: not told. */
+	/* Names of those that earlier holders ordered last; NULL: unknown. */
 	GHashTable *machines_ordered;
 	GHashTable *advice; /* step -> struct step_advice */
 	bool advice_asked;  /* a question is under way */
--- a/src/jobs/sched_advice.c
+++ b/src/jobs/sched_advice.c
@@ -16,7 +16,7 @@
 /* After a question without an answer, and after a refused ticket. */
 #define ASK_AGAIN_US (200 * USEC_PER_MSEC)
 /* A start is stored before it is ordered; its ticket must be valid then. */
-#define TICKET_SPARE_US (300 * USEC_PER_MSEC)
+#define TICKET_MARGIN_US (300 * USEC_PER_MSEC)
 
 struct ticket {
 	char *text; /* NULL: the worker may not run the step */
@@ -75,7 +75,7 @@
 		g_hash_table_lookup(advice->tickets, worker->id);
 
 	return ticket &&
-	       is_valid(ticket, sched_now_us(sched) + TICKET_SPARE_US);
+	       is_valid(ticket, sched_now_us(sched) + TICKET_MARGIN_US);
 }
 
 static bool is_to_be_asked(const struct sched *sched,
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -49,7 +49,7 @@
 		machine = g_new0(struct machine, 1);
 		machine->name = g_intern_string(row->name);
 		machine->again_us = machine_first_order_us(sched, row->name);
-		machine->told_until_us = machine->again_us;
+		machine->recorded_until_us = machine->again_us;
 		g_hash_table_insert(sched->machines, (gpointer)machine->name,
 				    machine);
 	}
--- a/src/jobs/sched_order.c
+++ b/src/jobs/sched_order.c
@@ -59,7 +59,7 @@
 	msg = g_rc_box_new0(struct machine_order);
 	*msg = *order;
 	msg->token = sched->token;
-	machine->told_until_us = now_us + sched->bounds->machine_lease_us;
+	machine->recorded_until_us = now_us + sched->bounds->machine_lease_us;
 	g_ptr_array_add(sched->orders_waiting, msg);
 	return true;
 }
@@ -79,7 +79,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct machine *machine = value;
 
-		if (machine->told_until_us > sched_now_us(sched))
+		if (machine->recorded_until_us > sched_now_us(sched))
 			g_ptr_array_add(record->machines,
 					(gpointer)machine->name);
 	}
@@ -109,7 +109,7 @@
 		     "machine=%s kind=%s wave=%" G_GUINT64_FORMAT " pool=%s",
 		     order->machine, order->upkeep ? "upkeep" : "move",
 		     order->wave, order->pool);
-	machine->told_until_us =
+	machine->recorded_until_us =
 		sched_now_us(sched) + sched->bounds->machine_lease_us;
 	kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDER,
 			g_rc_box_acquire(order));
--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -5,7 +5,7 @@
 #define WRITE_US (5 * USEC_PER_MSEC)
 #define READ_US (3 * USEC_PER_MSEC)
 #define READ_AGAIN_US (150 * USEC_PER_MSEC)
-#define READ_SOON_AGAIN_US (15 * USEC_PER_MSEC)
+#define READ_URGENT_AGAIN_US (15 * USEC_PER_MSEC)
 #define READ_FAILED_US (200 * USEC_PER_MSEC)
 
 static bool reaches(const struct jobs_entry *entry)
@@ -25,7 +25,7 @@
 {
 	struct jobs_world *jobs = entry->jobs;
 	struct store_read *read = store_read_new();
-	int64_t again_us = entry->soon ? READ_SOON_AGAIN_US : READ_AGAIN_US;
+	int64_t again_us = entry->urgent ? READ_URGENT_AGAIN_US : READ_AGAIN_US;
 
 	entry->read_due = false;
 	read->reachable = reaches(entry);
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -136,7 +136,7 @@
 
 	switch (event->type) {
 	case EVENT_STORE_PACE:
-		entry->soon = ((const struct store_pace *)event->msg)->soon;
+		entry->urgent = ((const struct store_pace *)event->msg)->urgent;
 		break;
 	case EVENT_STORE_WRITE:
 		fake_store_write(entry, event->msg);
@@ -211,7 +211,7 @@
 			     g_strdup(jobs->parking));
 	entry->boot_count++;
 	entry->held = false;
-	entry->soon = false;
+	entry->urgent = false;
 	entry->read_due = false;
 	entry->snapshot_due = true;
 	entry->kernel = kernel_new(entry->settings, entry->boot_count,
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -25,7 +25,7 @@
 	bool read_due; /* a read is scheduled */
 	bool snapshot_due;
 	bool held;
-	bool soon; /* reads again soon */
+	bool urgent; /* reads again soon */
 };
 
 struct fake_run {
--- a/test/unit/reach.c
+++ b/test/unit/reach.c
@@ -3,8 +3,8 @@
  * workers are gone must not take itself for cut off.
  */
 
-#include "core/event.h"
 #include "jobs/reach.h"
+#include "core/event.h"
 #include "runner/suite.h"
 
 #define WORKERS_COUNT 6
@@ -44,7 +44,7 @@
 
 		g_array_append_val(seen->rows, row);
 	}
-	reach_leave_out_gone(reach, seen);
+	reach_drop_gone(reach, seen);
 	event.msg = seen;
 	event_clear(&event);
 }
@@ -63,13 +63,13 @@
 {
 	struct reach *reach = mostly_lost();
 
-	CU_ASSERT_TRUE(reach_is_lost(reach, USEC_PER_SEC));
+	CU_ASSERT_TRUE(reach_is_isolated(reach, USEC_PER_SEC));
 	/* Their machines are up: it is the network. */
 	leave_out(reach, WORKERS_COUNT, 2 * USEC_PER_SEC);
-	CU_ASSERT_TRUE(reach_is_lost(reach, 2 * USEC_PER_SEC));
-	CU_ASSERT_FALSE(reach_is_lost(reach, 6 * USEC_PER_SEC));
+	CU_ASSERT_TRUE(reach_is_isolated(reach, 2 * USEC_PER_SEC));
+	CU_ASSERT_FALSE(reach_is_isolated(reach, 6 * USEC_PER_SEC));
 	reach_clear(reach);
-	CU_ASSERT_FALSE(reach_is_lost(reach, 2 * USEC_PER_SEC));
+	CU_ASSERT_FALSE(reach_is_isolated(reach, 2 * USEC_PER_SEC));
 	reach_free(reach);
 }
 
@@ -79,9 +79,9 @@
 	struct reach *reach = mostly_lost();
 
 	leave_out(reach, 2, USEC_PER_SEC - 1);
-	CU_ASSERT_TRUE(reach_is_lost(reach, USEC_PER_SEC));
+	CU_ASSERT_TRUE(reach_is_isolated(reach, USEC_PER_SEC));
 	leave_out(reach, 2, USEC_PER_SEC);
-	CU_ASSERT_FALSE(reach_is_lost(reach, USEC_PER_SEC));
+	CU_ASSERT_FALSE(reach_is_isolated(reach, USEC_PER_SEC));
 	reach_free(reach);
 }
 
@@ -91,7 +91,7 @@
 
 	for (uint32_t i = 0; i < 3; i++)
 		note(reach, i, ORDER_LOST, USEC_PER_SEC);
-	CU_ASSERT_FALSE(reach_is_lost(reach, USEC_PER_SEC));
+	CU_ASSERT_FALSE(reach_is_isolated(reach, USEC_PER_SEC));
 	reach_free(reach);
 }
 
