--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -294,6 +294,42 @@
 	}
 }
 
+#define NODE_TEXT                                                               \
+	"{\"node_name\":\"e1\",\"ip\":\"10.0.0.1\",\"zone\":\"z\",\"listen\":{" \
+	"\"frontend\":\"10.0.0.1:1\",\"readiness\":\"10.0.0.1:2\"},"            \
+	"\"platform\":{\"address\":\"10.0.0.2:1\"},"                            \
+	"\"cloud\":{\"address\":\"10.0.0.3:1\",\"duty_per_s\":%s},\"bounds\":{}}"
+
+/*
+ * A rate written as a fraction was once ignored, and machines were ordered at
+ * the default rate, which is far below that of a large fleet.
+ */
+static void test_node_rate(void)
+{
+	static const struct {
+		const char *text;
+		uint32_t per_s; /* 0: refused */
+	} cases[] = {
+		{ "64", 64 },  { "215.0", 215 }, { "0.5", 1 },	 { "0", 0 },
+		{ "-1.0", 0 }, { "\"64\"", 0 },	 { "1e300", 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+		char *text = g_strdup_printf(NODE_TEXT, cases[i].text);
+		struct node *node = node_parse(text, strlen(text), errors);
+
+		CU_ASSERT_EQUAL(node != NULL, cases[i].per_s != 0);
+		CU_ASSERT_EQUAL(errors->len, cases[i].per_s ? 0 : 1);
+		if (node)
+			CU_ASSERT_EQUAL(node->bounds.machine_orders_per_s,
+					cases[i].per_s);
+		g_free(node);
+		g_free(text);
+		g_ptr_array_unref(errors);
+	}
+}
+
 /* Decodes what was encoded; ends the test if that fails. */
 static struct job_record *read_back(const char *key, GBytes *value)
 {
@@ -404,6 +440,7 @@
 	{ "advice", test_advice },
 	{ "topic", test_topic },
 	{ "settings refused", test_node_refused },
+	{ "settings, a rate", test_node_rate },
 	{ "record", test_record },
 	{ "record of machines", test_record_machines },
 	{ "record of a claim", test_record_claim },
