Let entry instances with more processor time hold the jobs

Cause: on the grown sites 23 of 31 machines have 0.12 of a core. After a restart in turn such machines held the jobs, lagged behind their own renewals, and lost the lease every 2.4 s; items waited for 15 s.

Change: each entry instance stores its share of a processor once at its start (key entry/NAME). One that knows a stronger one (over 1.5 times) waits 400 ms longer before it claims, and a stronger one takes over from a weaker holder after 3 s. Where all are alike nothing changes.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -11,6 +11,7 @@
 #define KEY_CLAIM "claim/"
 #define KEY_WAVE "w/"
 #define KEY_MACHINES "machines"
+#define KEY_ENTRY "entry/"
 #define KEY_PREFIX_BYTES 2
 
 /* A cancellation has no fields; an empty value would remove its key. */
@@ -50,6 +51,11 @@
 		g_strlcpy(keys[0], KEY_MACHINES, JOB_KEY_MAX_BYTES);
 		return 1;
 	}
+	if (record->kind == JOB_RECORD_ENTRY) {
+		g_snprintf(keys[0], JOB_KEY_MAX_BYTES, KEY_ENTRY "%s",
+			   record->entry);
+		return 1;
+	}
 	if (record->kind == JOB_RECORD_WAVE) {
 		g_snprintf(keys[0], JOB_KEY_MAX_BYTES,
 			   KEY_WAVE "%" G_GUINT64_FORMAT, record->wave);
@@ -181,6 +187,15 @@
 	return pack(&to.base);
 }
 
+static GBytes *encode_entry(const struct job_record *record)
+{
+	Pl__JobEntry to = PL__JOB_ENTRY__INIT;
+
+	to.entry = (char *)record->entry;
+	to.cpu_milli = record->cpu_milli;
+	return pack(&to.base);
+}
+
 static GBytes *encode_machines(const struct job_record *record)
 {
 	Pl__JobMachines to = PL__JOB_MACHINES__INIT;
@@ -205,6 +220,8 @@
 		return encode_wave(record);
 	case JOB_RECORD_MACHINES:
 		return encode_machines(record);
+	case JOB_RECORD_ENTRY:
+		return encode_entry(record);
 	default:
 		return g_bytes_new(NULL, 0);
 	}
@@ -338,6 +355,20 @@
 	return record;
 }
 
+static struct job_record *decode_entry(const uint8_t *value, size_t size_bytes)
+{
+	Pl__JobEntry *from = pl__job_entry__unpack(NULL, size_bytes, value);
+	struct job_record *record;
+
+	if (!from)
+		return NULL;
+	record = job_record_new(JOB_RECORD_ENTRY);
+	name_copy(record->entry, sizeof(record->entry), from->entry);
+	record->cpu_milli = from->cpu_milli;
+	pl__job_entry__free_unpacked(from, NULL);
+	return record;
+}
+
 static struct job_record *decode_machines(const uint8_t *value,
 					  size_t size_bytes)
 {
@@ -385,6 +416,8 @@
 		return decode_holder(value, size_bytes);
 	if (!strcmp(key, KEY_MACHINES))
 		return decode_machines(value, size_bytes);
+	if (g_str_has_prefix(key, KEY_ENTRY))
+		return decode_entry(value, size_bytes);
 	if (g_str_has_prefix(key, KEY_WAVE))
 		return decode_wave(value, size_bytes);
 	if (g_str_has_prefix(key, KEY_SUBMIT) ||
--- a/src/codec/proto/job.pb-c.c
+++ b/src/codec/proto/job.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &pl__job_wave__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pl__job_entry__init
+                     (Pl__JobEntry         *message)
+{
+  static const Pl__JobEntry init_value = PL__JOB_ENTRY__INIT;
+  *message = init_value;
+}
+size_t pl__job_entry__get_packed_size
+                     (const Pl__JobEntry *message)
+{
+  assert(message->base.descriptor == &pl__job_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pl__job_entry__pack
+                     (const Pl__JobEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pl__job_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pl__job_entry__pack_to_buffer
+                     (const Pl__JobEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pl__job_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pl__JobEntry *
+       pl__job_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pl__JobEntry *)
+     protobuf_c_message_unpack (&pl__job_entry__descriptor,
+                                allocator, len, data);
+}
+void   pl__job_entry__free_unpacked
+                     (Pl__JobEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pl__job_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pl__job_machines__init
                      (Pl__JobMachines         *message)
 {
@@ -1005,6 +1050,57 @@
   (ProtobufCMessageInit) pl__job_wave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pl__job_entry__field_descriptors[2] =
+{
+  {
+    "entry",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobEntry, entry),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobEntry, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pl__job_entry__field_indices_by_name[] = {
+  1,   /* field[1] = cpu_milli */
+  0,   /* field[0] = entry */
+};
+static const ProtobufCIntRange pl__job_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pl__job_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pl.JobEntry",
+  "JobEntry",
+  "Pl__JobEntry",
+  "pl",
+  sizeof(Pl__JobEntry),
+  2,
+  pl__job_entry__field_descriptors,
+  pl__job_entry__field_indices_by_name,
+  1,  pl__job_entry__number_ranges,
+  (ProtobufCMessageInit) pl__job_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pl__job_machines__field_descriptors[1] =
 {
   {
--- a/src/codec/proto/job.pb-c.h
+++ b/src/codec/proto/job.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Pl__JobProgress Pl__JobProgress;
 typedef struct Pl__JobHolder Pl__JobHolder;
 typedef struct Pl__JobWave Pl__JobWave;
+typedef struct Pl__JobEntry Pl__JobEntry;
 typedef struct Pl__JobMachines Pl__JobMachines;
 
 
@@ -126,6 +127,17 @@
     , 0, {0,NULL} }
 
 
+struct  Pl__JobEntry
+{
+  ProtobufCMessage base;
+  char *entry;
+  uint32_t cpu_milli;
+};
+#define PL__JOB_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pl__job_entry__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Pl__JobMachines
 {
   ProtobufCMessage base;
@@ -251,6 +263,25 @@
 void   pl__job_wave__free_unpacked
                      (Pl__JobWave *message,
                       ProtobufCAllocator *allocator);
+/* Pl__JobEntry methods */
+void   pl__job_entry__init
+                     (Pl__JobEntry         *message);
+size_t pl__job_entry__get_packed_size
+                     (const Pl__JobEntry   *message);
+size_t pl__job_entry__pack
+                     (const Pl__JobEntry   *message,
+                      uint8_t             *out);
+size_t pl__job_entry__pack_to_buffer
+                     (const Pl__JobEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Pl__JobEntry *
+       pl__job_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pl__job_entry__free_unpacked
+                     (Pl__JobEntry *message,
+                      ProtobufCAllocator *allocator);
 /* Pl__JobMachines methods */
 void   pl__job_machines__init
                      (Pl__JobMachines         *message);
@@ -290,6 +321,9 @@
 typedef void (*Pl__JobWave_Closure)
                  (const Pl__JobWave *message,
                   void *closure_data);
+typedef void (*Pl__JobEntry_Closure)
+                 (const Pl__JobEntry *message,
+                  void *closure_data);
 typedef void (*Pl__JobMachines_Closure)
                  (const Pl__JobMachines *message,
                   void *closure_data);
@@ -305,6 +339,7 @@
 extern const ProtobufCMessageDescriptor pl__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor pl__job_holder__descriptor;
 extern const ProtobufCMessageDescriptor pl__job_wave__descriptor;
+extern const ProtobufCMessageDescriptor pl__job_entry__descriptor;
 extern const ProtobufCMessageDescriptor pl__job_machines__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -15,6 +15,7 @@
 
 #include "jobs/msg.h"
 #include "jobs/reach.h"
+#include "jobs/roster.h"
 #include "kernel/decision_log.h"
 #include "kernel/kernel.h"
 
@@ -26,6 +27,13 @@
 /* Spreads the claims of several entry instances. */
 #define CLAIM_SPREAD_US (300 * USEC_PER_MSEC)
 #define CLAIM_AGAIN_US (150 * USEC_PER_MSEC)
+/* Entry instances with more processor time claim first. */
+#define STRONGER_FIRST_US (400 * USEC_PER_MSEC)
+/*
+ * An entry instance that has clearly more processor time than the holder takes
+ * the jobs over when the holder has held them, and it has run, for so long.
+ */
+#define TAKE_OVER_US (3 * USEC_PER_SEC)
 /* Most workers are silent for so long before the lease is given up. */
 #define ISOLATED_MAX_US (1500 * USEC_PER_MSEC)
 /* An entry instance that gave the lease up leaves it to others for so long. */
@@ -43,7 +51,11 @@
 	uint64_t newest_token; /* 0: none is known */
 	char newest_entry[NAME_SIZE_BYTES];
 	uint64_t newest_boot_id;
-	int64_t heard_us; /* of the holder, while the store was reachable */
+	int64_t heard_us;  /* of the holder, while the store was reachable */
+	int64_t newest_us; /* the newest holder, or this process, began */
+	struct roster *roster;
+	uint64_t roster_write_id; /* under way; 0: none */
+	bool rostered;
 	/* Our own part */
 	uint64_t write_id;
 	uint64_t claim_write_id; /* 0: none under way */
@@ -116,6 +128,27 @@
 	return lease->write_id;
 }
 
+/* Tells the others how much processor time this process has. */
+static void write_roster(struct lease *lease)
+{
+	const struct settings *settings = kernel_settings(lease->kernel);
+	struct store_write *write;
+	struct job_record *record;
+
+	if (lease->rostered || lease->roster_write_id || !lease->caught_up ||
+	    !lease->reachable || !settings->cpu_milli)
+		return;
+	write = store_write_new(STORE_WRITER_CLAIM);
+	record = job_record_new(JOB_RECORD_ENTRY);
+	g_strlcpy(record->entry, settings->entry, sizeof(record->entry));
+	record->cpu_milli = settings->cpu_milli;
+	g_ptr_array_add(write->records, record);
+	lease->write_id += 2;
+	lease->roster_write_id = lease->write_id;
+	write->write_id = lease->write_id;
+	kernel_emit_msg(lease->kernel, EVENT_STORE_WRITE, write);
+}
+
 static void announce(struct lease *lease, bool held)
 {
 	struct holder_changed *changed = g_rc_box_new0(struct holder_changed);
@@ -228,6 +261,8 @@
 						   HOLDER_CLAIM, token);
 	}
 	lease->resigned = record->step == HOLDER_RESIGN;
+	if (token != lease->newest_token)
+		lease->newest_us = kernel_now_us(lease->kernel);
 	lease->newest_token = token;
 	g_strlcpy(lease->newest_entry, record->entry,
 		  sizeof(lease->newest_entry));
@@ -243,6 +278,8 @@
 
 		if (record->kind == JOB_RECORD_HOLDER)
 			see_step(lease, record);
+		else if (record->kind == JOB_RECORD_ENTRY)
+			roster_note(lease->roster, record);
 		else if (record->kind == JOB_RECORD_PROGRESS)
 			lease->heard_us = kernel_now_us(lease->kernel);
 	}
@@ -276,6 +313,8 @@
 
 		if (record->kind == JOB_RECORD_HOLDER)
 			g_ptr_array_add(steps, record);
+		else if (record->kind == JOB_RECORD_ENTRY)
+			roster_note(lease->roster, record);
 	}
 	g_ptr_array_sort(steps, compare_steps);
 	for (guint i = 0; i < steps->len; i++)
@@ -313,6 +352,11 @@
 {
 	int64_t now_us = kernel_now_us(lease->kernel);
 
+	if (write->write_id == lease->roster_write_id) {
+		lease->roster_write_id = 0;
+		lease->rostered = write->result == STORE_DONE;
+		return;
+	}
 	if (write->write_id == lease->claim_write_id) {
 		lease->claim_write_id = 0;
 		lease->claim_again_us = now_us + CLAIM_AGAIN_US;
@@ -382,21 +426,44 @@
 	}
 }
 
-static bool may_claim(const struct lease *lease, int64_t now_us)
+/* Silence of the holder after which this process claims. */
+static int64_t claim_silence_us(const struct lease *lease)
 {
+	uint32_t cpu_milli = kernel_settings(lease->kernel)->cpu_milli;
 	int64_t silence_us = SILENCE_US + lease->spread_us;
 
+	if (lease->resigned || !lease->newest_token)
+		silence_us = lease->spread_us;
+	if (was_own_life(lease))
+		silence_us = 0;
+	if (roster_has_stronger(lease->roster, cpu_milli))
+		silence_us += STRONGER_FIRST_US;
+	return silence_us;
+}
+
+/* One process decides for all; it should have the time for that. */
+static bool is_stronger_than_holder(const struct lease *lease, int64_t now_us)
+{
+	uint32_t holder_milli =
+		roster_cpu_milli(lease->roster, lease->newest_entry);
+
+	return lease->newest_token && !lease->resigned &&
+	       lease->newest_boot_id != lease->boot_id &&
+	       roster_is_stronger(kernel_settings(lease->kernel)->cpu_milli,
+				  holder_milli) &&
+	       now_us - lease->newest_us >= TAKE_OVER_US + lease->spread_us;
+}
+
+static bool may_claim(const struct lease *lease, int64_t now_us)
+{
 	if (lease->held || lease->draining || !lease->caught_up ||
 	    !lease->reachable || lease->claim_write_id ||
 	    lease->fence_write_id || lease->fenced ||
 	    now_us < lease->claim_again_us || now_us < lease->leave_until_us ||
 	    !kernel_queues(lease->kernel))
 		return false;
-	if (lease->resigned || !lease->newest_token)
-		silence_us = lease->spread_us;
-	if (was_own_life(lease))
-		silence_us = 0;
-	return now_us - lease->heard_us >= silence_us;
+	return now_us - lease->heard_us >= claim_silence_us(lease) ||
+	       is_stronger_than_holder(lease, now_us);
 }
 
 static void tick(struct lease *lease)
@@ -417,6 +484,7 @@
 			write_step(lease, STORE_WRITER_HOLDER, HOLDER_RENEW,
 				   lease->fence_token);
 	}
+	write_roster(lease);
 	if (may_claim(lease, now_us)) {
 		decision_log("claim",
 			     "silence_ms=%" G_GINT64_FORMAT
@@ -478,6 +546,7 @@
 			 g_rand_int(kernel_random(kernel));
 	lease->write_id = 1;
 	lease->reach = reach_new();
+	lease->roster = roster_new();
 	lease->spread_us = g_str_hash(entry) % CLAIM_SPREAD_US;
 	return lease;
 }
@@ -487,6 +556,7 @@
 	struct lease *lease = self;
 
 	reach_free(lease->reach);
+	roster_free(lease->roster);
 	g_free(lease);
 }
 
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -15,6 +15,7 @@
 	JOB_RECORD_WAVE_STATUS, /* for the operator */
 	JOB_RECORD_WAVE,	/* for the next holder */
 	JOB_RECORD_MACHINES,	/* ordered by the holder lately */
+	JOB_RECORD_ENTRY,	/* an entry instance has started */
 };
 
 enum holder_step {
@@ -47,11 +48,12 @@
 	bool begun;
 	GByteArray *done; /* bitmap over the items, or a wave's machines */
 	GArray *items;	  /* of struct job_record_item */
-	/* holder */
+	/* holder, entry */
 	char entry[NAME_SIZE_BYTES];
 	uint64_t boot_id;
 	uint64_t token; /* of the holder; claim: that of the one it replaces */
 	enum holder_step step;
+	uint32_t cpu_milli; /* of the processor that it may use */
 	/* machines */
 	GPtrArray *machines; /* of interned names */
 	/* wave, wave status */
--- /dev/null
+++ b/src/jobs/roster.c
@@ -0,0 +1,47 @@
+#include "jobs/roster.h"
+
+/* Shares that differ by less count as equal. */
+#define STRONGER_PERCENT 150
+
+struct roster {
+	GHashTable *cpu_milli; /* entry -> share as pointer */
+	uint32_t most_milli;
+};
+
+struct roster *roster_new(void)
+{
+	struct roster *roster = g_new0(struct roster, 1);
+
+	roster->cpu_milli =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return roster;
+}
+
+void roster_free(struct roster *roster)
+{
+	g_hash_table_unref(roster->cpu_milli);
+	g_free(roster);
+}
+
+void roster_note(struct roster *roster, const struct job_record *record)
+{
+	g_hash_table_replace(roster->cpu_milli, g_strdup(record->entry),
+			     GUINT_TO_POINTER(record->cpu_milli));
+	roster->most_milli = MAX(roster->most_milli, record->cpu_milli);
+}
+
+uint32_t roster_cpu_milli(const struct roster *roster, const char *entry)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(roster->cpu_milli, entry));
+}
+
+bool roster_is_stronger(uint32_t cpu_milli, uint32_t than_milli)
+{
+	return than_milli && (uint64_t)cpu_milli * 100 >
+				     (uint64_t)than_milli * STRONGER_PERCENT;
+}
+
+bool roster_has_stronger(const struct roster *roster, uint32_t cpu_milli)
+{
+	return roster_is_stronger(roster->most_milli, cpu_milli);
+}
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -42,8 +42,9 @@
 	char token_file[256];		       /* bearer token of operators */
 	char log_address[ADDRESS_SIZE_BYTES];  /* of the platform's log */
 	char list_address[ADDRESS_SIZE_BYTES]; /* of the platform's list */
-	int64_t drain_us;		       /* longest graceful shutdown */
-	uint32_t seed; /* of random numbers; 0: from the system */
+	uint32_t cpu_milli; /* of a processor for this process; 0: not known */
+	int64_t drain_us;   /* longest graceful shutdown */
+	uint32_t seed;	    /* of random numbers; 0: from the system */
 	struct job_bounds bounds;
 	GArray *peers;	     /* of struct settings_peer */
 	GHashTable *choices; /* kind name -> plug-in name */
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -209,6 +209,7 @@
 	}
 	g_hash_table_replace(entry->settings->choices, g_strdup("parking"),
 			     g_strdup(jobs->parking));
+	entry->settings->cpu_milli = jobs->entry_cpu_milli;
 	entry->boot_count++;
 	entry->held = false;
 	entry->urgent = false;
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -98,6 +98,7 @@
 	GHashTable *cancelled; /* ids that callers have cancelled */
 	bool lists_lost;       /* the machines' list does not answer */
 	bool quiet;
+	uint32_t entry_cpu_milli; /* of entries started later; 0: not told */
 	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
 };
 
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -135,6 +135,13 @@
 		!strcmp(script_word(script, 1), "refused");
 }
 
+/* job-cpu MILLI: processor time of the entries that are started later */
+static void run_cpu(struct script *script)
+{
+	jobs_of(script)->entry_cpu_milli =
+		(uint32_t)strtoul(script_word(script, 1), NULL, 10);
+}
+
 static void run_entry(struct script *script)
 {
 	for (uint32_t i = 1; i < script->word_count; i++)
@@ -349,7 +356,7 @@
 	{ "job-split", 2, run_split },	     { "job-lists", 1, run_lists },
 	{ "job-reborn", 2, run_reborn },     { "job-show", 1, run_show },
 	{ "job-parking", 1, run_parking },   { "job-tickets", 1, run_tickets },
-	{ "job-stopping", 1, run_stopping },
+	{ "job-stopping", 1, run_stopping }, { "job-cpu", 1, run_cpu },
 };
 
 SCRIPT_REGISTER(commands)
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -429,6 +429,27 @@
 	job_record_unref(record);
 }
 
+/* Without the share, a weak entry instance would hold the jobs. */
+static void test_record_entry(void)
+{
+	struct job_record *record = job_record_new(JOB_RECORD_ENTRY);
+	char keys[3][JOB_KEY_MAX_BYTES];
+	struct job_record *read;
+	GBytes *value;
+
+	g_strlcpy(record->entry, "e1", sizeof(record->entry));
+	record->cpu_milli = 120;
+	CU_ASSERT_EQUAL(job_codec_keys(record, keys), 1);
+	value = job_codec_encode(record);
+	read = read_back(keys[0], value);
+	CU_ASSERT_EQUAL(read->kind, JOB_RECORD_ENTRY);
+	CU_ASSERT_STRING_EQUAL(read->entry, "e1");
+	CU_ASSERT_EQUAL(read->cpu_milli, 120);
+	job_record_unref(read);
+	g_bytes_unref(value);
+	job_record_unref(record);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "worker", test_worker },
 	{ "worker refused", test_worker_refused },
@@ -444,6 +465,7 @@
 	{ "record", test_record },
 	{ "record of machines", test_record_machines },
 	{ "record of a claim", test_record_claim },
+	{ "record of an entry instance", test_record_entry },
 	CU_TEST_INFO_NULL,
 };
 
