Open at most four connections to a worker

Cause: ten starts for one worker opened ten connections.

Change: orders go through a client of their own with four connections to one address; further orders wait for one of them. The bound of idle connections is 2,048, above four for each of 350 workers.

--- a/src/io/curl_loop.c
+++ b/src/io/curl_loop.c
@@ -7,7 +7,7 @@
  */
 #define IDLE_CONNECTION_MAX_S 10L
 
-#define IDLE_CONNECTIONS_MAX_COUNT 1024L
+#define IDLE_CONNECTIONS_MAX_COUNT 2048L
 
 struct transfer {
 	CURL *easy;
@@ -158,6 +158,12 @@
 	return loop;
 }
 
+void curl_loop_bound_connections(struct curl_loop *loop, uint32_t count)
+{
+	curl_multi_setopt(loop->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)count);
+}
+
 void curl_loop_free(struct curl_loop *loop)
 {
 	GHashTableIter iter;
--- a/src/io/curl_loop.h
+++ b/src/io/curl_loop.h
@@ -15,6 +15,9 @@
 
 struct curl_loop *curl_loop_new(struct ev_loop *ev);
 
+/* Transfers beyond so many to one address wait for a connection; 0: none do. */
+void curl_loop_bound_connections(struct curl_loop *loop, uint32_t count);
+
 /* Ends all transfers without calling their callbacks. */
 void curl_loop_free(struct curl_loop *loop);
 
