Take a state for fresh only when the store was read to its end

Cause: after a cut a read returns a part of what was missed, up to 1 MB. Reading the code for it showed the same hole in the lease: a new holder compared the end of the store, not of what it had read, with the offset up to which it must read.

Ruled out: the lookup of newest records, which waits for the tail; the store, which had the job.

Change: a read tells the offset up to which it has read; the lease and the answers to callers go by it.

Test: jobs_catch_up, with reads of a few records; it fails without either change (410 instead of 503; e2 holds with records unread).

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -46,7 +46,7 @@
 	uint64_t write_id;  /* under way; 0: none */
 	uint64_t next_write_id;
 	int64_t write_sent_us;
-	int64_t read_us; /* newest answered read */
+	int64_t read_us; /* newest read up to the end of the store */
 	bool has_state;
 	int64_t leave_us; /* refuses new work from then on; 0: stays */
 	bool drained;
@@ -322,7 +322,9 @@
 {
 	if (!read->reachable)
 		return;
-	if (!read->local)
+	/* A read that ends before the store does tells an older state. */
+	if (!read->local && !read->snapshot &&
+	    read->next_offset >= read->end_offset)
 		callers->read_us = kernel_now_us(callers->kernel);
 	if (read->snapshot)
 		callers->has_state = true;
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -45,7 +45,7 @@
 	bool caught_up; /* a snapshot was read */
 	bool reachable;
 	bool draining;
-	uint64_t end_offset;
+	uint64_t next_offset; /* what is before it has been read */
 	/* Newest step of a holder in the store */
 	bool resigned;
 	uint64_t newest_token; /* 0: none is known */
@@ -200,7 +200,7 @@
 	int64_t now_us = kernel_now_us(lease->kernel);
 
 	if (lease->held || !lease->fenced ||
-	    lease->end_offset < lease->fence_end_offset)
+	    lease->next_offset < lease->fence_end_offset)
 		return;
 	if (lease->draining) {
 		resign(lease);
@@ -338,7 +338,7 @@
 	if (!lease->reachable)
 		lease->heard_us = now_us;
 	lease->reachable = true;
-	lease->end_offset = MAX(lease->end_offset, read->end_offset);
+	lease->next_offset = MAX(lease->next_offset, read->next_offset);
 	if (read->snapshot)
 		see_snapshot(lease, read);
 	else
@@ -490,9 +490,9 @@
 	if (may_claim(lease, now_us)) {
 		decision_log("claim",
 			     "silence_ms=%" G_GINT64_FORMAT
-			     " end_offset=%" G_GUINT64_FORMAT,
+			     " next_offset=%" G_GUINT64_FORMAT,
 			     (now_us - lease->heard_us) / USEC_PER_MSEC,
-			     lease->end_offset);
+			     lease->next_offset);
 		lease->claiming = true;
 		lease->claim_write_id =
 			write_step(lease, STORE_WRITER_CLAIM, HOLDER_CLAIM,
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -12,8 +12,9 @@
 
 /* EVENT_STORE_READ: records of the jobs' topic in the order of the store. */
 struct store_read {
-	GPtrArray *records;  /* of struct job_record */
-	uint64_t end_offset; /* one past the newest record in the store */
+	GPtrArray *records;   /* of struct job_record */
+	uint64_t next_offset; /* what is before it has been read */
+	uint64_t end_offset;  /* one past the newest record in the store */
 	bool snapshot;	/* newest record of each key: state starts from it */
 	bool reachable; /* the read was answered */
 	bool local;	/* stored by this process, not read back yet */
--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -6,6 +6,8 @@
 #define READ_US (3 * USEC_PER_MSEC)
 #define READ_AGAIN_US (150 * USEC_PER_MSEC)
 #define READ_URGENT_AGAIN_US (15 * USEC_PER_MSEC)
+/* A further part of what there is to read. */
+#define READ_MORE_US (250 * USEC_PER_MSEC)
 #define READ_FAILED_US (200 * USEC_PER_MSEC)
 
 static bool reaches(const struct jobs_entry *entry)
@@ -34,14 +36,19 @@
 			entry->read_offset = 0;
 		read->snapshot = entry->snapshot_due;
 		entry->snapshot_due = false;
-		for (; entry->read_offset < jobs->store->len;
-		     entry->read_offset++) {
+		for (uint32_t i = 0; entry->read_offset < jobs->store->len &&
+				     (read->snapshot || !jobs->read_max_count ||
+				      i < jobs->read_max_count);
+		     i++, entry->read_offset++) {
 			struct job_record *record =
 				jobs->store->pdata[entry->read_offset];
 
 			g_ptr_array_add(read->records, job_record_ref(record));
 		}
+		read->next_offset = entry->read_offset;
 		read->end_offset = jobs->store->len;
+		if (entry->read_offset < jobs->store->len)
+			again_us = READ_MORE_US;
 	} else {
 		again_us = READ_FAILED_US;
 	}
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -85,9 +85,10 @@
 	GPtrArray *store;    /* of struct job_record, NULL: no record */
 	uint64_t epoch;	     /* of the producer of holders */
 	bool store_down;
-	int64_t store_delay_us; /* each write takes effect so late */
-	bool store_lose;	/* the answer of the next write is late */
-	GSequence *schedule;	/* of struct delivery */
+	int64_t store_delay_us;	 /* each write takes effect so late */
+	uint32_t read_max_count; /* records of one read; 0: all */
+	bool store_lose;	 /* the answer of the next write is late */
+	GSequence *schedule;	 /* of struct delivery */
 	struct queues *queues;
 	int64_t duration_us; /* of one item */
 	uint64_t next_call_id;
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -176,7 +176,10 @@
 		entry->workers_cut = !strcmp(script_word(script, 2), "on");
 }
 
-/* job-store down|up, cut ENTRY, heal ENTRY, or slow TIME: each write */
+/*
+ * job-store down|up, cut ENTRY, heal ENTRY, slow TIME: each write, or
+ * part COUNT: records of one read
+ */
 static void run_store(struct script *script)
 {
 	const char *how = script_word(script, 1);
@@ -191,6 +194,11 @@
 			script_duration_us(script, script_word(script, 2));
 		return;
 	}
+	if (!strcmp(how, "part")) {
+		jobs_of(script)->read_max_count =
+			(uint32_t)strtoul(script_word(script, 2), NULL, 10);
+		return;
+	}
 	entry = entry_of(script, 2);
 	if (entry)
 		entry->store_cut = !strcmp(how, "cut");
