Mark items that a worker lists instead of comparing their names

Cause: each answer to a hold was searched for each placed item by name, ten times ten comparisons and a formatted name for each item.

Change: the items of a list are marked with the list's number while they are taken in; an item without the newest number is absent.

Conclusion: less work for the same decisions.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -76,6 +76,7 @@
 	uint32_t work_percent; /* of its work as the worker reports it */
 	uint32_t observed;     /* tail in ms, or cpu in use */
 	bool sure;	       /* no order of this run can still be under way */
+	uint64_t list_number;  /* newest list of its worker that has it */
 	uint64_t stored_by;    /* write that stores the placement; 0: none */
 	uint32_t pace_percent; /* share of its work that it may do */
 	int64_t ordered_us;
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -151,6 +151,7 @@
 	int64_t flush_us;	 /* next one not before */
 	bool ends_unstored;	 /* an end was seen that changed no job */
 
+	uint64_t list_number;	     /* of workers' lists that were taken in */
 	uint32_t busy_workers_count; /* with work, at the last look */
 	bool workers_wanted;
 	int64_t workers_us; /* next look at all of them not before */
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -213,19 +213,6 @@
 	worker->clock_us = sched_now_us(sched);
 }
 
-static const struct running_row *running_row(const struct order *order,
-					     const char *item, uint32_t run)
-{
-	for (guint i = 0; i < order->running->len; i++) {
-		const struct running_row *row =
-			&g_array_index(order->running, struct running_row, i);
-
-		if (row->run == run && !strcmp(row->item, item))
-			return row;
-	}
-	return NULL;
-}
-
 /* Stops a run that nobody here wants. */
 static void stop_stray(struct sched *sched, struct worker *worker,
 		       const struct running_row *row)
@@ -250,6 +237,7 @@
 		stop_stray(sched, worker, row);
 		return;
 	}
+	item->list_number = sched->list_number;
 	if (item->phase == ITEM_STARTING) {
 		item->phase = ITEM_RUNNING;
 		item->running_us = sched_now_us(sched);
@@ -289,22 +277,18 @@
 	}
 }
 
+/* Releases what is in neither of the lists that were just taken in. */
 static void check_absent(struct sched *sched, struct worker *worker,
 			 const struct order *order)
 {
-	char name[NAME_SIZE_BYTES];
-
 	for (guint i = worker->placed->len; i > 0; i--) {
 		struct placement placement =
 			g_array_index(worker->placed, struct placement, i - 1);
-		struct job_item *item =
+		const struct job_item *item =
 			job_item(placement.job, placement.index);
 
-		if (!surely_absent(item, order))
-			continue;
-		job_item_name(placement.job, placement.index, name,
-			      sizeof(name));
-		if (!running_row(order, name, item->run))
+		if (item->list_number != sched->list_number &&
+		    surely_absent(item, order))
 			item_release(sched, placement.job, placement.index,
 				     "absent");
 	}
@@ -313,6 +297,7 @@
 static void take_lists(struct sched *sched, struct worker *worker,
 		       const struct order *order)
 {
+	sched->list_number++;
 	for (guint i = 0; i < order->ended->len; i++) {
 		const struct ended_row *row =
 			&g_array_index(order->ended, struct ended_row, i);
