Claim again at once when the store is back

Cause: a holder that the store has not confirmed for 6 s stops.

Ruled out: going on without the store. Nothing can be shown as complete meanwhile, so that started work gains little, and a successor would not know what was started.

Change: an entry instance whose own token is the newest one, and that has stopped, claims without waiting for silence. It sends no order after it has stopped, so its successor need not wait for more than the workers' leases.

It compares the name, too, as is_own() does.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -225,6 +225,15 @@
 		       kernel_settings(lease->kernel)->entry);
 }
 
+/* This process was the newest holder and has stopped. */
+static bool was_this_process(const struct lease *lease)
+{
+	return lease->newest_token && !lease->held &&
+	       lease->newest_boot_id == lease->boot_id &&
+	       !strcmp(lease->newest_entry,
+		       kernel_settings(lease->kernel)->entry);
+}
+
 /* Whether the step is one of the newest holder, or makes one. */
 static bool is_in_force(const struct lease *lease,
 			const struct job_record *record)
@@ -254,7 +263,8 @@
 	if (record->step == HOLDER_CLAIM && is_own(lease, record) &&
 	    token > lease->fence_token) {
 		lease->replaced_token = record->token;
-		lease->was_ended = lease->resigned || was_own_life(lease);
+		lease->was_ended = lease->resigned || was_own_life(lease) ||
+				   was_this_process(lease);
 		lease->claimed_us = kernel_now_us(lease->kernel);
 		lease->fence_token = token;
 		lease->fence_write_id = write_step(lease, STORE_WRITER_FENCE,
@@ -436,7 +446,7 @@
 
 	if (lease->resigned || !lease->newest_token)
 		silence_us = lease->spread_us;
-	if (was_own_life(lease))
+	if (was_own_life(lease) || was_this_process(lease))
 		silence_us = 0;
 	if (roster_has_stronger(lease->roster, cpu_milli))
 		silence_us += STRONGER_FIRST_US;
