Share the machines between pools when there are too few for all

Cause: a pool keeps what it needs for all its work, also for work that can't end in time any more.

Ruled out: too few orders for machines (up to 44 a second were sent when machines were free), and machines that are not empty: nothing closed them.

Change: where the pools need more machines than there are, lasting work comes first, then work that can still end in time, then the rest, each shared in proportion. The objective of a job moves into sched_objective.c, as the load needs it, too.

--- a/src/jobs/parking_demand.c
+++ b/src/jobs/parking_demand.c
@@ -97,6 +97,12 @@
 	return any_milli;
 }
 
+static uint32_t count_for(uint64_t work_milli, uint64_t machine_milli)
+{
+	return (uint32_t)((work_milli + machine_milli - 1) / machine_milli) +
+	       RESERVE_COUNT;
+}
+
 static void set_needs(struct sched *sched)
 {
 	GHashTableIter iter;
@@ -112,9 +118,9 @@
 		load->standby = is_standby(sched, name);
 		if (load->standby || !milli)
 			continue;
-		load->need_count =
-			(uint32_t)((load->need_milli + milli - 1) / milli) +
-			RESERVE_COUNT;
+		load->need_count = count_for(load->need_milli, milli);
+		load->timely_count = count_for(load->timely_milli, milli);
+		load->least_count = count_for(load->lasting_milli, milli);
 		/* Limits of lasting items may need more machines than cores. */
 		if (load->stuck_count)
 			load->need_count =
@@ -122,6 +128,84 @@
 	}
 }
 
+/* What all pools need, and the machines that there are. */
+struct supply {
+	uint64_t machines_count;
+	uint64_t need_count;
+	uint64_t timely_count;
+	uint64_t least_count;
+};
+
+static struct supply add_up(struct sched *sched)
+{
+	struct supply supply = { 0 };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_load *load = value;
+
+		if (load->standby)
+			continue;
+		supply.need_count += load->need_count;
+		supply.timely_count += load->timely_count;
+		supply.least_count += load->least_count;
+	}
+	g_hash_table_iter_init(&iter, sched->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct machine *machine = value;
+
+		if (machine->moving || machine->state == MACHINE_UP)
+			supply.machines_count++;
+	}
+	return supply;
+}
+
+/* The part of more - less that there are machines for. */
+static uint32_t share_of(uint32_t less_count, uint32_t more_count,
+			 uint64_t all_less_count, uint64_t all_more_count,
+			 uint64_t machines_count)
+{
+	if (more_count <= less_count || all_more_count <= all_less_count ||
+	    machines_count <= all_less_count)
+		return less_count;
+	return less_count + (uint32_t)((more_count - less_count) *
+				       (machines_count - all_less_count) /
+				       (all_more_count - all_less_count));
+}
+
+/*
+ * Where there are too few machines for all, lasting work comes first, then
+ * work that can still end in time; the rest is shared in proportion.
+ */
+static void share_out(struct sched *sched)
+{
+	struct supply supply = add_up(sched);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (supply.need_count <= supply.machines_count)
+		return;
+	g_hash_table_iter_init(&iter, sched->loads);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_load *load = value;
+
+		if (load->standby || load->stuck_count)
+			continue;
+		if (supply.timely_count <= supply.machines_count)
+			load->need_count =
+				share_of(load->timely_count, load->need_count,
+					 supply.timely_count, supply.need_count,
+					 supply.machines_count);
+		else
+			load->need_count = share_of(
+				load->least_count, load->timely_count,
+				supply.least_count, supply.timely_count,
+				supply.machines_count);
+	}
+}
+
 static bool may_leave(const struct sched *sched, const struct machine *machine)
 {
 	return machine->state == MACHINE_UP && !machine->moving &&
@@ -300,11 +384,11 @@
 			"load",
 			"pool=%s have=%u need=%u running=%" G_GUINT64_FORMAT
 			" ready=%" G_GUINT64_FORMAT
-			" lasting=%" G_GUINT64_FORMAT
+			" lasting=%" G_GUINT64_FORMAT " late=%" G_GUINT64_FORMAT
 			" arriving=%" G_GUINT64_FORMAT,
 			(const char *)name, load->have_count, load->need_count,
 			load->running_milli / 1000, load->ready_milli / 1000,
-			load->lasting_milli / 1000,
+			load->lasting_milli / 1000, load->late_milli / 1000,
 			load->arriving_milli / 1000);
 	}
 }
@@ -317,6 +401,7 @@
 		return;
 	count_machines(sched);
 	set_needs(sched);
+	share_out(sched);
 	choices = list_choices(sched);
 	g_array_sort(choices, compare_choices);
 	open_and_close(sched, choices);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -185,11 +185,16 @@
 	uint64_t arriving_milli; /* work that comes in, in cores */
 	uint64_t rising_milli;	 /* the same over a shorter past */
 	uint32_t rising_count;	 /* jobs of that past */
+	uint64_t late_milli;	 /* of those running or ready, too late */
 	uint64_t need_milli;	 /* highest need of the newest past */
 	int64_t need_us;	 /* when that was seen */
+	uint64_t timely_milli;	 /* the same without work that is too late */
+	int64_t timely_us;
 	/* Filled in by the parking policy */
-	uint32_t have_count; /* machines that work or come */
-	uint32_t need_count;
+	uint32_t have_count;   /* machines that work or come */
+	uint32_t need_count;   /* as far as there are machines for all pools */
+	uint32_t timely_count; /* for lasting work, and what is not too late */
+	uint32_t least_count;  /* for lasting work alone */
 	bool standby;
 };
 
@@ -279,6 +284,14 @@
 void workers_stored(struct sched *sched);
 void workers_flushing(struct sched *sched);
 
+/* sched_objective.c */
+
+/* Time by which a job should end to be worth its full price. */
+int64_t job_objective_us(const struct sched *sched, const struct job *job);
+/* Whether what is left of the job takes longer than until its objective. */
+bool job_is_late(const struct sched *sched, const struct job *job,
+		 int64_t objective_us);
+
 /* sched_place.c */
 void sched_place(struct sched *sched);
 
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -57,8 +57,11 @@
 	return load;
 }
 
-static void add_items(const struct job *job, struct pool_load *load)
+static void add_items(const struct sched *sched, const struct job *job,
+		      struct pool_load *load)
 {
+	bool late = job_is_late(sched, job, job_objective_us(sched, job));
+
 	for (uint32_t i = 0; i < job_spec_occurrences(job->spec); i++) {
 		for (uint32_t j = 0; j < job->spec->steps->len; j++) {
 			const struct job_step *step = job_step(job, j);
@@ -73,6 +76,9 @@
 					continue;
 				load->stuck_count +=
 					step->lasting && phase == ITEM_WAITING;
+				if (late && !step->lasting &&
+				    (ready || phase != ITEM_WAITING))
+					load->late_milli += step->cpu_milli;
 				if (step->lasting)
 					load->lasting_milli += step->cpu_milli;
 				else if (phase != ITEM_WAITING)
@@ -124,6 +130,7 @@
 		load->running_milli = 0;
 		load->ready_milli = 0;
 		load->lasting_milli = 0;
+		load->late_milli = 0;
 		load->stuck_count = 0;
 		load->arriving_milli = 0;
 		load->rising_milli = 0;
@@ -131,6 +138,16 @@
 	}
 }
 
+/* Keeps the highest need of the newest past. */
+static void keep_need(uint64_t need_milli, int64_t now_us, uint64_t *kept_milli,
+		      int64_t *kept_us)
+{
+	if (need_milli < *kept_milli && now_us - *kept_us <= NEED_KEPT_US)
+		return;
+	*kept_milli = need_milli;
+	*kept_us = now_us;
+}
+
 static void end_measure(struct sched *sched, int64_t now_us)
 {
 	GHashTableIter iter;
@@ -139,21 +156,19 @@
 	g_hash_table_iter_init(&iter, sched->loads);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_load *load = value;
-		uint64_t need_milli;
+		uint64_t work_milli = load->running_milli + load->ready_milli;
 
 		/* The start of a queue's turn shows here first. */
 		if (load->rising_count >= RISE_MIN_COUNT)
 			load->arriving_milli =
 				MAX(load->arriving_milli, load->rising_milli);
-		need_milli = load->lasting_milli +
-			     MAX(load->running_milli + load->ready_milli,
-				 load->arriving_milli);
-
-		if (need_milli >= load->need_milli ||
-		    now_us - load->need_us > NEED_KEPT_US) {
-			load->need_milli = need_milli;
-			load->need_us = now_us;
-		}
+		keep_need(load->lasting_milli +
+				  MAX(work_milli, load->arriving_milli),
+			  now_us, &load->need_milli, &load->need_us);
+		keep_need(load->lasting_milli +
+				  MAX(work_milli - load->late_milli,
+				      load->arriving_milli),
+			  now_us, &load->timely_milli, &load->timely_us);
 	}
 }
 
@@ -169,7 +184,7 @@
 		if (job->wanted >= JOB_COMPLETE || job->cancelled)
 			continue;
 		load = load_of(sched, sched_pool(sched, job));
-		add_items(job, load);
+		add_items(sched, job, load);
 		if (now_us - job->seen_us < ARRIVALS_US)
 			add_arrival(sched, job, load, now_us);
 	}
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -31,28 +31,6 @@
 	const struct step_advice *advice; /* of the step; NULL: needs none */
 };
 
-/* Longest chain of steps, of all of them or of those that are left. */
-static int64_t chain_us(const struct sched *sched, const struct job *job,
-			bool left)
-{
-	int64_t longest_us[JOB_STEPS_MAX_COUNT] = { 0 };
-	int64_t chain = 0;
-
-	for (uint32_t i = 0; i < job->spec->steps->len; i++) {
-		const struct job_step *step = job_step(job, i);
-
-		for (uint32_t j = 0; j < i; j++) {
-			if (step->after_mask >> j & 1)
-				longest_us[i] =
-					MAX(longest_us[i], longest_us[j]);
-		}
-		if (!left || !job_step_is_done(job, 0, i))
-			longest_us[i] += step_estimate_us(sched, job, i);
-		chain = MAX(chain, longest_us[i]);
-	}
-	return chain;
-}
-
 static void add_candidate(struct pass *pass, struct job *job)
 {
 	const struct queue *queue = sched_queue(pass->sched, job);
@@ -61,17 +39,10 @@
 		.pool = sched_pool(pass->sched, job),
 		.lasting = job_step(job, 0)->lasting,
 		.priority = queue ? queue->priority : 0,
-		.objective_us = job->seen_us,
+		.objective_us = job_objective_us(pass->sched, job),
 	};
 
-	if (queue)
-		candidate.objective_us +=
-			queue->target_us +
-			(int64_t)(queue->slack *
-				  (double)chain_us(pass->sched, job, false));
-	/* Work that can't end in time any more is worth little. */
-	candidate.late = candidate.objective_us <
-			 pass->now_us + chain_us(pass->sched, job, true);
+	candidate.late = job_is_late(pass->sched, job, candidate.objective_us);
 	g_array_append_val(pass->candidates, candidate);
 }
 
