Log each lost and regained dependency

Cause: the users ask for one line at each dependency that is lost or regained. There were none for the store, the list of machines and single workers; only counters of failed reads, and the end of a worker.

Change: the decision "dependency" with name, state, and ages; counters of the losses of the store and of workers.

Test: jobs_outage counts one loss of the store and one of a worker; neither counter existed before.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -48,7 +48,8 @@
 	int64_t write_sent_us;
 	int64_t read_us; /* newest read up to the end of the store */
 	bool has_state;
-	int64_t leave_us; /* refuses new work from then on; 0: stays */
+	int64_t store_lost_us; /* taken for silent since; 0: it answers */
+	int64_t leave_us;      /* refuses new work from then on; 0: stays */
 	bool drained;
 };
 
@@ -451,6 +452,33 @@
 	kernel_emit(callers->kernel, &(struct event){ .type = EVENT_DRAINED });
 }
 
+/* Tells when the store is lost and when it is back. */
+static void watch_store(struct callers *callers)
+{
+	int64_t now_us = kernel_now_us(callers->kernel);
+	bool silent = callers->has_state && store_is_silent(callers);
+
+	if (silent && !callers->store_lost_us) {
+		callers->store_lost_us = now_us;
+		counter_add(kernel_counters(callers->kernel),
+			    "store_lost_total", 1);
+		decision_log(
+			"dependency",
+			"name=store state=lost read_age_ms=%" G_GINT64_FORMAT
+			" write_age_ms=%" G_GINT64_FORMAT,
+			(now_us - callers->read_us) / USEC_PER_MSEC,
+			callers->write_id ? (now_us - callers->write_sent_us) /
+						    USEC_PER_MSEC
+					  : 0);
+	} else if (!silent && callers->store_lost_us) {
+		decision_log("dependency",
+			     "name=store state=regained "
+			     "lost_ms=%" G_GINT64_FORMAT,
+			     (now_us - callers->store_lost_us) / USEC_PER_MSEC);
+		callers->store_lost_us = 0;
+	}
+}
+
 static void callers_handle(void *self, const struct event *event)
 {
 	struct callers *callers = self;
@@ -478,6 +506,7 @@
 	}
 	send_queued(callers);
 	expire(callers);
+	watch_store(callers);
 	kernel_set_ready(callers->kernel, kernel_queues(callers->kernel) &&
 						  !callers->leave_us &&
 						  !store_is_silent(callers));
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -162,6 +162,7 @@
 	int64_t machines_us; /* list asked for next */
 	int64_t machines_seen_us;
 	bool machines_known;
+	bool machines_lost;	       /* the newest question had no answer */
 	uint32_t machine_orders_count; /* in this second */
 	int64_t machine_orders_us;
 	GPtrArray *orders_waiting; /* of struct machine_order, not stored */
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -122,6 +122,10 @@
 	gpointer value;
 
 	sched->machines_asked = false;
+	if (seen->answered == sched->machines_lost)
+		decision_log("dependency", "name=machine-list state=%s",
+			     seen->answered ? "regained" : "lost");
+	sched->machines_lost = !seen->answered;
 	if (!seen->answered) {
 		sched->machines_us = sched_now_us(sched) + LIST_FAILED_US;
 		return;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -350,8 +350,17 @@
 
 	worker->hold_sent = false;
 	if (order->result == ORDER_LOST || order->result == ORDER_REFUSED) {
-		if (!worker->lost_count)
+		if (!worker->lost_count) {
 			worker->silent_us = order->sent_us;
+			counter_add(kernel_counters(sched->kernel),
+				    "workers_lost_total", 1);
+			decision_log("dependency",
+				     "name=worker/%s state=lost result=%s "
+				     "items=%u",
+				     worker->id,
+				     order_result_name(order->result),
+				     worker->placed->len);
+		}
 		worker->lost_count++;
 		worker->hold_again_us =
 			now_us + (worker->placed->len ? HOLD_AGAIN_US
@@ -360,8 +369,14 @@
 	}
 	if (order->result != ORDER_OK)
 		return;
-	if (worker->lost_count)
+	if (worker->lost_count) {
+		decision_log("dependency",
+			     "name=worker/%s state=regained "
+			     "lost_ms=%" G_GINT64_FORMAT,
+			     worker->id,
+			     (now_us - worker->silent_us) / USEC_PER_MSEC);
 		sched_want_place(sched);
+	}
 	worker->lost_count = 0;
 	worker->silent_us = 0;
 	worker->answered_us = now_us;
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -353,6 +353,18 @@
 	g_list_free(ids);
 }
 
+/* job-counter ENTRY NAME */
+static void run_counter(struct script *script)
+{
+	const struct jobs_entry *entry = entry_of(script, 1);
+	const char *name = script_word(script, 2);
+
+	if (entry && entry->kernel)
+		world_print(script->world, "%s counter %s %" G_GUINT64_FORMAT,
+			    entry->name, name,
+			    counter_get(kernel_counters(entry->kernel), name));
+}
+
 static const struct script_command commands[] = {
 	{ "job-queue", 2, run_queue },	     { "job-pool", 1, run_pool },
 	{ "job-worker", 2, run_worker },     { "job-fault", 2, run_fault },
@@ -365,6 +377,7 @@
 	{ "job-reborn", 2, run_reborn },     { "job-show", 1, run_show },
 	{ "job-parking", 1, run_parking },   { "job-tickets", 1, run_tickets },
 	{ "job-stopping", 1, run_stopping }, { "job-cpu", 1, run_cpu },
+	{ "job-counter", 2, run_counter },
 };
 
 SCRIPT_REGISTER(commands)
