--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -395,8 +395,8 @@
 	fillers_on_hold(sched, worker);
 	/* Several ends that come close together are listed by one answer. */
 	worker->hold_due_us =
-		now_us +
-		MAX(HOLD_GAP_US, sched->busy_workers_count * HOLD_SPACING_US);
+		now_us + MAX(HOLD_GAP_US, (int64_t)sched->busy_workers_count *
+						  HOLD_SPACING_US);
 	sched_wake_at(sched, worker->hold_due_us);
 }
 
