--- a/bench/calls.c
+++ b/bench/calls.c
@@ -13,8 +13,8 @@
 
 #include "io/http_call.h"
 
-#define CALLS_COUNT 20000
-#define CONCURRENT_COUNT 60
+#define CALLS_COUNT 20000U
+#define CONCURRENT_COUNT 60U
 #define TIMEOUT_US (2 * USEC_PER_SEC)
 #define BODY                                                                   \
 	"{\"fence_token\":12345,\"task\":\"00000000000000a1.0.1.2\","          \
