Log what the loop of a process spends its time on

Each process that is busy for a tenth of a second's time now writes a line with the time of its loop, of the longest turn and of each plug-in; the holder writes how many jobs and workers its passes of placement looked at. The same is served as metrics.

A histogram finds its counters once instead of by twelve names for each time, as one is now fed for each turn of the loop.

--- a/src/core/types.h
+++ b/src/core/types.h
@@ -16,6 +16,9 @@
 
 #define USEC_PER_MSEC INT64_C(1000)
 #define USEC_PER_SEC INT64_C(1000000)
+#define NSEC_PER_USEC INT64_C(1000)
+#define NSEC_PER_MSEC INT64_C(1000000)
+#define NSEC_PER_SEC INT64_C(1000000000)
 
 /* A deadline that never passes. */
 #define DEADLINE_NEVER_US INT64_MAX
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -122,6 +122,14 @@
 	int64_t again_us; /* not ordered before */
 };
 
+/* What passes of placement have looked at. */
+struct place_work {
+	uint64_t passes_count;
+	uint64_t jobs_count;  /* with work that could start */
+	uint64_t looks_count; /* at a worker for an item */
+	uint64_t items_count; /* placed */
+};
+
 struct parking_ops;
 
 struct sched {
@@ -156,7 +164,9 @@
 	bool workers_wanted;
 	int64_t workers_us; /* next look at all of them not before */
 	bool place_wanted;
-	int64_t place_us; /* next pass not before */
+	int64_t place_us;	      /* next pass not before */
+	struct place_work place_work; /* not yet logged */
+	int64_t place_log_us;
 	int64_t tick_us;
 	bool machines_asked;
 	int64_t machines_us; /* list asked for next */
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #include "jobs/sched.h"
+#include "kernel/decision_log.h"
+
+#define WORK_LOG_US USEC_PER_SEC
 
 /* Weights of a worker's score, in thousandths of its free capacity. */
 #define SCORE_RACK_NEAR 2000
@@ -29,6 +32,7 @@
 	int64_t now_us;
 	int64_t wall_ms;
 	const struct step_advice *advice; /* of the step; NULL: needs none */
+	struct place_work work;
 };
 
 static void add_candidate(struct pass *pass, struct job *job)
@@ -214,8 +218,7 @@
 	return value;
 }
 
-static struct worker *choose_among(const struct pass *pass,
-				   const GPtrArray *workers,
+static struct worker *choose_among(struct pass *pass, const GPtrArray *workers,
 				   const struct job *job, uint32_t occurrence,
 				   uint32_t index)
 {
@@ -223,6 +226,7 @@
 	struct worker *best = NULL;
 	int64_t best_score = 0;
 
+	pass->work.looks_count += workers->len;
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *worker = workers->pdata[i];
 		struct neighbours seen;
@@ -316,6 +320,7 @@
 		if (!worker)
 			return;
 		item_place(pass->sched, job, i, worker);
+		pass->work.items_count++;
 	}
 }
 
@@ -343,6 +348,7 @@
 		item_place(pass->sched, job, first + placed_count, worker);
 		placed_count++;
 	}
+	pass->work.items_count += placed_count == count ? count : 0;
 	/* Nothing of it was stored or ordered yet. */
 	for (uint32_t i = 0; placed_count < count && i < placed_count; i++)
 		item_release(pass->sched, job, first + i, "gang-incomplete");
@@ -416,6 +422,37 @@
 	       !job->stop_all && job->placed_count < job->left_count;
 }
 
+/* How much the passes look at, and what comes of it, at most once a second. */
+static void log_work(struct sched *sched)
+{
+	const struct place_work *work = &sched->place_work;
+
+	if (sched_now_us(sched) < sched->place_log_us)
+		return;
+	sched->place_log_us = sched_now_us(sched) + WORK_LOG_US;
+	decision_log("placing",
+		     "passes=%" G_GUINT64_FORMAT " jobs=%" G_GUINT64_FORMAT
+		     " looks=%" G_GUINT64_FORMAT " items=%" G_GUINT64_FORMAT,
+		     work->passes_count, work->jobs_count, work->looks_count,
+		     work->items_count);
+	sched->place_work = (struct place_work){ 0 };
+}
+
+static void count_work(struct sched *sched, const struct place_work *work)
+{
+	struct counters *counters = kernel_counters(sched->kernel);
+
+	counter_add(counters, "place_passes_total", work->passes_count);
+	counter_add(counters, "place_jobs_total", work->jobs_count);
+	counter_add(counters, "place_looks_total", work->looks_count);
+	counter_add(counters, "place_items_total", work->items_count);
+	sched->place_work.passes_count += work->passes_count;
+	sched->place_work.jobs_count += work->jobs_count;
+	sched->place_work.looks_count += work->looks_count;
+	sched->place_work.items_count += work->items_count;
+	log_work(sched);
+}
+
 void sched_place(struct sched *sched)
 {
 	struct pass pass = {
@@ -435,6 +472,9 @@
 	for (guint i = 0; i < pass.candidates->len; i++)
 		place_job(&pass,
 			  &g_array_index(pass.candidates, struct candidate, i));
+	pass.work.passes_count = 1;
+	pass.work.jobs_count = pass.candidates->len;
+	count_work(sched, &pass.work);
 	g_hash_table_unref(pass.by_pool);
 	g_hash_table_unref(pass.full);
 	g_array_unref(pass.candidates);
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -9,4 +9,10 @@
  */
 int64_t clock_now_us(void);
 
+/*
+ * Nanoseconds of a clock that stands still while the machine is suspended, for
+ * measuring how long something took.
+ */
+int64_t clock_steady_ns(void);
+
 #endif
--- a/src/kernel/counter.c
+++ b/src/kernel/counter.c
@@ -6,7 +6,19 @@
 #define NAME_MAX_BYTES 128
 
 struct counters {
-	GTree *values; /* name -> uint64_t */
+	GTree *values;	   /* name -> uint64_t */
+	GTree *histograms; /* name -> struct histogram */
+};
+
+static const int64_t bounds_us[] = { 1000,   3000,    10000,   30000,	100000,
+				     300000, 1000000, 3000000, 10000000 };
+
+/* Where the values of a histogram are, so that a time needs one look-up. */
+struct histogram {
+	uint64_t *buckets[G_N_ELEMENTS(bounds_us)];
+	uint64_t *all;
+	uint64_t *sum;
+	uint64_t *count;
 };
 
 static gint compare(gconstpointer a, gconstpointer b, gpointer data)
@@ -20,6 +32,7 @@
 	struct counters *counters = g_new0(struct counters, 1);
 
 	counters->values = g_tree_new_full(compare, NULL, g_free, g_free);
+	counters->histograms = g_tree_new_full(compare, NULL, g_free, g_free);
 	return counters;
 }
 
@@ -27,6 +40,7 @@
 {
 	if (!counters)
 		return;
+	g_tree_unref(counters->histograms);
 	g_tree_unref(counters->values);
 	g_free(counters);
 }
@@ -52,26 +66,41 @@
 	*value_of(counters, name) = value;
 }
 
-void counter_observe(struct counters *counters, const char *name,
-		     int64_t time_us)
+static struct histogram *histogram_of(struct counters *counters,
+				      const char *name)
 {
-	static const int64_t bounds_us[] = { 1000,    3000,    10000,
-					     30000,   100000,  300000,
-					     1000000, 3000000, 10000000 };
+	struct histogram *histogram = g_tree_lookup(counters->histograms, name);
 	char text[NAME_MAX_BYTES];
 
+	if (histogram)
+		return histogram;
+	histogram = g_new0(struct histogram, 1);
 	for (size_t i = 0; i < G_N_ELEMENTS(bounds_us); i++) {
 		g_snprintf(text, sizeof(text),
 			   "%s_us_bucket{le=\"%" G_GINT64_FORMAT "\"}", name,
 			   bounds_us[i]);
-		counter_add(counters, text, time_us <= bounds_us[i]);
+		histogram->buckets[i] = value_of(counters, text);
 	}
 	g_snprintf(text, sizeof(text), "%s_us_bucket{le=\"+Inf\"}", name);
-	counter_add(counters, text, 1);
+	histogram->all = value_of(counters, text);
 	g_snprintf(text, sizeof(text), "%s_us_sum", name);
-	counter_add(counters, text, (uint64_t)MAX(time_us, 0));
+	histogram->sum = value_of(counters, text);
 	g_snprintf(text, sizeof(text), "%s_us_count", name);
-	counter_add(counters, text, 1);
+	histogram->count = value_of(counters, text);
+	g_tree_insert(counters->histograms, g_strdup(name), histogram);
+	return histogram;
+}
+
+void counter_observe(struct counters *counters, const char *name,
+		     int64_t time_us)
+{
+	struct histogram *histogram = histogram_of(counters, name);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bounds_us); i++)
+		*histogram->buckets[i] += time_us <= bounds_us[i];
+	*histogram->all += 1;
+	*histogram->sum += (uint64_t)MAX(time_us, 0);
+	*histogram->count += 1;
 }
 
 uint64_t counter_get(const struct counters *counters, const char *name)
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "kernel/clock.h"
 #include "kernel/klog.h"
 
 #define LOG_PREFIX "kernel"
@@ -9,6 +10,7 @@
 struct running {
 	const struct plugin *plugin;
 	void *self;
+	int64_t *busy_ns; /* time spent on events; owned by the kernel's list */
 };
 
 struct kernel {
@@ -74,6 +76,7 @@
 
 		if (running->plugin->fini)
 			running->plugin->fini(running->self);
+		g_free(running->busy_ns);
 	}
 	g_array_unref(kernel->running);
 	for (uint32_t i = 0; i < EVENT_TYPE_COUNT; i++)
@@ -104,7 +107,11 @@
 void kernel_start_plugin_with(struct kernel *kernel,
 			      const struct plugin *plugin, void *self)
 {
-	struct running running = { .plugin = plugin, .self = self };
+	struct running running = {
+		.plugin = plugin,
+		.self = self,
+		.busy_ns = g_new0(int64_t, 1),
+	};
 
 	g_array_append_val(kernel->running, running);
 	for (uint32_t i = 0; i < EVENT_TYPE_COUNT; i++) {
@@ -202,12 +209,32 @@
 static void deliver(struct kernel *kernel, const struct event *event)
 {
 	GArray *takers = kernel->takers[event->type];
+	int64_t begin_ns = clock_steady_ns();
+	int64_t end_ns;
 
 	for (guint i = 0; i < takers->len; i++) {
 		struct running *taker =
 			&g_array_index(takers, struct running, i);
 
 		taker->plugin->handle(taker->self, event);
+		end_ns = clock_steady_ns();
+		*taker->busy_ns += end_ns - begin_ns;
+		begin_ns = end_ns;
+	}
+}
+
+void kernel_take_busy(struct kernel *kernel,
+		      void (*take)(void *data, const struct plugin *plugin,
+				   int64_t busy_ns, struct counters *counters),
+		      void *data)
+{
+	for (guint i = 0; i < kernel->running->len; i++) {
+		struct running *running =
+			&g_array_index(kernel->running, struct running, i);
+
+		take(data, running->plugin, *running->busy_ns,
+		     kernel->counters);
+		*running->busy_ns = 0;
 	}
 }
 
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -70,6 +70,15 @@
 /* Delivers queued events, and EVENT_WAKE if a deadline has passed. */
 void kernel_run(struct kernel *kernel);
 
+/*
+ * Hands the time that each plug-in has spent on events since the last call to
+ * a function, with the kernel's counters.
+ */
+void kernel_take_busy(struct kernel *kernel,
+		      void (*take)(void *data, const struct plugin *plugin,
+				   int64_t busy_ns, struct counters *counters),
+		      void *data);
+
 int64_t kernel_now_us(const struct kernel *kernel);
 int64_t kernel_wall_us(const struct kernel *kernel);
 
--- a/src/kernel/loop.c
+++ b/src/kernel/loop.c
@@ -1,4 +1,5 @@
 #include "kernel/loop.h"
+#include "kernel/busy.h"
 #include "kernel/clock.h"
 
 #include <ev.h>
@@ -8,7 +9,9 @@
 struct loop {
 	struct ev_loop *ev;
 	struct kernel *kernel;
+	struct busy *busy;
 	ev_prepare prepare; /* delivers events before the loop blocks */
+	ev_check check;	    /* the loop has stopped waiting */
 	ev_timer timer;	    /* armed for the earliest stored deadline */
 };
 
@@ -41,6 +44,16 @@
 	advance(loop);
 	decision_log_flush();
 	arm(loop);
+	busy_end_turn(loop->busy);
+}
+
+static void on_check(struct ev_loop *ev, ev_check *watcher, int revents)
+{
+	struct loop *loop = watcher->data;
+
+	(void)ev;
+	(void)revents;
+	busy_begin_turn(loop->busy);
 }
 
 static void on_timer(struct ev_loop *ev, ev_timer *watcher, int revents)
@@ -57,9 +70,15 @@
 
 	loop->ev = ev_loop_new(EVFLAG_AUTO);
 	loop->kernel = kernel;
+	loop->busy = busy_new(kernel);
 	ev_prepare_init(&loop->prepare, on_prepare);
 	loop->prepare.data = loop;
 	ev_prepare_start(loop->ev, &loop->prepare);
+	/* Before the watchers of the sockets that have become ready. */
+	ev_check_init(&loop->check, on_check);
+	ev_set_priority(&loop->check, EV_MAXPRI);
+	loop->check.data = loop;
+	ev_check_start(loop->ev, &loop->check);
 	ev_timer_init(&loop->timer, on_timer, 0., 0.);
 	loop->timer.data = loop;
 	kernel_set_loop(kernel, loop->ev);
@@ -72,8 +91,10 @@
 	if (!loop)
 		return;
 	ev_prepare_stop(loop->ev, &loop->prepare);
+	ev_check_stop(loop->ev, &loop->check);
 	ev_timer_stop(loop->ev, &loop->timer);
 	ev_loop_destroy(loop->ev);
+	busy_free(loop->busy);
 	g_free(loop);
 }
 
