Wait for the answer to a renewal instead of spinning

Cause: the next renewal was due already, and a wake-up was asked for one microsecond later, again and again. The answer is an event, and nothing is due before it but the end of the time that a holder goes on unconfirmed.

Ruled out: the scheduler's own wake-ups, which are at least 5 ms apart.

The runner now takes more than 2,000 wake-ups of a process in a virtual second for a violation.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -478,6 +478,16 @@
 	       is_stronger_than_holder(lease, now_us);
 }
 
+/* The answer to a renewal comes as an event; nothing is due before it. */
+static int64_t next_tick_us(const struct lease *lease, int64_t now_us)
+{
+	if (!lease->held)
+		return now_us + CLAIM_AGAIN_US;
+	if (lease->renew_write_id)
+		return lease->confirmed_us + HOLDER_UNCONFIRMED_MAX_US;
+	return lease->renew_us;
+}
+
 static void tick(struct lease *lease)
 {
 	int64_t now_us = kernel_now_us(lease->kernel);
@@ -509,10 +519,7 @@
 				   lease->newest_token);
 	}
 	set_pace(lease);
-	if (lease->held)
-		kernel_wake_at(lease->kernel, MAX(lease->renew_us, now_us + 1));
-	else
-		kernel_wake_at(lease->kernel, now_us + CLAIM_AGAIN_US);
+	kernel_wake_at(lease->kernel, next_tick_us(lease, now_us));
 }
 
 static void on_drain(struct lease *lease)
--- a/src/kernel/kernel.c
+++ b/src/kernel/kernel.c
@@ -248,6 +248,7 @@
 	if (kernel->next_wake_us <= kernel->now_us) {
 		kernel->next_wake_us = DEADLINE_NEVER_US;
 		kernel_emit(kernel, &(struct event){ .type = EVENT_WAKE });
+		counter_add(kernel->counters, "wakes_total", 1);
 	}
 	while ((event = g_queue_pop_head(kernel->queue))) {
 		deliver(kernel, event);
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define CALL_US (2 * USEC_PER_MSEC)
+/* Wake-ups by its own deadlines in a second that are surely no spinning. */
+#define WAKES_MAX_COUNT 2000
 
 enum delivery_kind {
 	DELIVERY_EVENT,	      /* to the plug-ins of the entry instance */
@@ -215,6 +217,7 @@
 	entry->urgent = false;
 	entry->read_due = false;
 	entry->snapshot_due = true;
+	entry->wakes_count = 0;
 	entry->kernel = kernel_new(entry->settings, entry->boot_count,
 				   g_str_hash(name) + entry->boot_count);
 	set_time(entry);
@@ -348,6 +351,23 @@
 	}
 }
 
+/* A process that waits for something must not spin meanwhile. */
+static void check_wakes(struct jobs_entry *entry)
+{
+	int64_t now_us = entry->jobs->world->now_us;
+	uint64_t count;
+
+	if (now_us < entry->wakes_until_us)
+		return;
+	count = counter_get(kernel_counters(entry->kernel), "wakes_total");
+	if (count - entry->wakes_count > WAKES_MAX_COUNT)
+		jobs_violation(entry->jobs,
+			       "%s woke more than %u times in a second",
+			       entry->name, WAKES_MAX_COUNT);
+	entry->wakes_count = count;
+	entry->wakes_until_us = now_us + USEC_PER_SEC;
+}
+
 static void wake_due(struct jobs_world *jobs)
 {
 	for (guint i = 0; i < jobs->entries->len; i++) {
@@ -357,6 +377,7 @@
 			continue;
 		set_time(entry);
 		kernel_run(entry->kernel);
+		check_wakes(entry);
 	}
 }
 
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -26,6 +26,8 @@
 	bool snapshot_due;
 	bool held;
 	bool urgent; /* reads again soon */
+	uint64_t wakes_count; /* at the start of this second */
+	int64_t wakes_until_us;
 };
 
 struct fake_run {
