Do not spin while a process leaves and a caller still waits

Callers have deadlines of their own.

Ruled out elsewhere: all other places that ask for a wake-up do so for a deadline that is still to come.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -442,10 +442,8 @@
 /* Tells the end of the drain: no caller waits any more. */
 static void check_drained(struct callers *callers)
 {
-	if (callers->leave_us)
-		kernel_wake_at(callers->kernel,
-			       MAX(callers->leave_us,
-				   kernel_now_us(callers->kernel) + 1));
+	if (callers->leave_us && !has_left(callers))
+		kernel_wake_at(callers->kernel, callers->leave_us);
 	if (!has_left(callers) || callers->waiting->len || callers->drained)
 		return;
 	callers->drained = true;
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -25,7 +25,7 @@
 	bool read_due; /* a read is scheduled */
 	bool snapshot_due;
 	bool held;
-	bool urgent; /* reads again soon */
+	bool urgent;	      /* reads again soon */
 	uint64_t wakes_count; /* at the start of this second */
 	int64_t wakes_until_us;
 };
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -156,6 +156,15 @@
 		jobs_entry_kill(entry);
 }
 
+/* job-drain ENTRY: it is asked to leave */
+static void run_drain(struct script *script)
+{
+	struct jobs_entry *entry = entry_of(script, 1);
+
+	if (entry)
+		jobs_deliver(entry->jobs, entry, EVENT_DRAIN, NULL, 0);
+}
+
 /* job-freeze ENTRY TIME */
 static void run_freeze(struct script *script)
 {
@@ -377,7 +386,7 @@
 	{ "job-reborn", 2, run_reborn },     { "job-show", 1, run_show },
 	{ "job-parking", 1, run_parking },   { "job-tickets", 1, run_tickets },
 	{ "job-stopping", 1, run_stopping }, { "job-cpu", 1, run_cpu },
-	{ "job-counter", 2, run_counter },
+	{ "job-counter", 2, run_counter },   { "job-drain", 1, run_drain },
 };
 
 SCRIPT_REGISTER(commands)
