Find queues by hash, not by looking at all of them

Cause: a queue was looked for among all of them, by name, up to three times for each open job in each pass of placement and each measurement, and a caller's route among all of them for each call. With 700 waiting jobs and 1,250 routes that is about a million comparisons a pass.

Ruled out: too few machines (218 to 284 in the pool, twice what ran).

Now names, and hosts with prefixes, are in hash tables that are filled as the configuration is read; only prefix lengths that occur are tried.

No script shows the cost, as virtual time does not count processor time; the unit test on routes covers what is found.

--- a/src/jobs/queues.c
+++ b/src/jobs/queues.c
@@ -2,10 +2,15 @@
 
 #include <string.h>
 
-static void queue_free(gpointer data)
+struct queue *queue_new(void)
 {
-	struct queue *queue = data;
+	return g_new0(struct queue, 1);
+}
 
+void queue_free(struct queue *queue)
+{
+	if (!queue)
+		return;
 	g_free(queue->prefix);
 	g_free(queue);
 }
@@ -14,8 +19,13 @@
 {
 	struct queues *queues = g_rc_box_new0(struct queues);
 
-	queues->queues = g_ptr_array_new_with_free_func(queue_free);
+	queues->queues =
+		g_ptr_array_new_with_free_func((GDestroyNotify)queue_free);
 	queues->pools = g_ptr_array_new_with_free_func(g_free);
+	queues->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	queues->by_route =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	queues->prefix_lengths = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	return queues;
 }
 
@@ -28,6 +38,9 @@
 {
 	struct queues *queues = data;
 
+	g_hash_table_unref(queues->by_name);
+	g_hash_table_unref(queues->by_route);
+	g_array_unref(queues->prefix_lengths);
 	g_ptr_array_unref(queues->queues);
 	g_ptr_array_unref(queues->pools);
 }
@@ -38,12 +51,41 @@
 		g_rc_box_release_full(queues, queues_clear);
 }
 
-struct queue *queues_add_queue(struct queues *queues)
+/* A host may be given with a port, and in any case. */
+static char *route_key(const char *host, const char *path, size_t prefix_bytes)
+{
+	char *lower = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+	char *key = g_strdup_printf("%s %.*s", lower, (int)prefix_bytes, path);
+
+	g_free(lower);
+	return key;
+}
+
+static void note_length(struct queues *queues, uint32_t length)
+{
+	guint at = 0;
+
+	while (at < queues->prefix_lengths->len &&
+	       g_array_index(queues->prefix_lengths, uint32_t, at) > length)
+		at++;
+	if (at == queues->prefix_lengths->len ||
+	    g_array_index(queues->prefix_lengths, uint32_t, at) != length)
+		g_array_insert_val(queues->prefix_lengths, at, length);
+}
+
+void queues_add_queue(struct queues *queues, struct queue *queue)
 {
-	struct queue *queue = g_new0(struct queue, 1);
+	uint32_t length = (uint32_t)strlen(queue->prefix);
+	char *key = route_key(queue->host, queue->prefix, length);
 
 	g_ptr_array_add(queues->queues, queue);
-	return queue;
+	if (!g_hash_table_contains(queues->by_name, queue->name))
+		g_hash_table_insert(queues->by_name, queue->name, queue);
+	note_length(queues, length);
+	if (g_hash_table_contains(queues->by_route, key))
+		g_free(key);
+	else
+		g_hash_table_insert(queues->by_route, key, queue);
 }
 
 struct pool *queues_add_pool(struct queues *queues)
@@ -56,13 +98,7 @@
 
 const struct queue *queues_find(const struct queues *queues, const char *name)
 {
-	for (guint i = 0; queues && i < queues->queues->len; i++) {
-		const struct queue *queue = queues->queues->pdata[i];
-
-		if (!strcmp(queue->name, name))
-			return queue;
-	}
-	return NULL;
+	return queues ? g_hash_table_lookup(queues->by_name, name) : NULL;
 }
 
 const struct pool *queues_pool(const struct queues *queues, const char *name)
@@ -76,29 +112,26 @@
 	return NULL;
 }
 
-static bool same_host(const char *host, const char *given)
-{
-	size_t length = strcspn(given, ":");
-
-	return strlen(host) == length &&
-	       !g_ascii_strncasecmp(host, given, length);
-}
-
 const struct queue *queues_route(const struct queues *queues, const char *host,
 				 const char *path, const char **rest)
 {
-	const struct queue *found = NULL;
+	size_t path_bytes = strlen(path);
 
-	for (guint i = 0; queues && i < queues->queues->len; i++) {
-		const struct queue *queue = queues->queues->pdata[i];
+	for (guint i = 0; queues && i < queues->prefix_lengths->len; i++) {
+		uint32_t length =
+			g_array_index(queues->prefix_lengths, uint32_t, i);
+		const struct queue *found;
+		char *key;
 
-		if (!g_str_has_prefix(path, queue->prefix) ||
-		    !same_host(queue->host, host))
+		if (length > path_bytes)
 			continue;
-		if (!found || strlen(queue->prefix) > strlen(found->prefix))
-			found = queue;
+		key = route_key(host, path, length);
+		found = g_hash_table_lookup(queues->by_route, key);
+		g_free(key);
+		if (!found)
+			continue;
+		*rest = path + length;
+		return found;
 	}
-	if (found)
-		*rest = path + strlen(found->prefix);
-	return found;
+	return NULL;
 }
--- a/src/jobs/queues.h
+++ b/src/jobs/queues.h
@@ -34,6 +34,10 @@
 	uint64_t version;
 	GPtrArray *queues; /* of struct queue */
 	GPtrArray *pools;  /* of struct pool */
+	/* Configurations may have thousands of routes. */
+	GHashTable *by_name;	/* name -> struct queue */
+	GHashTable *by_route;	/* host and prefix -> struct queue */
+	GArray *prefix_lengths; /* uint32_t, each once, longest first */
 	uint64_t body_max_bytes;
 };
 
@@ -41,7 +45,11 @@
 struct queues *queues_ref(struct queues *queues);
 void queues_unref(struct queues *queues);
 
-struct queue *queues_add_queue(struct queues *queues);
+struct queue *queue_new(void);
+void queue_free(struct queue *queue);
+
+/* Takes over a queue with its name, host and prefix. */
+void queues_add_queue(struct queues *queues, struct queue *queue);
 struct pool *queues_add_pool(struct queues *queues);
 
 const struct queue *queues_find(const struct queues *queues, const char *name);
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -26,7 +26,7 @@
  */
 static void run_queue(struct script *script)
 {
-	struct queue *queue = queues_add_queue(jobs_of(script)->queues);
+	struct queue *queue = queue_new();
 
 	g_strlcpy(queue->name, script_word(script, 1), sizeof(queue->name));
 	g_strlcpy(queue->host, "h", sizeof(queue->host));
@@ -38,6 +38,7 @@
 	queue->slack = 1.6;
 	queue->target_us =
 		script_option_us(script, "target", 600 * USEC_PER_MSEC);
+	queues_add_queue(jobs_of(script)->queues, queue);
 }
 
 /* job-pool NAME [standby=1] */
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -100,6 +100,10 @@
 		queues_route(queues, "h.example:80", "/a/b/c", &rest)->name,
 		"s");
 	CU_ASSERT_STRING_EQUAL(rest, "c");
+	CU_ASSERT_STRING_EQUAL(
+		queues_route(queues, "H.Example", "/a/x", &rest)->name, "r");
+	CU_ASSERT_STRING_EQUAL(rest, "x");
+	CU_ASSERT_PTR_NULL(queues_route(queues, "h.example", "/b/", &rest));
 	CU_ASSERT_PTR_NULL(queues_route(queues, "other", "/a/b", &rest));
 	queues_unref(queues);
 }
