Repeat an order only when the one before it has had no answer

Cause: an order that is not settled was repeated every 200 ms, counted from when it was sent. Its answer may take a second, so that five copies of each were under way; on a slow holder the copies delay the answers, which makes more orders look lost.

Now each item counts its starts and stops that are under way, and nothing is repeated beside them. An order whose answer was lost is repeated after a second and 200 ms at the latest, a stop well within its bound of 4 s.

The fake workers take a repeat beside an unanswered order for a violation; jobs_order_storm, jobs_cancel and jobs_outage have such repeats on the code before.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -80,11 +80,12 @@
 	uint64_t stored_by;    /* write that stores the placement; 0: none */
 	uint32_t pace_percent; /* share of its work that it may do */
 	int64_t ordered_us;
-	int64_t running_us;   /* first seen running; 0: not yet */
-	int64_t away_us;      /* not at work since; lasting items */
-	int64_t progress_us;  /* work_percent has changed */
-	uint32_t moved_count; /* times that it was taken from a slow worker */
-	int64_t retry_us;     /* earliest next placement */
+	uint32_t orders_count; /* starts and stops of this run under way */
+	int64_t running_us;    /* first seen running; 0: not yet */
+	int64_t away_us;       /* not at work since; lasting items */
+	int64_t progress_us;   /* work_percent has changed */
+	uint32_t moved_count;  /* times that it was taken from a slow worker */
+	int64_t retry_us;      /* earliest next placement */
 };
 
 enum job_state {
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -129,6 +129,7 @@
 
 		item->sure = false;
 		item->ordered_us = 0;
+		item->orders_count = 0;
 		item->running_us = 0;
 		item->stored_by = 0;
 		item->work_percent = 0;
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -48,6 +48,7 @@
 	item->sure = true;
 	item->stored_by = 0;
 	item->ordered_us = 0;
+	item->orders_count = 0;
 	item->running_us = 0;
 	item->work_percent = 0;
 	item->progress_us = 0;
@@ -124,13 +125,17 @@
 	order->ticket = advice_ticket(sched, job, index, worker);
 	item->phase = ITEM_STARTING;
 	item->ordered_us = sched_now_us(sched);
+	item->orders_count++;
 	worker_send(sched, worker, order);
 }
 
 void item_send_stop(struct sched *sched, struct worker *worker, struct job *job,
 		    uint32_t index)
 {
-	job_item(job, index)->ordered_us = sched_now_us(sched);
+	struct job_item *item = job_item(job, index);
+
+	item->ordered_us = sched_now_us(sched);
+	item->orders_count++;
 	worker_send(sched, worker,
 		    item_order(sched, worker, job, index, ORDER_STOP));
 }
@@ -381,7 +386,7 @@
 {
 	uint32_t index = 0;
 	struct job *job = sched_find_item(sched, order->item, &index);
-	const struct job_item *item;
+	struct job_item *item;
 
 	if (order->result != ORDER_OK)
 		decision_log(
@@ -396,6 +401,8 @@
 	item = job_item(job, index);
 	if (item->run != order->run || item->worker != worker->id)
 		return;
+	if (item->orders_count)
+		item->orders_count--;
 	if (order->kind == ORDER_START)
 		on_start(sched, worker, job, index, order);
 	else if (order->kind == ORDER_STOP)
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -316,7 +316,10 @@
 		check_absent(sched, worker, order);
 }
 
-/* Orders of this holder that no answer has settled are sent again. */
+/*
+ * Orders of this holder that no answer has settled are sent again, but not
+ * beside one that may still be answered.
+ */
 static void send_again(struct sched *sched, struct worker *worker)
 {
 	int64_t now_us = sched_now_us(sched);
@@ -327,7 +330,8 @@
 		struct job_item *item =
 			job_item(placement.job, placement.index);
 
-		if (item->sure || now_us < item->ordered_us + ORDER_AGAIN_US)
+		if (item->sure || item->orders_count ||
+		    now_us < item->ordered_us + ORDER_AGAIN_US)
 			continue;
 		if (item->phase == ITEM_STARTING && item->ordered_us &&
 		    !placement.job->stop_all) {
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -53,6 +53,7 @@
 	worker->next_number = 1;
 	worker->running = g_array_new(FALSE, TRUE, sizeof(struct fake_run));
 	g_array_set_clear_func(worker->running, run_clear);
+	worker->orders = g_array_new(FALSE, TRUE, sizeof(struct fake_order));
 	worker->ended = g_array_new(FALSE, TRUE, sizeof(struct ended_row));
 	g_array_set_clear_func(worker->ended, ended_clear);
 	worker->closed =
@@ -76,6 +77,7 @@
 
 	fake_worker_drop_hold(worker);
 	g_array_unref(worker->running);
+	g_array_unref(worker->orders);
 	g_array_unref(worker->ended);
 	g_hash_table_unref(worker->closed);
 	g_free(worker);
@@ -430,11 +432,49 @@
 	}
 }
 
+static void forget_answered(struct fake_worker *worker, int64_t now_us)
+{
+	for (guint i = worker->orders->len; i > 0; i--) {
+		if (g_array_index(worker->orders, struct fake_order, i - 1)
+			    .until_us <= now_us)
+			g_array_remove_index_fast(worker->orders, i - 1);
+	}
+}
+
+/* No order is repeated before the answer to the one before it. */
+static void check_call(struct jobs_world *jobs, struct fake_worker *worker,
+		       const struct order *order, bool lost)
+{
+	int64_t now_us = jobs->world->now_us;
+	struct fake_order sent = {
+		.kind = order->kind,
+		.run = order->run,
+		.until_us = now_us + (lost ? LOST_US : ORDER_US),
+	};
+
+	forget_answered(worker, now_us);
+	for (guint i = 0; i < worker->orders->len; i++) {
+		const struct fake_order *other =
+			&g_array_index(worker->orders, struct fake_order, i);
+
+		if (other->kind == order->kind && other->run == order->run &&
+		    !strcmp(other->item, order->item))
+			jobs_violation(jobs, "an order for %s is repeated",
+				       order->item);
+	}
+	g_strlcpy(sent.item, order->item, sizeof(sent.item));
+	g_array_append_val(worker->orders, sent);
+}
+
 void fake_worker_order(struct jobs_entry *entry, struct order *order)
 {
 	struct jobs_world *jobs = entry->jobs;
 	struct fake_worker *worker = fake_worker_find(jobs, order->worker);
 
+	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
+		check_call(jobs, worker, order,
+			   worker->dead || worker->cut || worker->lose ||
+				   entry->workers_cut);
 	if (!worker->dead && !worker->cut && !entry->workers_cut)
 		carry_out(jobs, worker, order);
 	if (worker->dead || worker->cut || entry->workers_cut ||
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -42,6 +42,14 @@
 	enum item_end end;
 };
 
+/* An order that the holder has no answer to yet. */
+struct fake_order {
+	enum order_kind kind;
+	char item[NAME_SIZE_BYTES];
+	uint32_t run;
+	int64_t until_us; /* answered, or taken for lost */
+};
+
 struct fake_worker {
 	const char *id; /* interned */
 	char pool[NAME_SIZE_BYTES];
@@ -64,6 +72,7 @@
 	uint64_t next_number;
 	GHashTable
 		*closed; /* item -> highest run stopped or ended, as pointer */
+	GArray *orders;	 /* of struct fake_order: starts and stops under way */
 	struct jobs_entry *holder_waits;
 	struct order *waiting; /* a hold that waits for an end */
 	int64_t waits_until_us;
