Give two start orders at a time to a worker

Cause: all start orders of a pass were handed to the HTTP client, which carries three calls to a worker at a time, one of them the hold. The others waited in its one list for all workers. Three things follow. Only the head of the list is tried when a connection comes free, though it may be for another worker. The busier the holder, the longer the list: overload that keeps itself alive.

Now items that are stored as placed wait on the holder until fewer than two starts are under way to their worker. They can still be placed elsewhere, and are as soon as an order or a hold of their worker has no answer. A job that is cancelled meanwhile needs no stop for them.

jobs_start_orders guards it: the fake workers take a third start under way for a violation. On the code before, it has such violations.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -60,6 +60,7 @@
 enum item_phase {
 	ITEM_WAITING,  /* on no worker */
 	ITEM_STORING,  /* its placement is being stored */
+	ITEM_STORED,   /* its start is to be ordered */
 	ITEM_STARTING, /* ordered, not known to run */
 	ITEM_RUNNING,
 	ITEM_STOPPING,
@@ -78,6 +79,7 @@
 	bool sure;	       /* no order of this run can still be under way */
 	uint64_t list_number;  /* newest list of its worker that has it */
 	uint64_t stored_by;    /* write that stores the placement; 0: none */
+	int64_t stored_us;     /* its placement was stored */
 	uint32_t pace_percent; /* share of its work that it may do */
 	int64_t ordered_us;
 	uint32_t orders_count; /* starts and stops of this run under way */
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -59,7 +59,8 @@
 	int64_t hold_again_us; /* not before */
 	uint32_t lost_count;   /* holds in a row without an answer */
 	int64_t answered_us;
-	int64_t silent_us; /* first hold of that row; 0: it answers */
+	int64_t silent_us;     /* first hold of that row; 0: it answers */
+	uint32_t starts_count; /* start orders under way */
 
 	uint32_t used_cpu_milli;
 	uint32_t used_mem_mb;
@@ -270,6 +271,16 @@
 struct job *sched_find_item(const struct sched *sched, const char *name,
 			    uint32_t *index);
 
+/* sched_start.c: start orders, a few at a time to each worker */
+
+/* Placements of the job that this write has stored may be ordered. */
+void starts_on_stored(struct sched *sched, struct job *job, uint64_t write_id);
+/* A start order has ended. */
+void starts_on_order(struct sched *sched, struct worker *worker,
+		     const struct order *order);
+/* Takes what was not yet ordered off a worker that does not answer. */
+void starts_release(struct sched *sched, struct worker *worker);
+
 /* sched_directory.c */
 void workers_on_seen(struct sched *sched, const struct workers_seen *seen);
 
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -96,21 +96,6 @@
 	kernel_emit_msg(sched->kernel, EVENT_STORE_WRITE, write);
 }
 
-static void start_stored(struct sched *sched, struct job *job,
-			 uint64_t write_id)
-{
-	for (uint32_t i = 0; i < job->items->len; i++) {
-		struct job_item *item = job_item(job, i);
-
-		if (item->phase != ITEM_STORING || item->stored_by != write_id)
-			continue;
-		if (job->stop_all || job->cancelled)
-			item_release(sched, job, i, "job-ended");
-		else
-			item_order_start(sched, job, i);
-	}
-}
-
 static void on_stored(struct sched *sched, uint64_t write_id)
 {
 	int64_t now_us = sched_now_us(sched);
@@ -122,7 +107,7 @@
 
 		job_table_set_state(kernel_jobs(sched->kernel), flushed->job,
 				    flushed->state, now_us);
-		start_stored(sched, flushed->job, write_id);
+		starts_on_stored(sched, flushed->job, write_id);
 	}
 }
 
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -1,8 +1,8 @@
 /*
  * The life of a work item on the holder:
  *
- * waiting -> storing (its placement is written) -> starting (ordered) ->
- * running -> done, or stopping -> waiting again.
+ * waiting -> storing (its placement is written) -> stored -> starting
+ * (ordered) -> running -> done, or stopping -> waiting again.
  *
  * A run leaves its worker only when the worker lists its end, when an order
  * that can't be overtaken any more proves that it does not run there, or when
@@ -126,6 +126,7 @@
 	item->phase = ITEM_STARTING;
 	item->ordered_us = sched_now_us(sched);
 	item->orders_count++;
+	worker->starts_count++;
 	worker_send(sched, worker, order);
 }
 
@@ -149,7 +150,7 @@
 
 	if (!is_placed(item) || item->phase == ITEM_STOPPING)
 		return;
-	if (item->phase == ITEM_STORING) {
+	if (item->phase == ITEM_STORING || item->phase == ITEM_STORED) {
 		item_release(sched, job, index, why);
 		return;
 	}
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -364,6 +364,7 @@
 				     worker->id,
 				     order_result_name(order->result),
 				     worker->placed->len);
+			starts_release(sched, worker);
 		}
 		worker->lost_count++;
 		worker->hold_again_us =
@@ -438,7 +439,7 @@
 		enum item_phase phase =
 			job_item(placement->job, placement->index)->phase;
 
-		if (phase != ITEM_STORING)
+		if (phase != ITEM_STORING && phase != ITEM_STORED)
 			return true;
 	}
 	return false;
@@ -532,5 +533,7 @@
 		on_hold(sched, worker, order);
 	else if (order->kind != ORDER_PACE)
 		item_on_order(sched, worker, order);
+	if (order->kind == ORDER_START)
+		starts_on_order(sched, worker, order);
 	worker_tick(sched, worker);
 }
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -16,6 +16,8 @@
 #define ADVICE_PERIOD_US (10 * USEC_PER_MSEC)
 #define ADVICE_VALID_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
+/* The connections to a worker that its hold leaves. */
+#define STARTS_MAX_COUNT 2
 
 static void run_clear(gpointer data)
 {
@@ -441,27 +443,38 @@
 	}
 }
 
-/* No order is repeated before the answer to the one before it. */
+/*
+ * No order is repeated before the answer to the one before it. More starts than
+ * a worker's connections carry would wait in the HTTP client.
+ */
 static void check_call(struct jobs_world *jobs, struct fake_worker *worker,
 		       const struct order *order, bool lost)
 {
 	int64_t now_us = jobs->world->now_us;
 	struct fake_order sent = {
 		.kind = order->kind,
+		.token = order->token,
 		.run = order->run,
 		.until_us = now_us + (lost ? LOST_US : ORDER_US),
 	};
+	uint32_t starts_count = order->kind == ORDER_START;
 
 	forget_answered(worker, now_us);
 	for (guint i = 0; i < worker->orders->len; i++) {
 		const struct fake_order *other =
 			&g_array_index(worker->orders, struct fake_order, i);
 
+		if (other->token != order->token)
+			continue;
+		starts_count += other->kind == ORDER_START;
 		if (other->kind == order->kind && other->run == order->run &&
 		    !strcmp(other->item, order->item))
 			jobs_violation(jobs, "an order for %s is repeated",
 				       order->item);
 	}
+	if (starts_count > STARTS_MAX_COUNT)
+		jobs_violation(jobs, "%u starts are under way to %s",
+			       starts_count, worker->id);
 	g_strlcpy(sent.item, order->item, sizeof(sent.item));
 	g_array_append_val(worker->orders, sent);
 }
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -45,6 +45,7 @@
 /* An order that the holder has no answer to yet. */
 struct fake_order {
 	enum order_kind kind;
+	uint64_t token;
 	char item[NAME_SIZE_BYTES];
 	uint32_t run;
 	int64_t until_us; /* answered, or taken for lost */
