Count what is left of a step instead of looking at its items

Cause: each pass of placement worked out objective and lateness of every open job anew and looked at all its items several times, also at jobs whose items all run or wait for an earlier step; and for each item it looked at all that runs on each worker of the pool, though for most steps only room matters. A measurement ten times a second did the same.

Now a job keeps, for each step, how many items are left and how many wait; objective and lateness are worked out by the measurement, so they may be 0.1 s old in a pass; a pass leaves out jobs that have nothing to place; and the neighbours on a worker are looked at only for steps that have limits or that serve, last or fill.

Ruled out: the number of passes, which are 5 ms apart at least; longer gaps were tried earlier without effect (docs/platform.md).

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -86,7 +86,10 @@
 		g_array_sized_new(FALSE, TRUE, sizeof(struct job_item), count);
 	g_array_set_clear_func(job->items, item_clear);
 	g_array_set_size(job->items, count);
-	job->left_count = count;
+	job->step_counts =
+		g_new0(struct step_count,
+		       job_spec_occurrences(spec) * spec->steps->len);
+	job_recount(job);
 	return job;
 }
 
@@ -95,6 +98,7 @@
 	if (!job)
 		return;
 	g_array_unref(job->items);
+	g_free(job->step_counts);
 	job_spec_unref(job->spec);
 	g_free(job);
 }
@@ -177,15 +181,21 @@
 	       parse_part(&name, step) && parse_part(&name, index) && !*name;
 }
 
-bool job_step_is_done(const struct job *job, uint32_t occurrence, uint32_t step)
+static struct step_count *step_count(const struct job *job, uint32_t occurrence,
+				     uint32_t step)
 {
-	uint32_t first = job_first_item(job, occurrence, step);
+	return &job->step_counts[occurrence * job->spec->steps->len + step];
+}
 
-	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++) {
-		if (job_item(job, first + i)->phase != ITEM_DONE)
-			return false;
-	}
-	return true;
+const struct step_count *job_step_count(const struct job *job,
+					uint32_t occurrence, uint32_t step)
+{
+	return step_count(job, occurrence, step);
+}
+
+bool job_step_is_done(const struct job *job, uint32_t occurrence, uint32_t step)
+{
+	return !step_count(job, occurrence, step)->left;
 }
 
 bool job_step_is_ready(const struct job *job, uint32_t occurrence,
@@ -213,18 +223,42 @@
 	return job->state >= JOB_COMPLETE || job->cancelled;
 }
 
+/* Adds an item of this phase to the counts, or takes it out of them. */
+static void count_item(struct job *job, uint32_t index, enum item_phase phase,
+		       uint32_t count)
+{
+	struct step_count *of_step =
+		step_count(job, job_item_occurrence(job, index),
+			   job_item_step(job, index));
+
+	if (phase == ITEM_DONE)
+		return;
+	job->left_count += count;
+	of_step->left += count;
+	if (phase == ITEM_WAITING)
+		of_step->waiting += count;
+	else
+		job->placed_count += count;
+}
+
+void job_set_phase(struct job *job, uint32_t index, enum item_phase phase)
+{
+	struct job_item *item = job_item(job, index);
+
+	count_item(job, index, item->phase, -1U);
+	item->phase = phase;
+	count_item(job, index, phase, 1);
+}
+
 void job_recount(struct job *job)
 {
 	job->left_count = 0;
 	job->placed_count = 0;
-	for (uint32_t i = 0; i < job->items->len; i++) {
-		const struct job_item *item = job_item(job, i);
-
-		if (item->phase != ITEM_DONE)
-			job->left_count++;
-		if (item->phase != ITEM_DONE && item->phase != ITEM_WAITING)
-			job->placed_count++;
-	}
+	memset(job->step_counts, 0,
+	       sizeof(struct step_count) * job_spec_occurrences(job->spec) *
+		       job->spec->steps->len);
+	for (uint32_t i = 0; i < job->items->len; i++)
+		count_item(job, i, job_item(job, i)->phase, 1);
 }
 
 bool job_id_is_valid(const char *id)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -99,6 +99,12 @@
 	JOB_STATE_COUNT,
 };
 
+/* Items of one step of one occurrence. */
+struct step_count {
+	uint32_t left;	  /* not done */
+	uint32_t waiting; /* on no worker */
+};
+
 struct job {
 	char id[JOB_ID_SIZE_BYTES];
 	char queue[NAME_SIZE_BYTES];
@@ -112,13 +118,16 @@
 	int64_t ended_us;      /* 0: not ended */
 	uint64_t state_offset; /* of the newest progress applied */
 	uint64_t submit_offset;
-	GArray *items; /* of struct job_item */
+	GArray *items;			/* of struct job_item */
+	struct step_count *step_counts; /* by occurrence and step */
 	/* The rest is the holder's and not stored. */
 	enum job_state wanted; /* as it will be stored */
 	uint32_t left_count;   /* items not done */
 	uint32_t placed_count; /* items on a worker */
 	bool dirty;
-	bool open; /* in the list of those that the holder places */
+	int64_t objective_us; /* should end by then; 0: not measured yet */
+	bool late;	      /* can't, at the newest measurement */
+	bool open;	      /* in the list of those that the holder places */
 	bool stop_all;
 	int64_t retry_us; /* nothing to place before */
 };
@@ -164,7 +173,14 @@
 
 bool job_has_ended(const struct job *job);
 
-/* Counts left_count and placed_count anew from the items. */
+/* Items of a step in an occurrence, by what is left to do. */
+const struct step_count *job_step_count(const struct job *job,
+					uint32_t occurrence, uint32_t step);
+
+/* Moves an item to another phase and keeps the counts. */
+void job_set_phase(struct job *job, uint32_t index, enum item_phase phase);
+
+/* Counts anew from the items, whose phases were set one by one. */
 void job_recount(struct job *job);
 
 bool job_id_is_valid(const char *id);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -308,11 +308,11 @@
 
 /* sched_objective.c */
 
-/* Time by which a job should end to be worth its full price. */
-int64_t job_objective_us(const struct sched *sched, const struct job *job);
-/* Whether what is left of the job takes longer than until its objective. */
-bool job_is_late(const struct sched *sched, const struct job *job,
-		 int64_t objective_us);
+/*
+ * Measures by when the job should end to be worth its full price, and whether
+ * what is left of it takes longer than until then.
+ */
+void job_measure_objective(const struct sched *sched, struct job *job);
 
 /* sched_place.c */
 void sched_place(struct sched *sched);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -42,7 +42,7 @@
 	struct job_item *item = job_item(job, index);
 	char name[NAME_SIZE_BYTES];
 
-	item->phase = ITEM_STORING;
+	job_set_phase(job, index, ITEM_STORING);
 	item->worker = worker->id;
 	item->run++;
 	item->sure = true;
@@ -53,7 +53,6 @@
 	item->work_percent = 0;
 	item->progress_us = 0;
 	item->pace_percent = 100;
-	job->placed_count++;
 	job->begun = true;
 	if (job->wanted == JOB_PENDING)
 		job->wanted = JOB_ACTIVE;
@@ -80,7 +79,6 @@
 	item->stored_by = 0;
 	item->away_us = sched_now_us(sched);
 	item->work_percent = 0;
-	job->placed_count--;
 	job_mark_dirty(sched, job);
 	sched_want_place(sched);
 }
@@ -97,7 +95,7 @@
 	decision_log("release", "item=%s run=%u worker=%s reason=%s", name,
 		     item->run, item->worker, why);
 	leave_worker(sched, job, index);
-	item->phase = ITEM_WAITING;
+	job_set_phase(job, index, ITEM_WAITING);
 }
 
 struct order *item_order(struct sched *sched, struct worker *worker,
@@ -221,8 +219,7 @@
 
 	if (is_placed(item))
 		leave_worker(sched, job, index);
-	item->phase = ITEM_DONE;
-	job->left_count--;
+	job_set_phase(job, index, ITEM_DONE);
 	job_mark_dirty(sched, job);
 	sched_want_place(sched);
 	if (!job->left_count && job->wanted < JOB_COMPLETE) {
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -57,36 +57,35 @@
 	return load;
 }
 
-static void add_items(const struct sched *sched, const struct job *job,
-		      struct pool_load *load)
+static void add_step(const struct job *job, uint32_t occurrence, uint32_t index,
+		     struct pool_load *load)
 {
-	bool late = job_is_late(sched, job, job_objective_us(sched, job));
+	const struct job_step *step = job_step(job, index);
+	const struct step_count *count = job_step_count(job, occurrence, index);
+	uint64_t placed_milli =
+		(uint64_t)step->cpu_milli * (count->left - count->waiting);
+	uint64_t ready_milli = 0;
 
+	if (step->filler || !count->left)
+		return;
+	if (step->lasting) {
+		load->stuck_count += count->waiting;
+		load->lasting_milli += (uint64_t)step->cpu_milli * count->left;
+		return;
+	}
+	if (job_step_is_ready(job, occurrence, index))
+		ready_milli = (uint64_t)step->cpu_milli * count->waiting;
+	load->running_milli += placed_milli;
+	load->ready_milli += ready_milli;
+	if (job->late)
+		load->late_milli += placed_milli + ready_milli;
+}
+
+static void add_items(const struct job *job, struct pool_load *load)
+{
 	for (uint32_t i = 0; i < job_spec_occurrences(job->spec); i++) {
-		for (uint32_t j = 0; j < job->spec->steps->len; j++) {
-			const struct job_step *step = job_step(job, j);
-			uint32_t first = job_first_item(job, i, j);
-			bool ready = job_step_is_ready(job, i, j);
-
-			for (uint32_t k = 0; k < step->item_count; k++) {
-				enum item_phase phase =
-					job_item(job, first + k)->phase;
-
-				if (phase == ITEM_DONE || step->filler)
-					continue;
-				load->stuck_count +=
-					step->lasting && phase == ITEM_WAITING;
-				if (late && !step->lasting &&
-				    (ready || phase != ITEM_WAITING))
-					load->late_milli += step->cpu_milli;
-				if (step->lasting)
-					load->lasting_milli += step->cpu_milli;
-				else if (phase != ITEM_WAITING)
-					load->running_milli += step->cpu_milli;
-				else if (ready)
-					load->ready_milli += step->cpu_milli;
-			}
-		}
+		for (uint32_t j = 0; j < job->spec->steps->len; j++)
+			add_step(job, i, j, load);
 	}
 }
 
@@ -178,13 +177,14 @@
 
 	start_measure(sched, now_us);
 	for (guint i = 0; i < sched->open->len; i++) {
-		const struct job *job = sched->open->pdata[i];
+		struct job *job = sched->open->pdata[i];
 		struct pool_load *load;
 
 		if (job->wanted >= JOB_COMPLETE || job->cancelled)
 			continue;
 		load = load_of(sched, sched_pool(sched, job));
-		add_items(sched, job, load);
+		job_measure_objective(sched, job);
+		add_items(job, load);
 		if (now_us - job->seen_us < ARRIVALS_US)
 			add_arrival(sched, job, load, now_us);
 	}
--- a/src/jobs/sched_objective.c
+++ b/src/jobs/sched_objective.c
@@ -24,7 +24,7 @@
 	return chain;
 }
 
-int64_t job_objective_us(const struct sched *sched, const struct job *job)
+static int64_t objective_us(const struct sched *sched, const struct job *job)
 {
 	const struct queue *queue = sched_queue(sched, job);
 
@@ -34,8 +34,9 @@
 	       (int64_t)(queue->slack * (double)chain_us(sched, job, false));
 }
 
-bool job_is_late(const struct sched *sched, const struct job *job,
-		 int64_t objective_us)
+void job_measure_objective(const struct sched *sched, struct job *job)
 {
-	return objective_us < sched_now_us(sched) + chain_us(sched, job, true);
+	job->objective_us = objective_us(sched, job);
+	job->late = job->objective_us <
+		    sched_now_us(sched) + chain_us(sched, job, true);
 }
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -43,10 +43,12 @@
 		.pool = sched_pool(pass->sched, job),
 		.lasting = job_step(job, 0)->lasting,
 		.priority = queue ? queue->priority : 0,
-		.objective_us = job_objective_us(pass->sched, job),
 	};
 
-	candidate.late = job_is_late(pass->sched, job, candidate.objective_us);
+	if (!job->objective_us)
+		job_measure_objective(pass->sched, job);
+	candidate.objective_us = job->objective_us;
+	candidate.late = job->late;
 	g_array_append_val(pass->candidates, candidate);
 }
 
@@ -163,6 +165,13 @@
 	return seen;
 }
 
+/* Where neither limits nor neighbours matter, they need not be looked at. */
+static bool needs_neighbours(const struct job_step *step)
+{
+	return step->lasting || step->filler || step->target_ms ||
+	       step->max_per_worker;
+}
+
 static bool rack_has_sibling(const struct sched *sched, const struct job *job,
 			     uint32_t first, uint32_t count, const char *rack)
 {
@@ -229,7 +238,7 @@
 	pass->work.looks_count += workers->len;
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *worker = workers->pdata[i];
-		struct neighbours seen;
+		struct neighbours seen = { 0 };
 		int64_t value;
 
 		if (!fits(worker, step) || !has_label(worker, step->label))
@@ -237,7 +246,8 @@
 		if (pass->advice &&
 		    !advice_allows(pass->sched, pass->advice, worker))
 			continue;
-		seen = look_around(worker, job, occurrence, index);
+		if (needs_neighbours(step))
+			seen = look_around(worker, job, occurrence, index);
 		if (step->max_per_worker &&
 		    seen.siblings_count >= step->max_per_worker)
 			continue;
@@ -370,18 +380,6 @@
 	g_ptr_array_unref(suited);
 }
 
-static bool step_waits(const struct job *job, uint32_t occurrence,
-		       uint32_t index)
-{
-	uint32_t first = job_first_item(job, occurrence, index);
-
-	for (uint32_t i = 0; i < job_step(job, index)->item_count; i++) {
-		if (job_item(job, first + i)->phase == ITEM_WAITING)
-			return true;
-	}
-	return false;
-}
-
 static void place_step(struct pass *pass, const struct candidate *candidate,
 		       uint32_t occurrence, uint32_t index)
 {
@@ -392,10 +390,17 @@
 		place_gang(pass, candidate, occurrence, index);
 	else
 		place_items(pass, candidate, occurrence, index);
-	if (pass->advice && step_waits(job, occurrence, index))
+	if (pass->advice && job_step_count(job, occurrence, index)->waiting)
 		ask_advice(pass, candidate, occurrence, index);
 }
 
+static bool step_may_start(const struct job *job, uint32_t occurrence,
+			   uint32_t step)
+{
+	return job_step_count(job, occurrence, step)->waiting &&
+	       job_step_is_ready(job, occurrence, step);
+}
+
 static void place_job(struct pass *pass, const struct candidate *candidate)
 {
 	struct job *job = candidate->job;
@@ -410,16 +415,26 @@
 			break;
 		}
 		for (uint32_t j = 0; j < job->spec->steps->len; j++) {
-			if (job_step_is_ready(job, i, j))
+			if (step_may_start(job, i, j))
 				place_step(pass, candidate, i, j);
 		}
 	}
 }
 
+/* Whether a pass can do anything for the job. */
 static bool may_be_placed(const struct job *job)
 {
-	return job->wanted < JOB_COMPLETE && !job->cancelled &&
-	       !job->stop_all && job->placed_count < job->left_count;
+	if (job->wanted >= JOB_COMPLETE || job->cancelled || job->stop_all ||
+	    job->placed_count >= job->left_count)
+		return false;
+	/* Occurrences are due one by one. */
+	if (job->spec->occurrence_count)
+		return true;
+	for (uint32_t i = 0; i < job->spec->steps->len; i++) {
+		if (step_may_start(job, 0, i))
+			return true;
+	}
+	return false;
 }
 
 /* How much the passes look at, and what comes of it, at most once a second. */
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -65,8 +65,8 @@
 		struct placement placement =
 			g_array_index(worker->placed, struct placement, i - 1);
 		const struct job_step *step =
-			job_step(placement.job, job_item_step(placement.job,
-							      placement.index));
+			job_step(placement.job,
+				 job_item_step(placement.job, placement.index));
 
 		/* A gang starts as a whole or not at all. */
 		if (job_item(placement.job, placement.index)->phase ==
