--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -158,6 +158,7 @@
 	uint64_t next_write_id;
 	uint64_t flush_write_id; /* 0: none under way */
 	int64_t flush_us;	 /* next one not before */
+	int64_t forget_us;	 /* ended jobs looked for not before */
 	bool ends_unstored;	 /* an end was seen that changed no job */
 
 	uint64_t list_number;	     /* of workers' lists that were taken in */
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -11,8 +11,10 @@
 #define FLUSH_GAP_US (8 * USEC_PER_MSEC)
 /* Ended jobs are kept for callers longer than they may ask for them. */
 #define FORGET_SLACK_US (30 * USEC_PER_SEC)
-#define FORGET_MAX_COUNT 16
-#define FORGET_GAP_US (5 * USEC_PER_SEC)
+/* All jobs that are kept are looked through for them, so not in each write. */
+#define FORGET_EVERY_US USEC_PER_SEC
+#define FORGET_MAX_COUNT 256
+#define FORGET_AFTER_US (5 * USEC_PER_SEC) /* of holding the jobs */
 
 static void add_job(struct sched *sched, struct store_write *write,
 		    struct job *job)
@@ -39,10 +41,15 @@
 
 static void add_forgotten(struct sched *sched, struct store_write *write)
 {
+	int64_t now_us = sched_now_us(sched);
 	GHashTableIter iter;
 	gpointer value;
 	uint32_t count = 0;
 
+	if (now_us < sched->forget_us ||
+	    now_us - sched->held_us < FORGET_AFTER_US)
+		return;
+	sched->forget_us = now_us + FORGET_EVERY_US;
 	g_hash_table_iter_init(&iter,
 			       job_table_all(kernel_jobs(sched->kernel)));
 	while (count < FORGET_MAX_COUNT &&
@@ -89,8 +96,7 @@
 	g_ptr_array_set_size(sched->dirty, 0);
 	waves_add_dirty(sched, write);
 	machine_orders_add(sched, write);
-	if (now_us - sched->held_us > FORGET_GAP_US)
-		add_forgotten(sched, write);
+	add_forgotten(sched, write);
 	sched->flush_write_id = write->write_id;
 	sched->flush_us = now_us + FLUSH_GAP_US;
 	kernel_emit_msg(sched->kernel, EVENT_STORE_WRITE, write);
