Look for orders to repeat only on workers that have some

A worker is now marked when an order for it is lost, a stop is sent, or an earlier holder's items are found there, and the mark goes when nothing unsettled is left.

--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -139,8 +139,12 @@
 		if (item->phase != ITEM_DONE)
 			item->phase =
 				item->worker ? ITEM_STARTING : ITEM_WAITING;
-		if (item->worker && item->phase != ITEM_DONE)
-			worker_attach(worker_get(sched, item->worker), job, i);
+		if (item->worker && item->phase != ITEM_DONE) {
+			struct worker *worker = worker_get(sched, item->worker);
+
+			worker->unsettled = true;
+			worker_attach(worker, job, i);
+		}
 	}
 	job_recount(job);
 	open_job(sched, job);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -61,6 +61,7 @@
 	int64_t answered_us;
 	int64_t silent_us;     /* first hold of that row; 0: it answers */
 	uint32_t starts_count; /* start orders under way */
+	bool unsettled;	       /* an order may have to be sent again */
 
 	uint32_t used_cpu_milli;
 	uint32_t used_mem_mb;
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -158,7 +158,10 @@
 		     item->run, item->worker, why);
 	item->phase = ITEM_STOPPING;
 	item->sure = false;
-	if (worker && worker->fenced)
+	if (!worker)
+		return;
+	worker->unsettled = true;
+	if (worker->fenced)
 		item_send_stop(sched, worker, job, index);
 }
 
@@ -351,6 +354,7 @@
 		break;
 	case ORDER_LOST:
 		item->sure = false;
+		worker->unsettled = true;
 		item->ordered_us = sched_now_us(sched);
 		sched_wake_at(sched, item->ordered_us + ORDER_AGAIN_US);
 		break;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -324,12 +324,16 @@
 {
 	int64_t now_us = sched_now_us(sched);
 
+	if (!worker->unsettled)
+		return;
+	worker->unsettled = false;
 	for (guint i = 0; i < worker->placed->len; i++) {
 		struct placement placement =
 			g_array_index(worker->placed, struct placement, i);
 		struct job_item *item =
 			job_item(placement.job, placement.index);
 
+		worker->unsettled |= !item->sure;
 		if (item->sure || item->orders_count ||
 		    now_us < item->ordered_us + ORDER_AGAIN_US)
 			continue;
