Count the items of a job step by step

The linter follows a division by the number of items of an occurrence into job_recount() and can't know that a job has items. Counting by occurrence and step needs no division, and job_item_occurrence() asserts what job_spec_check() ensures. No change of behaviour; the scripts on jobs pass unchanged.

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -125,7 +125,10 @@
 
 uint32_t job_item_occurrence(const struct job *job, uint32_t index)
 {
-	return index / job_spec_items_per_occurrence(job->spec);
+	uint32_t item_count = job_spec_items_per_occurrence(job->spec);
+
+	g_assert(item_count);
+	return index / item_count;
 }
 
 uint32_t job_first_item(const struct job *job, uint32_t occurrence,
@@ -224,13 +227,9 @@
 }
 
 /* Adds an item of this phase to the counts, or takes it out of them. */
-static void count_item(struct job *job, uint32_t index, enum item_phase phase,
-		       uint32_t count)
+static void count_item(struct job *job, struct step_count *of_step,
+		       enum item_phase phase, uint32_t count)
 {
-	struct step_count *of_step =
-		step_count(job, job_item_occurrence(job, index),
-			   job_item_step(job, index));
-
 	if (phase == ITEM_DONE)
 		return;
 	job->left_count += count;
@@ -244,21 +243,33 @@
 void job_set_phase(struct job *job, uint32_t index, enum item_phase phase)
 {
 	struct job_item *item = job_item(job, index);
+	struct step_count *of_step =
+		step_count(job, job_item_occurrence(job, index),
+			   job_item_step(job, index));
 
-	count_item(job, index, item->phase, -1U);
+	count_item(job, of_step, item->phase, -1U);
 	item->phase = phase;
-	count_item(job, index, phase, 1);
+	count_item(job, of_step, phase, 1);
+}
+
+static void recount_step(struct job *job, uint32_t occurrence, uint32_t step)
+{
+	struct step_count *of_step = step_count(job, occurrence, step);
+	uint32_t first = job_first_item(job, occurrence, step);
+
+	*of_step = (struct step_count){ 0 };
+	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++)
+		count_item(job, of_step, job_item(job, first + i)->phase, 1);
 }
 
 void job_recount(struct job *job)
 {
 	job->left_count = 0;
 	job->placed_count = 0;
-	memset(job->step_counts, 0,
-	       sizeof(struct step_count) * job_spec_occurrences(job->spec) *
-		       job->spec->steps->len);
-	for (uint32_t i = 0; i < job->items->len; i++)
-		count_item(job, i, job_item(job, i)->phase, 1);
+	for (uint32_t i = 0; i < job_spec_occurrences(job->spec); i++) {
+		for (uint32_t j = 0; j < job->spec->steps->len; j++)
+			recount_step(job, i, j);
+	}
 }
 
 bool job_id_is_valid(const char *id)
