--- a/src/jobs/parking_demand.c
+++ b/src/jobs/parking_demand.c
@@ -38,12 +38,9 @@
 static bool is_pinned(const struct worker *worker)
 {
 	for (guint i = 0; i < worker->placed->len; i++) {
-		const struct placement *placement =
-			&g_array_index(worker->placed, struct placement, i);
+		struct placement placement = worker_placement(worker, i);
 
-		if (job_step(placement->job,
-			     job_item_step(placement->job, placement->index))
-			    ->lasting)
+		if (placement_step(&placement)->lasting)
 			return true;
 	}
 	return false;
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -298,6 +298,10 @@
 		 struct order *order);
 /* Nothing runs there any more. */
 void worker_gone(struct sched *sched, struct worker *worker, const char *why);
+/* One of the items that are placed on the worker, and what they are. */
+struct placement worker_placement(const struct worker *worker, uint32_t at);
+struct job_item *placement_item(const struct placement *placement);
+const struct job_step *placement_step(const struct placement *placement);
 void worker_attach(struct worker *worker, struct job *job, uint32_t index);
 void worker_detach(struct worker *worker, const struct job *job,
 		   uint32_t index);
--- a/src/jobs/sched_fill.c
+++ b/src/jobs/sched_fill.c
@@ -23,14 +23,9 @@
 	uint32_t worst = 0;
 
 	for (guint i = 0; i < worker->placed->len; i++) {
-		const struct placement *placement =
-			&g_array_index(worker->placed, struct placement, i);
-		const struct job_item *item =
-			job_item(placement->job, placement->index);
-		uint32_t target_ms = job_step(placement->job,
-					      job_item_step(placement->job,
-							    placement->index))
-					     ->target_ms;
+		struct placement placement = worker_placement(worker, i);
+		const struct job_item *item = placement_item(&placement);
+		uint32_t target_ms = placement_step(&placement)->target_ms;
 
 		if (target_ms && item->phase == ITEM_RUNNING)
 			worst = MAX(worst, 100 * item->observed / target_ms);
@@ -42,7 +37,7 @@
 		 const struct placement *placement, uint32_t percent,
 		 uint32_t worst)
 {
-	struct job_item *item = job_item(placement->job, placement->index);
+	struct job_item *item = placement_item(placement);
 	struct order *order;
 
 	if (item->phase != ITEM_RUNNING || item->pace_percent == percent)
@@ -66,14 +61,10 @@
 			 uint32_t worst)
 {
 	for (guint i = 0; i < worker->placed->len; i++) {
-		struct placement placement =
-			g_array_index(worker->placed, struct placement, i);
-		const struct job_item *item =
-			job_item(placement.job, placement.index);
+		struct placement placement = worker_placement(worker, i);
+		const struct job_item *item = placement_item(&placement);
 
-		if (!job_step(placement.job,
-			      job_item_step(placement.job, placement.index))
-			     ->filler)
+		if (!placement_step(&placement)->filler)
 			continue;
 		pace(sched, worker, &placement,
 		     up ? MIN(item->pace_percent + PACE_UP_PERCENT, 100)
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -148,18 +148,17 @@
 	struct neighbours seen = { 0 };
 
 	for (guint i = 0; i < worker->placed->len; i++) {
-		const struct placement *placement =
-			&g_array_index(worker->placed, struct placement, i);
+		struct placement placement = worker_placement(worker, i);
 		uint32_t their_step =
-			job_item_step(placement->job, placement->index);
+			job_item_step(placement.job, placement.index);
 		const struct job_step *theirs =
-			job_step(placement->job, their_step);
+			job_step(placement.job, their_step);
 
 		seen.lasting_count += theirs->lasting;
 		seen.serving_count += theirs->target_ms > 0;
 		seen.fillers_count += theirs->filler;
-		if (placement->job == job && their_step == step &&
-		    job_item_occurrence(job, placement->index) == occurrence)
+		if (placement.job == job && their_step == step &&
+		    job_item_occurrence(job, placement.index) == occurrence)
 			seen.siblings_count++;
 	}
 	return seen;
--- a/src/jobs/sched_slow.c
+++ b/src/jobs/sched_slow.c
@@ -69,10 +69,8 @@
 void slow_on_hold(struct sched *sched, struct worker *worker)
 {
 	for (guint i = worker->placed->len; i > 0; i--) {
-		struct placement placement =
-			g_array_index(worker->placed, struct placement, i - 1);
-		struct job_item *item =
-			job_item(placement.job, placement.index);
+		struct placement placement = worker_placement(worker, i - 1);
+		struct job_item *item = placement_item(&placement);
 		const char *why =
 			why_slow(sched, placement.job, placement.index);
 
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -9,16 +9,15 @@
 /* The connections to a worker that its hold leaves. */
 #define STARTS_MAX_COUNT 2
 
-static const struct placement *first_stored(const struct worker *worker)
+/* The one that has waited longest; its job is NULL if there is none. */
+static struct placement first_stored(const struct worker *worker)
 {
-	const struct placement *first = NULL;
+	struct placement first = { .job = NULL };
 	int64_t first_us = INT64_MAX;
 
 	for (guint i = 0; i < worker->placed->len; i++) {
-		const struct placement *placement =
-			&g_array_index(worker->placed, struct placement, i);
-		const struct job_item *item =
-			job_item(placement->job, placement->index);
+		struct placement placement = worker_placement(worker, i);
+		const struct job_item *item = placement_item(&placement);
 
 		if (item->phase != ITEM_STORED || item->stored_us >= first_us)
 			continue;
@@ -31,11 +30,11 @@
 static void order_next(struct sched *sched, struct worker *worker)
 {
 	while (worker->fenced && worker->starts_count < STARTS_MAX_COUNT) {
-		const struct placement *next = first_stored(worker);
+		struct placement next = first_stored(worker);
 
-		if (!next)
+		if (!next.job)
 			return;
-		item_order_start(sched, next->job, next->index);
+		item_order_start(sched, next.job, next.index);
 	}
 }
 
@@ -62,15 +61,11 @@
 void starts_release(struct sched *sched, struct worker *worker)
 {
 	for (guint i = worker->placed->len; i > 0; i--) {
-		struct placement placement =
-			g_array_index(worker->placed, struct placement, i - 1);
-		const struct job_step *step =
-			job_step(placement.job,
-				 job_item_step(placement.job, placement.index));
+		struct placement placement = worker_placement(worker, i - 1);
+		const struct job_step *step = placement_step(&placement);
 
 		/* A gang starts as a whole or not at all. */
-		if (job_item(placement.job, placement.index)->phase ==
-			    ITEM_STORED &&
+		if (placement_item(&placement)->phase == ITEM_STORED &&
 		    !step->gang)
 			item_release(sched, placement.job, placement.index,
 				     "no-answer");
--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -216,11 +216,8 @@
 static void empty(struct sched *sched, struct worker *worker, bool patient)
 {
 	for (guint i = worker->placed->len; i > 0; i--) {
-		struct placement placement =
-			g_array_index(worker->placed, struct placement, i - 1);
-		const struct job_step *step =
-			job_step(placement.job,
-				 job_item_step(placement.job, placement.index));
+		struct placement placement = worker_placement(worker, i - 1);
+		const struct job_step *step = placement_step(&placement);
 
 		if (step->lasting ? !item_may_be_stopped(placement.job,
 							 placement.index)
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -57,6 +57,22 @@
 	g_free(worker);
 }
 
+struct placement worker_placement(const struct worker *worker, uint32_t at)
+{
+	return g_array_index(worker->placed, struct placement, at);
+}
+
+struct job_item *placement_item(const struct placement *placement)
+{
+	return job_item(placement->job, placement->index);
+}
+
+const struct job_step *placement_step(const struct placement *placement)
+{
+	return job_step(placement->job,
+			job_item_step(placement->job, placement->index));
+}
+
 static void use(struct worker *worker, const struct job *job, uint32_t index,
 		int32_t sign)
 {
@@ -79,10 +95,9 @@
 void worker_detach(struct worker *worker, const struct job *job, uint32_t index)
 {
 	for (guint i = 0; i < worker->placed->len; i++) {
-		const struct placement *placement =
-			&g_array_index(worker->placed, struct placement, i);
+		struct placement placement = worker_placement(worker, i);
 
-		if (placement->job != job || placement->index != index)
+		if (placement.job != job || placement.index != index)
 			continue;
 		g_array_remove_index_fast(worker->placed, i);
 		use(worker, job, index, -1);
@@ -191,8 +206,7 @@
 	worker->lease_ms = 0;
 	advice_forget_worker(sched, worker);
 	while (worker->placed->len) {
-		struct placement placement =
-			g_array_index(worker->placed, struct placement, 0);
+		struct placement placement = worker_placement(worker, 0);
 
 		item_release(sched, placement.job, placement.index, why);
 	}
@@ -282,10 +296,8 @@
 			 const struct order *order)
 {
 	for (guint i = worker->placed->len; i > 0; i--) {
-		struct placement placement =
-			g_array_index(worker->placed, struct placement, i - 1);
-		const struct job_item *item =
-			job_item(placement.job, placement.index);
+		struct placement placement = worker_placement(worker, i - 1);
+		const struct job_item *item = placement_item(&placement);
 
 		if (item->list_number != sched->list_number &&
 		    surely_absent(item, order))
@@ -328,10 +340,8 @@
 		return;
 	worker->unsettled = false;
 	for (guint i = 0; i < worker->placed->len; i++) {
-		struct placement placement =
-			g_array_index(worker->placed, struct placement, i);
-		struct job_item *item =
-			job_item(placement.job, placement.index);
+		struct placement placement = worker_placement(worker, i);
+		struct job_item *item = placement_item(&placement);
 
 		worker->unsettled |= !item->sure;
 		if (item->sure || item->orders_count ||
@@ -438,10 +448,8 @@
 static bool runs_something(const struct worker *worker)
 {
 	for (guint i = 0; i < worker->placed->len; i++) {
-		const struct placement *placement =
-			&g_array_index(worker->placed, struct placement, i);
-		enum item_phase phase =
-			job_item(placement->job, placement->index)->phase;
+		struct placement placement = worker_placement(worker, i);
+		enum item_phase phase = placement_item(&placement)->phase;
 
 		if (phase != ITEM_STORING && phase != ITEM_STORED)
 			return true;
