--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -39,6 +39,12 @@
 /* An entry instance that gave the lease up leaves it to others for so long. */
 #define RESIGNED_US (8 * USEC_PER_SEC)
 
+enum process {
+	PROCESS_OTHER,	 /* of another entry instance */
+	PROCESS_EARLIER, /* of this entry instance, before its restart */
+	PROCESS_THIS,
+};
+
 struct lease {
 	struct kernel *kernel;
 	uint64_t boot_id;
@@ -211,27 +217,40 @@
 	announce(lease, true);
 }
 
+/* Processes may draw equal boot ids, so the name counts first. */
+static enum process process_of(const struct lease *lease, const char *entry,
+			       uint64_t boot_id)
+{
+	if (strcmp(entry, kernel_settings(lease->kernel)->entry) != 0)
+		return PROCESS_OTHER;
+	return boot_id == lease->boot_id ? PROCESS_THIS : PROCESS_EARLIER;
+}
+
 static bool is_own(const struct lease *lease, const struct job_record *record)
 {
-	return record->boot_id == lease->boot_id &&
-	       !strcmp(record->entry, kernel_settings(lease->kernel)->entry);
+	return process_of(lease, record->entry, record->boot_id) ==
+	       PROCESS_THIS;
 }
 
-/* One process at a time runs for an entry instance. */
-static bool was_own_life(const struct lease *lease)
+/* The process that held the jobs last, or holds them. */
+static enum process newest_process(const struct lease *lease)
 {
-	return lease->newest_token && lease->newest_boot_id != lease->boot_id &&
-	       !strcmp(lease->newest_entry,
-		       kernel_settings(lease->kernel)->entry);
+	if (!lease->newest_token)
+		return PROCESS_OTHER;
+	return process_of(lease, lease->newest_entry, lease->newest_boot_id);
 }
 
-/* This process was the newest holder and has stopped. */
-static bool was_this_process(const struct lease *lease)
+/* The newest holder was this entry instance, and it has stopped. */
+static bool was_here(const struct lease *lease)
 {
-	return lease->newest_token && !lease->held &&
-	       lease->newest_boot_id == lease->boot_id &&
-	       !strcmp(lease->newest_entry,
-		       kernel_settings(lease->kernel)->entry);
+	switch (newest_process(lease)) {
+	case PROCESS_EARLIER:
+		return true;
+	case PROCESS_THIS:
+		return !lease->held;
+	default:
+		return false;
+	}
 }
 
 /* Whether the step is one of the newest holder, or makes one. */
@@ -253,7 +272,7 @@
 		/* A repeated claim is void even if the first one was in force.
 		 */
 		if (is_own(lease, record) &&
-		    lease->newest_boot_id != lease->boot_id)
+		    newest_process(lease) != PROCESS_THIS)
 			lease->claiming = false;
 		return;
 	}
@@ -263,8 +282,7 @@
 	if (record->step == HOLDER_CLAIM && is_own(lease, record) &&
 	    token > lease->fence_token) {
 		lease->replaced_token = record->token;
-		lease->was_ended = lease->resigned || was_own_life(lease) ||
-				   was_this_process(lease);
+		lease->was_ended = lease->resigned || was_here(lease);
 		lease->claimed_us = kernel_now_us(lease->kernel);
 		lease->fence_token = token;
 		lease->fence_write_id = write_step(lease, STORE_WRITER_FENCE,
@@ -446,7 +464,7 @@
 
 	if (lease->resigned || !lease->newest_token)
 		silence_us = lease->spread_us;
-	if (was_own_life(lease) || was_this_process(lease))
+	if (was_here(lease))
 		silence_us = 0;
 	if (roster_has_stronger(lease->roster, cpu_milli))
 		silence_us += STRONGER_FIRST_US;
@@ -460,7 +478,7 @@
 		roster_cpu_milli(lease->roster, lease->newest_entry);
 
 	return lease->newest_token && !lease->resigned &&
-	       lease->newest_boot_id != lease->boot_id &&
+	       newest_process(lease) != PROCESS_THIS &&
 	       roster_is_stronger(kernel_settings(lease->kernel)->cpu_milli,
 				  holder_milli) &&
 	       now_us - lease->newest_us >= TAKE_OVER_US + lease->spread_us;
