Keep what the store tells of the newest holder in a type of its own

What the records tell of the newest holder, and which process a step comes from, is now struct holder with its functions in src/jobs/holder.c. No change of behaviour; the scripts pass unchanged.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -11,8 +11,7 @@
 
 #include "jobs/lease.h"
 
-#include <string.h>
-
+#include "jobs/holder.h"
 #include "jobs/msg.h"
 #include "jobs/reach.h"
 #include "jobs/roster.h"
@@ -39,12 +38,6 @@
 /* An entry instance that gave the lease up leaves it to others for so long. */
 #define RESIGNED_US (8 * USEC_PER_SEC)
 
-enum process {
-	PROCESS_OTHER,	 /* of another entry instance */
-	PROCESS_EARLIER, /* of this entry instance, before its restart */
-	PROCESS_THIS,
-};
-
 struct lease {
 	struct kernel *kernel;
 	uint64_t boot_id;
@@ -52,11 +45,7 @@
 	bool reachable;
 	bool draining;
 	uint64_t next_offset; /* what is before it has been read */
-	/* Newest step of a holder in the store */
-	bool resigned;
-	uint64_t newest_token; /* 0: none is known */
-	char newest_entry[NAME_SIZE_BYTES];
-	uint64_t newest_boot_id;
+	struct holder newest;
 	int64_t heard_us;  /* of the holder, while the store was reachable */
 	int64_t newest_us; /* the newest holder, or this process, began */
 	struct roster *roster;
@@ -176,8 +165,8 @@
 	decision_log(held ? "hold" : "yield",
 		     "token=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT
 		     " newest_entry=%s",
-		     lease->fence_token, lease->newest_token,
-		     lease->newest_entry);
+		     lease->fence_token, lease->newest.token,
+		     lease->newest.entry);
 	counter_set(kernel_counters(lease->kernel), "jobs_held", held);
 	event.msg = changed;
 	kernel_emit_next(lease->kernel, &event);
@@ -217,27 +206,17 @@
 	announce(lease, true);
 }
 
-/* Processes may draw equal boot ids, so the name counts first. */
-static enum process process_of(const struct lease *lease, const char *entry,
-			       uint64_t boot_id)
-{
-	if (strcmp(entry, kernel_settings(lease->kernel)->entry) != 0)
-		return PROCESS_OTHER;
-	return boot_id == lease->boot_id ? PROCESS_THIS : PROCESS_EARLIER;
-}
-
-static bool is_own(const struct lease *lease, const struct job_record *record)
+static bool is_own(const struct lease *lease, const struct job_record *step)
 {
-	return process_of(lease, record->entry, record->boot_id) ==
-	       PROCESS_THIS;
+	return holder_step_process(step, kernel_settings(lease->kernel)->entry,
+				   lease->boot_id) == PROCESS_THIS;
 }
 
-/* The process that held the jobs last, or holds them. */
 static enum process newest_process(const struct lease *lease)
 {
-	if (!lease->newest_token)
-		return PROCESS_OTHER;
-	return process_of(lease, lease->newest_entry, lease->newest_boot_id);
+	return holder_process(&lease->newest,
+			      kernel_settings(lease->kernel)->entry,
+			      lease->boot_id);
 }
 
 /* The newest holder was this entry instance, and it has stopped. */
@@ -253,49 +232,38 @@
 	}
 }
 
-/* Whether the step is one of the newest holder, or makes one. */
-static bool is_in_force(const struct lease *lease,
-			const struct job_record *record)
+/* A claim of this process that counts: it fences the store next. */
+static void won(struct lease *lease, const struct job_record *claim)
 {
-	if (record->step != HOLDER_CLAIM)
-		return record->token >= lease->newest_token;
-	return record->token == lease->newest_token &&
-	       record->offset + 1 > lease->newest_token;
+	lease->replaced_token = claim->token;
+	lease->was_ended = lease->newest.resigned || was_here(lease);
+	lease->claimed_us = kernel_now_us(lease->kernel);
+	lease->fence_token = holder_step_token(claim);
+	lease->fence_write_id = write_step(lease, STORE_WRITER_FENCE,
+					   HOLDER_CLAIM, lease->fence_token);
 }
 
-static void see_step(struct lease *lease, const struct job_record *record)
+static void see_step(struct lease *lease, const struct job_record *step)
 {
-	uint64_t token = record->step == HOLDER_CLAIM ? record->offset + 1
-						      : record->token;
+	uint64_t token = holder_step_token(step);
+	bool claims = step->step == HOLDER_CLAIM;
 
-	if (!is_in_force(lease, record)) {
-		/* A repeated claim is void even if the first one was in force.
-		 */
-		if (is_own(lease, record) &&
+	if (!holder_step_counts(&lease->newest, step)) {
+		/* A repeated claim is void even if the first one counted. */
+		if (is_own(lease, step) &&
 		    newest_process(lease) != PROCESS_THIS)
 			lease->claiming = false;
 		return;
 	}
 	lease->heard_us = kernel_now_us(lease->kernel);
-	if (record->step == HOLDER_CLAIM)
+	if (claims)
 		lease->heard_us += TAKE_UP_US;
-	if (record->step == HOLDER_CLAIM && is_own(lease, record) &&
-	    token > lease->fence_token) {
-		lease->replaced_token = record->token;
-		lease->was_ended = lease->resigned || was_here(lease);
-		lease->claimed_us = kernel_now_us(lease->kernel);
-		lease->fence_token = token;
-		lease->fence_write_id = write_step(lease, STORE_WRITER_FENCE,
-						   HOLDER_CLAIM, token);
-	}
-	lease->resigned = record->step == HOLDER_RESIGN;
-	if (token != lease->newest_token)
+	if (claims && is_own(lease, step) && token > lease->fence_token)
+		won(lease, step);
+	if (token != lease->newest.token)
 		lease->newest_us = kernel_now_us(lease->kernel);
-	lease->newest_token = token;
-	g_strlcpy(lease->newest_entry, record->entry,
-		  sizeof(lease->newest_entry));
-	lease->newest_boot_id = record->boot_id;
-	if (!is_own(lease, record))
+	holder_take(&lease->newest, step);
+	if (!is_own(lease, step))
 		give_up(lease);
 }
 
@@ -313,38 +281,17 @@
 	}
 }
 
-static gint compare_steps(gconstpointer a, gconstpointer b)
-{
-	const struct job_record *left = *(struct job_record *const *)a;
-	const struct job_record *right = *(struct job_record *const *)b;
-	bool left_claims = left->step == HOLDER_CLAIM;
-	bool right_claims = right->step == HOLDER_CLAIM;
-
-	if (left_claims != right_claims)
-		return left_claims ? 1 : -1;
-	if (left->offset != right->offset)
-		return left->offset < right->offset ? -1 : 1;
-	return 0;
-}
-
-/*
- * The newest records come in no order. The claims that are newer than the
- * holder's last renewal or resignation are checked from there on.
- */
 static void see_snapshot(struct lease *lease, const struct store_read *read)
 {
 	int64_t heard_us = lease->heard_us;
-	GPtrArray *steps = g_ptr_array_new();
+	GPtrArray *steps = holder_steps(read);
 
 	for (guint i = 0; i < read->records->len; i++) {
-		struct job_record *record = read->records->pdata[i];
+		const struct job_record *record = read->records->pdata[i];
 
-		if (record->kind == JOB_RECORD_HOLDER)
-			g_ptr_array_add(steps, record);
-		else if (record->kind == JOB_RECORD_ENTRY)
+		if (record->kind == JOB_RECORD_ENTRY)
 			roster_note(lease->roster, record);
 	}
-	g_ptr_array_sort(steps, compare_steps);
 	for (guint i = 0; i < steps->len; i++)
 		see_step(lease, steps->pdata[i]);
 	g_ptr_array_unref(steps);
@@ -462,7 +409,7 @@
 	uint32_t cpu_milli = kernel_settings(lease->kernel)->cpu_milli;
 	int64_t silence_us = SILENCE_US + lease->spread_us;
 
-	if (lease->resigned || !lease->newest_token)
+	if (lease->newest.resigned || !lease->newest.token)
 		silence_us = lease->spread_us;
 	if (was_here(lease))
 		silence_us = 0;
@@ -475,9 +422,9 @@
 static bool is_stronger_than_holder(const struct lease *lease, int64_t now_us)
 {
 	uint32_t holder_milli =
-		roster_cpu_milli(lease->roster, lease->newest_entry);
+		roster_cpu_milli(lease->roster, lease->newest.entry);
 
-	return lease->newest_token && !lease->resigned &&
+	return lease->newest.token && !lease->newest.resigned &&
 	       newest_process(lease) != PROCESS_THIS &&
 	       roster_is_stronger(kernel_settings(lease->kernel)->cpu_milli,
 				  holder_milli) &&
@@ -534,7 +481,7 @@
 		lease->claiming = true;
 		lease->claim_write_id =
 			write_step(lease, STORE_WRITER_CLAIM, HOLDER_CLAIM,
-				   lease->newest_token);
+				   lease->newest.token);
 	}
 	set_pace(lease);
 	kernel_wake_at(lease->kernel, next_tick_us(lease, now_us));
