Count a start as ended when another boot answers it

The count now goes down before anything else is looked at.

jobs_other_life guards it: on the code before, its job never completes.

--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -75,8 +75,6 @@
 void starts_on_order(struct sched *sched, struct worker *worker,
 		     const struct order *order)
 {
-	if (worker->starts_count)
-		worker->starts_count--;
 	if (order->result == ORDER_LOST) {
 		worker->avoid_until_us =
 			MAX(worker->avoid_until_us,
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -534,6 +534,8 @@
 	if (!worker || order->token != sched->token)
 		return;
 	take_clock(sched, worker, order);
+	if (order->kind == ORDER_START && worker->starts_count)
+		worker->starts_count--;
 	if (order->result == ORDER_OTHER_LIFE) {
 		worker->hold_sent = false;
 		worker_gone(sched, worker, "other-life");
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -410,6 +410,10 @@
 static void carry_out(struct jobs_world *jobs, struct fake_worker *worker,
 		      struct order *order)
 {
+	if (worker->other_life) {
+		order->result = ORDER_OTHER_LIFE;
+		return;
+	}
 	if (order->token < worker->fence_token) {
 		order->result = ORDER_FENCED;
 		return;
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -108,7 +108,9 @@
 	}
 }
 
-/* job-fault WORKER dead|dark|cut|lose|fails|stalls|ok; dark: dead, but listed
+/*
+ * job-fault WORKER dead|dark|cut|lose|other|fails|stalls|ok; dark: dead, but
+ * listed; other: another boot answers at its address
  */
 static void run_fault(struct script *script)
 {
@@ -125,6 +127,7 @@
 	worker->listed |= !strcmp(how, "dark");
 	worker->cut = !strcmp(how, "cut");
 	worker->lose = !strcmp(how, "lose");
+	worker->other_life = !strcmp(how, "other");
 	worker->fails = !strcmp(how, "fails");
 	worker->stalls = !strcmp(how, "stalls");
 }
