--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -280,8 +280,9 @@
 /* A start order has ended. */
 void starts_on_order(struct sched *sched, struct worker *worker,
 		     const struct order *order);
-/* Takes what was not yet ordered off a worker that does not answer. */
-void starts_release(struct sched *sched, struct worker *worker);
+/* Takes what was not yet ordered off a worker that should start nothing now. */
+void starts_release(struct sched *sched, struct worker *worker,
+		    const char *why);
 
 /* sched_directory.c */
 void workers_on_seen(struct sched *sched, const struct workers_seen *seen);
--- a/src/jobs/sched_directory.c
+++ b/src/jobs/sched_directory.c
@@ -39,6 +39,8 @@
 		worker->hold_due_us = 0;
 		worker->hold_again_us = 0;
 	}
+	if (worker->drains && !drained)
+		starts_release(sched, worker, "draining");
 	if (!was_listed || drained != worker->drains) {
 		decision_log("worker-seen",
 			     "worker=%s pool=%s state=%s cpu=%u "
@@ -58,6 +60,7 @@
 	worker->unlisted_us = sched_now_us(sched);
 	decision_log("worker-unlisted", "worker=%s items=%u drained=%d",
 		     worker->id, worker->placed->len, worker->drains);
+	starts_release(sched, worker, "unlisted");
 	if (worker->drains && worker->leaves_us &&
 	    sched_now_us(sched) + DRAIN_LEAVE_SLACK_US >= worker->leaves_us)
 		worker_gone(sched, worker, "left");
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -58,7 +58,7 @@
 	}
 }
 
-void starts_release(struct sched *sched, struct worker *worker)
+void starts_release(struct sched *sched, struct worker *worker, const char *why)
 {
 	for (guint i = worker->placed->len; i > 0; i--) {
 		struct placement placement = worker_placement(worker, i - 1);
@@ -68,7 +68,7 @@
 		if (placement_item(&placement)->phase == ITEM_STORED &&
 		    !step->gang)
 			item_release(sched, placement.job, placement.index,
-				     "no-answer");
+				     why);
 	}
 }
 
@@ -79,7 +79,7 @@
 		worker->avoid_until_us =
 			MAX(worker->avoid_until_us,
 			    sched_now_us(sched) + ORDER_AGAIN_US);
-		starts_release(sched, worker);
+		starts_release(sched, worker, "no-answer");
 	}
 	order_next(sched, worker);
 }
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -378,7 +378,7 @@
 				     worker->id,
 				     order_result_name(order->result),
 				     worker->placed->len);
-			starts_release(sched, worker);
+			starts_release(sched, worker, "no-answer");
 		}
 		worker->lost_count++;
 		worker->hold_again_us =
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -562,6 +562,7 @@
 		listed->labels = g_ptr_array_new();
 		listed->cpu_milli = worker->cpu_milli;
 		listed->mem_mb = 65536;
+		listed->draining = worker->drains;
 		listed->born_ms = worker->born_ms;
 		g_ptr_array_add(seen->entries, listed);
 	}
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -61,6 +61,7 @@
 	bool cut;	 /* orders and answers are lost, it runs on */
 	bool lose;	 /* orders are carried out, their answers are lost */
 	bool fails;	 /* fails all that it starts */
+	bool drains;	 /* the platform is to take it away */
 	bool other_life; /* another boot answers at its address */
 	bool stalls;	 /* what it starts stands still */
 	bool advised;	 /* may run queues that need advice */
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -51,6 +51,16 @@
 	pool->standby = script_number(script, "standby", 0);
 }
 
+static void list_workers(struct jobs_world *jobs)
+{
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct jobs_entry *entry = jobs->entries->pdata[i];
+
+		if (entry->held)
+			fake_workers_list(jobs, entry);
+	}
+}
+
 /* job-worker ID pool=POOL [cpu=MILLI] [machine=NAME] [advised=0] */
 static void run_worker(struct script *script)
 {
@@ -68,12 +78,7 @@
 		made->worker = worker->id;
 		g_ptr_array_add(jobs->machines, made);
 	}
-	for (guint i = 0; i < jobs->entries->len; i++) {
-		struct jobs_entry *entry = jobs->entries->pdata[i];
-
-		if (entry->held)
-			fake_workers_list(jobs, entry);
-	}
+	list_workers(jobs);
 }
 
 /* job-lists on|off: whether the machines' list answers */
@@ -100,17 +105,12 @@
 				       old->cpu_milli);
 		machine->worker = next->id;
 	}
-	for (guint i = 0; i < jobs->entries->len; i++) {
-		struct jobs_entry *entry = jobs->entries->pdata[i];
-
-		if (entry->held)
-			fake_workers_list(jobs, entry);
-	}
+	list_workers(jobs);
 }
 
 /*
- * job-fault WORKER dead|dark|cut|lose|other|fails|stalls|ok; dark: dead, but
- * listed; other: another boot answers at its address
+ * job-fault WORKER dead|dark|cut|lose|other|drains|fails|stalls|ok; dark: dead,
+ * but listed; other: another boot answers at its address
  */
 static void run_fault(struct script *script)
 {
@@ -128,6 +128,9 @@
 	worker->cut = !strcmp(how, "cut");
 	worker->lose = !strcmp(how, "lose");
 	worker->other_life = !strcmp(how, "other");
+	worker->drains = !strcmp(how, "drains");
+	if (worker->drains)
+		list_workers(jobs_of(script));
 	worker->fails = !strcmp(how, "fails");
 	worker->stalls = !strcmp(how, "stalls");
 }
