Remove three fields that nothing reads

The time of a worker's newest answer, that of a pool's newest measurement and an earliest placement of a whole job were set or declared, and read nowhere.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -129,7 +129,6 @@
 	bool late;	      /* can't, at the newest measurement */
 	bool open;	      /* in the list of those that the holder places */
 	bool stop_all;
-	int64_t retry_us; /* nothing to place before */
 };
 
 struct job *job_new(const char *id, struct job_spec *spec);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -58,7 +58,6 @@
 	int64_t hold_due_us;
 	int64_t hold_again_us; /* not before */
 	uint32_t lost_count;   /* holds in a row without an answer */
-	int64_t answered_us;
 	int64_t silent_us;     /* first hold of that row; 0: it answers */
 	uint32_t starts_count; /* start orders under way */
 	bool unsettled;	       /* an order may have to be sent again */
@@ -191,7 +190,6 @@
 
 /* What a pool has to do, as far as it shows. */
 struct pool_load {
-	int64_t measured_us;
 	uint64_t running_milli; /* of items that do not last */
 	uint64_t ready_milli;	/* could start, on no worker */
 	uint64_t lasting_milli;
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -116,7 +116,7 @@
 	load->rising_count++;
 }
 
-static void start_measure(struct sched *sched, int64_t now_us)
+static void start_measure(struct sched *sched)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -125,7 +125,6 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_load *load = value;
 
-		load->measured_us = now_us;
 		load->running_milli = 0;
 		load->ready_milli = 0;
 		load->lasting_milli = 0;
@@ -175,7 +174,7 @@
 {
 	int64_t now_us = sched_now_us(sched);
 
-	start_measure(sched, now_us);
+	start_measure(sched);
 	for (guint i = 0; i < sched->open->len; i++) {
 		struct job *job = sched->open->pdata[i];
 		struct pool_load *load;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -398,7 +398,6 @@
 	}
 	worker->lost_count = 0;
 	worker->silent_us = 0;
-	worker->answered_us = now_us;
 	if (order->born_ms && order->born_ms != worker->life_ms) {
 		if (worker->life_ms)
 			worker_gone(sched, worker, "reborn");
