Count a job as begun only when a worker has begun an item of it

Cause: a job counted as begun, and was shown as active, as soon as an item of it was placed. A placement is only an intention: its order may be held up, or wait on the holder for its turn.

Change: a job begins when a worker lists a run of it as running or ended, or confirms a start. The stored progress carries that as before; it takes one more record for most jobs.

Ruled out: a stale state.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -114,7 +114,7 @@
 	int64_t seen_us;       /* read here first */
 	enum job_state state;  /* as it is stored */
 	bool cancelled;	       /* a cancellation is stored */
-	bool begun;	       /* an item was placed once */
+	bool begun;	       /* a worker has begun an item */
 	int64_t ended_us;      /* 0: not ended */
 	uint64_t state_offset; /* of the newest progress applied */
 	uint64_t submit_offset;
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -232,6 +232,9 @@
 void item_place(struct sched *sched, struct job *job, uint32_t index,
 		struct worker *worker);
 
+/* A worker has begun the run: it lists it, or has confirmed its start. */
+void item_runs(struct sched *sched, struct job *job, uint32_t index);
+
 /* Takes an item that runs nowhere off its worker. */
 void item_release(struct sched *sched, struct job *job, uint32_t index,
 		  const char *why);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -31,11 +31,32 @@
 	g_ptr_array_add(sched->dirty, job);
 }
 
+/* A placement is no beginning: its start order may be held up for seconds. */
+static void job_begin(struct sched *sched, struct job *job)
+{
+	if (job->begun)
+		return;
+	job->begun = true;
+	if (job->wanted == JOB_PENDING)
+		job->wanted = JOB_ACTIVE;
+	job_mark_dirty(sched, job);
+}
+
 static bool is_placed(const struct job_item *item)
 {
 	return item->phase != ITEM_WAITING && item->phase != ITEM_DONE;
 }
 
+void item_runs(struct sched *sched, struct job *job, uint32_t index)
+{
+	struct job_item *item = job_item(job, index);
+
+	item->phase = ITEM_RUNNING;
+	item->running_us = sched_now_us(sched);
+	item->sure = true;
+	job_begin(sched, job);
+}
+
 void item_place(struct sched *sched, struct job *job, uint32_t index,
 		struct worker *worker)
 {
@@ -53,9 +74,6 @@
 	item->work_percent = 0;
 	item->progress_us = 0;
 	item->pace_percent = 100;
-	job->begun = true;
-	if (job->wanted == JOB_PENDING)
-		job->wanted = JOB_ACTIVE;
 	worker_attach(worker, job, index);
 	job_mark_dirty(sched, job);
 	job_item_name(job, index, name, sizeof(name));
@@ -281,6 +299,7 @@
 		     row->number, job != NULL);
 	if (!job)
 		return;
+	job_begin(sched, job);
 	item = job_item(job, index);
 	step = job_step(job, job_item_step(job, index));
 	if (item->phase == ITEM_DONE)
@@ -346,9 +365,7 @@
 			sched_now_us(sched) - order->sent_us);
 	switch (order->result) {
 	case ORDER_OK:
-		item->phase = ITEM_RUNNING;
-		item->running_us = sched_now_us(sched);
-		item->sure = true;
+		item_runs(sched, job, index);
 		worker->hold_due_us =
 			MIN(worker->hold_due_us, sched_now_us(sched));
 		break;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -252,10 +252,8 @@
 		return;
 	}
 	item->list_number = sched->list_number;
-	if (item->phase == ITEM_STARTING) {
-		item->phase = ITEM_RUNNING;
-		item->running_us = sched_now_us(sched);
-	}
+	if (item->phase == ITEM_STARTING)
+		item_runs(sched, job, index);
 	if (item->phase == ITEM_RUNNING)
 		item->sure = true;
 	if (item->work_percent != row->percent || !item->progress_us)
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -94,14 +94,18 @@
 static void print_reply(struct jobs_entry *entry, const struct job_reply *reply)
 {
 	struct world *world = entry->jobs->world;
+	char told[NAME_SIZE_BYTES] = "";
 
 	if (entry->jobs->quiet)
 		return;
-	world_print(world, "%.3f %s call %" G_GUINT64_FORMAT ": %u%s%s %s",
+	if (reply->has_state)
+		g_snprintf(told, sizeof(told), " %s",
+			   job_state_text(reply->state));
+	if (reply->has_depth)
+		g_snprintf(told, sizeof(told), " depth %u", reply->depth_count);
+	world_print(world, "%.3f %s call %" G_GUINT64_FORMAT ": %u%s %s",
 		    (double)world->now_us / USEC_PER_SEC, entry->name,
-		    reply->call_id, reply->status, reply->has_state ? " " : "",
-		    reply->has_state ? job_state_text(reply->state) : "",
-		    reply->reason);
+		    reply->call_id, reply->status, told, reply->reason);
 }
 
 static void print_order(struct jobs_entry *entry, const struct order *order)
