Leave room in a slow store for the holder's writes

Cause: a partition takes its appends one at a time. At 60 times its usual answers that is one in 60 ms, and 32 entry instances that write without a pause keep each append waiting for about two seconds. Each was taken for lost after 700 ms and repeated, and a repeat waits in the same queue.

Ruled out: a path to the store that was lost (reads of the same processes were 0 to 414 ms old when they took it for lost), and the limit of calls (no 429 among the answers of that trial).

An entry instance pauses four times what its write took above 250 ms, up to 2 s, so that the holder, on whose writes all work depends, does not queue behind all others. A call that comes in the pause waits for the next write and is not refused.

What is left: with one partition for all writers, a job is accepted about two seconds after it came while the store is slow.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -12,6 +12,11 @@
 
 /* A call that waits behind a write that does not end is refused. */
 #define QUEUED_MAX_US (300 * USEC_PER_MSEC)
+/* A write that takes longer waits in the store for those of others. */
+#define WRITE_ALONE_US (250 * USEC_PER_MSEC)
+/* The pause after such a write, in times of what it took longer. */
+#define PAUSE_FACTOR 4
+#define PAUSE_MAX_US (2 * USEC_PER_SEC)
 /* After this, the outcome of a write under way is reported as not known. */
 #define UNSETTLED_MAX_US (1200 * USEC_PER_MSEC)
 /* A job that is not known here may just have been accepted elsewhere. */
@@ -46,7 +51,8 @@
 	uint64_t write_id;  /* under way; 0: none */
 	uint64_t next_write_id;
 	int64_t write_sent_us;
-	int64_t read_us; /* newest read up to the end of the store */
+	int64_t next_write_us; /* none is sent before */
+	int64_t read_us;       /* newest read up to the end of the store */
 	bool has_state;
 	int64_t store_lost_us; /* taken for silent since; 0: it answers */
 	int64_t leave_us;      /* refuses new work from then on; 0: stays */
@@ -136,6 +142,8 @@
 	waiting->record = record;
 	waiting->state = state;
 	waiting->arrived_us = now_us;
+	if (state == WAITING_QUEUED)
+		wait_us += MAX(callers->next_write_us - now_us, 0);
 	waiting->until_us = MIN(now_us + wait_us, call->deadline_us);
 	g_ptr_array_add(callers->waiting, waiting);
 	kernel_wake_at(callers->kernel, waiting->until_us);
@@ -149,6 +157,10 @@
 
 	if (callers->write_id)
 		return;
+	if (now_us < callers->next_write_us) {
+		kernel_wake_at(callers->kernel, callers->next_write_us);
+		return;
+	}
 	write = store_write_new(STORE_WRITER_ENTRY);
 	for (guint i = 0; i < callers->waiting->len; i++) {
 		struct waiting *waiting = callers->waiting->pdata[i];
@@ -364,12 +376,38 @@
 	kernel_emit_next(callers->kernel, &applied);
 }
 
+/*
+ * The store takes the writes of all entry instances one after the other. While
+ * they queue up there, each pauses, so that the writes of the holder, on which
+ * all work depends, do not wait behind those of every other one.
+ */
+static void pause_writes(struct callers *callers)
+{
+	int64_t now_us = kernel_now_us(callers->kernel);
+	int64_t waited_us = now_us - callers->write_sent_us - WRITE_ALONE_US;
+
+	if (waited_us <= 0)
+		return;
+	callers->next_write_us =
+		now_us + MIN(waited_us * PAUSE_FACTOR, PAUSE_MAX_US);
+	/* What is queued goes into the next write. */
+	for (guint i = 0; i < callers->waiting->len; i++) {
+		struct waiting *waiting = callers->waiting->pdata[i];
+
+		if (waiting->state == WAITING_QUEUED)
+			waiting->until_us =
+				MIN(callers->next_write_us + QUEUED_MAX_US,
+				    waiting->call->deadline_us);
+	}
+}
+
 static void on_written(struct callers *callers, const struct store_write *write)
 {
 	if (write->write_id != callers->write_id ||
 	    write->writer != STORE_WRITER_ENTRY)
 		return;
 	callers->write_id = 0;
+	pause_writes(callers);
 	if (write->result == STORE_DONE)
 		apply_written(callers, write);
 	for (guint i = 0; i < callers->waiting->len;) {
--- a/test/contract/bench.c
+++ b/test/contract/bench.c
@@ -19,6 +19,9 @@
 		if (copy->peer.msg->state)
 			g_bytes_ref(copy->peer.msg->state);
 		break;
+	case EVENT_STORE_WRITTEN:
+		g_rc_box_acquire(copy->msg);
+		break;
 	default:
 		break;
 	}
@@ -61,7 +64,8 @@
 			 EVENT_BIT(EVENT_LOG_STATE) |
 			 EVENT_BIT(EVENT_LOG_APPENDED) |
 			 EVENT_BIT(EVENT_INSTANCE_LIST) |
-			 EVENT_BIT(EVENT_PEER_RECEIVED),
+			 EVENT_BIT(EVENT_PEER_RECEIVED) |
+			 EVENT_BIT(EVENT_STORE_WRITTEN),
 		.handle = probe_handle,
 	};
 	kernel_start_plugin_with(bench->kernel, &bench->probe, bench);
