--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -6,59 +6,17 @@
 
 #include <string.h>
 
-#include "jobs/msg.h"
+#include "jobs/callers.h"
 #include "kernel/decision_log.h"
-#include "kernel/kernel.h"
-
-/* A call that waits behind a write that does not end is refused. */
-#define QUEUED_MAX_US (300 * USEC_PER_MSEC)
-/* A write that takes longer waits in the store for those of others. */
-#define WRITE_ALONE_US (250 * USEC_PER_MSEC)
-/* The pause after such a write, in times of what it took longer. */
-#define PAUSE_FACTOR 4
-#define PAUSE_MAX_US (2 * USEC_PER_SEC)
-/* After this, the outcome of a write under way is reported as not known. */
-#define UNSETTLED_MAX_US (1200 * USEC_PER_MSEC)
+
 /* A job that is not known here may just have been accepted elsewhere. */
 #define UNKNOWN_WAIT_US (400 * USEC_PER_MSEC)
 /* Older reads of the store don't tell what exists. */
 #define FRESH_US (2 * USEC_PER_SEC)
-/* A store that did not answer for so long is not written to for callers. */
-#define STORE_SILENT_US (1500 * USEC_PER_MSEC)
 #define RETRY_AFTER_US USEC_PER_SEC
-#define BATCH_MAX_COUNT 64
 /* The balancer takes two misses, a second apart, to send callers elsewhere. */
 #define SERVE_WHILE_LEAVING_US (2500 * USEC_PER_MSEC)
 
-enum waiting_for {
-	WAITING_QUEUED,	 /* nothing of it was sent to the store */
-	WAITING_WRITTEN, /* a write that carries it is under way */
-	WAITING_KNOWN,	 /* for the job to become known here */
-};
-
-struct waiting {
-	struct job_call *call; /* owned reference */
-	enum waiting_for state;
-	uint64_t write_id;
-	struct job_record *record; /* submit, cancel */
-	int64_t arrived_us;
-	int64_t until_us; /* answered at the latest */
-};
-
-struct callers {
-	struct kernel *kernel;
-	GPtrArray *waiting; /* of struct waiting, in order of arrival */
-	uint64_t write_id;  /* under way; 0: none */
-	uint64_t next_write_id;
-	int64_t write_sent_us;
-	int64_t next_write_us; /* none is sent before */
-	int64_t read_us;       /* newest read up to the end of the store */
-	bool has_state;
-	int64_t store_lost_us; /* taken for silent since; 0: it answers */
-	int64_t leave_us;      /* refuses new work from then on; 0: stays */
-	bool drained;
-};
-
 static void waiting_free(gpointer data)
 {
 	struct waiting *waiting = data;
@@ -115,8 +73,8 @@
 	kernel_emit_msg(callers->kernel, EVENT_JOB_REPLY, msg);
 }
 
-static void refuse(struct callers *callers, const struct job_call *call,
-		   uint32_t status, const char *reason)
+void callers_refuse(struct callers *callers, const struct job_call *call,
+		    uint32_t status, const char *reason)
 {
 	struct job_reply msg = { .status = status };
 
@@ -126,7 +84,7 @@
 	reply(callers, call, &msg);
 }
 
-static void confirm(struct callers *callers, const struct job_call *call)
+void callers_confirm(struct callers *callers, const struct job_call *call)
 {
 	reply(callers, call, &(struct job_reply){ .status = 200 });
 }
@@ -149,55 +107,6 @@
 	kernel_wake_at(callers->kernel, waiting->until_us);
 }
 
-/* Puts all queued records into one write. */
-static void send_queued(struct callers *callers)
-{
-	struct store_write *write;
-	int64_t now_us = kernel_now_us(callers->kernel);
-
-	if (callers->write_id)
-		return;
-	if (now_us < callers->next_write_us) {
-		kernel_wake_at(callers->kernel, callers->next_write_us);
-		return;
-	}
-	write = store_write_new(STORE_WRITER_ENTRY);
-	for (guint i = 0; i < callers->waiting->len; i++) {
-		struct waiting *waiting = callers->waiting->pdata[i];
-
-		if (waiting->state != WAITING_QUEUED ||
-		    write->records->len >= BATCH_MAX_COUNT)
-			continue;
-		waiting->state = WAITING_WRITTEN;
-		waiting->write_id = callers->next_write_id;
-		waiting->until_us = MIN(now_us + UNSETTLED_MAX_US,
-					waiting->call->deadline_us);
-		g_ptr_array_add(write->records,
-				job_record_ref(waiting->record));
-	}
-	write->write_id = callers->next_write_id;
-	if (!write->records->len) {
-		struct event event = { .type = EVENT_STORE_WRITE };
-
-		event.msg = write;
-		event_clear(&event);
-		return;
-	}
-	callers->write_id = callers->next_write_id++;
-	callers->write_sent_us = now_us;
-	kernel_emit_msg(callers->kernel, EVENT_STORE_WRITE, write);
-}
-
-static bool store_is_silent(const struct callers *callers)
-{
-	int64_t now_us = kernel_now_us(callers->kernel);
-
-	return !callers->has_state ||
-	       now_us - callers->read_us > STORE_SILENT_US ||
-	       (callers->write_id &&
-		now_us - callers->write_sent_us > STORE_SILENT_US);
-}
-
 static bool has_left(const struct callers *callers)
 {
 	return callers->leave_us &&
@@ -210,23 +119,25 @@
 	struct job_record *record;
 
 	if (!job_id_is_valid(id)) {
-		refuse(callers, call, 400, "expected 16 hexadecimal digits");
+		callers_refuse(callers, call, 400,
+			       "expected 16 hexadecimal digits");
 		return;
 	}
 	if (job_table_find(kernel_jobs(callers->kernel), id)) {
-		confirm(callers, call);
+		callers_confirm(callers, call);
 		return;
 	}
 	if (!call->spec || job_spec_check(call->spec)) {
-		refuse(callers, call, 400,
-		       call->spec ? job_spec_check(call->spec)
-				  : "the body does not describe a job");
+		callers_refuse(callers, call, 400,
+			       call->spec ? job_spec_check(call->spec)
+					  : "the body does not describe a job");
 		return;
 	}
-	if (has_left(callers) || store_is_silent(callers)) {
-		refuse(callers, call, 503,
-		       has_left(callers) ? "this entry instance is leaving"
-					 : "the store does not answer");
+	if (has_left(callers) || callers_store_is_silent(callers)) {
+		callers_refuse(callers, call, 503,
+			       has_left(callers)
+				       ? "this entry instance is leaving"
+				       : "the store does not answer");
 		return;
 	}
 	record = job_record_new(JOB_RECORD_SUBMIT);
@@ -244,11 +155,11 @@
 	struct job_record *record;
 
 	if (job_has_ended(job)) {
-		confirm(callers, call);
+		callers_confirm(callers, call);
 		return;
 	}
-	if (store_is_silent(callers)) {
-		refuse(callers, call, 503, "the store does not answer");
+	if (callers_store_is_silent(callers)) {
+		callers_refuse(callers, call, 503, "the store does not answer");
 		return;
 	}
 	record = job_record_new(JOB_RECORD_CANCEL);
@@ -286,9 +197,10 @@
 static void answer_unknown(struct callers *callers, const struct job_call *call)
 {
 	if (is_fresh(callers))
-		refuse(callers, call, 410, "no such job");
+		callers_refuse(callers, call, 410, "no such job");
 	else
-		refuse(callers, call, 503, "the state is too old to tell");
+		callers_refuse(callers, call, 503,
+			       "the state is too old to tell");
 }
 
 static void tell_depth(struct callers *callers, const struct job_call *call,
@@ -308,12 +220,13 @@
 	const char *id = "";
 
 	if (!queues) {
-		refuse(callers, call, 503, "no configuration was read yet");
+		callers_refuse(callers, call, 503,
+			       "no configuration was read yet");
 		return;
 	}
 	queue = queues_route(queues, call->host, call->path, &id);
 	if (!queue) {
-		refuse(callers, call, 404, "no such queue");
+		callers_refuse(callers, call, 404, "no such queue");
 		return;
 	}
 	if (call->kind == CALL_SUBMIT) {
@@ -322,9 +235,10 @@
 		if (is_fresh(callers))
 			tell_depth(callers, call, queue);
 		else
-			refuse(callers, call, 503, "the state is too old");
+			callers_refuse(callers, call, 503,
+				       "the state is too old");
 	} else if (!job_id_is_valid(id)) {
-		refuse(callers, call, 410, "no such job");
+		callers_refuse(callers, call, 410, "no such job");
 	} else if (!answer_known(callers, call, queue, id)) {
 		wait_for(callers, call, NULL, WAITING_KNOWN, UNKNOWN_WAIT_US);
 	}
@@ -356,91 +270,16 @@
 	}
 }
 
-/* What was just stored is in force here before it is read back. */
-static void apply_written(struct callers *callers,
-			  const struct store_write *write)
-{
-	struct store_read *read = store_read_new();
-	struct event applied = { .type = EVENT_JOBS_APPLIED };
-
-	for (guint i = 0; i < write->records->len; i++) {
-		struct job_record *record = write->records->pdata[i];
-
-		job_table_apply(kernel_jobs(callers->kernel), record,
-				kernel_now_us(callers->kernel), true);
-		g_ptr_array_add(read->records, job_record_ref(record));
-	}
-	read->reachable = true;
-	read->local = true;
-	applied.msg = read;
-	kernel_emit_next(callers->kernel, &applied);
-}
-
-/*
- * The store takes the writes of all entry instances one after the other. While
- * they queue up there, each pauses, so that the writes of the holder, on which
- * all work depends, do not wait behind those of every other one.
- */
-static void pause_writes(struct callers *callers)
-{
-	int64_t now_us = kernel_now_us(callers->kernel);
-	int64_t waited_us = now_us - callers->write_sent_us - WRITE_ALONE_US;
-
-	if (waited_us <= 0)
-		return;
-	callers->next_write_us =
-		now_us + MIN(waited_us * PAUSE_FACTOR, PAUSE_MAX_US);
-	/* What is queued goes into the next write. */
-	for (guint i = 0; i < callers->waiting->len; i++) {
-		struct waiting *waiting = callers->waiting->pdata[i];
-
-		if (waiting->state == WAITING_QUEUED)
-			waiting->until_us =
-				MIN(callers->next_write_us + QUEUED_MAX_US,
-				    waiting->call->deadline_us);
-	}
-}
-
-static void on_written(struct callers *callers, const struct store_write *write)
-{
-	if (write->write_id != callers->write_id ||
-	    write->writer != STORE_WRITER_ENTRY)
-		return;
-	callers->write_id = 0;
-	pause_writes(callers);
-	if (write->result == STORE_DONE)
-		apply_written(callers, write);
-	for (guint i = 0; i < callers->waiting->len;) {
-		struct waiting *waiting = callers->waiting->pdata[i];
-
-		if (waiting->state != WAITING_WRITTEN ||
-		    waiting->write_id != write->write_id) {
-			i++;
-			continue;
-		}
-		counter_observe(
-			kernel_counters(callers->kernel), "caller_store",
-			kernel_now_us(callers->kernel) - waiting->arrived_us);
-		if (write->result == STORE_DONE)
-			confirm(callers, waiting->call);
-		else
-			refuse(callers, waiting->call, 503,
-			       "the store did not take it");
-		g_ptr_array_remove_index(callers->waiting, i);
-	}
-	send_queued(callers);
-}
-
 static void answer_late(struct callers *callers, const struct waiting *waiting)
 {
 	switch (waiting->state) {
 	case WAITING_QUEUED:
-		refuse(callers, waiting->call, 503,
-		       "the store is slow; nothing was written");
+		callers_refuse(callers, waiting->call, 503,
+			       "the store is slow; nothing was written");
 		break;
 	case WAITING_WRITTEN:
-		refuse(callers, waiting->call, 504,
-		       "the store has not confirmed it yet");
+		callers_refuse(callers, waiting->call, 504,
+			       "the store has not confirmed it yet");
 		break;
 	default:
 		answer_unknown(callers, waiting->call);
@@ -488,33 +327,6 @@
 	kernel_emit(callers->kernel, &(struct event){ .type = EVENT_DRAINED });
 }
 
-/* Tells when the store is lost and when it is back. */
-static void watch_store(struct callers *callers)
-{
-	int64_t now_us = kernel_now_us(callers->kernel);
-	bool silent = callers->has_state && store_is_silent(callers);
-
-	if (silent && !callers->store_lost_us) {
-		callers->store_lost_us = now_us;
-		counter_add(kernel_counters(callers->kernel),
-			    "store_lost_total", 1);
-		decision_log(
-			"dependency",
-			"name=store state=lost read_age_ms=%" G_GINT64_FORMAT
-			" write_age_ms=%" G_GINT64_FORMAT,
-			(now_us - callers->read_us) / USEC_PER_MSEC,
-			callers->write_id ? (now_us - callers->write_sent_us) /
-						    USEC_PER_MSEC
-					  : 0);
-	} else if (!silent && callers->store_lost_us) {
-		decision_log("dependency",
-			     "name=store state=regained "
-			     "lost_ms=%" G_GINT64_FORMAT,
-			     (now_us - callers->store_lost_us) / USEC_PER_MSEC);
-		callers->store_lost_us = 0;
-	}
-}
-
 static void callers_handle(void *self, const struct event *event)
 {
 	struct callers *callers = self;
@@ -530,7 +342,7 @@
 		on_applied(callers, event->msg);
 		break;
 	case EVENT_STORE_WRITTEN:
-		on_written(callers, event->msg);
+		callers_on_written(callers, event->msg);
 		break;
 	case EVENT_DRAIN:
 		if (!callers->leave_us)
@@ -540,12 +352,12 @@
 	default:
 		break;
 	}
-	send_queued(callers);
+	callers_send_queued(callers);
 	expire(callers);
-	watch_store(callers);
-	kernel_set_ready(callers->kernel, kernel_queues(callers->kernel) &&
-						  !callers->leave_us &&
-						  !store_is_silent(callers));
+	callers_watch_store(callers);
+	kernel_set_ready(callers->kernel,
+			 kernel_queues(callers->kernel) && !callers->leave_us &&
+				 !callers_store_is_silent(callers));
 	check_drained(callers);
 }
 
--- /dev/null
+++ b/src/jobs/callers_write.c
@@ -0,0 +1,168 @@
+/*
+ * Writes the jobs and cancellations of callers: one write at a time carries all
+ * that was queued meanwhile.
+ */
+
+#include "jobs/callers.h"
+#include "kernel/decision_log.h"
+
+/* A write that takes longer waits in the store for those of others. */
+#define WRITE_ALONE_US (250 * USEC_PER_MSEC)
+/* The pause after such a write, in times of what it took longer. */
+#define PAUSE_FACTOR 4
+#define PAUSE_MAX_US (2 * USEC_PER_SEC)
+/* After this, the outcome of a write under way is reported as not known. */
+#define UNSETTLED_MAX_US (1200 * USEC_PER_MSEC)
+/* A store that did not answer for so long is not written to for callers. */
+#define STORE_SILENT_US (1500 * USEC_PER_MSEC)
+#define BATCH_MAX_COUNT 64
+
+void callers_send_queued(struct callers *callers)
+{
+	struct store_write *write;
+	int64_t now_us = kernel_now_us(callers->kernel);
+
+	if (callers->write_id)
+		return;
+	if (now_us < callers->next_write_us) {
+		kernel_wake_at(callers->kernel, callers->next_write_us);
+		return;
+	}
+	write = store_write_new(STORE_WRITER_ENTRY);
+	for (guint i = 0; i < callers->waiting->len; i++) {
+		struct waiting *waiting = callers->waiting->pdata[i];
+
+		if (waiting->state != WAITING_QUEUED ||
+		    write->records->len >= BATCH_MAX_COUNT)
+			continue;
+		waiting->state = WAITING_WRITTEN;
+		waiting->write_id = callers->next_write_id;
+		waiting->until_us = MIN(now_us + UNSETTLED_MAX_US,
+					waiting->call->deadline_us);
+		g_ptr_array_add(write->records,
+				job_record_ref(waiting->record));
+	}
+	write->write_id = callers->next_write_id;
+	if (!write->records->len) {
+		struct event event = { .type = EVENT_STORE_WRITE };
+
+		event.msg = write;
+		event_clear(&event);
+		return;
+	}
+	callers->write_id = callers->next_write_id++;
+	callers->write_sent_us = now_us;
+	kernel_emit_msg(callers->kernel, EVENT_STORE_WRITE, write);
+}
+
+bool callers_store_is_silent(const struct callers *callers)
+{
+	int64_t now_us = kernel_now_us(callers->kernel);
+
+	return !callers->has_state ||
+	       now_us - callers->read_us > STORE_SILENT_US ||
+	       (callers->write_id &&
+		now_us - callers->write_sent_us > STORE_SILENT_US);
+}
+
+/* What was just stored is in force here before it is read back. */
+static void apply_written(struct callers *callers,
+			  const struct store_write *write)
+{
+	struct store_read *read = store_read_new();
+	struct event applied = { .type = EVENT_JOBS_APPLIED };
+
+	for (guint i = 0; i < write->records->len; i++) {
+		struct job_record *record = write->records->pdata[i];
+
+		job_table_apply(kernel_jobs(callers->kernel), record,
+				kernel_now_us(callers->kernel), true);
+		g_ptr_array_add(read->records, job_record_ref(record));
+	}
+	read->reachable = true;
+	read->local = true;
+	applied.msg = read;
+	kernel_emit_next(callers->kernel, &applied);
+}
+
+/*
+ * The store takes the writes of all entry instances one after the other. While
+ * they queue up there, each pauses, so that the writes of the holder, on which
+ * all work depends, do not wait behind those of every other one.
+ */
+static void pause_writes(struct callers *callers)
+{
+	int64_t now_us = kernel_now_us(callers->kernel);
+	int64_t waited_us = now_us - callers->write_sent_us - WRITE_ALONE_US;
+
+	if (waited_us <= 0)
+		return;
+	callers->next_write_us =
+		now_us + MIN(waited_us * PAUSE_FACTOR, PAUSE_MAX_US);
+	/* What is queued goes into the next write. */
+	for (guint i = 0; i < callers->waiting->len; i++) {
+		struct waiting *waiting = callers->waiting->pdata[i];
+
+		if (waiting->state == WAITING_QUEUED)
+			waiting->until_us =
+				MIN(callers->next_write_us + QUEUED_MAX_US,
+				    waiting->call->deadline_us);
+	}
+}
+
+void callers_on_written(struct callers *callers,
+			const struct store_write *write)
+{
+	if (write->write_id != callers->write_id ||
+	    write->writer != STORE_WRITER_ENTRY)
+		return;
+	callers->write_id = 0;
+	pause_writes(callers);
+	if (write->result == STORE_DONE)
+		apply_written(callers, write);
+	for (guint i = 0; i < callers->waiting->len;) {
+		struct waiting *waiting = callers->waiting->pdata[i];
+
+		if (waiting->state != WAITING_WRITTEN ||
+		    waiting->write_id != write->write_id) {
+			i++;
+			continue;
+		}
+		counter_observe(
+			kernel_counters(callers->kernel), "caller_store",
+			kernel_now_us(callers->kernel) - waiting->arrived_us);
+		if (write->result == STORE_DONE)
+			callers_confirm(callers, waiting->call);
+		else
+			callers_refuse(callers, waiting->call, 503,
+				       "the store did not take it");
+		g_ptr_array_remove_index(callers->waiting, i);
+	}
+	callers_send_queued(callers);
+}
+
+void callers_watch_store(struct callers *callers)
+{
+	int64_t now_us = kernel_now_us(callers->kernel);
+	bool silent = callers->has_state && callers_store_is_silent(callers);
+
+	if (silent && !callers->store_lost_us) {
+		callers->store_lost_us = now_us;
+		counter_add(kernel_counters(callers->kernel),
+			    "store_lost_total", 1);
+		decision_log(
+			"dependency",
+			"name=store state=lost read_age_ms=%" G_GINT64_FORMAT
+			" write_age_ms=%" G_GINT64_FORMAT,
+			(now_us - callers->read_us) / USEC_PER_MSEC,
+			callers->write_id ? (now_us - callers->write_sent_us) /
+						    USEC_PER_MSEC
+					  : 0);
+	} else if (!silent && callers->store_lost_us) {
+		decision_log("dependency",
+			     "name=store state=regained "
+			     "lost_ms=%" G_GINT64_FORMAT,
+			     (now_us - callers->store_lost_us) / USEC_PER_MSEC);
+		callers->store_lost_us = 0;
+	}
+}
