Tell a slow store from one that is away and from lost answers

Cause: two signs were taken for a slow store that are none. A write that was repeated through an outage, or once since its answer was lost, looked as if it had waited in the store all the while, and the entry instance paused for 2 s when the store was back. And an append that was sent to a store that is away is never answered, but was awaited for up to 2.8 s.

Change: a write tells the time of the try that was answered, and pauses follow that. A field of writes that nothing read is removed.

Evidence: on the code before, a call after an outage is answered 1.9 s later in jobs_slow_store, and the contract tests repeats_later (extended) and repeats_soon (new) fail.

--- a/src/jobs/callers_write.c
+++ b/src/jobs/callers_write.c
@@ -90,10 +90,10 @@
  * they queue up there, each pauses, so that the writes of the holder, on which
  * all work depends, do not wait behind those of every other one.
  */
-static void pause_writes(struct callers *callers)
+static void pause_writes(struct callers *callers, int64_t took_us)
 {
 	int64_t now_us = kernel_now_us(callers->kernel);
-	int64_t waited_us = now_us - callers->write_sent_us - WRITE_ALONE_US;
+	int64_t waited_us = took_us - WRITE_ALONE_US;
 
 	if (waited_us <= 0)
 		return;
@@ -117,7 +117,7 @@
 	    write->writer != STORE_WRITER_ENTRY)
 		return;
 	callers->write_id = 0;
-	pause_writes(callers);
+	pause_writes(callers, write->took_us);
 	if (write->result == STORE_DONE)
 		apply_written(callers, write);
 	for (guint i = 0; i < callers->waiting->len;) {
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -46,9 +46,9 @@
 	enum store_writer writer;
 	uint64_t token;	    /* holder, fence */
 	GPtrArray *records; /* of struct job_record */
-	int64_t give_up_us; /* not sent after this; 0: never given up */
 	enum store_result result;
 	uint64_t end_offset; /* done */
+	int64_t took_us;     /* the try that was answered */
 };
 
 enum call_kind {
--- a/test/contract/store_write.c
+++ b/test/contract/store_write.c
@@ -1,4 +1,4 @@
-/* Writes to the platform's store, against a server that does not answer. */
+/* Writes to the platform's store, against one that leaves some unanswered. */
 
 #include "contract/bench.h"
 #include "contract/fake_http.h"
@@ -6,37 +6,54 @@
 #include "platform/node.h"
 #include "runner/suite.h"
 
-#define HANG_COUNT 2
+#define REQUESTS_COUNT 5
 
 struct store_test {
 	struct bench *bench;
 	struct fake_http *fake;
+	const bool *answers; /* by request; the rest are left unanswered */
+	bool reads;	     /* are answered while appends wait */
 	uint32_t request_count;
-	int64_t request_us[HANG_COUNT + 1];
-	char *targets[HANG_COUNT + 1];
+	int64_t request_us[REQUESTS_COUNT];
+	char *targets[REQUESTS_COUNT];
 };
 
-/* The last of the requests is answered. */
+static void answer_read(struct store_test *test)
+{
+	struct store_read *read = store_read_new();
+	struct event event = { .type = EVENT_STORE_READ };
+
+	read->reachable = true;
+	event.msg = read;
+	bench_emit(test->bench, &event);
+}
+
 static void handle(void *data, const struct fake_request *request,
 		   struct fake_reply *reply)
 {
 	struct store_test *test = data;
 
-	if (test->request_count <= HANG_COUNT) {
-		test->request_us[test->request_count] = g_get_monotonic_time();
-		test->targets[test->request_count] = g_strdup(request->target);
-	}
-	if (test->request_count++ < HANG_COUNT)
+	if (test->request_count >= REQUESTS_COUNT) {
 		reply->action = FAKE_HANG;
-	else
+		return;
+	}
+	test->request_us[test->request_count] = g_get_monotonic_time();
+	test->targets[test->request_count] = g_strdup(request->target);
+	if (test->reads)
+		answer_read(test);
+	if (test->answers[test->request_count++])
 		reply->body = g_strdup("{\"offset\": 0, \"end_offset\": 1}");
+	else
+		reply->action = FAKE_HANG;
 }
 
-static struct store_test *test_new(void)
+static struct store_test *test_new(const bool *answers, bool reads)
 {
 	struct store_test *test = g_new0(struct store_test, 1);
 	struct node *node = g_new0(struct node, 1);
 
+	test->answers = answers;
+	test->reads = reads;
 	test->bench = bench_new("e1");
 	test->fake = fake_http_new(test->bench->ev, handle, test);
 	g_strlcpy(node->name, "e1", sizeof(node->name));
@@ -54,18 +71,14 @@
 	fake_http_free(test->fake);
 	bench_free(test->bench);
 	node_set(NULL);
-	for (uint32_t i = 0; i <= HANG_COUNT; i++)
+	for (uint32_t i = 0; i < REQUESTS_COUNT; i++)
 		g_free(test->targets[i]);
 	g_free(test);
 }
 
-/*
- * Guards against appends that are repeated every 700 ms while the store is
- * slow: with many writers, their repeats left room for no first append.
- */
-static void repeats_later(void)
+/* Writes a cancellation, and waits until the writes so far have ended. */
+static void write_one(struct store_test *test, uint32_t written_count)
 {
-	struct store_test *test = test_new();
 	struct store_write *write = store_write_new(STORE_WRITER_ENTRY);
 	struct job_record *record = job_record_new(JOB_RECORD_CANCEL);
 	struct event event = { .type = EVENT_STORE_WRITE };
@@ -75,10 +88,28 @@
 	g_ptr_array_add(write->records, record);
 	event.msg = write;
 	bench_emit(test->bench, &event);
-	bench_run(test->bench, EVENT_STORE_WRITTEN, 1);
-	written = bench_event(test->bench, EVENT_STORE_WRITTEN, 0)->msg;
+	bench_run(test->bench, EVENT_STORE_WRITTEN, written_count);
+	written =
+		bench_event(test->bench, EVENT_STORE_WRITTEN, written_count - 1)
+			->msg;
 	CU_ASSERT_EQUAL(written->result, STORE_DONE);
-	CU_ASSERT_EQUAL(test->request_count, HANG_COUNT + 1);
+	/* Of the try that was answered, not of all. */
+	CU_ASSERT(written->took_us < 700 * USEC_PER_MSEC);
+}
+
+/*
+ * Guards against appends that are repeated every 700 ms while the store is
+ * slow: with many writers, their repeats left room for no first append. And
+ * against waits that stay long when the store is quick again.
+ */
+static void repeats_later(void)
+{
+	static const bool answers[REQUESTS_COUNT] = { false, false, true, false,
+						      true };
+	struct store_test *test = test_new(answers, true);
+
+	write_one(test, 1);
+	CU_ASSERT_EQUAL(test->request_count, 3);
 	/* Unchanged, so that the store recognises the repeats. */
 	CU_ASSERT_STRING_EQUAL(test->targets[0], test->targets[1]);
 	CU_ASSERT_STRING_EQUAL(test->targets[0], test->targets[2]);
@@ -86,11 +117,33 @@
 		  700 * USEC_PER_MSEC);
 	CU_ASSERT(test->request_us[2] - test->request_us[1] >=
 		  1400 * USEC_PER_MSEC);
+	write_one(test, 2);
+	CU_ASSERT_EQUAL(test->request_count, REQUESTS_COUNT);
+	CU_ASSERT_STRING_NOT_EQUAL(test->targets[2], test->targets[3]);
+	CU_ASSERT(test->request_us[4] - test->request_us[3] < 2 * USEC_PER_SEC);
+	test_free(test);
+}
+
+/*
+ * Guards against a long wait for an append that was sent to a store that was
+ * away: it is never answered, also when the store is back.
+ */
+static void repeats_soon(void)
+{
+	static const bool answers[REQUESTS_COUNT] = { false, false, false,
+						      true };
+	struct store_test *test = test_new(answers, false);
+
+	write_one(test, 1);
+	CU_ASSERT_EQUAL(test->request_count, 4);
+	CU_ASSERT(test->request_us[3] - test->request_us[0] <
+		  3500 * USEC_PER_MSEC);
 	test_free(test);
 }
 
 static const CU_TestInfo tests[] = {
 	{ "repeats_later", repeats_later },
+	{ "repeats_soon", repeats_soon },
 	CU_TEST_INFO_NULL,
 };
 
--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -114,6 +114,7 @@
 
 	write->result = take(jobs, write);
 	write->end_offset = jobs->store->len;
+	write->took_us = jobs->store_delay_us + WRITE_US;
 	if (write->result == STORE_DONE)
 		note_accepted(jobs, write);
 	jobs_deliver(jobs, entry, EVENT_STORE_WRITTEN, g_rc_box_acquire(write),
