--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -47,19 +47,6 @@
 	done
 }
 
-stop_fleet()
-{
-	for pid in "${pids[@]}"; do
-		kill "$pid" 2>/dev/null
-	done
-	for pid in "${pids[@]}"; do
-		while kill -0 "$pid" 2>/dev/null; do
-			sleep 0.1
-		done
-	done
-	pids=()
-}
-
 # in_force NUMBER FILE: whether an entry instance has a file in force.
 in_force()
 {
@@ -170,7 +157,7 @@
 	idle "$(basename "$1")"
 	wire
 	change
-	stop_fleet
+	stop_started
 }
 
 "$build/bench-capacity" declare >"$work/design.yaml" || exit 1
