--- a/test/contract/fake_http.c
+++ b/test/contract/fake_http.c
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/types.h"
+
 struct fake_http {
 	struct ev_loop *ev;
 	ev_io accept;
@@ -20,6 +22,8 @@
 	struct fake_http *fake;
 	ev_io io;
 	GByteArray *input;
+	ev_timer timer; /* of a delayed answer */
+	GString *delayed;
 };
 
 static void connection_free(gpointer data)
@@ -27,7 +31,10 @@
 	struct connection *connection = data;
 
 	ev_io_stop(connection->fake->ev, &connection->io);
+	ev_timer_stop(connection->fake->ev, &connection->timer);
 	close(connection->io.fd);
+	if (connection->delayed)
+		g_string_free(connection->delayed, TRUE);
 	g_byte_array_unref(connection->input);
 	g_free(connection);
 }
@@ -40,6 +47,29 @@
 		g_warning("fake server can't send");
 }
 
+static void on_delayed(struct ev_loop *ev, ev_timer *watcher, int revents)
+{
+	struct connection *connection = watcher->data;
+
+	(void)ev;
+	(void)revents;
+	send_text(connection, connection->delayed->str,
+		  connection->delayed->len);
+}
+
+static void send_later(struct connection *connection, const GString *text,
+		       int64_t delay_us)
+{
+	if (!connection->delayed)
+		connection->delayed = g_string_new(NULL);
+	g_string_assign(connection->delayed, text->str);
+	ev_timer_init(&connection->timer, on_delayed,
+		      (double)delay_us / USEC_PER_SEC, 0.);
+	connection->timer.data = connection;
+	ev_now_update(connection->fake->ev);
+	ev_timer_start(connection->fake->ev, &connection->timer);
+}
+
 static void send_reply(struct connection *connection,
 		       const struct fake_reply *reply)
 {
@@ -56,7 +86,10 @@
 	if (reply->etag)
 		g_string_append_printf(text, "ETag: %s\r\n", reply->etag);
 	g_string_append_printf(text, "\r\n%s", body);
-	send_text(connection, text->str, text->len);
+	if (reply->delay_us)
+		send_later(connection, text, reply->delay_us);
+	else
+		send_text(connection, text->str, text->len);
 	g_string_free(text, TRUE);
 }
 
--- a/test/contract/fake_http.h
+++ b/test/contract/fake_http.h
@@ -27,6 +27,7 @@
 	unsigned int status;
 	const char *etag; /* NULL: none */
 	char *body;	  /* freed by the server */
+	int64_t delay_us; /* of the answer; no other may be due meanwhile */
 };
 
 typedef void fake_handler_fn(void *data, const struct fake_request *request,
--- a/test/contract/store_write.c
+++ b/test/contract/store_write.c
@@ -13,6 +13,7 @@
 	struct fake_http *fake;
 	const bool *answers; /* by request; the rest are left unanswered */
 	bool reads;	     /* are answered while appends wait */
+	int64_t delay_us;    /* of the answers */
 	uint32_t request_count;
 	int64_t request_us[REQUESTS_COUNT];
 	char *targets[REQUESTS_COUNT];
@@ -41,6 +42,7 @@
 	test->targets[test->request_count] = g_strdup(request->target);
 	if (test->reads)
 		answer_read(test);
+	reply->delay_us = test->delay_us;
 	if (test->answers[test->request_count++])
 		reply->body = g_strdup("{\"offset\": 0, \"end_offset\": 1}");
 	else
@@ -94,6 +96,7 @@
 			->msg;
 	CU_ASSERT_EQUAL(written->result, STORE_DONE);
 	/* Of the try that was answered, not of all. */
+	CU_ASSERT(written->took_us >= test->delay_us - USEC_PER_MSEC);
 	CU_ASSERT(written->took_us < 700 * USEC_PER_MSEC);
 }
 
@@ -141,9 +144,21 @@
 	test_free(test);
 }
 
+/* Guards against pauses that follow no time, or that of another try. */
+static void tells_time(void)
+{
+	static const bool answers[REQUESTS_COUNT] = { true };
+	struct store_test *test = test_new(answers, false);
+
+	test->delay_us = 200 * USEC_PER_MSEC;
+	write_one(test, 1);
+	test_free(test);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "repeats_later", repeats_later },
 	{ "repeats_soon", repeats_soon },
+	{ "tells_time", tells_time },
 	CU_TEST_INFO_NULL,
 };
 
