--- a/src/jobs/callers_write.c
+++ b/src/jobs/callers_write.c
@@ -93,12 +93,17 @@
 static void pause_writes(struct callers *callers, int64_t took_us)
 {
 	int64_t now_us = kernel_now_us(callers->kernel);
-	int64_t waited_us = took_us - WRITE_ALONE_US;
+	int64_t pause_us =
+		MIN((took_us - WRITE_ALONE_US) * PAUSE_FACTOR, PAUSE_MAX_US);
 
-	if (waited_us <= 0)
+	if (pause_us <= 0)
 		return;
-	callers->next_write_us =
-		now_us + MIN(waited_us * PAUSE_FACTOR, PAUSE_MAX_US);
+	decision_log("pause",
+		     "took_ms=%" G_GINT64_FORMAT " pause_ms=%" G_GINT64_FORMAT,
+		     took_us / USEC_PER_MSEC, pause_us / USEC_PER_MSEC);
+	counter_add(kernel_counters(callers->kernel),
+		    "caller_write_pauses_total", 1);
+	callers->next_write_us = now_us + pause_us;
 	/* What is queued goes into the next write. */
 	for (guint i = 0; i < callers->waiting->len; i++) {
 		struct waiting *waiting = callers->waiting->pdata[i];
