--- a/src/jobs/callers.h
+++ b/src/jobs/callers.h
@@ -40,7 +40,10 @@
 
 /* callers.c */
 
+/* Answers a call with 200. */
 void callers_confirm(struct callers *callers, const struct job_call *call);
+
+/* Answers with another status; 503 and 504 tell when to come back. */
 void callers_refuse(struct callers *callers, const struct job_call *call,
 		    uint32_t status, const char *reason);
 
