Let scripts play expired entries, unfenced machines and closed ports

Change: job-fault expired, left and closed; job-fencing; job-worker waves=0. Two unused fields of the fakes are gone.

--- a/test/runner/jobs_machines.c
+++ b/test/runner/jobs_machines.c
@@ -1,7 +1,8 @@
 /*
  * Fake of the machines that workers run on. Checked for every order: nothing
  * runs on a machine that is moved or maintained, and orders of two holders for
- * one machine are a lease apart.
+ * one machine are a lease apart. If machines don't check tokens, no order may
+ * have a lower one than those before it.
  */
 
 #include <string.h>
@@ -102,9 +103,18 @@
 		if (strcmp(machine->name, order->machine) != 0)
 			continue;
 		if (order->token < machine->fence_token) {
+			if (jobs->machines_unfenced)
+				jobs_violation(
+					jobs,
+					"%s is ordered with a lower token",
+					machine->name);
 			order->result = MACHINE_FENCED;
 			break;
 		}
+		if (order->upkeep && machine->outside_waves) {
+			order->result = MACHINE_NOT_IN_WAVE;
+			break;
+		}
 		check_holder_change(jobs, machine, order->token);
 		order->result = MACHINE_OK;
 		if (order->upkeep && machine->upkeep_count)
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -62,12 +62,12 @@
 	bool dead;
 	bool unreachable;   /* orders and answers are lost, but items run on */
 	bool loses_answers; /* orders take effect, but their answers are lost */
-	bool fails_items;   /* the items that it starts fail */
-	bool draining;	    /* the directory shows it as draining */
-	bool other_incarnation; /* another worker answers at its address */
+	bool refuses_connections; /* no order can be sent to it */
+	bool fails_items;	  /* the items that it starts fail */
+	bool draining;		  /* the directory shows it as draining */
+	bool other_incarnation;	  /* another worker answers at its address */
 	bool stalls_items;	/* the items that it starts make no progress */
 	bool allowed_by_advice; /* may run queues that need advice */
-	int64_t late_us;	/* unused */
 	int64_t started_ms;
 	uint64_t fence_token; /* highest token of the orders so far */
 	int64_t lease_until_us;
@@ -91,6 +91,7 @@
 	uint32_t upkeep_count;
 	uint64_t fence_token; /* highest token of the orders so far */
 	int64_t last_order_us;
+	bool outside_waves; /* no wave includes it; refuses maintenance */
 };
 
 struct jobs_world {
@@ -103,7 +104,6 @@
 	bool store_down;
 	int64_t store_delay_us;	 /* until a write takes effect */
 	uint32_t read_max_count; /* records of one read; 0: all */
-	bool store_lose;	 /* unused */
 	GSequence *schedule;	 /* of struct delivery */
 	struct queues *queues;
 	int64_t item_duration_us;
@@ -115,6 +115,7 @@
 	GHashTable
 		*cancelled_jobs;  /* ids of jobs that callers have cancelled */
 	bool machine_list_down;	  /* the list of machines does not answer */
+	bool machines_unfenced;	  /* machines accept orders of any token */
 	bool quiet;		  /* prints no replies and orders */
 	uint32_t entry_cpu_milli; /* of entries started later; 0: unknown */
 	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -61,7 +61,7 @@
 	}
 }
 
-/* job-worker ID pool=POOL [cpu=MILLI] [machine=NAME] [advised=0] */
+/* job-worker ID pool=POOL [cpu=MILLI] [machine=NAME [waves=0]] [advised=0] */
 static void cmd_worker(struct script *script)
 {
 	struct jobs_world *jobs = script_jobs(script);
@@ -76,6 +76,7 @@
 
 		g_strlcpy(made->name, machine, sizeof(made->name));
 		made->worker = worker->id;
+		made->outside_waves = !script_number(script, "waves", 1);
 		g_ptr_array_add(jobs->machines, made);
 	}
 	send_worker_lists(jobs);
@@ -88,6 +89,13 @@
 		!strcmp(script_word(script, 1), "off");
 }
 
+/* job-fencing on|off: whether machines check the token of an order */
+static void cmd_fencing(struct script *script)
+{
+	script_jobs(script)->machines_unfenced =
+		!strcmp(script_word(script, 1), "off");
+}
+
 /* job-reborn MACHINE ID: its worker dies; it is up again with a new one. */
 static void cmd_reborn(struct script *script)
 {
@@ -110,8 +118,10 @@
 }
 
 /*
- * job-fault WORKER dead|dark|cut|lose|other|drains|fails|stalls|ok: sets its
- * only fault, see struct fake_worker; dark: dead, but still in the directory
+ * job-fault WORKER dead|dark|left|cut|expired|lose|closed|other|drains|fails|
+ * stalls|ok: sets its only fault, see struct fake_worker; dark: dead, but still
+ * in the directory; left: dead, and the directory says so; expired: cut off,
+ * and its entry in the directory has expired
  */
 static void cmd_fault(struct script *script)
 {
@@ -124,14 +134,17 @@
 			    script_word(script, 1));
 		return;
 	}
-	if (!strcmp(how, "dead") || !strcmp(how, "dark"))
+	if (!strcmp(how, "dead") || !strcmp(how, "dark") ||
+	    !strcmp(how, "left"))
 		fake_worker_kill(script_jobs(script), worker);
 	worker->listed |= !strcmp(how, "dark");
-	worker->unreachable = !strcmp(how, "cut");
+	worker->listed &= strcmp(how, "expired") != 0;
+	worker->unreachable = !strcmp(how, "cut") || !strcmp(how, "expired");
+	worker->refuses_connections = !strcmp(how, "closed");
 	worker->loses_answers = !strcmp(how, "lose");
 	worker->other_incarnation = !strcmp(how, "other");
 	worker->draining = !strcmp(how, "drains");
-	if (worker->draining)
+	if (worker->draining || !strcmp(how, "left") || !strcmp(how, "expired"))
 		send_worker_lists(script_jobs(script));
 	worker->fails_items = !strcmp(how, "fails");
 	worker->stalls_items = !strcmp(how, "stalls");
@@ -407,6 +420,7 @@
 	{ "job-parking", 1, cmd_parking },   { "job-tickets", 1, cmd_tickets },
 	{ "job-stopping", 1, cmd_stopping }, { "job-cpu", 1, cmd_cpu },
 	{ "job-counter", 2, cmd_counter },   { "job-drain", 1, cmd_drain },
+	{ "job-fencing", 1, cmd_fencing },
 };
 
 SCRIPT_REGISTER(commands)
