Start no work again that a draining worker still runs

A zone is cut off while its workers drain. Their entries in the directory expire after three heartbeats of silence, and the holder took the removal of the entry of a draining worker for its departure.

Change: a removed entry only makes a worker suspect, and the list of machines is read at once. The worker has ended when a list that was asked for later has no machine that is up with it, when its lease has expired, or when it says so. The time that is left to a draining worker is no longer read: nothing depends on it.

Result: jobs_drain_expired fails without the change ("runs on w1 and w2"). jobs_left: work of a worker that did leave is started elsewhere 74 ms later.

--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -93,8 +93,7 @@
 	uint32_t mem_mb;
 	uint32_t gpu_count;
 	bool draining;
-	int64_t remaining_ms; /* minimum time left if draining; 0: unknown */
-	int64_t started_ms;   /* wall clock; start of the worker; 0: unknown */
+	int64_t started_ms; /* wall clock; start of the worker; 0: unknown */
 };
 
 /* EVENT_WORKERS_SEEN: changes of the directory, or its full content. */
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -44,7 +44,6 @@
 	bool listed;	     /* in the directory */
 	int64_t unlisted_us; /* when it left it, or was added unlisted */
 	bool draining;
-	int64_t leaves_us;	   /* earliest departure; 0: unknown */
 	int64_t listed_started_ms; /* start time in the directory; 0: unknown */
 	int64_t reported_started_ms; /* start time in its replies; 0: unknown */
 
--- a/src/jobs/sched_directory.c
+++ b/src/jobs/sched_directory.c
@@ -5,12 +5,6 @@
 #include "jobs/sched.h"
 #include "kernel/decision_log.h"
 
-/*
- * Directory entries may arrive this late, so the real departure of a worker may
- * precede leaves_us by as much.
- */
-#define DRAIN_LEAVE_SLACK_US USEC_PER_SEC
-
 static void update_worker(struct sched *sched, const struct worker_entry *entry)
 {
 	struct worker *worker = worker_get(sched, entry->id);
@@ -29,10 +23,6 @@
 	worker->gpu_count = entry->gpu_count;
 	worker->listed = true;
 	worker->draining = entry->draining;
-	worker->leaves_us = entry->remaining_ms ? sched_now_us(sched) +
-							  entry->remaining_ms *
-								  USEC_PER_MSEC
-						: 0;
 	if (worker->draining)
 		worker->cordon = CORDON_DRAIN;
 	else if (worker->cordon == CORDON_DRAIN)
@@ -56,6 +46,10 @@
 	}
 }
 
+/*
+ * An entry is removed when its worker has left, but also when the worker can't
+ * reach the store. Only the list of machines tells the two apart.
+ */
 static void mark_unlisted(struct sched *sched, struct worker *worker)
 {
 	if (!worker->listed)
@@ -65,9 +59,8 @@
 	decision_log("worker-unlisted", "worker=%s items=%u drained=%d",
 		     worker->id, worker->placed->len, worker->draining);
 	starts_cancel(sched, worker, "unlisted");
-	if (worker->draining && worker->leaves_us &&
-	    sched_now_us(sched) + DRAIN_LEAVE_SLACK_US >= worker->leaves_us)
-		worker_mark_gone(sched, worker, "left");
+	if (worker->placed->len)
+		sched->next_machine_list_us = sched_now_us(sched);
 }
 
 void workers_on_seen(struct sched *sched, const struct workers_seen *seen)
--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -11,8 +11,6 @@
 /* Delay before a machine is moved again, also after a refusal. */
 #define MOVE_RETRY_US (700 * USEC_PER_MSEC)
 #define LIST_RETRY_US (1 * USEC_PER_SEC)
-/* The list is read after so many unanswered holds of a worker with items. */
-#define SUSPECT_UNANSWERED_COUNT 1
 
 void machine_free(gpointer machine)
 {
@@ -84,7 +82,7 @@
 	return !machine->listed;
 }
 
-/* A worker that is silent, or not in the directory since the holder changed. */
+/* A worker that was silent or not in the directory when the list was asked. */
 static bool is_suspect(const struct sched *sched, const struct worker *worker,
 		       int64_t asked_us)
 {
@@ -92,6 +90,8 @@
 		return false;
 	if (!worker->address[0])
 		return sched->directory_seen;
+	if (!worker->listed && worker->unlisted_us < asked_us)
+		return true;
 	return worker->unanswered_count && worker->silent_since_us < asked_us;
 }
 
@@ -173,9 +173,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct worker *worker = value;
 
-		if (!worker->gone &&
-		    worker->unanswered_count >= SUSPECT_UNANSWERED_COUNT &&
-		    worker->placed->len)
+		if (!worker->gone && worker->placed->len &&
+		    (worker->unanswered_count || !worker->listed))
 			return true;
 	}
 	return false;
