Send no order to a machine after a successor may have ordered it

The earlier holder's zone was cut off from 33.5 to 38.5 s; its order arrived at 39.797 and 39.800 s, which is where TCP retransmits for the fifth time after a loss at 33.5 s. The holder had given the order up after 2 s, but closing a connection does not take back what waits to be retransmitted. A second way, found by reading: a holder that is paused between the store's answer and the order sends it when it wakes, up to 6 s later.

Change: closing a connection to the machine service resets it, so that nothing is delivered after the order was given up. An order carries the time by which it must be sent, a quarter of the machine lease after its write began; it is checked again when the connection is ready.

--- a/src/io/http_call.c
+++ b/src/io/http_call.c
@@ -1,5 +1,9 @@
 #include "io/http_call.h"
 
+#include <sys/socket.h>
+
+#include "kernel/clock.h"
+
 #define CONNECT_MAX_MS 1000L
 
 struct http_call {
@@ -9,6 +13,7 @@
 	GBytes *body;
 	GByteArray *response;
 	size_t response_max_bytes;
+	int64_t send_by_us; /* 0: no limit */
 	bool sent;
 	http_done_fn *done;
 	void *data;
@@ -50,12 +55,26 @@
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	if (call->sent)
+	if (call->sent ||
+	    (call->send_by_us && clock_now_us() > call->send_by_us))
 		return CURL_PREREQFUNC_ABORT;
 	call->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
 
+/* With a linger time of 0, closing a socket resets the connection. */
+static int set_reset_on_close(void *self, curl_socket_t fd,
+			      curlsocktype purpose)
+{
+	const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	(void)self;
+	(void)purpose;
+	return setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger))
+		       ? CURL_SOCKOPT_ERROR
+		       : CURL_SOCKOPT_OK;
+}
+
 static void on_done(void *data, CURL *easy, CURLcode code)
 {
 	struct http_call *call = data;
@@ -121,6 +140,7 @@
 	call->easy = easy;
 	call->response = g_byte_array_new();
 	call->response_max_bytes = spec->response_max_bytes;
+	call->send_by_us = spec->send_by_us;
 	call->done = done;
 	call->data = data;
 	curl_easy_setopt(easy, CURLOPT_URL, spec->url);
@@ -132,6 +152,9 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	if (spec->reset_on_close)
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION,
+				 set_reset_on_close);
 	if (curl_loop_submit(loop, easy, on_done, call))
 		return call;
 	call_free(call);
--- a/src/io/http_call.h
+++ b/src/io/http_call.h
@@ -18,6 +18,13 @@
 	const char *const
 		*headers;   /* "Name: value", NULL at the end; or NULL */
 	int64_t timeout_us; /* of the whole call, with the connect */
+	int64_t send_by_us; /* not sent later, by clock_now_us(); 0: no limit */
+	/*
+	 * Resets the connection when it is closed: what the server has not
+	 * received by then, it never will. Applies to the connections that
+	 * this call opens.
+	 */
+	bool reset_on_close;
 	size_t response_max_bytes;
 };
 
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -226,6 +226,7 @@
 	uint64_t wave;		    /* upkeep */
 	uint64_t token;
 	enum machine_result result;
+	int64_t send_by_us; /* must not be sent later; 0: no limit */
 };
 
 /* A worker that may run a step. */
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -165,6 +165,7 @@
 	int64_t next_drop_us; /* next search for ended jobs to drop */
 	bool ends_unstored;   /* ends were received since the last flush */
 
+	int64_t flush_sent_us;	 /* of the newest write */
 	uint64_t list_number;	     /* counts the workers' lists received */
 	uint32_t busy_workers_count; /* with work, at the last check */
 	bool workers_check_requested;
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -99,6 +99,7 @@
 	machine_orders_add_queued(sched, write);
 	add_job_drops(sched, write);
 	sched->flush_write_id = write->write_id;
+	sched->flush_sent_us = now_us;
 	sched->next_flush_us = now_us + FLUSH_PERIOD_US;
 	kernel_emit_msg(sched->kernel, EVENT_STORE_WRITE, write);
 }
@@ -125,8 +126,7 @@
 		return;
 	sched->flush_write_id = 0;
 	counter_observe(kernel_counters(sched->kernel), "store_write",
-			sched_now_us(sched) - sched->next_flush_us +
-				FLUSH_PERIOD_US);
+			sched_now_us(sched) - sched->flush_sent_us);
 	if (write->result == STORE_WRITTEN)
 		on_stored(sched, write->write_id);
 	else if (write->result == STORE_NOT_WRITTEN)
--- a/src/jobs/sched_machine_order.c
+++ b/src/jobs/sched_machine_order.c
@@ -12,6 +12,11 @@
 #define RATE_WINDOW_US USEC_PER_SEC
 /* Share of the platform's rate limit that is used. */
 #define RATE_USED_PERCENT 50
+/*
+ * Part of the machine lease within which an order is sent. The rest is for its
+ * way to the platform, before another holder may order the same machine.
+ */
+#define SEND_WITHIN_LEASE_PERCENT 25
 
 bool machine_may_have_order(const struct sched *sched, const char *name)
 {
@@ -102,10 +107,38 @@
 	return machine && (!worker || !worker->placed->len);
 }
 
+static void refuse_order(struct sched *sched, struct machine_order *order)
+{
+	order->result = MACHINE_REFUSED;
+	kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDERED,
+			g_rc_box_acquire(order));
+}
+
+/*
+ * This process was the holder when the store took the write, but may have been
+ * paused since. A successor waits for a machine lease from its own start on.
+ */
+static int64_t send_by_us(const struct sched *sched)
+{
+	return sched->flush_sent_us + sched->bounds->machine_lease_us *
+					      SEND_WITHIN_LEASE_PERCENT / 100;
+}
+
 static void send_order(struct sched *sched, struct machine_order *order)
 {
 	struct machine *machine = machine_find(sched, order->machine);
 
+	order->send_by_us = send_by_us(sched);
+	if (sched_now_us(sched) > order->send_by_us) {
+		decision_log(
+			"machine-order",
+			"machine=%s result=too-late stored_ms=%" G_GINT64_FORMAT,
+			order->machine,
+			(sched_now_us(sched) - sched->flush_sent_us) /
+				USEC_PER_MSEC);
+		refuse_order(sched, order);
+		return;
+	}
 	decision_log("machine-order",
 		     "machine=%s kind=%s wave=%" G_GUINT64_FORMAT " pool=%s",
 		     order->machine, order->upkeep ? "upkeep" : "move",
@@ -121,13 +154,10 @@
 	for (guint i = 0; i < sched->orders_storing->len; i++) {
 		struct machine_order *order = sched->orders_storing->pdata[i];
 
-		if (stored && is_still_empty(sched, order)) {
+		if (stored && is_still_empty(sched, order))
 			send_order(sched, order);
-			continue;
-		}
-		order->result = MACHINE_REFUSED;
-		kernel_emit_msg(sched->kernel, EVENT_MACHINE_ORDERED,
-				g_rc_box_acquire(order));
+		else
+			refuse_order(sched, order);
 	}
 	g_ptr_array_set_size(sched->orders_storing, 0);
 }
--- a/test/contract/fake_http.c
+++ b/test/contract/fake_http.c
@@ -1,6 +1,7 @@
 #include "contract/fake_http.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -16,6 +17,7 @@
 	fake_handler_fn *handler;
 	void *data;
 	GHashTable *connections; /* set of struct connection */
+	uint32_t resets_count;
 };
 
 struct connection {
@@ -144,6 +146,8 @@
 	(void)ev;
 	(void)revents;
 	if (got <= 0) {
+		connection->fake->resets_count +=
+			got < 0 && errno == ECONNRESET;
 		g_hash_table_remove(connection->fake->connections, connection);
 		return;
 	}
@@ -186,6 +190,11 @@
 	g_hash_table_add(fake->connections, connection);
 }
 
+uint32_t fake_http_resets_count(const struct fake_http *fake)
+{
+	return fake->resets_count;
+}
+
 void fake_http_listen(struct fake_http *fake, bool listens)
 {
 	struct sockaddr_in address = {
--- a/test/contract/fake_http.h
+++ b/test/contract/fake_http.h
@@ -6,6 +6,7 @@
 #include <ev.h>
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 enum fake_action {
 	FAKE_ANSWER,
@@ -42,6 +43,9 @@
 /* "127.0.0.1:port" */
 const char *fake_http_address(const struct fake_http *fake);
 
+/* Connections that clients have reset so far. */
+uint32_t fake_http_resets_count(const struct fake_http *fake);
+
 /* Closes all connections; refuses new ones unless listens is true. */
 void fake_http_listen(struct fake_http *fake, bool listens);
 
