Refuse jobs whose number of items exceeds 64 bits

Cause: found while looking for messages that end a process. A job of 2^33 items run 2^31 times passed the check, as the product of both is 0 in 64 bits. Every entry instance then allocates an entry for each occurrence and step, which no machine has memory for: it ends, and ends again at each start, since the job is stored. Due times could exceed 64 bits in the same way.

Change: the check divides instead, and bounds the due time and the interval.

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -62,8 +62,13 @@
 			return "a step depends on itself or on a later one";
 		item_count += step->item_count;
 	}
-	if (item_count * job_spec_occurrences(spec) > JOB_ITEMS_MAX_COUNT)
+	/* Divides, as the product of both may exceed 64 bits. */
+	if (item_count > JOB_ITEMS_MAX_COUNT / job_spec_occurrences(spec))
 		return "expected at most 20000 work items";
+	if (spec->first_due_ms < 0 || spec->first_due_ms > JOB_TIME_MAX_MS ||
+	    spec->interval_ms < 0 ||
+	    spec->interval_ms > JOB_TIME_MAX_MS / job_spec_occurrences(spec))
+		return "a time of the job is out of range";
 	return NULL;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -15,6 +15,8 @@
 #define JOB_STEPS_MAX_COUNT 64
 #define JOB_ITEMS_MAX_COUNT 20000
 #define JOB_TEXT_MAX_BYTES 4000
+/* Until 2286; sums of two, in microseconds, fit into 64 bits. */
+#define JOB_TIME_MAX_MS INT64_C(10000000000000)
 
 struct job_step {
 	uint32_t item_count;
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -270,6 +270,14 @@
 	CU_ASSERT_EQUAL(record->size_bytes, 0);
 	topic_batch_free(batch);
 	g_bytes_unref(body);
+		/* 2^33 items 2^31 times: the product doesn't fit 64 bits. */
+		("{\"spec\":\"t\",\"steps\":[{\"count\":4294967295},"
+		 "{\"count\":4294967295},{\"count\":2}],"
+		 "\"times\":2147483648}"),
+		("{\"spec\":\"t\",\"steps\":[{\"count\":1}],\"times\":9,"
+		 "\"start_at_ms\":9007199254740992}"),
+		("{\"spec\":\"t\",\"steps\":[{\"count\":1}],\"times\":9,"
+		 "\"interval_ms\":9007199254740992}"),
 	for (size_t length = 1; length < sizeof(read); length++) {
 		bool whole = length == 16 || length == 24;
 
