Parse addresses in one place

Cause: declarations and the HTTP server had a parser of "IP:port" each, and entries of workers need one.

Change: core/address.c, used by both. An address in a declaration may no longer have a sign before its port.

--- a/src/codec/yaml_doc.c
+++ b/src/codec/yaml_doc.c
@@ -1,9 +1,10 @@
 #include "codec/yaml_doc.h"
 
-#include <arpa/inet.h>
 #include <stdarg.h>
 #include <string.h>
 
+#include "core/address.h"
+
 static bool read_name(const char *text, const struct yaml_field *field,
 		      void *dest)
 {
@@ -34,20 +35,8 @@
 static bool read_address(const char *text, const struct yaml_field *field,
 			 void *dest)
 {
-	struct yaml_field port = { .min = 1, .max = 65535 };
-	const char *colon = strrchr(text, ':');
-	char host[ADDRESS_SIZE_BYTES];
-	struct in_addr address;
-	int64_t number;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		return false;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	if (inet_pton(AF_INET, host, &address) != 1 ||
-	    !read_integer(colon + 1, &port, &number))
-		return false;
-	return name_copy(dest, field->size_bytes, text);
+	return address_is_valid(text) &&
+	       name_copy(dest, field->size_bytes, text);
 }
 
 static bool read_u32(const char *text, const struct yaml_field *field,
--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -2,13 +2,13 @@
 
 #include "io/mhd_loop.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "core/address.h"
 #include "io/mhd_private.h"
 #include "kernel/clock.h"
 #include "kernel/klog.h"
@@ -138,23 +138,6 @@
 	*socket_context = NULL;
 }
 
-static bool parse_address(const char *address, struct sockaddr_in *to)
-{
-	const char *colon = strrchr(address, ':');
-	char ip[INET_ADDRSTRLEN];
-	guint64 port;
-
-	if (!colon || (size_t)(colon - address) >= sizeof(ip) ||
-	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, UINT16_MAX, &port,
-					NULL))
-		return false;
-	memcpy(ip, address, (size_t)(colon - address));
-	ip[colon - address] = '\0';
-	to->sin_family = AF_INET;
-	to->sin_port = htons((uint16_t)port);
-	return inet_pton(AF_INET, ip, &to->sin_addr) == 1;
-}
-
 static struct MHD_Daemon *start_daemon(struct httpd *httpd,
 				       const struct sockaddr_in *address)
 {
@@ -197,7 +180,7 @@
 	struct sockaddr_in to = { 0 };
 	struct httpd *httpd;
 
-	if (!parse_address(address, &to)) {
+	if (!address_parse(address, &to)) {
 		klog_error(LOG_PREFIX,
 			   "invalid listening address \"%s\": expected IP:port",
 			   address);
