Let one odd record of a topic cost that record only

Cause: a report of operators: one odd entry among those of the workers, and the machines that read the list stopped following it. It could happen here, in three ways. A last record without a key was read again for ever, without a pause. A key with a NUL passed for the key before the NUL, so that another writer could replace the entry of a worker. A page that could not be continued passed for the last one.

Change: an invalid record is left out and counted. The position of the next read counts all records. A key of more than 255 bytes isn't encoded, where its length was cut to 8 bits.

--- a/test/contract/harness.c
+++ b/test/contract/harness.c
@@ -20,6 +20,10 @@
 			g_bytes_ref(copy->peer.msg->state);
 		break;
 	case EVENT_STORE_WRITTEN:
+	case EVENT_ORDER_DONE:
+	case EVENT_MACHINE_ORDERED:
+	case EVENT_CONFIG_SEEN:
+	case EVENT_WORKERS_SEEN:
 		g_rc_box_acquire(copy->msg);
 		break;
 	default:
@@ -65,7 +69,11 @@
 				 EVENT_BIT(EVENT_LOG_APPENDED) |
 				 EVENT_BIT(EVENT_INSTANCE_LIST) |
 				 EVENT_BIT(EVENT_PEER_RECEIVED) |
-				 EVENT_BIT(EVENT_STORE_WRITTEN),
+				 EVENT_BIT(EVENT_STORE_WRITTEN) |
+				 EVENT_BIT(EVENT_ORDER_DONE) |
+				 EVENT_BIT(EVENT_MACHINE_ORDERED) |
+				 EVENT_BIT(EVENT_CONFIG_SEEN) |
+				 EVENT_BIT(EVENT_WORKERS_SEEN),
 		.handle = probe_handle,
 	};
 	kernel_start_plugin_with(harness->kernel, &harness->probe, harness);
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -413,6 +413,91 @@
 	CU_ASSERT_PTR_NULL(
 		job_codec_decode(keys[0], (const uint8_t *)"\xff", 1));
 	job_record_unref(read);
+/* Guards against a record without a valid key that is read again for ever. */
+static void test_topic_invalid_record(void)
+{
+	static const uint8_t read[] = {
+		0, 0, 0, 0, 0, 0,   0, 9,   0, 0, 0, 0, 0, 0, 0, 0, /* header */
+		0, 0, 0, 0,					    /* empty */
+		0, 0, 0, 2, 0, 'v',	    /* an empty key */
+		0, 0, 0, 2, 9, 'v',	    /* a key beyond the end */
+		0, 0, 0, 4, 2, 'k', 0, 'v', /* a key with a NUL */
+	};
+	struct topic_batch *batch = topic_batch_new();
+	GBytes *body = g_bytes_new(read, sizeof(read));
+
+	CU_ASSERT_TRUE(topic_parse_read(body, 5, batch));
+	CU_ASSERT_EQUAL(batch->records->len, 0);
+	CU_ASSERT_EQUAL(batch->invalid_count, 4);
+	CU_ASSERT_EQUAL(batch->next_offset, 9);
+	topic_batch_free(batch);
+	g_bytes_unref(body);
+}
+
+static void check_page(const char *text, bool parsed, guint records_count,
+		       const char *expected_next_key)
+{
+	struct topic_batch *batch = topic_batch_new();
+	char *next_key;
+
+	CU_ASSERT_EQUAL(
+		topic_parse_snapshot(text, strlen(text), batch, &next_key),
+		parsed);
+	CU_ASSERT_EQUAL(batch->records->len, records_count);
+	CU_ASSERT_EQUAL(g_strcmp0(next_key, expected_next_key), 0);
+	g_free(next_key);
+	topic_batch_free(batch);
+}
+
+#define PAGE(items, has_more)                                                  \
+	"{\"items\":[" items "],\"has_more\":" has_more ",\"end_offset\":9}"
+#define ITEM(key) "{\"key\":\"" key "\",\"value\":\"\",\"offset\":1}"
+
+/*
+ * Guards against one odd record that makes a page of 500 unreadable, and
+ * against a page that can't be continued but passes for the last one.
+ */
+static void test_topic_snapshot(void)
+{
+	check_page(PAGE(ITEM("a") "," ITEM("b c"), "true"), true, 2, "b%20c");
+	check_page(PAGE(ITEM("a") ",{\"key\":\"b\"},7," ITEM("c"), "false"),
+		   true, 2, NULL);
+	check_page(PAGE(ITEM("a") "," ITEM("b\\u0000"), "true"), true, 1, "a");
+	check_page(PAGE(ITEM("b\\u0000"), "true"), true, 0, "b%00");
+	check_page(PAGE(ITEM("a") "," ITEM("") "," ITEM("c"), "true"), true, 2,
+		   "c");
+	check_page(PAGE(ITEM("\xff") "," ITEM("c"), "false"), true, 2, NULL);
+	check_page(PAGE("7", "true"), false, 0, NULL);
+	check_page("{\"items\":{}}", false, 0, NULL);
+	check_page("[", false, 0, NULL);
+}
+
+/* Guards against a length of the key that is cut to 8 bits. */
+static void test_topic_encode(void)
+{
+	GByteArray *body = g_byte_array_new();
+	GBytes *value = g_bytes_new_static("v", 1);
+	char *key = g_strnfill(256, 'k');
+
+	CU_ASSERT_FALSE(topic_encode_record(body, key, value));
+	CU_ASSERT_FALSE(topic_encode_record(body, "", value));
+	CU_ASSERT_EQUAL(body->len, 0);
+	CU_ASSERT_TRUE(topic_encode_record(body, key + 1, value));
+	CU_ASSERT_EQUAL(body->len, 4 + 1 + 255 + 1);
+	g_free(key);
+	g_bytes_unref(value);
+	g_byte_array_unref(body);
+}
+
+/* Guards against a body that can't be encoded and ended the process. */
+static void test_json_to_bytes(void)
+{
+	GBytes *bytes = json_to_bytes(json_string("\xe2\x82"));
+
+	CU_ASSERT_EQUAL(g_bytes_get_size(bytes), 2);
+	g_bytes_unref(bytes);
+}
+
 	g_bytes_unref(value);
 	job_record_unref(record);
 }
@@ -489,3 +574,7 @@
 static struct suite platform_suite = { .name = "platform", .tests = tests };
 
 SUITE_REGISTER(platform_suite)
+	{ "topic, invalid record", test_topic_invalid_record },
+	{ "topic, snapshot", test_topic_snapshot },
+	{ "topic, encode", test_topic_encode },
+	{ "json to bytes", test_json_to_bytes },
