Bound the numbers, ids and addresses that decoders accept

Doubles were cast to 32 bits unchecked, and milliseconds multiplied to microseconds without a bound, which is undefined when it overflows. A port of 0 or 70000, or no port, was accepted; each order to such a worker failed. The id of a worker goes into a header and into logs, where a line break starts another one. A reason cut within a character can't be encoded as JSON, and ended the process.

An address has to parse. An id consists of visible ASCII characters and fits a name. A body that can't be encoded is an empty object.

A configuration with one invalid route is still rejected as a whole, and the version before it stays in force: an operator's change applies whole or not at all, as with declarations, and a route that is left out would be answered with 404, which tells callers that their queue does not exist.

Result: unit tests of each, which fail without the change. Depth is no problem: the parser stops at 2048 levels (test "worker, deep").

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -258,6 +258,10 @@
 
 	if (!from)
 		return NULL;
+	if (from->submitted_ms < 0 || from->submitted_ms > JOB_TIME_MAX_MS) {
+		pl__job_submission__free_unpacked(from, NULL);
+		return NULL;
+	}
 	record = job_record_new(JOB_RECORD_SUBMIT);
 	record->spec = job_spec_new();
 	name_copy(record->queue, sizeof(record->queue), from->queue);
--- a/src/jobs/table.c
+++ b/src/jobs/table.c
@@ -98,8 +98,10 @@
 	item->failed_count = progress->failed_count;
 	item->worker = progress->worker;
 	item->phase = progress->worker ? ITEM_STARTING : ITEM_WAITING;
-	if (progress->checkpoint)
+	if (progress->checkpoint) {
+		g_free(item->checkpoint);
 		item->checkpoint = g_strdup(progress->checkpoint);
+	}
 }
 
 static void apply_progress(struct job_table *table,
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -9,6 +9,7 @@
 #include "platform/advice_wire.h"
 #include "platform/directory_wire.h"
 #include "platform/job_wire.h"
+#include "platform/json.h"
 #include "platform/node.h"
 #include "platform/order_wire.h"
 #include "platform/topic.h"
@@ -19,6 +20,10 @@
 	"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,\"mem_mb\":100,"       \
 	"\"gpu\":0},\"labels\":[\"a\",\"r1\"]" fields "}"
 
+#define WORKER_AT(address)                                                     \
+	"{\"service\":\"p\",\"address\":\"" address "\",\"zone\":\"z\","       \
+	"\"state\":\"ready\",\"capacity\":{}}"
+
 static struct worker_entry *read_worker(const char *text, const char **reason)
 {
 	return directory_parse_worker("w1", (const uint8_t *)text, strlen(text),
@@ -62,6 +67,17 @@
 		WORKER(",\"capacity\":{\"cpu\":99999999999}"),
 		WORKER(",\"labels\":\"a\""),
 		WORKER(",\"labels\":[1]"),
+		WORKER(",\"born\":9223372036854775807"),
+		WORKER(",\"x\":1e400"),
+		WORKER_AT("10.0.0.1"),
+		WORKER_AT("10.0.0.1:"),
+		WORKER_AT("10.0.0.1:0"),
+		WORKER_AT("10.0.0.1:70000"),
+		WORKER_AT("10.0.0.1:-1"),
+		WORKER_AT(" 10.0.0.1:80"),
+		WORKER_AT("10.0.0.1:80 "),
+		WORKER_AT("10.0.0.1:80/x"),
+		WORKER_AT("host:80"),
 	};
 	const char *reason;
 
@@ -71,11 +87,52 @@
 	}
 }
 
+/* Guards against an id that ends a header or a line of the log. */
+static void test_worker_id(void)
+{
+	static const char text[] = WORKER("");
+	static const char *const invalid[] = {
+		"",
+		"w\r\nX-A: b",
+		"w 1",
+		"w\x7f",
+		"\xff",
+		"0123456789012345678901234567890123456789"
+		"012345678901234567890123",
+	};
+	const char *reason;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		CU_ASSERT_PTR_NULL(directory_parse_worker(
+			invalid[i], (const uint8_t *)text, strlen(text),
+			&reason));
+		CU_ASSERT_STRING_EQUAL(reason, "id");
+	}
+}
+
+/* Guards against running out of stack, and against a value read past its end.
+ */
+static void test_worker_deep(void)
+{
+	char *deep = g_strnfill(100000, '[');
+	char *text = g_strdup_printf("{\"x\":%s", deep);
+	const char *reason;
+
+	CU_ASSERT_PTR_NULL(read_worker(text, &reason));
+	CU_ASSERT_STRING_EQUAL(reason, "JSON object");
+	g_free(text);
+	g_free(deep);
+}
+
 #define CONFIG(routes)                                                         \
 	"{\"version\":7,\"routes\":[" routes                                   \
 	"],\"services\":[{\"name\":\"p\",\"standby\":true}],"                  \
 	"\"limits\":{\"max_body_bytes\":100}}"
 
+#define ROUTE(fields)                                                          \
+	CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","         \
+	       "\"service\":\"p\"," fields "}")
+
 static void test_config(void)
 {
 	static const char text[] = CONFIG(
@@ -117,6 +174,12 @@
 		"{\"version\":7,\"routes\":[]}",
 		CONFIG("{}"),
 		CONFIG("{\"name\":\"r\",\"host\":\"h\",\"service\":\"p\"}"),
+		ROUTE("\"timeout_ms\":9223372036854775807"),
+		ROUTE("\"target_duration_ms\":1e300"),
+		ROUTE("\"slack_factor\":1e300"),
+		ROUTE("\"slack_factor\":-1"),
+		ROUTE("\"recommendation\":{\"decision_ms\":1e300}"),
+		ROUTE("\"max_attempts\":4294967296"),
 	};
 	const char *reason;
 
@@ -128,6 +191,36 @@
 	}
 }
 
+/* Guards against durations that don't fit, and that were cast unchecked. */
+static void test_wave(void)
+{
+	static const char *const damaged[] = {
+		"",
+		"{\"wave\":1}",
+		"{\"wave\":1,\"machines\":[7]}",
+		"{\"wave\":1,\"machines\":[],\"duration_s\":1e300}",
+		"{\"wave\":1,\"machines\":[],\"duration_s\":-1}",
+		"{\"wave\":1,\"machines\":[],\"duration_s\":\"9\"}",
+	};
+	static const char text[] =
+		"{\"wave\":1,\"machines\":[\"m1\"],\"duration_s\":2.5}";
+	struct event event = { .type = EVENT_WAVE_SEEN };
+	const char *reason;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(damaged); i++) {
+		CU_ASSERT_PTR_NULL(
+			directory_parse_wave((const uint8_t *)damaged[i],
+					     strlen(damaged[i]), &reason));
+		CU_ASSERT_PTR_NOT_NULL(reason);
+	}
+	event.msg = directory_parse_wave((const uint8_t *)text, strlen(text),
+					 &reason);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(event.msg);
+	CU_ASSERT_EQUAL(((const struct wave_seen *)event.msg)->duration_us,
+			2500 * USEC_PER_MSEC);
+	event_clear(&event);
+}
+
 static struct job_spec *read_job(const char *text)
 {
 	GBytes *body = g_bytes_new(text, strlen(text));
@@ -177,6 +270,14 @@
 		("{\"spec\":\"t\",\"steps\":[{\"count\":1,"
 		 "\"depends_on\":[0]}]}"),
 		"{\"spec\":\"t\",\"steps\":[{\"count\":20001}]}",
+		/* 2^33 items 2^31 times: the product doesn't fit 64 bits. */
+		("{\"spec\":\"t\",\"steps\":[{\"count\":4294967295},"
+		 "{\"count\":4294967295},{\"count\":2}],"
+		 "\"times\":2147483648}"),
+		("{\"spec\":\"t\",\"steps\":[{\"count\":1}],\"times\":9,"
+		 "\"start_at_ms\":9007199254740992}"),
+		("{\"spec\":\"t\",\"steps\":[{\"count\":1}],\"times\":9,"
+		 "\"interval_ms\":9007199254740992}"),
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(damaged); i++)
@@ -224,6 +325,37 @@
 		    ORDER_UNANSWERED);
 }
 
+#define HOLD(running, ended)                                                   \
+	"{\"running\":[" running "],\"finished\":[" ended "]}"
+
+/* Guards against numbers of a worker that do not fit and were cut. */
+static void test_order_numbers(void)
+{
+	struct event event = { .type = EVENT_ORDER };
+	struct order *order = order_new(ORDER_HOLD);
+	static const char text[] =
+		"{\"clock_ms\":9223372036854775807,\"running\":"
+		"[[\"a\",1,\"\",1e300,-3]],\"finished\":[]}";
+
+	order_wire_parse(order, 200, text, strlen(text));
+	CU_ASSERT_EQUAL(order->result, ORDER_OK);
+	CU_ASSERT_FALSE(order->has_clock);
+	CU_ASSERT_EQUAL(
+		g_array_index(order->running, struct running_row, 0).percent,
+		UINT32_MAX);
+	CU_ASSERT_EQUAL(
+		g_array_index(order->running, struct running_row, 0).observed,
+		0);
+	event.msg = order;
+	event_clear(&event);
+	check_order(ORDER_HOLD, 200, HOLD("[\"a\",4294967296,\"\",1,1]", ""),
+		    ORDER_UNANSWERED);
+	check_order(ORDER_HOLD, 200, HOLD("", "[-1,\"b\",1,\"done\",\"\"]"),
+		    ORDER_UNANSWERED);
+	check_order(ORDER_HOLD, 200, HOLD("", "[0,\"b\",1,\"done\",\"\"]"),
+		    ORDER_UNANSWERED);
+}
+
 static void check_advice(const char *text, bool answered, guint allowed_count)
 {
 	struct advice *advice = advice_new();
@@ -270,14 +402,6 @@
 	CU_ASSERT_EQUAL(record->size_bytes, 0);
 	topic_batch_free(batch);
 	g_bytes_unref(body);
-		/* 2^33 items 2^31 times: the product doesn't fit 64 bits. */
-		("{\"spec\":\"t\",\"steps\":[{\"count\":4294967295},"
-		 "{\"count\":4294967295},{\"count\":2}],"
-		 "\"times\":2147483648}"),
-		("{\"spec\":\"t\",\"steps\":[{\"count\":1}],\"times\":9,"
-		 "\"start_at_ms\":9007199254740992}"),
-		("{\"spec\":\"t\",\"steps\":[{\"count\":1}],\"times\":9,"
-		 "\"interval_ms\":9007199254740992}"),
 	for (size_t length = 1; length < sizeof(read); length++) {
 		bool whole = length == 16 || length == 24;
 
@@ -289,6 +413,91 @@
 	}
 }
 
+/* Guards against a record without a valid key that is read again for ever. */
+static void test_topic_invalid_record(void)
+{
+	static const uint8_t read[] = {
+		0, 0, 0, 0, 0, 0,   0, 9,   0, 0, 0, 0, 0, 0, 0, 0, /* header */
+		0, 0, 0, 0,					    /* empty */
+		0, 0, 0, 2, 0, 'v',	    /* an empty key */
+		0, 0, 0, 2, 9, 'v',	    /* a key beyond the end */
+		0, 0, 0, 4, 2, 'k', 0, 'v', /* a key with a NUL */
+	};
+	struct topic_batch *batch = topic_batch_new();
+	GBytes *body = g_bytes_new(read, sizeof(read));
+
+	CU_ASSERT_TRUE(topic_parse_read(body, 5, batch));
+	CU_ASSERT_EQUAL(batch->records->len, 0);
+	CU_ASSERT_EQUAL(batch->invalid_count, 4);
+	CU_ASSERT_EQUAL(batch->next_offset, 9);
+	topic_batch_free(batch);
+	g_bytes_unref(body);
+}
+
+static void check_page(const char *text, bool parsed, guint records_count,
+		       const char *expected_next_key)
+{
+	struct topic_batch *batch = topic_batch_new();
+	char *next_key;
+
+	CU_ASSERT_EQUAL(
+		topic_parse_snapshot(text, strlen(text), batch, &next_key),
+		parsed);
+	CU_ASSERT_EQUAL(batch->records->len, records_count);
+	CU_ASSERT_EQUAL(g_strcmp0(next_key, expected_next_key), 0);
+	g_free(next_key);
+	topic_batch_free(batch);
+}
+
+#define PAGE(items, has_more)                                                  \
+	"{\"items\":[" items "],\"has_more\":" has_more ",\"end_offset\":9}"
+#define ITEM(key) "{\"key\":\"" key "\",\"value\":\"\",\"offset\":1}"
+
+/*
+ * Guards against one odd record that makes a page of 500 unreadable, and
+ * against a page that can't be continued but passes for the last one.
+ */
+static void test_topic_snapshot(void)
+{
+	check_page(PAGE(ITEM("a") "," ITEM("b c"), "true"), true, 2, "b%20c");
+	check_page(PAGE(ITEM("a") ",{\"key\":\"b\"},7," ITEM("c"), "false"),
+		   true, 2, NULL);
+	check_page(PAGE(ITEM("a") "," ITEM("b\\u0000"), "true"), true, 1, "a");
+	check_page(PAGE(ITEM("b\\u0000"), "true"), true, 0, "b%00");
+	check_page(PAGE(ITEM("a") "," ITEM("") "," ITEM("c"), "true"), true, 2,
+		   "c");
+	check_page(PAGE(ITEM("\xff") "," ITEM("c"), "false"), true, 2, NULL);
+	check_page(PAGE("7", "true"), false, 0, NULL);
+	check_page("{\"items\":{}}", false, 0, NULL);
+	check_page("[", false, 0, NULL);
+}
+
+/* Guards against a length of the key that is cut to 8 bits. */
+static void test_topic_encode(void)
+{
+	GByteArray *body = g_byte_array_new();
+	GBytes *value = g_bytes_new_static("v", 1);
+	char *key = g_strnfill(256, 'k');
+
+	CU_ASSERT_FALSE(topic_encode_record(body, key, value));
+	CU_ASSERT_FALSE(topic_encode_record(body, "", value));
+	CU_ASSERT_EQUAL(body->len, 0);
+	CU_ASSERT_TRUE(topic_encode_record(body, key + 1, value));
+	CU_ASSERT_EQUAL(body->len, 4 + 1 + 255 + 1);
+	g_free(key);
+	g_bytes_unref(value);
+	g_byte_array_unref(body);
+}
+
+/* Guards against a body that can't be encoded and ended the process. */
+static void test_json_to_bytes(void)
+{
+	GBytes *bytes = json_to_bytes(json_string("\xe2\x82"));
+
+	CU_ASSERT_EQUAL(g_bytes_get_size(bytes), 2);
+	g_bytes_unref(bytes);
+}
+
 static void test_node_refused(void)
 {
 	static const char *const damaged[] = {
@@ -413,91 +622,6 @@
 	CU_ASSERT_PTR_NULL(
 		job_codec_decode(keys[0], (const uint8_t *)"\xff", 1));
 	job_record_unref(read);
-/* Guards against a record without a valid key that is read again for ever. */
-static void test_topic_invalid_record(void)
-{
-	static const uint8_t read[] = {
-		0, 0, 0, 0, 0, 0,   0, 9,   0, 0, 0, 0, 0, 0, 0, 0, /* header */
-		0, 0, 0, 0,					    /* empty */
-		0, 0, 0, 2, 0, 'v',	    /* an empty key */
-		0, 0, 0, 2, 9, 'v',	    /* a key beyond the end */
-		0, 0, 0, 4, 2, 'k', 0, 'v', /* a key with a NUL */
-	};
-	struct topic_batch *batch = topic_batch_new();
-	GBytes *body = g_bytes_new(read, sizeof(read));
-
-	CU_ASSERT_TRUE(topic_parse_read(body, 5, batch));
-	CU_ASSERT_EQUAL(batch->records->len, 0);
-	CU_ASSERT_EQUAL(batch->invalid_count, 4);
-	CU_ASSERT_EQUAL(batch->next_offset, 9);
-	topic_batch_free(batch);
-	g_bytes_unref(body);
-}
-
-static void check_page(const char *text, bool parsed, guint records_count,
-		       const char *expected_next_key)
-{
-	struct topic_batch *batch = topic_batch_new();
-	char *next_key;
-
-	CU_ASSERT_EQUAL(
-		topic_parse_snapshot(text, strlen(text), batch, &next_key),
-		parsed);
-	CU_ASSERT_EQUAL(batch->records->len, records_count);
-	CU_ASSERT_EQUAL(g_strcmp0(next_key, expected_next_key), 0);
-	g_free(next_key);
-	topic_batch_free(batch);
-}
-
-#define PAGE(items, has_more)                                                  \
-	"{\"items\":[" items "],\"has_more\":" has_more ",\"end_offset\":9}"
-#define ITEM(key) "{\"key\":\"" key "\",\"value\":\"\",\"offset\":1}"
-
-/*
- * Guards against one odd record that makes a page of 500 unreadable, and
- * against a page that can't be continued but passes for the last one.
- */
-static void test_topic_snapshot(void)
-{
-	check_page(PAGE(ITEM("a") "," ITEM("b c"), "true"), true, 2, "b%20c");
-	check_page(PAGE(ITEM("a") ",{\"key\":\"b\"},7," ITEM("c"), "false"),
-		   true, 2, NULL);
-	check_page(PAGE(ITEM("a") "," ITEM("b\\u0000"), "true"), true, 1, "a");
-	check_page(PAGE(ITEM("b\\u0000"), "true"), true, 0, "b%00");
-	check_page(PAGE(ITEM("a") "," ITEM("") "," ITEM("c"), "true"), true, 2,
-		   "c");
-	check_page(PAGE(ITEM("\xff") "," ITEM("c"), "false"), true, 2, NULL);
-	check_page(PAGE("7", "true"), false, 0, NULL);
-	check_page("{\"items\":{}}", false, 0, NULL);
-	check_page("[", false, 0, NULL);
-}
-
-/* Guards against a length of the key that is cut to 8 bits. */
-static void test_topic_encode(void)
-{
-	GByteArray *body = g_byte_array_new();
-	GBytes *value = g_bytes_new_static("v", 1);
-	char *key = g_strnfill(256, 'k');
-
-	CU_ASSERT_FALSE(topic_encode_record(body, key, value));
-	CU_ASSERT_FALSE(topic_encode_record(body, "", value));
-	CU_ASSERT_EQUAL(body->len, 0);
-	CU_ASSERT_TRUE(topic_encode_record(body, key + 1, value));
-	CU_ASSERT_EQUAL(body->len, 4 + 1 + 255 + 1);
-	g_free(key);
-	g_bytes_unref(value);
-	g_byte_array_unref(body);
-}
-
-/* Guards against a body that can't be encoded and ended the process. */
-static void test_json_to_bytes(void)
-{
-	GBytes *bytes = json_to_bytes(json_string("\xe2\x82"));
-
-	CU_ASSERT_EQUAL(g_bytes_get_size(bytes), 2);
-	g_bytes_unref(bytes);
-}
-
 	g_bytes_unref(value);
 	job_record_unref(record);
 }
@@ -555,13 +679,21 @@
 static const CU_TestInfo tests[] = {
 	{ "worker", test_worker },
 	{ "worker refused", test_worker_refused },
+	{ "worker, id", test_worker_id },
+	{ "worker, deep", test_worker_deep },
+	{ "wave", test_wave },
 	{ "config", test_config },
 	{ "config refused", test_config_refused },
 	{ "job", test_job },
 	{ "job refused", test_job_refused },
 	{ "order", test_order },
+	{ "order, numbers", test_order_numbers },
 	{ "advice", test_advice },
 	{ "topic", test_topic },
+	{ "topic, invalid record", test_topic_invalid_record },
+	{ "topic, snapshot", test_topic_snapshot },
+	{ "topic, encode", test_topic_encode },
+	{ "json to bytes", test_json_to_bytes },
 	{ "settings refused", test_node_refused },
 	{ "settings, a rate", test_node_rate },
 	{ "record", test_record },
@@ -574,7 +706,3 @@
 static struct suite platform_suite = { .name = "platform", .tests = tests };
 
 SUITE_REGISTER(platform_suite)
-	{ "topic, invalid record", test_topic_invalid_record },
-	{ "topic, snapshot", test_topic_snapshot },
-	{ "topic, encode", test_topic_encode },
-	{ "json to bytes", test_json_to_bytes },
