Place an item elsewhere at once if its start was never sent

Cause: an order for which no connection could be opened counted as one without an answer, so that its item waited for a lease to expire though nothing could run.

Change: the result not-sent. The worker counts as silent, and an item of which no other order is unsettled is placed again.

The contract test "worker, not sent" fails without the change.

--- a/src/jobs/connectivity.c
+++ b/src/jobs/connectivity.c
@@ -44,10 +44,10 @@
 		g_hash_table_insert(connectivity->workers,
 				    (gpointer)order->worker, contact);
 	}
-	if (order->result == ORDER_UNANSWERED)
-		contact->lost_us = now_us;
-	else
+	if (order_is_answered(order))
 		contact->answered_us = now_us;
+	else
+		contact->lost_us = now_us;
 }
 
 static bool is_silent(const struct contact *contact)
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -409,8 +409,7 @@
 		connectivity_record_order(lease->connectivity, order,
 					  kernel_now_us(lease->kernel));
 		/* An answered order can only end an isolation. */
-		if (order->result == ORDER_UNANSWERED ||
-		    lease->isolated_since_us)
+		if (!order_is_answered(order) || lease->isolated_since_us)
 			check_isolated(lease);
 	}
 	if (lease->held && order->result == ORDER_FENCED &&
--- a/src/jobs/msg.c
+++ b/src/jobs/msg.c
@@ -224,6 +224,12 @@
 		g_rc_box_release_full(event->msg, clear[event->type]);
 }
 
+bool order_is_answered(const struct order *order)
+{
+	return order->result != ORDER_UNANSWERED &&
+	       order->result != ORDER_NOT_SENT;
+}
+
 const char *order_kind_name(enum order_kind kind)
 {
 	static const char *const names[] = {
@@ -247,6 +253,7 @@
 		[ORDER_NO_TICKET] = "no-ticket",
 		[ORDER_REFUSED] = "refused",
 		[ORDER_WRONG_WORKER] = "other-life",
+		[ORDER_NOT_SENT] = "not-sent",
 		[ORDER_UNANSWERED] = "lost",
 	};
 
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -132,6 +132,7 @@
 	ORDER_NO_TICKET,
 	ORDER_REFUSED,	    /* certainly not carried out */
 	ORDER_WRONG_WORKER, /* the address belongs to another worker now */
+	ORDER_NOT_SENT,	    /* no connection: certainly not carried out */
 	ORDER_UNANSWERED,   /* no answer: may have taken effect, or may yet */
 	ORDER_RESULT_COUNT,
 };
@@ -225,8 +226,8 @@
 	char pool[NAME_SIZE_BYTES]; /* move */
 	uint64_t wave;		    /* upkeep */
 	uint64_t token;
-	enum machine_result result;
 	int64_t send_by_us; /* must not be sent later; 0: no limit */
+	enum machine_result result;
 };
 
 /* A worker that may run a step. */
@@ -272,6 +273,9 @@
 /* Releases the message of an event if it is one of this file. */
 void job_msg_clear(struct event *event);
 
+/* Whether a worker has answered the order, which shows that it is reachable. */
+bool order_is_answered(const struct order *order);
+
 const char *order_kind_name(enum order_kind kind);
 const char *order_result_name(enum order_result result);
 const char *item_end_name(enum item_end end);
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -78,7 +78,7 @@
 void starts_on_order(struct sched *sched, struct worker *worker,
 		     const struct order *order)
 {
-	if (order->result == ORDER_UNANSWERED) {
+	if (!order_is_answered(order)) {
 		worker->avoid_until_us =
 			MAX(worker->avoid_until_us,
 			    sched_now_us(sched) + ORDER_RESEND_DELAY_US);
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -374,8 +374,7 @@
 	int64_t now_us = sched_now_us(sched);
 
 	worker->hold_pending = false;
-	if (order->result == ORDER_UNANSWERED ||
-	    order->result == ORDER_REFUSED) {
+	if (!order_is_answered(order) || order->result == ORDER_REFUSED) {
 		if (!worker->unanswered_count) {
 			worker->silent_since_us = order->sent_us;
 			counter_add(kernel_counters(sched->kernel),
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -389,11 +389,13 @@
 	bool lost = worker->unreachable || worker->dead ||
 		    worker->loses_answers || entry->workers_unreachable;
 
-	order->has_clock = !lost;
+	order->has_clock = !lost && !worker->refuses_connections;
 	order->clock_ms = jobs->world->now_us / USEC_PER_MSEC;
 	order->started_ms = worker->started_ms;
 	if (lost)
 		order->result = ORDER_UNANSWERED;
+	else if (worker->refuses_connections)
+		order->result = ORDER_NOT_SENT;
 	else if (order->kind == ORDER_HOLD)
 		fill_run_lists(worker, order, jobs->world->now_us);
 	jobs_deliver(jobs, entry, EVENT_ORDER_DONE, g_rc_box_acquire(order),
@@ -496,18 +498,20 @@
 {
 	struct jobs_world *jobs = entry->jobs;
 	struct fake_worker *worker = fake_worker_find(jobs, order->worker);
+	bool arrives = !worker->dead && !worker->unreachable &&
+		       !worker->refuses_connections &&
+		       !entry->workers_unreachable;
 
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
 		check_order_in_flight(jobs, worker, order,
 				      worker->dead || worker->unreachable ||
 					      worker->loses_answers ||
 					      entry->workers_unreachable);
-	if (!worker->dead && !worker->unreachable &&
-	    !entry->workers_unreachable)
+	if (arrives)
 		execute_order(jobs, worker, order);
-	if (worker->dead || worker->unreachable || entry->workers_unreachable ||
-	    order->result != ORDER_OK || order->kind != ORDER_HOLD ||
-	    !order->wait_us || worker->ended->len) {
+	if (!arrives || order->result != ORDER_OK ||
+	    order->kind != ORDER_HOLD || !order->wait_us ||
+	    worker->ended->len) {
 		send_answer(jobs, worker, entry, order);
 		return;
 	}
