Keep the cordon of a draining worker when a wave lets go of it

Cause: a wave replaces the cordon of a drain by its own, and lifted it when it found out that the machine is none of its own, or was up again. The worker could get work until its next directory entry.

Change: the cordon of the drain is restored.

Result: jobs_wave_outside fails without the change: an item starts on the worker that drains.

--- a/src/jobs/sched_wave.c
+++ b/src/jobs/sched_wave.c
@@ -236,14 +236,17 @@
 	}
 }
 
-/* Lifts the cordon of the machine's worker if it was set for maintenance. */
+/*
+ * Lifts the cordon of the machine's worker if it was set for maintenance, which
+ * may have replaced that of a worker that drains.
+ */
 static void uncordon(struct sched *sched, const struct machine *listed)
 {
 	struct worker *worker =
 		listed ? worker_find(sched, listed->worker) : NULL;
 
 	if (worker && worker->cordon == CORDON_MAINTENANCE) {
-		worker->cordon = CORDON_NONE;
+		worker->cordon = worker->draining ? CORDON_DRAIN : CORDON_NONE;
 		sched_request_placement(sched);
 	}
 }
