Eject a worker after failures of three jobs, not of two

Cause: a job may fail on every worker, so that its failures say nothing of one. Only the first job of a series was counted once; a second one that failed twice ejected the worker.

Change: each job counts once in a series. A success ends the series as before.

Result: jobs_eject fails without the change: two jobs eject the worker. The outputs of jobs_random change, as other starts draw other random numbers; the checks of these scripts are the same.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -18,6 +18,9 @@
 	uint32_t index;
 };
 
+/* Failures in a row, each of another job, after which a worker is ejected. */
+#define EJECT_FAILURES_COUNT 3
+
 /* Why a worker gets no new work. A wave doesn't replace a higher value. */
 enum cordon {
 	CORDON_NONE,
@@ -74,10 +77,11 @@
 	GArray *placed; /* of struct placement */
 
 	enum cordon cordon;
-	int64_t cordoned_us;	  /* start of CORDON_MOVE */
-	int64_t avoid_until_us;	  /* no new work after a refusal or failure */
-	uint32_t failures_count;  /* consecutive; see worker_record_end() */
-	const char *failed_job;	  /* job of the first of them; interned */
+	int64_t cordoned_us;	/* start of CORDON_MOVE */
+	int64_t avoid_until_us; /* no new work after a refusal or failure */
+	/* Jobs that failed here since the last success; interned ids. */
+	const char *failed_jobs[EJECT_FAILURES_COUNT];
+	uint32_t failures_count;  /* of failed_jobs */
 	uint32_t ejections_count; /* since the last success */
 	int64_t fillers_paced_us; /* last change of its fillers' pace */
 };
@@ -161,11 +165,11 @@
 	GArray *flushing_jobs;	 /* of struct flushing_job */
 	uint64_t next_write_id;	 /* even; writes of the lease have odd ids */
 	uint64_t flush_write_id; /* 0: no write in progress */
+	int64_t flush_sent_us;	 /* of the newest write */
 	int64_t next_flush_us;
 	int64_t next_drop_us; /* next search for ended jobs to drop */
 	bool ends_unstored;   /* ends were received since the last flush */
 
-	int64_t flush_sent_us;	 /* of the newest write */
 	uint64_t list_number;	     /* counts the workers' lists received */
 	uint32_t busy_workers_count; /* with work, at the last check */
 	bool workers_check_requested;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -23,8 +23,6 @@
 #define FORGET_AFTER_US (20 * USEC_PER_SEC)
 /* An answer with this many ends may not list all of them. */
 #define ENDS_LISTED_MAX_COUNT 500
-/* Consecutive failures, of several jobs, after which a worker is ejected. */
-#define EJECT_FAILURES_COUNT 3
 #define EJECT_US (3 * USEC_PER_SEC)
 #define EJECT_DOUBLINGS_MAX 4
 
@@ -114,6 +112,15 @@
 	       worker->avoid_until_us <= sched_now_us(sched);
 }
 
+static bool has_failed_job(const struct worker *worker, const char *id)
+{
+	for (uint32_t i = 0; i < worker->failures_count; i++) {
+		if (worker->failed_jobs[i] == id)
+			return true;
+	}
+	return false;
+}
+
 void worker_record_end(struct sched *sched, struct worker *worker,
 		       const struct job *job, bool failed)
 {
@@ -125,12 +132,10 @@
 		worker->ejections_count = 0;
 		return;
 	}
-	if (!worker->failures_count)
-		worker->failed_job = id;
-	/* The first job may fail on every worker, so it counts only once. */
-	else if (worker->failed_job == id)
+	/* A job may fail on every worker, so each counts only once. */
+	if (has_failed_job(worker, id))
 		return;
-	worker->failures_count++;
+	worker->failed_jobs[worker->failures_count++] = id;
 	if (worker->failures_count < EJECT_FAILURES_COUNT)
 		return;
 	worker->failures_count = 0;
