Let the planner allow for a pause that nobody noticed

Cause: an entry instance that was paused for less than 5 s does not notice it, and may send requests after it was removed. The slots wait 6 s longer for that; the planner, which ends drains after the same event, did not.

Change: the margin is in kernel.h, and both use it.

--- a/src/decide/planner_watch.c
+++ b/src/decide/planner_watch.c
@@ -254,11 +254,20 @@
 	add_loads(planner);
 }
 
+/*
+ * When all requests of an entry that has just ended are over. It may have sent
+ * more of them before it read that it was removed, see slots.c.
+ */
+static int64_t requests_end_us(const struct planner *planner)
+{
+	return kernel_now_us(planner->kernel) +
+	       fleet_longest_timeout_us(kernel_fleet(planner->kernel)) +
+	       KERNEL_PAUSE_MARGIN_US;
+}
+
 static void hold_dc(struct planner *planner, const char *dc)
 {
-	struct fleet *fleet = kernel_fleet(planner->kernel);
-	int64_t until_us = kernel_now_us(planner->kernel) +
-			   fleet_longest_timeout_us(fleet);
+	int64_t until_us = requests_end_us(planner);
 
 	g_hash_table_replace(planner->hold_until_us, g_strdup(dc),
 			     g_memdup2(&until_us, sizeof(until_us)));
--- a/src/decide/slots.c
+++ b/src/decide/slots.c
@@ -22,7 +22,6 @@
 /* The first answer may have been sent before the pause ended. */
 #define RESYNC_ANSWERS_COUNT 2
 /* Longest pause that goes unnoticed, and time to read the log after it. */
-#define PAUSE_MARGIN_US (KERNEL_PAUSE_MIN_US + USEC_PER_SEC)
 /* From a new request to the check whether it waits. */
 #define DEMAND_CHECK_DELAY_US (20 * USEC_PER_MSEC)
 
@@ -225,7 +224,7 @@
 	slots->hold_until_us =
 		MAX(slots->hold_until_us, kernel_now_us(slots->kernel) +
 						  slots->longest_timeout_us +
-						  PAUSE_MARGIN_US);
+						  KERNEL_PAUSE_MARGIN_US);
 }
 
 /* An entry that leaves by itself has nothing in flight any more. */
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -68,6 +68,12 @@
  */
 #define KERNEL_PAUSE_MIN_US (5 * USEC_PER_SEC)
 
+/*
+ * Longest time for which a process may act without noticing that it was paused,
+ * with some slack. Others wait this much longer for what it may still do.
+ */
+#define KERNEL_PAUSE_MARGIN_US (KERNEL_PAUSE_MIN_US + USEC_PER_SEC)
+
 /*
  * Sets both clocks: now_us is monotonic, wall_us is Unix time. After a pause,
  * EVENT_RESUMED is queued before all pending events.
