Count a move with a time ahead of ours as one of now

Cause: the limit of moves an hour uses the wall clock of the record's writer, the only time that survives a restart. A writer whose clock is ahead blocked the moves of a pool until that time came, and an hour more.

Change: the time is at most the reader's own. The comment in record.h says what the field may be used for.

Result: no test of its own; the scripts on moves pass unchanged.

--- a/src/core/record.h
+++ b/src/core/record.h
@@ -113,7 +113,9 @@
 struct record {
 	grefcount refs;
 	struct record_id id;
-	int64_t wall_us; /* clock of the writer; for key expiry only */
+	/* Clock of the writer; for key expiry and rate limits, not for safety
+	 */
+	int64_t wall_us;
 	enum record_kind kind;
 	union {
 		struct record_config config;
--- a/src/policy/moves_steady.c
+++ b/src/policy/moves_steady.c
@@ -168,12 +168,15 @@
 {
 	const struct fleet_pool *pool = fleet_pool(view->fleet, name);
 	struct pool_history *history;
+	int64_t moved_us;
 
 	/* The spare pool has no limit: it takes part in most moves. */
 	if (!pool || pool->decl.spare)
 		return;
 	history = history_get(steady, name);
-	g_array_append_val(history->moves_us, wall_us);
+	/* The writer's clock may be ahead; the move isn't in the future. */
+	moved_us = MIN(wall_us, view->wall_us);
+	g_array_append_val(history->moves_us, moved_us);
 	if (history->moves_us->len > MOVES_PER_HOUR_COUNT)
 		g_array_remove_index(history->moves_us, 0);
 }
