Replace control characters in lines of the decision log

Cause: names in these lines come from other systems. One with a line break ended the line and could start another decision.

Change: control characters become question marks.

Result: no test of its own: the log is only open in a real process.

--- a/src/kernel/decision_log.c
+++ b/src/kernel/decision_log.c
@@ -57,6 +57,15 @@
 	return true;
 }
 
+/* Names come from other systems; none may end the line or start another. */
+static void replace_control_bytes(gsize from)
+{
+	for (gsize i = from; i < out.buffer->len; i++) {
+		if (g_ascii_iscntrl(out.buffer->str[i]))
+			out.buffer->str[i] = '?';
+	}
+}
+
 void decision_log(const char *decision, const char *format, ...)
 {
 	gsize start;
@@ -80,6 +89,7 @@
 	va_start(args, format);
 	g_string_append_vprintf(out.buffer, format, args);
 	va_end(args);
+	replace_control_bytes(start);
 	g_string_append_c(out.buffer, '\n');
 	if (out.buffer->len > BUFFER_MAX_BYTES) {
 		g_string_truncate(out.buffer, start);
