Run no work again whose end came late

A worker's answers are lost, so its item is placed elsewhere when its lease has expired. When the worker answers again, it lists the first run as done. The second run was stopped, but the item was not done: a third run started, after the end had been acknowledged.

Change: the item is stored as done before the end is acknowledged, and is done when its later run has stopped. A new holder ends a job all of whose items are stored as done.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -75,6 +75,7 @@
 	uint32_t failed_count;
 	const char *worker; /* interned id; NULL: not placed */
 	char *checkpoint;   /* newest checkpoint; NULL: none */
+	bool ended_done; /* an earlier run was done; a later one is stopped */
 
 	/* Used by the holder only; not stored. */
 	uint32_t progress_percent; /* progress reported by the worker */
--- a/src/jobs/record.c
+++ b/src/jobs/record.c
@@ -62,7 +62,7 @@
 			.worker = item->worker,
 		};
 
-		if (item->phase == ITEM_DONE)
+		if (item->phase == ITEM_DONE || item->ended_done)
 			record->done->data[i / 8] |= (guint8)(1 << (i % 8));
 		else if (item->run) {
 			progress.checkpoint = g_strdup(item->checkpoint);
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -150,6 +150,8 @@
 	}
 	job_recount(job);
 	open_job(sched, job);
+	/* The last item may be stored as done while a later run is stopped. */
+	job_check_complete(sched, job);
 }
 
 static void on_holder_changed(struct sched *sched,
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -279,6 +279,9 @@
 
 void job_mark_dirty(struct sched *sched, struct job *job);
 
+/* Ends a job as complete if all its items are done. */
+void job_check_complete(struct sched *sched, struct job *job);
+
 /* Items of a long-running step that are not running or not ready yet. */
 uint32_t step_unavailable_count(const struct job *job, uint32_t occurrence,
 				uint32_t step);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -107,6 +107,30 @@
 	sched_request_placement(sched);
 }
 
+void job_check_complete(struct sched *sched, struct job *job)
+{
+	if (job->left_count || job->next_state >= JOB_COMPLETE)
+		return;
+	job->next_state = JOB_COMPLETE;
+	job_mark_dirty(sched, job);
+	decision_log("complete", "job=%s age_ms=%" G_GINT64_FORMAT " items=%u",
+		     job->id,
+		     (sched_now_us(sched) - job->first_seen_us) / USEC_PER_MSEC,
+		     job->items->len);
+}
+
+static void complete_item(struct sched *sched, struct job *job, uint32_t index)
+{
+	struct job_item *item = job_item(job, index);
+
+	if (is_placed(item))
+		detach_from_worker(sched, job, index);
+	job_set_phase(job, index, ITEM_DONE);
+	job_mark_dirty(sched, job);
+	sched_request_placement(sched);
+	job_check_complete(sched, job);
+}
+
 void item_release(struct sched *sched, struct job *job, uint32_t index,
 		  const char *reason)
 {
@@ -118,6 +142,10 @@
 	job_item_name(job, index, name, sizeof(name));
 	decision_log("release", "item=%s run=%u worker=%s reason=%s", name,
 		     item->run, item->worker, reason);
+	if (item->ended_done) {
+		complete_item(sched, job, index);
+		return;
+	}
 	detach_from_worker(sched, job, index);
 	job_set_phase(job, index, ITEM_WAITING);
 }
@@ -241,37 +269,36 @@
 	job_stop_items(sched, job, "job-failed");
 }
 
-static void complete_item(struct sched *sched, struct job *job, uint32_t index)
+/*
+ * Notes that a run of the item has ended as done. A later run, if there is one,
+ * is stopped first: its worker has no room until then.
+ */
+static void record_done(struct sched *sched, struct job *job, uint32_t index,
+			bool current)
 {
 	struct job_item *item = job_item(job, index);
 
-	if (is_placed(item))
-		detach_from_worker(sched, job, index);
-	job_set_phase(job, index, ITEM_DONE);
-	job_mark_dirty(sched, job);
-	sched_request_placement(sched);
-	if (!job->left_count && job->next_state < JOB_COMPLETE) {
-		job->next_state = JOB_COMPLETE;
-		decision_log("complete",
-			     "job=%s age_ms=%" G_GINT64_FORMAT " items=%u",
-			     job->id,
-			     (sched_now_us(sched) - job->first_seen_us) /
-				     USEC_PER_MSEC,
-			     job->items->len);
+	if (item->phase == ITEM_DONE)
+		return;
+	if (current || !is_placed(item)) {
+		complete_item(sched, job, index);
+		return;
 	}
+	item->ended_done = true;
+	job_mark_dirty(sched, job);
+	item_stop(sched, job, index, "done-elsewhere");
 }
 
 /* All members of a gang are done when one of them has ended as done. */
-static void complete_gang(struct sched *sched, struct job *job, uint32_t index)
+static void record_gang_done(struct sched *sched, struct job *job,
+			     uint32_t index, bool current)
 {
 	uint32_t step = job_item_step(job, index);
 	uint32_t first =
 		job_first_item(job, job_item_occurrence(job, index), step);
 
-	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++) {
-		if (job_item(job, first + i)->phase != ITEM_DONE)
-			complete_item(sched, job, first + i);
-	}
+	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++)
+		record_done(sched, job, first + i, current);
 }
 
 static void handle_failure(struct sched *sched, struct job *job, uint32_t index)
@@ -321,15 +348,10 @@
 			loads_record_run_time(sched, job,
 					      sched_now_us(sched) -
 						      item->confirmed_us);
-		/* The end of an earlier run came late; stop the newer run. */
-		if (!current && is_placed(item)) {
-			item_stop(sched, job, index, "done-elsewhere");
-			return;
-		}
 		if (step->gang)
-			complete_gang(sched, job, index);
+			record_gang_done(sched, job, index, current);
 		else
-			complete_item(sched, job, index);
+			record_done(sched, job, index, current);
 		return;
 	}
 	if (!current)
