Repeat no more starts at once than a worker has connections

Starts without an answer were repeated without the limit that new ones have, so the others waited in the HTTP client.

Change: a repeat counts towards the limit, and waits for its turn.

Result: jobs_random_6 and _7 fail without the change.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -291,6 +291,9 @@
 
 /* sched_start.c: start orders, a few at a time to each worker */
 
+/* Whether another start order may be sent to the worker now. */
+bool starts_may_send(const struct worker *worker);
+
 /* Starts the items whose placement was stored by this write. */
 void starts_on_stored(struct sched *sched, struct job *job, uint64_t write_id);
 /* Handles the result of a start order. */
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -27,10 +27,15 @@
 	return first;
 }
 
+bool starts_may_send(const struct worker *worker)
+{
+	return worker->synced &&
+	       worker->pending_starts_count < PENDING_STARTS_MAX_COUNT;
+}
+
 static void send_next_starts(struct sched *sched, struct worker *worker)
 {
-	while (worker->synced &&
-	       worker->pending_starts_count < PENDING_STARTS_MAX_COUNT) {
+	while (starts_may_send(worker)) {
 		struct placement next = oldest_stored(worker);
 
 		if (!next.job)
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -362,6 +362,8 @@
 		if (item->phase == ITEM_STARTING && item->ordered_us &&
 		    !placement.job->stop_all) {
 			item_send_start(sched, placement.job, placement.index);
+			if (!starts_may_send(worker))
+				continue;
 		} else if (item->phase == ITEM_STOPPING) {
 			item_send_stop(sched, worker, placement.job,
 				       placement.index);
