Forward the orders of a busy holder through other entry instances

Cause: one process places all work and makes all calls to workers. Most of a busy second are HTTP calls (docs/CAPACITY.md).

Change: while its loop is busy, the holder sends its orders in batches to the strongest entry instances of each data centre, which make the calls and report the results. Without them, or for a worker that does not answer through one, it makes the calls itself. What makes a late or repeated order harmless is checked by the worker as before: token, lease, number of the run. Partitions were weighed; see docs/platform.md.

A fake worker refuses a start whose lease has expired, and limits starts in flight for each sender, as the connections are those of one process.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -194,6 +194,8 @@
 
 	to.entry = (char *)record->entry;
 	to.cpu_milli = record->cpu_milli;
+	to.address = (char *)record->address;
+	to.dc = (char *)record->dc;
 	return pack(&to.base);
 }
 
@@ -371,6 +373,8 @@
 	record = job_record_new(JOB_RECORD_ENTRY);
 	name_copy(record->entry, sizeof(record->entry), from->entry);
 	record->cpu_milli = from->cpu_milli;
+	name_copy(record->address, sizeof(record->address), from->address);
+	name_copy(record->dc, sizeof(record->dc), from->dc);
 	pl__job_entry__free_unpacked(from, NULL);
 	return record;
 }
--- a/src/codec/proto/job.pb-c.c
+++ b/src/codec/proto/job.pb-c.c
@@ -1050,7 +1050,7 @@
   (ProtobufCMessageInit) pl__job_wave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pl__job_entry__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pl__job_entry__field_descriptors[4] =
 {
   {
     "entry",
@@ -1076,15 +1076,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobEntry, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobEntry, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pl__job_entry__field_indices_by_name[] = {
+  2,   /* field[2] = address */
   1,   /* field[1] = cpu_milli */
+  3,   /* field[3] = dc */
   0,   /* field[0] = entry */
 };
 static const ProtobufCIntRange pl__job_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor pl__job_entry__descriptor =
 {
@@ -1094,7 +1120,7 @@
   "Pl__JobEntry",
   "pl",
   sizeof(Pl__JobEntry),
-  2,
+  4,
   pl__job_entry__field_descriptors,
   pl__job_entry__field_indices_by_name,
   1,  pl__job_entry__number_ranges,
--- a/src/codec/proto/job.pb-c.h
+++ b/src/codec/proto/job.pb-c.h
@@ -132,10 +132,12 @@
   ProtobufCMessage base;
   char *entry;
   uint32_t cpu_milli;
+  char *address;
+  char *dc;
 };
 #define PL__JOB_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pl__job_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Pl__JobMachines
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -72,11 +72,15 @@
 	EVENT_WORKERS_SEEN,   /* directory: workers added or removed */
 	EVENT_CONFIG_SEEN,    /* directory: queues and pools */
 	EVENT_WAVE_SEEN,      /* directory: a maintenance wave */
-	EVENT_ORDER,	      /* to the worker client: send an order */
-	EVENT_ORDER_DONE,     /* worker client: how an order ended */
-	EVENT_MACHINES_POLL,  /* to the machine client: read the list */
-	EVENT_MACHINES_SEEN,  /* machine client: the list, or a failure */
-	EVENT_MACHINE_ORDER,  /* to the machine client: move or maintain one */
+	EVENT_ORDER,	      /* to forward: an order for a worker */
+	EVENT_ORDER_DONE,     /* forward: how an order ended */
+	EVENT_ORDER_SEND,     /* to the worker client: send an order */
+	EVENT_ORDER_SENT,     /* worker client: how an order ended */
+	EVENT_FORWARD_SEND,   /* to the link: orders or results for another */
+	EVENT_FORWARD_RECEIVED, /* link: orders or results from another */
+	EVENT_MACHINES_POLL,	/* to the machine client: read the list */
+	EVENT_MACHINES_SEEN,	/* machine client: the list, or a failure */
+	EVENT_MACHINE_ORDER,   /* to the machine client: move or maintain one */
 	EVENT_MACHINE_ORDERED, /* machine client: how the order ended */
 	EVENT_ADVICE_REQUEST,  /* to the advice client: who may run a step */
 	EVENT_ADVICE_RESPONSE, /* advice client: the workers, or a failure */
@@ -84,6 +88,7 @@
 };
 
 #define EVENT_BIT(type) (UINT64_C(1) << (type))
+_Static_assert(EVENT_TYPE_COUNT <= 64, "EVENT_BIT() has 64 bits");
 
 /* HTTP response of an endpoint; reference-counted. */
 struct response {
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -126,7 +126,7 @@
 	return lease->write_id;
 }
 
-/* Tells the other entry instances how much CPU this process has. */
+/* Tells the other entry instances how to reach this one, and its CPU. */
 static void write_roster(struct lease *lease)
 {
 	const struct settings *settings = kernel_settings(lease->kernel);
@@ -134,12 +134,16 @@
 	struct job_record *record;
 
 	if (lease->roster_written || lease->roster_write_id ||
-	    !lease->has_snapshot || !lease->reachable || !settings->cpu_milli)
+	    !lease->has_snapshot || !lease->reachable ||
+	    (!settings->cpu_milli && !settings->forward_address[0]))
 		return;
 	write = store_write_new(STORE_WRITER_CLAIM);
 	record = job_record_new(JOB_RECORD_ENTRY);
 	g_strlcpy(record->entry, settings->entry, sizeof(record->entry));
 	record->cpu_milli = settings->cpu_milli;
+	g_strlcpy(record->address, settings->forward_address,
+		  sizeof(record->address));
+	g_strlcpy(record->dc, settings->dc, sizeof(record->dc));
 	g_ptr_array_add(write->records, record);
 	lease->write_id += 2;
 	lease->roster_write_id = lease->write_id;
--- a/src/jobs/msg.c
+++ b/src/jobs/msg.c
@@ -177,6 +177,43 @@
 	g_array_unref(msg->ended);
 }
 
+struct order *order_ref(struct order *order)
+{
+	return g_rc_box_acquire(order);
+}
+
+void order_unref(struct order *order)
+{
+	if (order)
+		g_rc_box_release_full(order, order_clear);
+}
+
+static void order_destroy(gpointer order)
+{
+	order_unref(order);
+}
+
+struct forward_msg *forward_msg_new(void)
+{
+	struct forward_msg *msg = g_rc_box_new0(struct forward_msg);
+
+	msg->orders = g_ptr_array_new_with_free_func(order_destroy);
+	return msg;
+}
+
+static void forward_msg_clear(gpointer data)
+{
+	struct forward_msg *msg = data;
+
+	g_ptr_array_unref(msg->orders);
+}
+
+void forward_msg_unref(struct forward_msg *msg)
+{
+	if (msg)
+		g_rc_box_release_full(msg, forward_msg_clear);
+}
+
 static void machines_seen_clear(gpointer data)
 {
 	struct machines_seen *msg = data;
@@ -212,6 +249,10 @@
 		[EVENT_WAVE_SEEN] = wave_seen_clear,
 		[EVENT_ORDER] = order_clear,
 		[EVENT_ORDER_DONE] = order_clear,
+		[EVENT_ORDER_SEND] = order_clear,
+		[EVENT_ORDER_SENT] = order_clear,
+		[EVENT_FORWARD_SEND] = forward_msg_clear,
+		[EVENT_FORWARD_RECEIVED] = forward_msg_clear,
 		[EVENT_MACHINES_SEEN] = machines_seen_clear,
 		[EVENT_MACHINE_ORDER] = nothing_to_clear,
 		[EVENT_MACHINE_ORDERED] = nothing_to_clear,
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -121,6 +121,7 @@
 	ORDER_STOP,
 	ORDER_HOLD, /* renews the lease of all items; the answer lists them */
 	ORDER_PACE, /* throttles an item */
+	ORDER_KIND_COUNT,
 };
 
 enum order_result {
@@ -164,10 +165,14 @@
 	char *checkpoint;
 };
 
-/* EVENT_ORDER and EVENT_ORDER_DONE */
+/* EVENT_ORDER, EVENT_ORDER_DONE, EVENT_ORDER_SEND and EVENT_ORDER_SENT */
 struct order {
 	enum order_kind kind;
-	const char *worker; /* interned id */
+	uint64_t forward_id; /* of the holder, if it is forwarded */
+	/* Link address of the holder for which it is forwarded; or empty */
+	char forward_for[ADDRESS_SIZE_BYTES];
+	const char *worker;	  /* interned id */
+	char dc[NAME_SIZE_BYTES]; /* of the worker */
 	char address[ADDRESS_SIZE_BYTES];
 	uint64_t token;
 	char item[NAME_SIZE_BYTES];
@@ -188,6 +193,21 @@
 	GArray *ended;	    /* hold: of struct ended_row, in order of number */
 };
 
+/* Longest wait of a forwarded hold. */
+#define FORWARD_WAIT_MAX_US (2 * USEC_PER_SEC)
+
+/*
+ * EVENT_FORWARD_SEND and EVENT_FORWARD_RECEIVED: orders for a forwarder, or the
+ * results of orders. A message without orders is a probe, and its answer.
+ */
+struct forward_msg {
+	char to[ADDRESS_SIZE_BYTES];   /* link address; set by the sender */
+	char from[ADDRESS_SIZE_BYTES]; /* link address of the sender */
+	bool is_reply;
+	uint32_t busy_percent; /* of the sender's loop */
+	GPtrArray *orders;     /* of struct order, owned references */
+};
+
 enum machine_state {
 	MACHINE_UP,
 	MACHINE_MOVING,
@@ -262,6 +282,10 @@
 struct workers_seen *workers_seen_new(void);
 struct wave_seen *wave_seen_new(void);
 struct order *order_new(enum order_kind kind);
+struct order *order_ref(struct order *order);
+void order_unref(struct order *order);
+struct forward_msg *forward_msg_new(void);
+void forward_msg_unref(struct forward_msg *msg);
 struct machines_seen *machines_seen_new(void);
 /* Set of the interned ids of workers on machines that are up. Caller unrefs. */
 GHashTable *machines_seen_up(const struct machines_seen *seen);
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -54,6 +54,9 @@
 	uint64_t token; /* of the holder; claim: the token that it replaces */
 	enum holder_action action;
 	uint32_t cpu_milli; /* entry: CPU that it may use */
+	/* entry: of its link for forwarded orders; empty: it has none */
+	char address[ADDRESS_SIZE_BYTES];
+	char dc[NAME_SIZE_BYTES]; /* entry */
 	/* machines */
 	GPtrArray *machines; /* of interned names */
 	/* wave, wave status */
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -164,6 +164,7 @@
 
 	order->worker = worker->id;
 	g_strlcpy(order->address, worker->address, sizeof(order->address));
+	g_strlcpy(order->dc, worker->dc, sizeof(order->dc));
 	order->token = sched->token;
 	if (!worker->has_clock)
 		return order;
@@ -361,9 +362,9 @@
 			continue;
 		if (item->phase == ITEM_STARTING && item->ordered_us &&
 		    !placement.job->stop_all) {
-			item_send_start(sched, placement.job, placement.index);
 			if (!starts_may_send(worker))
 				continue;
+			item_send_start(sched, placement.job, placement.index);
 		} else if (item->phase == ITEM_STOPPING) {
 			item_send_stop(sched, worker, placement.job,
 				       placement.index);
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -54,6 +54,8 @@
 	{ .key = NULL },
 };
 
+#define FORWARD_BUSY_PERCENT 25
+
 static const struct job_bounds default_bounds = {
 	.lease_max_us = 10 * USEC_PER_SEC,
 	.stop_us = USEC_PER_SEC,
@@ -78,6 +80,7 @@
 	name_copy(settings->dc, sizeof(settings->dc), "dc");
 	settings->drain_us = DRAIN_DEFAULT_US;
 	settings->bounds = default_bounds;
+	settings->forward_busy_percent = FORWARD_BUSY_PERCENT;
 	settings->peers =
 		g_array_new(FALSE, TRUE, sizeof(struct settings_peer));
 	settings->plugin_names =
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -42,6 +42,10 @@
 	char token_file[256];		       /* bearer token of operators */
 	char log_address[ADDRESS_SIZE_BYTES];  /* of the platform's log */
 	char list_address[ADDRESS_SIZE_BYTES]; /* of the platform's list */
+	/* Link for orders that entry instances forward; empty: none */
+	char forward_address[ADDRESS_SIZE_BYTES];
+	/* A holder whose loop is busier has its orders forwarded. */
+	uint32_t forward_busy_percent;
 	uint32_t cpu_milli; /* CPU limit of this process; 0: not known */
 	int64_t drain_us;   /* time limit of a graceful shutdown */
 	uint32_t seed;	    /* of the random number generator; 0: random */
--- a/test/contract/harness.c
+++ b/test/contract/harness.c
@@ -20,7 +20,7 @@
 			g_bytes_ref(copy->peer.msg->state);
 		break;
 	case EVENT_STORE_WRITTEN:
-	case EVENT_ORDER_DONE:
+	case EVENT_ORDER_SENT:
 	case EVENT_MACHINE_ORDERED:
 	case EVENT_CONFIG_SEEN:
 	case EVENT_WORKERS_SEEN:
@@ -70,7 +70,7 @@
 				 EVENT_BIT(EVENT_INSTANCE_LIST) |
 				 EVENT_BIT(EVENT_PEER_RECEIVED) |
 				 EVENT_BIT(EVENT_STORE_WRITTEN) |
-				 EVENT_BIT(EVENT_ORDER_DONE) |
+				 EVENT_BIT(EVENT_ORDER_SENT) |
 				 EVENT_BIT(EVENT_MACHINE_ORDERED) |
 				 EVENT_BIT(EVENT_CONFIG_SEEN) |
 				 EVENT_BIT(EVENT_WORKERS_SEEN),
--- a/test/contract/orders.c
+++ b/test/contract/orders.c
@@ -89,15 +89,15 @@
 static enum order_result order_worker(struct orders_test *test)
 {
 	struct order *order = order_new(ORDER_STOP);
-	struct event event = { .type = EVENT_ORDER, .msg = order };
+	struct event event = { .type = EVENT_ORDER_SEND, .msg = order };
 	const struct order *done;
 
 	order->worker = g_intern_string("w1");
 	g_strlcpy(order->address, fake_http_address(test->fake),
 		  sizeof(order->address));
 	harness_emit(test->harness, &event);
-	harness_run_until(test->harness, EVENT_ORDER_DONE, 1);
-	done = harness_event(test->harness, EVENT_ORDER_DONE, 0)->msg;
+	harness_run_until(test->harness, EVENT_ORDER_SENT, 1);
+	done = harness_event(test->harness, EVENT_ORDER_SENT, 0)->msg;
 	return done->result;
 }
 
--- a/test/runner/jobs_random.c
+++ b/test/runner/jobs_random.c
@@ -1,7 +1,8 @@
 /*
- * job-random seed=N steps=N [verbose=1]: random faults of entry instances, the
- * store and workers, alone and overlapping. The fakes check every start. At the
- * end all faults are repaired, and every accepted job must end.
+ * job-random seed=N steps=N [verbose=1] [forward=1]: random faults of entry
+ * instances, the store and workers, alone and overlapping. The fakes check
+ * every start. At the end all faults are repaired, and every accepted job must
+ * end.
  */
 
 #include <string.h>
@@ -124,6 +125,14 @@
 		    entry->workers_unreachable ? "off" : "on");
 }
 
+static void toggle_link(struct driver *driver)
+{
+	struct jobs_entry *entry = random_entry(driver);
+
+	run_command(driver, "job-link %s %s", entry->name,
+		    entry->link_down ? "up" : "down");
+}
+
 static void change_worker_fault(struct driver *driver)
 {
 	static const char *const faults[] = { "cut", "lose", "fails", "ok",
@@ -192,6 +201,7 @@
 
 		entry->store_unreachable = false;
 		entry->workers_unreachable = false;
+		entry->link_down = false;
 		entry->frozen_until_us = 0;
 		if (!entry->kernel)
 			run_command(driver, "job-entry %s", entry->name);
@@ -238,6 +248,7 @@
 static void run_random(struct script *script)
 {
 	uint32_t step_count = (uint32_t)script_number(script, "steps", 200);
+	bool forwards = script_number(script, "forward", 0);
 	struct driver driver = {
 		.script = script,
 		.jobs = jobs_world_get(script->world),
@@ -250,10 +261,13 @@
 	script_run_line(script, (char[]){ "job-queue q pool=p attempts=6" });
 	for (uint32_t i = 0; i < WORKER_COUNT; i++)
 		add_worker(&driver);
+	run_command(&driver, "job-forward %s", forwards ? "on" : "off");
 	run_command(&driver, "job-entry e1 e2 e3");
 	jobs_world_run(driver.jobs, 2 * USEC_PER_SEC);
 	for (uint32_t i = 0; i < step_count; i++) {
 		actions[random_below(&driver, G_N_ELEMENTS(actions))](&driver);
+		if (forwards && random_below(&driver, 4) == 0)
+			toggle_link(&driver);
 		if (random_below(&driver, 2))
 			repair_some(&driver);
 		jobs_world_run(driver.jobs, random_below(&driver, STEP_MAX_US));
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -160,8 +160,12 @@
 		jobs_violation(jobs, "%s was not accepted", order->item);
 }
 
-/* The step that the item of an order belongs to. */
-static const struct job_step *order_step(const struct order *order)
+/*
+ * The step that the item of an order belongs to, as it was submitted: a
+ * forwarded order has only the text of its job.
+ */
+static const struct job_step *order_step(const struct jobs_world *jobs,
+					 const struct order *order)
 {
 	char id[JOB_ID_SIZE_BYTES];
 	uint32_t occurrence;
@@ -169,7 +173,15 @@
 	uint32_t index;
 
 	job_item_parse(order->item, id, &occurrence, &step, &index);
-	return &g_array_index(order->spec->steps, struct job_step, step);
+	for (guint i = 0; i < jobs->store->len; i++) {
+		const struct job_record *record = jobs->store->pdata[i];
+
+		if (record->kind == JOB_RECORD_SUBMIT &&
+		    !strcmp(record->id, id))
+			return &g_array_index(record->spec->steps,
+					      struct job_step, step);
+	}
+	g_error("%s was started before its job was stored", order->item);
 }
 
 /* A ticket names its step, its worker and the end of its validity. */
@@ -243,7 +255,7 @@
 				    struct fake_worker *worker,
 				    const struct order *order)
 {
-	const struct job_step *step = order_step(order);
+	const struct job_step *step = order_step(jobs, order);
 	struct fake_run run = {
 		.run = order->run,
 		.cpu_milli = step->cpu_milli,
@@ -398,7 +410,7 @@
 		order->result = ORDER_NOT_SENT;
 	else if (order->kind == ORDER_HOLD)
 		fill_run_lists(worker, order, jobs->world->now_us);
-	jobs_deliver(jobs, entry, EVENT_ORDER_DONE, g_rc_box_acquire(order),
+	jobs_deliver(jobs, entry, EVENT_ORDER_SENT, g_rc_box_acquire(order),
 		     lost ? LOST_ORDER_TIMEOUT_US : ORDER_LATENCY_US);
 }
 
@@ -426,6 +438,11 @@
 		return;
 	}
 	worker->fence_token = order->token;
+	if (order->kind == ORDER_START && order->lease_ms &&
+	    order->lease_ms * USEC_PER_MSEC <= jobs->world->now_us) {
+		order->result = ORDER_LEASE_EXPIRED;
+		return;
+	}
 	if (order->lease_ms)
 		worker->lease_until_us = MAX(worker->lease_until_us,
 					     order->lease_ms * USEC_PER_MSEC);
@@ -456,15 +473,17 @@
 
 /*
  * An order is not repeated before it is answered or has timed out, and no more
- * starts are in flight than a worker has connections: further ones would wait
- * in the HTTP client.
+ * starts of one process are in flight than it has connections to a worker:
+ * further ones would wait in its HTTP client.
  */
-static void check_order_in_flight(struct jobs_world *jobs,
+static void check_order_in_flight(struct jobs_entry *sender,
 				  struct fake_worker *worker,
 				  const struct order *order, bool lost)
 {
+	struct jobs_world *jobs = sender->jobs;
 	int64_t now_us = jobs->world->now_us;
 	struct fake_order sent = {
+		.sender = sender,
 		.kind = order->kind,
 		.token = order->token,
 		.run = order->run,
@@ -480,7 +499,8 @@
 
 		if (other->token != order->token)
 			continue;
-		starts_count += other->kind == ORDER_START;
+		starts_count +=
+			other->kind == ORDER_START && other->sender == sender;
 		if (other->kind == order->kind && other->run == order->run &&
 		    !strcmp(other->item, order->item))
 			jobs_violation(jobs,
@@ -503,7 +523,7 @@
 		       !entry->workers_unreachable;
 
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
-		check_order_in_flight(jobs, worker, order,
+		check_order_in_flight(entry, worker, order,
 				      worker->dead || worker->unreachable ||
 					      worker->loses_answers ||
 					      entry->workers_unreachable);
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -3,7 +3,10 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "codec/forward_codec.h"
+
 #define START_DELAY_US (2 * USEC_PER_MSEC)
+#define FORWARD_LATENCY_US USEC_PER_MSEC
 /* More wake-ups than this mean that the process spins. */
 #define WAKES_PER_SECOND_MAX 2000
 
@@ -136,6 +139,20 @@
 		fake_workers_send_list(entry->jobs, entry);
 }
 
+/* The link between entry instances; their addresses are their names. */
+static void forward(struct jobs_entry *entry, const struct forward_msg *msg)
+{
+	struct jobs_entry *to = jobs_entry_find(entry->jobs, msg->to);
+	GBytes *bytes = forward_msg_encode(msg);
+
+	if (to && to->kernel && !to->link_down && !entry->link_down)
+		jobs_deliver(entry->jobs, to, EVENT_FORWARD_RECEIVED,
+			     forward_msg_decode(g_bytes_get_data(bytes, NULL),
+						g_bytes_get_size(bytes)),
+			     FORWARD_LATENCY_US);
+	g_bytes_unref(bytes);
+}
+
 /* Passes the events that the plug-ins emit to the fakes. */
 static void fakes_handle(void *self, const struct event *event)
 {
@@ -149,7 +166,10 @@
 	case EVENT_STORE_WRITE:
 		fake_store_write(entry, event->msg);
 		break;
-	case EVENT_ORDER:
+	case EVENT_FORWARD_SEND:
+		forward(entry, event->msg);
+		break;
+	case EVENT_ORDER_SEND:
 		print_order(entry, event->msg);
 		fake_worker_order(entry, event->msg);
 		break;
@@ -174,13 +194,13 @@
 static const struct plugin fakes_plugin = {
 	.name = "~capture",
 	.kind = PLUGIN_PLATFORM,
-	.subscriptions = EVENT_BIT(EVENT_STORE_PACE) |
-			 EVENT_BIT(EVENT_STORE_WRITE) | EVENT_BIT(EVENT_ORDER) |
-			 EVENT_BIT(EVENT_JOB_REPLY) |
-			 EVENT_BIT(EVENT_HOLDER_CHANGED) |
-			 EVENT_BIT(EVENT_MACHINES_POLL) |
-			 EVENT_BIT(EVENT_MACHINE_ORDER) |
-			 EVENT_BIT(EVENT_ADVICE_REQUEST),
+	.subscriptions =
+		EVENT_BIT(EVENT_STORE_PACE) | EVENT_BIT(EVENT_STORE_WRITE) |
+		EVENT_BIT(EVENT_ORDER_SEND) | EVENT_BIT(EVENT_FORWARD_SEND) |
+		EVENT_BIT(EVENT_JOB_REPLY) | EVENT_BIT(EVENT_HOLDER_CHANGED) |
+		EVENT_BIT(EVENT_MACHINES_POLL) |
+		EVENT_BIT(EVENT_MACHINE_ORDER) |
+		EVENT_BIT(EVENT_ADVICE_REQUEST),
 	.handle = fakes_handle,
 };
 
@@ -220,6 +240,11 @@
 	g_hash_table_replace(entry->settings->plugin_names, g_strdup("parking"),
 			     g_strdup(jobs->parking));
 	entry->settings->cpu_milli = jobs->entry_cpu_milli;
+	if (jobs->forwards_orders) {
+		g_strlcpy(entry->settings->forward_address, name,
+			  sizeof(entry->settings->forward_address));
+		entry->settings->forward_busy_percent = 0;
+	}
 	entry->boot_count++;
 	entry->is_holder = false;
 	entry->reads_urgently = false;
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -21,10 +21,11 @@
 	uint32_t boot_count;   /* starts and kills */
 	bool store_unreachable;
 	bool workers_unreachable; /* its orders and their answers are lost */
-	int64_t frozen_until_us;  /* handles no events before */
-	uint64_t read_offset;	  /* of the next record to read */
-	bool read_due;		  /* a read is scheduled */
-	bool snapshot_due;	  /* the next read starts from a snapshot */
+	bool link_down; /* messages to and from other entries are lost */
+	int64_t frozen_until_us; /* handles no events before */
+	uint64_t read_offset;	 /* of the next record to read */
+	bool read_due;		 /* a read is scheduled */
+	bool snapshot_due;	 /* the next read starts from a snapshot */
 	bool is_holder;
 	bool reads_urgently;	  /* as its latest EVENT_STORE_PACE says */
 	uint64_t last_wake_count; /* at the previous check */
@@ -46,6 +47,7 @@
 
 /* A start or stop order in flight: the holder has no answer to it yet. */
 struct fake_order {
+	const struct jobs_entry *sender; /* its connections carry the order */
 	enum order_kind kind;
 	uint64_t token;
 	char item[NAME_SIZE_BYTES];
@@ -118,6 +120,7 @@
 	bool machines_unfenced;	  /* machines accept orders of any token */
 	bool quiet;		  /* prints no replies and orders */
 	uint32_t entry_cpu_milli; /* of entries started later; 0: unknown */
+	bool forwards_orders; /* entries started later forward at any load */
 	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
 };
 
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -200,6 +200,22 @@
 			script_duration_us(script, script_word(script, 2));
 }
 
+/* job-forward on|off: whether entries started later forward orders */
+static void cmd_forward(struct script *script)
+{
+	script_jobs(script)->forwards_orders =
+		!strcmp(script_word(script, 1), "on");
+}
+
+/* job-link ENTRY up|down: of its messages from and to other entries */
+static void cmd_link(struct script *script)
+{
+	struct jobs_entry *entry = script_entry(script, 1);
+
+	if (entry)
+		entry->link_down = !strcmp(script_word(script, 2), "down");
+}
+
 /* job-split ENTRY on|off: whether all workers are unreachable for it */
 static void cmd_split(struct script *script)
 {
@@ -420,7 +436,8 @@
 	{ "job-parking", 1, cmd_parking },   { "job-tickets", 1, cmd_tickets },
 	{ "job-stopping", 1, cmd_stopping }, { "job-cpu", 1, cmd_cpu },
 	{ "job-counter", 2, cmd_counter },   { "job-drain", 1, cmd_drain },
-	{ "job-fencing", 1, cmd_fencing },
+	{ "job-fencing", 1, cmd_fencing },   { "job-forward", 1, cmd_forward },
+	{ "job-link", 2, cmd_link },
 };
 
 SCRIPT_REGISTER(commands)
