Bracket a condition of the forwarding model, and keep the linter quiet

Cause: spin ends a statement before a line that begins with an operator, and the analyzer does not know that a fatal check of CUnit jumps out.

--- a/spec/forward.pml
+++ b/spec/forward.pml
@@ -55,11 +55,11 @@
 	do
 	/* Carries the order out, and keeps it: it may do so again. */
 	:: atomic {
-		queued && queued > closed
+		(queued && queued > closed
 #ifndef NO_ORDER_LEASE
-		&& !lease_expired
+		 && !lease_expired
 #endif
-		-> running[1] = queued;
+		 ) -> running[1] = queued;
 		assert(!running[2])
 	   }
 	:: atomic { running[1] -> reported = true }
--- a/test/unit/forward.c
+++ b/test/unit/forward.c
@@ -1,5 +1,6 @@
 /* Forwarding of orders: the choice of forwarders and the encoding. */
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "codec/forward_codec.h"
@@ -130,16 +131,28 @@
 	return msg;
 }
 
-/* Guards against losing what makes a late order harmless. */
-static void test_orders(void)
+/* Encodes a message and decodes it again; fatal to the test if that fails. */
+static struct forward_msg *read_back(const struct forward_msg *msg)
 {
-	struct forward_msg *msg = sample_orders();
 	GBytes *bytes = forward_msg_encode(msg);
 	struct forward_msg *read = forward_msg_decode(
 		g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes));
+
+	g_bytes_unref(bytes);
+	if (!read) {
+		CU_FAIL_FATAL("the encoded message can't be decoded");
+		abort(); /* The analyzer doesn't know that CUnit jumps out. */
+	}
+	return read;
+}
+
+/* Guards against losing what makes a late order harmless. */
+static void test_orders(void)
+{
+	struct forward_msg *msg = sample_orders();
+	struct forward_msg *read = read_back(msg);
 	const struct order *order;
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(read);
 	CU_ASSERT_FALSE(read->is_reply);
 	CU_ASSERT_EQUAL_FATAL(read->orders->len, 1);
 	order = read->orders->pdata[0];
@@ -154,7 +167,6 @@
 	CU_ASSERT_PTR_NULL(order->checkpoint);
 	forward_msg_unref(read);
 	forward_msg_unref(msg);
-	g_bytes_unref(bytes);
 	CU_ASSERT_PTR_NULL(forward_msg_decode("\xff", 1));
 }
 
@@ -166,7 +178,6 @@
 	struct running_row running = { .item = "a", .run = 1, .percent = 40 };
 	struct ended_row ended = { .number = 5, .item = "b", .run = 2 };
 	struct forward_msg *read;
-	GBytes *bytes;
 
 	msg->is_reply = true;
 	msg->busy_percent = 12;
@@ -177,10 +188,7 @@
 	g_array_append_val(order->running, running);
 	g_array_append_val(order->ended, ended);
 	g_ptr_array_add(msg->orders, order);
-	bytes = forward_msg_encode(msg);
-	read = forward_msg_decode(g_bytes_get_data(bytes, NULL),
-				  g_bytes_get_size(bytes));
-	CU_ASSERT_PTR_NOT_NULL_FATAL(read);
+	read = read_back(msg);
 	CU_ASSERT_EQUAL(read->busy_percent, 12);
 	order = read->orders->pdata[0];
 	CU_ASSERT_EQUAL(order->result, ORDER_NO_ROOM);
@@ -194,7 +202,6 @@
 			5);
 	forward_msg_unref(read);
 	forward_msg_unref(msg);
-	g_bytes_unref(bytes);
 }
 
 static const CU_TestInfo tests[] = {
