Name the deadline of a forwarded order as one, and drop an unused token

Cause: the field holds a point in time, and nothing read the holder's own token.

Change: renamed, removed.

Result: no change of behaviour.

--- a/src/jobs/forward.c
+++ b/src/jobs/forward.c
@@ -29,14 +29,13 @@
 struct pending_order {
 	struct order *order; /* owned reference */
 	struct forwarder *forwarder;
-	int64_t timeout_us;
+	int64_t deadline_us;
 };
 
 struct forward {
 	struct kernel *kernel;
 	struct forwarders *forwarders;
 	bool held;
-	uint64_t token;	       /* of this holder */
 	uint64_t newest_token; /* of any holder, according to the store */
 	bool draining;
 	uint64_t next_id;    /* its upper half is random */
@@ -147,7 +146,7 @@
 	pending = g_new0(struct pending_order, 1);
 	pending->order = order_ref(order);
 	pending->forwarder = forwarder;
-	pending->timeout_us = now_us + RESULT_TIMEOUT_US + order->wait_us;
+	pending->deadline_us = now_us + RESULT_TIMEOUT_US + order->wait_us;
 	g_hash_table_insert(forward->pending, &order->forward_id, pending);
 	add_to_batch(forward, forward->orders, forwarder->address, order);
 	counter_add(kernel_counters(forward->kernel), "orders_forwarded_total",
@@ -226,7 +225,6 @@
 			      const struct holder_changed *changed)
 {
 	forward->held = changed->held;
-	forward->token = changed->token;
 	forward->forward_until_us = 0;
 	/* Orders of a holder that has ended must not be sent any more. */
 	g_hash_table_remove_all(forward->orders);
@@ -273,7 +271,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct pending_order *pending = value;
 
-		if (now_us < pending->timeout_us)
+		if (now_us < pending->deadline_us)
 			continue;
 		g_array_append_val(late, pending->order->forward_id);
 		forwarder_failed(pending->forwarder, now_us);
