Forward orders only when the holder is busy for half of its time

Their holders reach 25% in short bursts and have time to spare, while each forwarder that is killed or stopped delays the starts it has.

A holder that binds is busy all the time.

--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -54,7 +54,7 @@
 	{ .key = NULL },
 };
 
-#define FORWARD_BUSY_PERCENT 25
+#define FORWARD_BUSY_PERCENT 50
 
 static const struct job_bounds default_bounds = {
 	.lease_max_us = 10 * USEC_PER_SEC,
