Take items off a restarted worker only as its lists show

Cause: the hold that waits at the worker when it loses power runs into its time limit, up to 1.8 s later. Until then the new life takes starts: the orders name the id, which is the same. When the next hold showed another start time, on_hold_result() took all items off the worker as if it had ended, before it looked at the lists of the same answer, and placed them elsewhere.

Change: a restart resets what belongs to a life (numbers of ends, lease, tickets, confirmed stops), and nothing else. process_lists() then keeps what the new life lists, releases what was confirmed before the hold was sent and isn't listed, and orders the rest again. A run of which a start had no answer is stopped in the new life first, as that has forgotten which runs had ended.

The same cause elsewhere: a hold carried the number up to which the ends of the old life were stored, and the new life forgot ends that nobody had read; the work ran again. Ends are now acknowledged only within 300 ms after the life that listed them has answered. jobs_worker_restart_ack on the code before: "starts after its end was acknowledged". The expiry of a lease, computed from the clock of the old life, is bounded by the longest lease that workers give.

The directory may show the new life first. It then gets no work before a hold has read its lists.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -81,6 +81,7 @@
 	uint32_t progress_percent; /* progress reported by the worker */
 	uint32_t observed;	   /* tail latency in ms, or CPU in use */
 	bool settled;		   /* no order of this run is unresolved */
+	bool start_unanswered;	   /* a start of this run got no answer */
 	uint64_t list_number;	 /* newest worker list that contains the item */
 	uint64_t store_write_id; /* write that stores the placement; 0: none */
 	int64_t stored_us;	 /* when the placement was stored */
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -130,6 +130,7 @@
 		struct job_item *item = job_item(job, i);
 
 		item->settled = false;
+		item->start_unanswered = false;
 		item->ordered_us = 0;
 		item->pending_orders_count = 0;
 		item->confirmed_us = 0;
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -50,8 +50,9 @@
 	int64_t listed_started_ms; /* start time in the directory; 0: unknown */
 	int64_t reported_started_ms; /* start time in its replies; 0: unknown */
 
-	bool synced; /* knows our fencing token, and we have its lists */
-	bool gone;   /* ended or its lease expired; nothing runs there */
+	/* This life of it knows our fencing token, and we have its lists. */
+	bool synced;
+	bool gone; /* ended or its lease expired; nothing runs there */
 	bool has_clock;
 	int64_t clock_ms; /* lower bound of its clock at clock_read_us */
 	int64_t clock_read_us;
@@ -68,6 +69,7 @@
 	int64_t hold_not_before_us;    /* retry delay */
 	uint32_t unanswered_count;     /* consecutive holds without an answer */
 	int64_t silent_since_us;       /* first such hold; 0: it answers */
+	int64_t answered_us;	       /* when a hold was answered last */
 	uint32_t pending_starts_count; /* start orders without a result yet */
 	bool resend_pending; /* some order may have to be sent again */
 
@@ -294,6 +296,9 @@
 /* Whether another start order may be sent to the worker now. */
 bool starts_may_send(const struct worker *worker);
 
+/* Orders the starts that the worker may get now, the oldest first. */
+void starts_send_next(struct sched *sched, struct worker *worker);
+
 /* Starts the items whose placement was stored by this write. */
 void starts_on_stored(struct sched *sched, struct job *job, uint64_t write_id);
 /* Handles the result of a start order. */
--- a/src/jobs/sched_directory.c
+++ b/src/jobs/sched_directory.c
@@ -32,6 +32,10 @@
 		worker->listed_started_ms = entry->started_ms;
 		worker->hold_due_us = 0;
 		worker->hold_not_before_us = 0;
+		/* Another life: its lists are read before it gets more work. */
+		if (worker->reported_started_ms &&
+		    worker->reported_started_ms != entry->started_ms)
+			worker->synced = false;
 	}
 	if (worker->draining && !was_draining)
 		starts_cancel(sched, worker, "draining");
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -71,6 +71,7 @@
 	item->worker = worker->id;
 	item->run++;
 	item->settled = true;
+	item->start_unanswered = false;
 	item->store_write_id = 0;
 	item->ordered_us = 0;
 	item->pending_orders_count = 0;
@@ -403,6 +404,7 @@
 		break;
 	case ORDER_UNANSWERED:
 		item->settled = false;
+		item->start_unanswered = true;
 		worker->resend_pending = true;
 		item->ordered_us = sched_now_us(sched);
 		sched_wake_at(sched, item->ordered_us + ORDER_RESEND_DELAY_US);
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -33,7 +33,7 @@
 	       worker->pending_starts_count < PENDING_STARTS_MAX_COUNT;
 }
 
-static void send_next_starts(struct sched *sched, struct worker *worker)
+void starts_send_next(struct sched *sched, struct worker *worker)
 {
 	while (starts_may_send(worker)) {
 		struct placement next = oldest_stored(worker);
@@ -61,7 +61,7 @@
 		item->stored_us = sched_now_us(sched);
 		worker = worker_find(sched, item->worker);
 		if (worker)
-			send_next_starts(sched, worker);
+			starts_send_next(sched, worker);
 	}
 }
 
@@ -89,5 +89,5 @@
 			    sched_now_us(sched) + ORDER_RESEND_DELAY_US);
 		starts_cancel(sched, worker, "no-answer");
 	}
-	send_next_starts(sched, worker);
+	starts_send_next(sched, worker);
 }
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -15,6 +15,8 @@
 #define HOLD_MIN_INTERVAL_US (40 * USEC_PER_MSEC)
 /* Average time between two holds, of all workers together. */
 #define HOLD_SPACING_US 400
+/* No worker ends and starts again within this time. */
+#define LIFE_KNOWN_US (300 * USEC_PER_MSEC)
 /* Delay after a hold without an answer. */
 #define HOLD_RETRY_US (200 * USEC_PER_MSEC)
 /* The same for a worker that has no items. */
@@ -182,25 +184,45 @@
 	return order;
 }
 
+/* From the newest reading of the worker's clock; workers cut longer leases. */
+static int64_t longest_lease_us(const struct sched *sched,
+				const struct worker *worker)
+{
+	return sched_now_us(sched) - worker->clock_read_us +
+	       sched->bounds->lease_max_us;
+}
+
 void worker_send_order(struct sched *sched, struct worker *worker,
 		       struct order *order)
 {
+	int64_t lease_us;
 	int64_t expiry_us;
 
 	order->sent_us = sched_now_us(sched);
 	if (order->lease_ms) {
 		worker->lease_end_ms =
 			MAX(worker->lease_end_ms, order->lease_ms);
+		/* The time may be one of the clock of an earlier life. */
+		lease_us = MIN((order->lease_ms - worker->clock_ms) *
+				       USEC_PER_MSEC,
+			       longest_lease_us(sched, worker));
 		expiry_us = worker->clock_read_us +
-			    worker_lease_local_max_us(
-				    (order->lease_ms - worker->clock_ms) *
-				    USEC_PER_MSEC);
+			    worker_lease_local_max_us(lease_us);
 		worker->lease_expiry_us =
 			MAX(worker->lease_expiry_us, expiry_us);
 	}
 	kernel_emit_msg(sched->kernel, EVENT_ORDER, order);
 }
 
+/* Each life of a worker numbers its ends anew. */
+static void forget_ends(struct worker *worker)
+{
+	worker->seen_end_number = 0;
+	worker->flushing_end_number = 0;
+	worker->stored_end_number = 0;
+	worker->acked_end_number = 0;
+}
+
 void worker_mark_gone(struct sched *sched, struct worker *worker,
 		      const char *reason)
 {
@@ -223,10 +245,37 @@
 
 		item_release(sched, placement.job, placement.index, reason);
 	}
-	worker->seen_end_number = 0;
-	worker->flushing_end_number = 0;
-	worker->stored_end_number = 0;
-	worker->acked_end_number = 0;
+	forget_ends(worker);
+	sched_request_placement(sched);
+}
+
+/*
+ * The worker has started again under its id: its counts and its clock are new,
+ * and nothing of before runs there. Orders that were sent since, or are still
+ * under way, may have reached the new life, so items are only taken off the
+ * worker as its lists show.
+ */
+static void on_restart(struct sched *sched, struct worker *worker)
+{
+	decision_log("worker-restarted",
+		     "worker=%s born=%" G_GINT64_FORMAT " items=%u", worker->id,
+		     worker->reported_started_ms, worker->placed->len);
+	forget_ends(worker);
+	worker->lease_end_ms = 0;
+	worker->lease_expiry_us =
+		sched_now_us(sched) +
+		worker_lease_local_max_us(sched->bounds->lease_max_us);
+	advice_forget_worker(sched, worker);
+	starts_cancel(sched, worker, "restarted");
+	for (guint i = 0; i < worker->placed->len; i++) {
+		struct placement placement = worker_placement(worker, i);
+		struct job_item *item = placement_item(&placement);
+
+		/* The new life doesn't know of a stop that was confirmed. */
+		if (item->phase == ITEM_STOPPING)
+			item->settled = false;
+	}
+	worker->resend_pending = true;
 	sched_request_placement(sched);
 }
 
@@ -312,8 +361,14 @@
 		struct placement placement = worker_placement(worker, i - 1);
 		const struct job_item *item = placement_item(&placement);
 
-		if (item->list_number != sched->list_number &&
-		    is_certainly_absent(item, order))
+		if (item->list_number == sched->list_number ||
+		    !is_certainly_absent(item, order))
+			continue;
+		/* A start that got no answer may reach a new life late. */
+		if (item->phase == ITEM_RUNNING && item->start_unanswered)
+			item_stop(sched, placement.job, placement.index,
+				  "absent");
+		else
 			item_release(sched, placement.job, placement.index,
 				     "absent");
 	}
@@ -376,6 +431,21 @@
 	}
 }
 
+/* Notes which life of the worker has answered, and what it was told. */
+static void update_reported_start(struct sched *sched, struct worker *worker,
+				  const struct order *order)
+{
+	int64_t earlier_ms = worker->reported_started_ms;
+
+	if (order->started_ms)
+		worker->reported_started_ms = order->started_ms;
+	if (earlier_ms && worker->reported_started_ms != earlier_ms)
+		on_restart(sched, worker);
+	else
+		worker->acked_end_number =
+			MAX(worker->acked_end_number, order->acked_number);
+}
+
 static void on_hold_result(struct sched *sched, struct worker *worker,
 			   const struct order *order)
 {
@@ -414,19 +484,14 @@
 	}
 	worker->unanswered_count = 0;
 	worker->silent_since_us = 0;
-	if (order->started_ms &&
-	    order->started_ms != worker->reported_started_ms) {
-		if (worker->reported_started_ms)
-			worker_mark_gone(sched, worker, "reborn");
-		worker->reported_started_ms = order->started_ms;
-	}
+	worker->answered_us = now_us;
+	update_reported_start(sched, worker, order);
 	if (!worker->synced)
 		sched_request_placement(sched);
 	worker->synced = true;
 	worker->gone = false;
-	worker->acked_end_number =
-		MAX(worker->acked_end_number, order->acked_number);
 	process_lists(sched, worker, order);
+	starts_send_next(sched, worker);
 	stragglers_on_hold(sched, worker);
 	fillers_on_hold(sched, worker);
 	/* The delay lets one answer list several ends that come together. */
@@ -474,10 +539,23 @@
 	return false;
 }
 
+/*
+ * Whether there are ends to acknowledge to the life of the worker that has
+ * listed them. One that started again meanwhile has numbered its ends anew, and
+ * would forget some that were never read.
+ */
+static bool may_acknowledge(const struct worker *worker, int64_t now_us)
+{
+	return worker->synced && !worker->unanswered_count &&
+	       worker->stored_end_number > worker->acked_end_number &&
+	       now_us - worker->answered_us <= LIFE_KNOWN_US;
+}
+
 static void send_hold(struct sched *sched, struct worker *worker)
 {
 	int64_t now_us = sched_now_us(sched);
 	bool runs = has_ordered_items(worker);
+	bool acks = may_acknowledge(worker, now_us);
 	struct order *order;
 
 	if (worker->hold_pending || now_us < worker->hold_due_us ||
@@ -495,7 +573,8 @@
 		return;
 	}
 	order = worker_order_new(sched, worker, ORDER_HOLD);
-	order->acked_number = worker->stored_end_number;
+	if (acks)
+		order->acked_number = worker->stored_end_number;
 	if (worker->synced && runs && !worker->unanswered_count)
 		order->wait_us = HOLD_WAIT_US;
 	worker->hold_pending = true;
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -14,6 +14,7 @@
 /* Latency of advice, plus a part for each worker asked about. */
 #define ADVICE_LATENCY_US (100 * USEC_PER_MSEC)
 #define ADVICE_PER_WORKER_US (10 * USEC_PER_MSEC)
+#define LEASE_MAX_US (10 * USEC_PER_SEC)
 #define TICKET_LIFETIME_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
 /* Connections to a worker, less the one for its hold. */
@@ -395,6 +396,12 @@
 	}
 }
 
+static int64_t worker_clock_us(const struct jobs_world *jobs,
+			       const struct fake_worker *worker)
+{
+	return jobs->world->now_us - worker->clock_start_us;
+}
+
 static void send_answer(struct jobs_world *jobs, struct fake_worker *worker,
 			struct jobs_entry *entry, struct order *order)
 {
@@ -402,7 +409,7 @@
 		    worker->loses_answers || entry->workers_unreachable;
 
 	order->has_clock = !lost && !worker->refuses_connections;
-	order->clock_ms = jobs->world->now_us / USEC_PER_MSEC;
+	order->clock_ms = worker_clock_us(jobs, worker) / USEC_PER_MSEC;
 	order->started_ms = worker->started_ms;
 	if (lost)
 		order->result = ORDER_UNANSWERED;
@@ -426,6 +433,31 @@
 	fake_worker_drop_hold(worker);
 }
 
+void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker)
+{
+	worker->dead = false;
+	worker->listed = true;
+	worker->started_ms = jobs->world->now_us / USEC_PER_MSEC + 1;
+	worker->clock_start_us = jobs->world->now_us;
+	worker->fence_token = 0;
+	worker->lease_until_us = 0;
+	worker->acked_number = 0;
+	worker->next_number = 1;
+	g_hash_table_remove_all(worker->closed_runs);
+}
+
+/* A lease never gets shorter, and a longer one is cut to the maximum. */
+static void extend_lease(struct jobs_world *jobs, struct fake_worker *worker,
+			 const struct order *order)
+{
+	int64_t until_us =
+		MIN(worker->clock_start_us + order->lease_ms * USEC_PER_MSEC,
+		    jobs->world->now_us + LEASE_MAX_US);
+
+	if (order->lease_ms)
+		worker->lease_until_us = MAX(worker->lease_until_us, until_us);
+}
+
 static void execute_order(struct jobs_world *jobs, struct fake_worker *worker,
 			  struct order *order)
 {
@@ -439,13 +471,11 @@
 	}
 	worker->fence_token = order->token;
 	if (order->kind == ORDER_START && order->lease_ms &&
-	    order->lease_ms * USEC_PER_MSEC <= jobs->world->now_us) {
+	    order->lease_ms * USEC_PER_MSEC <= worker_clock_us(jobs, worker)) {
 		order->result = ORDER_LEASE_EXPIRED;
 		return;
 	}
-	if (order->lease_ms)
-		worker->lease_until_us = MAX(worker->lease_until_us,
-					     order->lease_ms * USEC_PER_MSEC);
+	extend_lease(jobs, worker, order);
 	order->result = ORDER_OK;
 	switch (order->kind) {
 	case ORDER_START:
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -71,7 +71,8 @@
 	bool stalls_items;	/* the items that it starts make no progress */
 	bool allowed_by_advice; /* may run queues that need advice */
 	int64_t started_ms;
-	uint64_t fence_token; /* highest token of the orders so far */
+	int64_t clock_start_us; /* its clock counts from here */
+	uint64_t fence_token;	/* highest token of the orders so far */
 	int64_t lease_until_us;
 	uint64_t acked_number; /* ends up to this number are acknowledged */
 	GArray *running;       /* of struct fake_run */
@@ -163,6 +164,8 @@
 int64_t fake_workers_advance(struct jobs_world *jobs);
 void fake_workers_send_list(struct jobs_world *jobs, struct jobs_entry *entry);
 void fake_worker_kill(struct jobs_world *jobs, struct fake_worker *worker);
+/* Starts a killed worker again under its id; it knows nothing of before. */
+void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker);
 void fake_advice(struct jobs_entry *entry, struct advice *advice);
 /* Drops the waiting hold without an answer. */
 void fake_worker_drop_hold(struct fake_worker *worker);
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -150,6 +150,25 @@
 	worker->stalls_items = !strcmp(how, "stalls");
 }
 
+/*
+ * job-restart WORKER [seen=0]: a dead worker starts again under its id. seen=0:
+ * the directory does not show it yet.
+ */
+static void cmd_restart(struct script *script)
+{
+	struct fake_worker *worker =
+		fake_worker_find(script_jobs(script), script_word(script, 1));
+
+	if (!worker || !worker->dead) {
+		script_fail(script, "no worker \"%s\" is dead",
+			    script_word(script, 1));
+		return;
+	}
+	fake_worker_restart(script_jobs(script), worker);
+	if (script_number(script, "seen", 1))
+		send_worker_lists(script_jobs(script));
+}
+
 /* job-tickets ok|refused: whether workers accept valid tickets */
 static void cmd_tickets(struct script *script)
 {
@@ -437,7 +456,7 @@
 	{ "job-stopping", 1, cmd_stopping }, { "job-cpu", 1, cmd_cpu },
 	{ "job-counter", 2, cmd_counter },   { "job-drain", 1, cmd_drain },
 	{ "job-fencing", 1, cmd_fencing },   { "job-forward", 1, cmd_forward },
-	{ "job-link", 2, cmd_link },
+	{ "job-link", 2, cmd_link },	     { "job-restart", 1, cmd_restart },
 };
 
 SCRIPT_REGISTER(commands)
