Wait for the result of an order before its item leaves a lost worker

Cause: when the list of machines lacks a worker, or its lease has expired, all its items were placed elsewhere, also one whose start order was still under way. The connection of that order may come about once the worker is back under its id, and the item runs twice.

An order refused by another worker at the address (421) is handled before the items are taken off.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -323,7 +323,10 @@
 			       enum order_kind kind);
 void worker_send_order(struct sched *sched, struct worker *worker,
 		       struct order *order);
-/* Releases all items of a worker on which nothing can run any more. */
+/*
+ * Releases the items of a worker on which nothing can run any more; those with
+ * an order under way once they have its result.
+ */
 void worker_mark_gone(struct sched *sched, struct worker *worker,
 		      const char *reason);
 /* The placement at an index of worker->placed. */
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -461,4 +461,7 @@
 		on_start_result(sched, worker, job, index, order);
 	else if (order->kind == ORDER_STOP)
 		on_stop_result(sched, worker, job, index, order);
+	if (worker->gone && !item->pending_orders_count &&
+	    !order_is_answered(order))
+		item_release(sched, job, index, "worker-gone");
 }
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -240,10 +240,16 @@
 	worker->synced = false;
 	worker->lease_end_ms = 0;
 	advice_forget_worker(sched, worker);
-	while (worker->placed->len) {
-		struct placement placement = worker_placement(worker, 0);
+	for (guint i = worker->placed->len; i > 0; i--) {
+		struct placement placement = worker_placement(worker, i - 1);
 
-		item_release(sched, placement.job, placement.index, reason);
+		/*
+		 * An order under way may yet reach a new life of the worker.
+		 * Its result decides about the item.
+		 */
+		if (!placement_item(&placement)->pending_orders_count)
+			item_release(sched, placement.job, placement.index,
+				     reason);
 	}
 	forget_ends(worker);
 	sched_request_placement(sched);
@@ -635,6 +641,8 @@
 	if (order->kind == ORDER_START && worker->pending_starts_count)
 		worker->pending_starts_count--;
 	if (order->result == ORDER_WRONG_WORKER) {
+		if (order->kind != ORDER_HOLD && order->kind != ORDER_PACE)
+			item_on_order(sched, worker, order);
 		worker->hold_pending = false;
 		worker_mark_gone(sched, worker, "other-life");
 		worker->hold_not_before_us =
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -57,6 +57,8 @@
 	worker->running = g_array_new(FALSE, TRUE, sizeof(struct fake_run));
 	g_array_set_clear_func(worker->running, run_clear);
 	worker->orders = g_array_new(FALSE, TRUE, sizeof(struct fake_order));
+	worker->connecting =
+		g_ptr_array_new_with_free_func((GDestroyNotify)order_unref);
 	worker->ended = g_array_new(FALSE, TRUE, sizeof(struct ended_row));
 	g_array_set_clear_func(worker->ended, ended_clear);
 	worker->closed_runs =
@@ -81,6 +83,7 @@
 	fake_worker_drop_hold(worker);
 	g_array_unref(worker->running);
 	g_array_unref(worker->orders);
+	g_ptr_array_unref(worker->connecting);
 	g_array_unref(worker->ended);
 	g_hash_table_unref(worker->closed_runs);
 	g_free(worker);
@@ -433,19 +436,6 @@
 	fake_worker_drop_hold(worker);
 }
 
-void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker)
-{
-	worker->dead = false;
-	worker->listed = true;
-	worker->started_ms = jobs->world->now_us / USEC_PER_MSEC + 1;
-	worker->clock_start_us = jobs->world->now_us;
-	worker->fence_token = 0;
-	worker->lease_until_us = 0;
-	worker->acked_number = 0;
-	worker->next_number = 1;
-	g_hash_table_remove_all(worker->closed_runs);
-}
-
 /* A lease never gets shorter, and a longer one is cut to the maximum. */
 static void extend_lease(struct jobs_world *jobs, struct fake_worker *worker,
 			 const struct order *order)
@@ -492,6 +482,40 @@
 	}
 }
 
+/*
+ * Orders whose sender still waits for the connection reach the new life, and
+ * are answered at the time at which they would have timed out.
+ */
+static void receive_connecting(struct jobs_world *jobs,
+			       struct fake_worker *worker)
+{
+	for (guint i = 0; i < worker->connecting->len; i++) {
+		struct order *order = worker->connecting->pdata[i];
+
+		if (order->sent_us + LOST_ORDER_TIMEOUT_US <=
+		    jobs->world->now_us)
+			continue;
+		execute_order(jobs, worker, order);
+		order->has_clock = true;
+		order->clock_ms = worker_clock_us(jobs, worker) / USEC_PER_MSEC;
+	}
+	g_ptr_array_set_size(worker->connecting, 0);
+}
+
+void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker)
+{
+	worker->dead = false;
+	worker->listed = true;
+	worker->started_ms = jobs->world->now_us / USEC_PER_MSEC + 1;
+	worker->clock_start_us = jobs->world->now_us;
+	worker->fence_token = 0;
+	worker->lease_until_us = 0;
+	worker->acked_number = 0;
+	worker->next_number = 1;
+	g_hash_table_remove_all(worker->closed_runs);
+	receive_connecting(jobs, worker);
+}
+
 static void drop_settled_orders(struct fake_worker *worker, int64_t now_us)
 {
 	for (guint i = worker->orders->len; i > 0; i--) {
@@ -559,6 +583,8 @@
 					      entry->workers_unreachable);
 	if (arrives)
 		execute_order(jobs, worker, order);
+	else if (worker->dead && order->kind != ORDER_HOLD)
+		g_ptr_array_add(worker->connecting, order_ref(order));
 	if (!arrives || order->result != ORDER_OK ||
 	    order->kind != ORDER_HOLD || !order->wait_us ||
 	    worker->ended->len) {
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -80,7 +80,8 @@
 	uint64_t next_number;  /* of the next end */
 	/* Item -> highest run that was stopped or has ended. */
 	GHashTable *closed_runs;
-	GArray *orders;			  /* of struct fake_order */
+	GArray *orders;	       /* of struct fake_order */
+	GPtrArray *connecting; /* starts and stops sent while it was dead */
 	struct jobs_entry *waiting_entry; /* that has sent the waiting hold */
 	struct order *waiting_hold; /* answered when an item ends, or NULL */
 	int64_t hold_until_us;	    /* answered at the latest */
