--- a/test/runner/jobs_random.c
+++ b/test/runner/jobs_random.c
@@ -1,8 +1,8 @@
 /*
- * job-random seed=N steps=N [verbose=1] [forward=1]: random faults of entry
- * instances, the store and workers, alone and overlapping. The fakes check
- * every start. At the end all faults are repaired, and every accepted job must
- * end.
+ * job-random seed=N steps=N [verbose=1] [forward=1] [restarts=1]: random faults
+ * of entry instances, the store and workers, alone and overlapping. The fakes
+ * check every start. At the end all faults are repaired, and every accepted job
+ * must end.
  */
 
 #include <string.h>
@@ -162,6 +162,18 @@
 	add_worker(driver);
 }
 
+/* A worker loses power, or starts again under its id. */
+static void toggle_power(struct driver *driver)
+{
+	struct fake_worker *worker = random_worker(driver);
+
+	if (worker->dead)
+		run_command(driver, "job-restart %s seen=%u", worker->id,
+			    random_below(driver, 2));
+	else
+		run_command(driver, "job-fault %s dark", worker->id);
+}
+
 static void (*const actions[])(struct driver *driver) = {
 	submit_new,
 	submit_new,
@@ -249,6 +261,7 @@
 {
 	uint32_t step_count = (uint32_t)script_number(script, "steps", 200);
 	bool forwards = script_number(script, "forward", 0);
+	bool restarts = script_number(script, "restarts", 0);
 	struct driver driver = {
 		.script = script,
 		.jobs = jobs_world_get(script->world),
@@ -268,6 +281,8 @@
 		actions[random_below(&driver, G_N_ELEMENTS(actions))](&driver);
 		if (forwards && random_below(&driver, 4) == 0)
 			toggle_link(&driver);
+		if (restarts && random_below(&driver, 4) == 0)
+			toggle_power(&driver);
 		if (random_below(&driver, 2))
 			repair_some(&driver);
 		jobs_world_run(driver.jobs, random_below(&driver, STEP_MAX_US));
