Answer calls for a job by its id, whichever route has its path

Cause: reply_known() wanted the job's queue to be that of the path, on_applied() looked for the id alone. So on_applied() took the call off the list, and on_call() put it back on the list that on_applied() was walking, for ever.

Change: the id names the job, as it does in the names of work items and in the check for a repeated submission. on_applied() takes the calls that it will answer off the list before it answers any.

Ways weighed: to answer 410 where the queues differ would end the loop, but tell a caller whose route was renamed that its accepted job does not exist. The path is no boundary between workspaces: the interface has no identity of callers, and ids have 64 bits.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -183,14 +183,18 @@
 	reply(callers, call, &msg);
 }
 
-/* Answers a call about a job that is known here. Returns false if it isn't. */
+/*
+ * Answers a call about a job that is known here. Returns false if it isn't. The
+ * id alone names the job: a configuration may have given the path of its queue
+ * to another one, and callers still ask where they submitted it.
+ */
 static bool reply_known(struct callers *callers, struct job_call *call,
-			const struct queue *queue, const char *id)
+			const char *id)
 {
 	const struct job *job =
 		job_table_find(kernel_jobs(callers->kernel), id);
 
-	if (!job || strcmp(job->queue, queue->name) != 0)
+	if (!job)
 		return false;
 	if (call->kind == CALL_CANCEL)
 		cancel(callers, call, job);
@@ -244,15 +248,36 @@
 				       "the state is too old");
 	} else if (!job_id_is_valid(id)) {
 		callers_refuse(callers, call, 410, "no such job");
-	} else if (!reply_known(callers, call, queue, id)) {
+	} else if (!reply_known(callers, call, id)) {
 		add_pending(callers, call, NULL, PENDING_RECORD,
 			    UNKNOWN_JOB_WAIT_US);
 	}
 }
 
+/* Takes the calls that wait for a job which is known now off the list. */
+static GPtrArray *take_known_calls(struct callers *callers)
+{
+	GPtrArray *known = g_ptr_array_new_with_free_func(pending_free);
+
+	for (guint i = 0; i < callers->pending->len;) {
+		struct pending_call *pending = callers->pending->pdata[i];
+		const char *id = strrchr(pending->call->path, '/') + 1;
+
+		if (pending->state == PENDING_RECORD &&
+		    job_table_find(kernel_jobs(callers->kernel), id))
+			g_ptr_array_add(known, g_ptr_array_steal_index(
+						       callers->pending, i));
+		else
+			i++;
+	}
+	return known;
+}
+
 /* Answers calls whose job has become known. */
 static void on_applied(struct callers *callers, const struct store_read *read)
 {
+	GPtrArray *known;
+
 	if (!read->reachable)
 		return;
 	/* A read that stops before the store's end gives an older state. */
@@ -261,19 +286,14 @@
 		callers->caught_up_us = kernel_now_us(callers->kernel);
 	if (read->snapshot)
 		callers->has_snapshot = true;
-	for (guint i = 0; i < callers->pending->len;) {
-		struct pending_call *pending = callers->pending->pdata[i];
-		const char *id = strrchr(pending->call->path, '/') + 1;
+	/* on_call() may add a call to the list again. */
+	known = take_known_calls(callers);
+	for (guint i = 0; i < known->len; i++) {
+		struct pending_call *pending = known->pdata[i];
 
-		if (pending->state != PENDING_RECORD ||
-		    !job_table_find(kernel_jobs(callers->kernel), id)) {
-			i++;
-			continue;
-		}
-		pending = g_ptr_array_steal_index(callers->pending, i);
 		on_call(callers, pending->call);
-		pending_free(pending);
 	}
+	g_ptr_array_unref(known);
 }
 
 static void reply_timed_out(struct callers *callers,
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -41,6 +41,47 @@
 	queues_add_queue(script_jobs(script)->queues, queue);
 }
 
+static struct queue *copy_queue(const struct queue *from)
+{
+	struct queue *queue = queue_new();
+
+	*queue = *from;
+	queue->prefix = g_strdup(from->prefix);
+	return queue;
+}
+
+/*
+ * job-replace QUEUE NAME: a new configuration, in which a queue of another name
+ * has the path of this one.
+ */
+static void cmd_replace(struct script *script)
+{
+	struct jobs_world *jobs = script_jobs(script);
+	struct queues *earlier = jobs->queues;
+
+	jobs->queues = queues_new();
+	jobs->queues->version = earlier->version + 1;
+	for (guint i = 0; i < earlier->pools->len; i++)
+		*queues_add_pool(jobs->queues) =
+			*(const struct pool *)earlier->pools->pdata[i];
+	for (guint i = 0; i < earlier->queues->len; i++) {
+		struct queue *queue = copy_queue(earlier->queues->pdata[i]);
+
+		if (!strcmp(queue->name, script_word(script, 1)))
+			g_strlcpy(queue->name, script_word(script, 2),
+				  sizeof(queue->name));
+		queues_add_queue(jobs->queues, queue);
+	}
+	queues_unref(earlier);
+	for (guint i = 0; i < jobs->entries->len; i++) {
+		struct config_seen *seen = g_rc_box_new0(struct config_seen);
+
+		seen->queues = queues_ref(jobs->queues);
+		jobs_deliver(jobs, jobs->entries->pdata[i], EVENT_CONFIG_SEEN,
+			     seen, 0);
+	}
+}
+
 /* job-pool NAME [standby=1] */
 static void cmd_pool(struct script *script)
 {
@@ -457,6 +498,7 @@
 	{ "job-counter", 2, cmd_counter },   { "job-drain", 1, cmd_drain },
 	{ "job-fencing", 1, cmd_fencing },   { "job-forward", 1, cmd_forward },
 	{ "job-link", 2, cmd_link },	     { "job-restart", 1, cmd_restart },
+	{ "job-replace", 2, cmd_replace },
 };
 
 SCRIPT_REGISTER(commands)
