Store the progress of a large job in segments

Cause: the progress of a job was one record, 21 bytes and more for each item that was placed. The store takes records of at most record_bytes (262,144); the setting was read and used nowhere.

Change: a record holds 128 items. The first has the key of before, s/ID, so jobs of usual size are stored as they were; the others are s/ID/1 and so on. Only segments that have changed are written. Records of earlier versions cover the whole job and are still applied.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -17,61 +17,58 @@
 /* A cancellation has no fields; an empty value would remove its key. */
 static const uint8_t cancel_value[] = { 1 };
 
-static const char *job_key_prefix(enum job_record_kind kind)
+/* The key of segment 0 has no number. */
+static char *progress_key(const char *id, uint32_t segment)
 {
-	switch (kind) {
+	if (!segment)
+		return g_strconcat(KEY_PROGRESS, id, NULL);
+	return g_strdup_printf(KEY_PROGRESS "%s/%u", id, segment);
+}
+
+/* The submission comes last: without it the other keys name no job. */
+static void add_job_keys(GPtrArray *keys, const struct job_record *record)
+{
+	g_ptr_array_add(keys, g_strconcat(KEY_CANCEL, record->id, NULL));
+	for (uint32_t i = 0; i < MAX(record->segment, 1); i++)
+		g_ptr_array_add(keys, progress_key(record->id, i));
+	g_ptr_array_add(keys, g_strconcat(KEY_SUBMIT, record->id, NULL));
+}
+
+static char *single_key(const struct job_record *record)
+{
+	switch (record->kind) {
 	case JOB_RECORD_SUBMIT:
-		return KEY_SUBMIT;
+		return g_strconcat(KEY_SUBMIT, record->id, NULL);
 	case JOB_RECORD_PROGRESS:
-		return KEY_PROGRESS;
+		return progress_key(record->id, record->segment);
 	case JOB_RECORD_CANCEL:
-		return KEY_CANCEL;
+		return g_strconcat(KEY_CANCEL, record->id, NULL);
+	case JOB_RECORD_HOLDER:
+		return record->action == HOLDER_CLAIM
+			       ? g_strconcat(KEY_CLAIM, record->entry, NULL)
+			       : g_strdup(KEY_HOLDER);
+	case JOB_RECORD_MACHINES:
+		return g_strdup(KEY_MACHINES);
+	case JOB_RECORD_ENTRY:
+		return g_strconcat(KEY_ENTRY, record->entry, NULL);
+	case JOB_RECORD_WAVE:
+		return g_strdup_printf(KEY_WAVE "%" G_GUINT64_FORMAT,
+				       record->wave);
 	default:
 		return NULL;
 	}
 }
 
-uint32_t job_codec_keys(const struct job_record *record,
-			char keys[3][JOB_KEY_MAX_BYTES])
+char **job_codec_keys(const struct job_record *record)
 {
-	static const char *const prefixes[] = { KEY_CANCEL, KEY_PROGRESS,
-						KEY_SUBMIT };
-	const char *prefix = job_key_prefix(record->kind);
-
-	if (record->kind == JOB_RECORD_HOLDER &&
-	    record->action == HOLDER_CLAIM) {
-		g_snprintf(keys[0], JOB_KEY_MAX_BYTES, KEY_CLAIM "%s",
-			   record->entry);
-		return 1;
-	}
-	if (record->kind == JOB_RECORD_HOLDER) {
-		g_strlcpy(keys[0], KEY_HOLDER, JOB_KEY_MAX_BYTES);
-		return 1;
-	}
-	if (record->kind == JOB_RECORD_MACHINES) {
-		g_strlcpy(keys[0], KEY_MACHINES, JOB_KEY_MAX_BYTES);
-		return 1;
-	}
-	if (record->kind == JOB_RECORD_ENTRY) {
-		g_snprintf(keys[0], JOB_KEY_MAX_BYTES, KEY_ENTRY "%s",
-			   record->entry);
-		return 1;
-	}
-	if (record->kind == JOB_RECORD_WAVE) {
-		g_snprintf(keys[0], JOB_KEY_MAX_BYTES,
-			   KEY_WAVE "%" G_GUINT64_FORMAT, record->wave);
-		return 1;
-	}
-	if (record->kind == JOB_RECORD_DROP) {
-		for (uint32_t i = 0; i < G_N_ELEMENTS(prefixes); i++)
-			g_snprintf(keys[i], JOB_KEY_MAX_BYTES, "%s%s",
-				   prefixes[i], record->id);
-		return G_N_ELEMENTS(prefixes);
-	}
-	if (!prefix)
-		return 0;
-	g_snprintf(keys[0], JOB_KEY_MAX_BYTES, "%s%s", prefix, record->id);
-	return 1;
+	GPtrArray *keys = g_ptr_array_new();
+
+	if (record->kind == JOB_RECORD_DROP)
+		add_job_keys(keys, record);
+	else
+		g_ptr_array_add(keys, single_key(record));
+	g_ptr_array_add(keys, NULL);
+	return (char **)g_ptr_array_free(keys, FALSE);
 }
 
 static void step_to_wire(Pl__JobStep *to, const struct job_step *from)
@@ -397,13 +394,39 @@
 	return record;
 }
 
+/*
+ * Splits what follows the prefix of a job's key into its id, which must have
+ * room for JOB_ID_SIZE_BYTES, and the number of a segment. Returns false if it
+ * is malformed.
+ */
+static bool parse_job_key(const char *text, char *id, uint32_t *segment)
+{
+	guint64 number = 0;
+
+	*segment = 0;
+	g_strlcpy(id, text, JOB_ID_SIZE_BYTES);
+	if (!job_id_is_valid(id))
+		return false;
+	text += JOB_ID_SIZE_BYTES - 1;
+	if (!*text)
+		return true;
+	if (*text != '/' ||
+	    !g_ascii_string_to_unsigned(text + 1, 10, 1, JOB_ITEMS_MAX_COUNT,
+					&number, NULL))
+		return false;
+	*segment = (uint32_t)number;
+	return true;
+}
+
 static struct job_record *decode_job(const char *key, const uint8_t *value,
 				     size_t size_bytes)
 {
-	const char *id = key + KEY_PREFIX_BYTES;
+	char id[JOB_ID_SIZE_BYTES];
+	uint32_t segment;
 	struct job_record *record;
 
-	if (!job_id_is_valid(id))
+	if (!parse_job_key(key + KEY_PREFIX_BYTES, id, &segment) ||
+	    (segment && !g_str_has_prefix(key, KEY_PROGRESS)))
 		return NULL;
 	if (g_str_has_prefix(key, KEY_SUBMIT))
 		record = size_bytes ? decode_submit(value, size_bytes)
@@ -414,8 +437,10 @@
 		record = decode_progress(value, size_bytes);
 	else
 		record = job_record_new(JOB_RECORD_CANCEL);
-	if (record)
-		g_strlcpy(record->id, id, sizeof(record->id));
+	if (!record)
+		return NULL;
+	g_strlcpy(record->id, id, sizeof(record->id));
+	record->segment = segment;
 	return record;
 }
 
--- a/src/codec/job_codec.h
+++ b/src/codec/job_codec.h
@@ -7,14 +7,11 @@
 
 #include "jobs/record.h"
 
-#define JOB_KEY_MAX_BYTES (NAME_SIZE_BYTES + 8)
-
 /*
- * Writes the keys of a record: three for JOB_RECORD_DROP, at most one for any
- * other. Returns how many.
+ * Returns the keys of a record: all those of the job for JOB_RECORD_DROP, at
+ * most one for any other. Caller frees with g_strfreev().
  */
-uint32_t job_codec_keys(const struct job_record *record,
-			char keys[3][JOB_KEY_MAX_BYTES]);
+char **job_codec_keys(const struct job_record *record);
 
 /* Caller frees; empty for a record that removes its keys. */
 GBytes *job_codec_encode(const struct job_record *record);
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -94,6 +94,8 @@
 	job->step_counts =
 		g_new0(struct step_count,
 		       job_spec_occurrences(spec) * spec->steps->len);
+	job->segment_offsets = g_new0(uint64_t, job_segments_count(job));
+	job->dirty_segments = g_new0(bool, job_segments_count(job));
 	job_recount(job);
 	return job;
 }
@@ -104,6 +106,8 @@
 		return;
 	g_array_unref(job->items);
 	g_free(job->step_counts);
+	g_free(job->segment_offsets);
+	g_free(job->dirty_segments);
 	job_spec_unref(job->spec);
 	g_free(job);
 }
@@ -136,6 +140,16 @@
 	return index / item_count;
 }
 
+uint32_t job_segments_count(const struct job *job)
+{
+	return job_item_segment(job->items->len - 1) + 1;
+}
+
+uint32_t job_item_segment(uint32_t index)
+{
+	return index / JOB_SEGMENT_ITEMS_COUNT;
+}
+
 uint32_t job_first_item(const struct job *job, uint32_t occurrence,
 			uint32_t step)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -14,7 +14,13 @@
 #define JOB_ID_SIZE_BYTES 17 /* 16 hexadecimal digits and a NUL */
 #define JOB_STEPS_MAX_COUNT 64
 #define JOB_ITEMS_MAX_COUNT 20000
+/*
+ * The progress of a job is stored in segments of so many items, each in a
+ * record of its own, since the size of a record is limited.
+ */
+#define JOB_SEGMENT_ITEMS_COUNT 128
 #define JOB_TEXT_MAX_BYTES 4000
+#define CHECKPOINT_MAX_BYTES 512
 /* Until 2286; sums of two, in microseconds, fit into 64 bits. */
 #define JOB_TIME_MAX_MS INT64_C(10000000000000)
 
@@ -118,12 +124,13 @@
 	int64_t submitted_ms; /* wall clock of the accepting process */
 	/* When it was first read here, less its age in a snapshot. */
 	int64_t first_seen_us;
-	enum job_state state;  /* stored state */
-	bool cancelled;	       /* a cancellation is stored */
-	bool begun;	       /* a worker has started an item */
-	int64_t ended_us;      /* 0: not ended */
-	uint64_t state_offset; /* of the newest progress applied */
+	enum job_state state; /* stored state */
+	bool cancelled;	      /* a cancellation is stored */
+	bool begun;	      /* a worker has started an item */
+	int64_t ended_us;     /* 0: not ended */
 	uint64_t submit_offset;
+	/* By segment: offset of the newest progress applied */
+	uint64_t *segment_offsets;
 	GArray *items;			/* of struct job_item */
 	struct step_count *step_counts; /* by occurrence and step */
 	/* Used by the holder only; not stored. */
@@ -131,6 +138,7 @@
 	uint32_t left_count;	   /* items not done */
 	uint32_t placed_count;	   /* items on a worker */
 	bool dirty;		   /* has progress that is not stored */
+	bool *dirty_segments;	   /* by segment: where that progress is */
 	int64_t objective_us; /* time by which it should end; 0: not computed */
 	bool late;	      /* expected to miss the objective */
 	bool open;	      /* in the scheduler's list of open jobs */
@@ -147,6 +155,10 @@
 uint32_t job_item_step(const struct job *job, uint32_t index);
 uint32_t job_item_occurrence(const struct job *job, uint32_t index);
 
+/* Segments of the stored progress; the state is stored with segment 0. */
+uint32_t job_segments_count(const struct job *job);
+uint32_t job_item_segment(uint32_t index);
+
 /* First item of a step of an occurrence. */
 uint32_t job_first_item(const struct job *job, uint32_t occurrence,
 			uint32_t step);
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -43,11 +43,13 @@
 	char pool[NAME_SIZE_BYTES];
 	int64_t submitted_ms;
 	struct job_spec *spec;
-	/* progress */
-	enum job_state state;
+	/* progress; drop: the number of segments of the job */
+	uint32_t segment;
+	enum job_state state; /* segment 0 only, as is begun */
 	bool begun;
-	GByteArray *done; /* bitmap of the items, or of a wave's machines */
-	GArray *items;	  /* of struct job_record_item */
+	/* Bitmap of the segment's items, or of a wave's machines */
+	GByteArray *done;
+	GArray *items; /* of struct job_record_item */
 	/* holder, entry */
 	char entry[NAME_SIZE_BYTES];
 	uint64_t boot_id;
@@ -68,7 +70,7 @@
 struct job_record *job_record_ref(struct job_record *record);
 void job_record_unref(struct job_record *record);
 
-/* Returns a record of a job's current progress. */
-struct job_record *job_record_progress(const struct job *job);
+/* Returns a record of the current progress of a segment of a job. */
+struct job_record *job_record_progress(const struct job *job, uint32_t segment);
 
 #endif
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -125,6 +125,8 @@
 static void adopt_job(struct sched *sched, struct job *job)
 {
 	job->dirty = false;
+	memset(job->dirty_segments, 0,
+	       job_segments_count(job) * sizeof(*job->dirty_segments));
 	job->next_state = job->state;
 	for (uint32_t i = 0; i < job->items->len; i++) {
 		struct job_item *item = job_item(job, i);
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -279,7 +279,12 @@
 /* Stops all items of a job, and any that are found running later. */
 void job_stop_items(struct sched *sched, struct job *job, const char *reason);
 
+/* The next write stores the state of the job. */
 void job_mark_dirty(struct sched *sched, struct job *job);
+/* The next write stores the progress of the item. */
+void item_mark_dirty(struct sched *sched, struct job *job, uint32_t index);
+/* The next write stores the state and the progress of all items. */
+void job_mark_all_dirty(struct sched *sched, struct job *job);
 
 /* Ends a job as complete if all its items are done. */
 void job_check_complete(struct sched *sched, struct job *job);
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -28,8 +28,13 @@
 		if (item->phase == ITEM_STORING && !item->store_write_id)
 			item->store_write_id = write->write_id;
 	}
+	for (uint32_t i = 0; i < job_segments_count(job); i++) {
+		if (job->dirty_segments[i])
+			g_ptr_array_add(write->records,
+					job_record_progress(job, i));
+		job->dirty_segments[i] = false;
+	}
 	job->dirty = false;
-	g_ptr_array_add(write->records, job_record_progress(job));
 	g_array_append_val(sched->flushing_jobs, flushed);
 }
 
@@ -62,6 +67,7 @@
 			continue;
 		record = job_record_new(JOB_RECORD_DROP);
 		g_strlcpy(record->id, job->id, sizeof(record->id));
+		record->segment = job_segments_count(job);
 		g_ptr_array_add(write->records, record);
 		count++;
 	}
@@ -132,10 +138,10 @@
 	else if (write->result == STORE_NOT_WRITTEN)
 		/* The same progress goes into the next write. */
 		for (guint i = 0; i < sched->flushing_jobs->len; i++)
-			job_mark_dirty(sched,
-				       g_array_index(sched->flushing_jobs,
-						     struct flushing_job, i)
-					       .job);
+			job_mark_all_dirty(sched,
+					   g_array_index(sched->flushing_jobs,
+							 struct flushing_job, i)
+						   .job);
 	if (write->result == STORE_NOT_WRITTEN)
 		sched->ends_unstored = true;
 	machine_orders_on_written(sched, write->result == STORE_WRITTEN);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -24,14 +24,32 @@
 /* Longer, as long-running items may fail every time and have no limit. */
 #define LONG_RUNNING_RETRY_US (200 * USEC_PER_MSEC)
 
-void job_mark_dirty(struct sched *sched, struct job *job)
+static void mark_segment_dirty(struct sched *sched, struct job *job,
+			       uint32_t segment)
 {
+	job->dirty_segments[segment] = true;
 	if (job->dirty)
 		return;
 	job->dirty = true;
 	g_ptr_array_add(sched->dirty_jobs, job);
 }
 
+void job_mark_dirty(struct sched *sched, struct job *job)
+{
+	mark_segment_dirty(sched, job, 0);
+}
+
+void item_mark_dirty(struct sched *sched, struct job *job, uint32_t index)
+{
+	mark_segment_dirty(sched, job, job_item_segment(index));
+}
+
+void job_mark_all_dirty(struct sched *sched, struct job *job)
+{
+	for (uint32_t i = 0; i < job_segments_count(job); i++)
+		mark_segment_dirty(sched, job, i);
+}
+
 /*
  * A job begins with the first run, not with a placement: the start order may
  * be delayed for seconds.
@@ -80,7 +98,7 @@
 	item->progress_changed_us = 0;
 	item->pace_percent = 100;
 	worker_attach(worker, job, index);
-	job_mark_dirty(sched, job);
+	item_mark_dirty(sched, job, index);
 	job_item_name(job, index, name, sizeof(name));
 	decision_log("place",
 		     "item=%s run=%u worker=%s cpu_used=%u cpu=%u "
@@ -104,7 +122,7 @@
 	item->store_write_id = 0;
 	item->unavailable_since_us = sched_now_us(sched);
 	item->progress_percent = 0;
-	job_mark_dirty(sched, job);
+	item_mark_dirty(sched, job, index);
 	sched_request_placement(sched);
 }
 
@@ -127,7 +145,7 @@
 	if (is_placed(item))
 		detach_from_worker(sched, job, index);
 	job_set_phase(job, index, ITEM_DONE);
-	job_mark_dirty(sched, job);
+	item_mark_dirty(sched, job, index);
 	sched_request_placement(sched);
 	job_check_complete(sched, job);
 }
@@ -286,7 +304,7 @@
 		return;
 	}
 	item->ended_done = true;
-	job_mark_dirty(sched, job);
+	item_mark_dirty(sched, job, index);
 	item_stop(sched, job, index, "done-elsewhere");
 }
 
--- a/src/jobs/table.c
+++ b/src/jobs/table.c
@@ -87,20 +87,50 @@
 		cancel(job, now_us);
 }
 
+static void reset_item(struct job *job, uint32_t index, bool done)
+{
+	struct job_item *item = job_item(job, index);
+	enum item_phase phase = item->phase;
+
+	g_free(item->checkpoint);
+	*item = (struct job_item){ .phase = phase };
+	job_set_phase(job, index, done ? ITEM_DONE : ITEM_WAITING);
+}
+
 static void apply_item(struct job *job, const struct job_record_item *progress)
 {
-	struct job_item *item;
+	struct job_item *item = job_item(job, progress->index);
 
-	if (progress->index >= job->items->len)
-		return;
-	item = job_item(job, progress->index);
 	item->run = progress->run;
 	item->failed_count = progress->failed_count;
 	item->worker = progress->worker;
-	item->phase = progress->worker ? ITEM_STARTING : ITEM_WAITING;
-	if (progress->checkpoint) {
-		g_free(item->checkpoint);
-		item->checkpoint = g_strdup(progress->checkpoint);
+	job_set_phase(job, progress->index,
+		      progress->worker ? ITEM_STARTING : ITEM_WAITING);
+	g_free(item->checkpoint);
+	item->checkpoint = g_strdup(progress->checkpoint);
+}
+
+/*
+ * Resets the items that the bitmap of a record covers: one segment, or in a
+ * record of an earlier version the whole job. Segments with newer progress are
+ * left as they are.
+ */
+static void reset_segments(struct job *job, const struct job_record *record)
+{
+	uint32_t first = record->segment * JOB_SEGMENT_ITEMS_COUNT;
+
+	for (uint32_t i = 0; i / 8 < record->done->len; i++) {
+		uint32_t index = first + i;
+		uint64_t *offset;
+
+		if (index >= job->items->len)
+			return;
+		offset = &job->segment_offsets[job_item_segment(index)];
+		if (record->offset < *offset)
+			continue;
+		*offset = record->offset;
+		reset_item(job, index,
+			   record->done->data[i / 8] >> (i % 8) & 1);
 	}
 }
 
@@ -109,23 +139,21 @@
 {
 	struct job *job = job_table_find(table, record->id);
 
-	if (!job || record->offset < job->state_offset)
+	if (!job || record->segment >= job_segments_count(job))
 		return;
-	job->state_offset = record->offset;
-	job->begun = record->begun;
-	for (uint32_t i = 0; i < job->items->len; i++) {
-		struct job_item *item = job_item(job, i);
-
-		g_free(item->checkpoint);
-		*item = (struct job_item){ .phase = ITEM_WAITING };
-		if (i / 8 < record->done->len &&
-		    (record->done->data[i / 8] >> (i % 8) & 1))
-			item->phase = ITEM_DONE;
+	reset_segments(job, record);
+	for (guint i = 0; i < record->items->len; i++) {
+		const struct job_record_item *progress = &g_array_index(
+			record->items, struct job_record_item, i);
+
+		if (progress->index < job->items->len &&
+		    job->segment_offsets[job_item_segment(progress->index)] ==
+			    record->offset)
+			apply_item(job, progress);
 	}
-	for (guint i = 0; i < record->items->len; i++)
-		apply_item(job, &g_array_index(record->items,
-					       struct job_record_item, i));
-	job_recount(job);
+	if (record->segment || job->segment_offsets[0] != record->offset)
+		return;
+	job->begun = record->begun;
 	job->next_state = record->state;
 	job_table_set_state(table, job, record->state, now_us);
 }
--- a/test/fuzz/job_record.c
+++ b/test/fuzz/job_record.c
@@ -7,9 +7,10 @@
 
 #define ID "00000000000000a1"
 
-static const char submission[] = "{\"spec\":\"t\",\"steps\":[{\"count\":3}]}";
-static const char *const keys[] = { "j/" ID, "s/" ID,	"c/" ID,   "holder",
-				    "w/1",   "claim/e", "entry/e", "machines" };
+static const char submission[] = "{\"spec\":\"t\",\"steps\":[{\"count\":300}]}";
+static const char *const keys[] = { "j/" ID,   "s/" ID,	   "c/" ID,
+				    "holder",  "w/1",	   "claim/e",
+				    "entry/e", "machines", "s/" ID "/1" };
 
 /* The first byte selects the key; the rest is the value of the record. */
 static void run(const uint8_t *data, size_t size_bytes)
--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -1,7 +1,12 @@
-/* Fake of the store: one topic of records, which fences holders by epoch. */
+/*
+ * Fake of the store: one topic of records, which fences holders by epoch.
+ * Checked for every write: no record exceeds the store's limit.
+ */
 
+#include "codec/job_codec.h"
 #include "runner/jobs_world.h"
 
+#define RECORD_MAX_BYTES ((size_t)256 * 1024)
 #define WRITE_LATENCY_US (5 * USEC_PER_MSEC)
 #define READ_LATENCY_US (3 * USEC_PER_MSEC)
 #define READ_INTERVAL_US (150 * USEC_PER_MSEC)
@@ -131,10 +136,25 @@
 	}
 }
 
+static void check_sizes(struct jobs_world *jobs,
+			const struct store_write *write)
+{
+	for (guint i = 0; i < write->records->len; i++) {
+		const struct job_record *record = write->records->pdata[i];
+		GBytes *value = job_codec_encode(record);
+
+		if (g_bytes_get_size(value) > RECORD_MAX_BYTES)
+			jobs_violation(jobs, "a record of job %s has %zu bytes",
+				       record->id, g_bytes_get_size(value));
+		g_bytes_unref(value);
+	}
+}
+
 void fake_store_write(struct jobs_entry *entry, struct store_write *write)
 {
 	struct jobs_world *jobs = entry->jobs;
 
+	check_sizes(jobs, write);
 	if (!store_reachable(entry)) {
 		/* The real adapter repeats a write until it has an answer. */
 		jobs_deliver(jobs, entry, EVENT_STORE_WRITE,
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -340,11 +340,12 @@
 
 	spec->text = g_strdup("text");
 	for (uint32_t i = 0; steps[i]; i++) {
-		struct job_step step = { .estimate_ms = 800, .mem_mb = 100 };
+		struct job_step step = { .estimate_ms = 800 };
 		char *end;
 
 		step.item_count = (uint32_t)strtoul(steps[i], &end, 10);
 		step.cpu_milli = (uint32_t)strtoul(end + 1, NULL, 10);
+		step.mem_mb = (uint32_t)script_number(script, "mem", 100);
 		step.dependency_mask = i ? UINT64_C(1) << (i - 1) : 0;
 		step.long_running = script_number(script, "lasting", 0);
 		step.gang = script_number(script, "gang", 0);
@@ -360,7 +361,7 @@
 
 /*
  * job-submit ENTRY QUEUE/ID [steps=4x1000,2x500] [lasting=1] [gang=1]
- * [per_worker=N] [away=N]
+ * [per_worker=N] [away=N] [mem=MB]
  */
 static void cmd_submit(struct script *script)
 {
