Keep writes within the limits of the store

A write of the holder with the progress of many jobs, or of one large job, may exceed it; the store refuses such an append each time.

A caller's write is never split, since it is told of the whole of it: a write holds as many submissions as fit, by an upper bound of their size, and a job that no record can hold is refused with 400.

Test: contract test "splits"; on the code before, one request of 960 bytes is sent where 400 are allowed.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -120,6 +120,8 @@
 static void submit(struct callers *callers, struct job_call *call,
 		   const struct queue *queue, const char *id)
 {
+	const struct job_bounds *bounds =
+		&kernel_settings(callers->kernel)->bounds;
 	struct job_record *record;
 
 	if (!job_id_is_valid(id)) {
@@ -137,6 +139,12 @@
 					  : "the body does not describe a job");
 		return;
 	}
+	if (job_spec_stored_max_bytes(call->spec) >
+	    MIN(bounds->record_max_bytes, bounds->batch_max_bytes)) {
+		callers_refuse(callers, call, 400,
+			       "the job is too large to be stored");
+		return;
+	}
 	if (has_stopped_accepting(callers) ||
 	    callers_store_is_silent(callers)) {
 		callers_refuse(callers, call, 503,
--- a/src/jobs/callers_write.c
+++ b/src/jobs/callers_write.c
@@ -16,9 +16,20 @@
 /* After this time without an answer from the store, callers get a 503. */
 #define STORE_SILENT_US (1500 * USEC_PER_MSEC)
 #define BATCH_MAX_COUNT 64
+#define CANCEL_STORED_MAX_BYTES 64
+
+/* Upper bound of the size of a submission or cancellation in the store. */
+static uint64_t stored_max_bytes(const struct job_record *record)
+{
+	return record->spec ? job_spec_stored_max_bytes(record->spec)
+			    : CANCEL_STORED_MAX_BYTES;
+}
 
 void callers_send_queued(struct callers *callers)
 {
+	const struct job_bounds *bounds =
+		&kernel_settings(callers->kernel)->bounds;
+	uint64_t left_bytes = bounds->batch_max_bytes;
 	struct store_write *write;
 	int64_t now_us = kernel_now_us(callers->kernel);
 
@@ -33,8 +44,10 @@
 		struct pending_call *pending = callers->pending->pdata[i];
 
 		if (pending->state != PENDING_QUEUED ||
-		    write->records->len >= BATCH_MAX_COUNT)
+		    write->records->len >= BATCH_MAX_COUNT ||
+		    stored_max_bytes(pending->record) > left_bytes)
 			continue;
+		left_bytes -= stored_max_bytes(pending->record);
 		pending->state = PENDING_WRITE;
 		pending->write_id = callers->next_write_id;
 		pending->deadline_us = MIN(now_us + WRITE_WAIT_MAX_US,
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Upper bounds of what a step, and a job without its text, take when stored. */
+#define STEP_STORED_MAX_BYTES (3 * NAME_SIZE_BYTES + 128)
+#define JOB_STORED_MAX_BYTES (2 * NAME_SIZE_BYTES + 128)
+
 static void spec_clear(gpointer data)
 {
 	struct job_spec *spec = data;
@@ -29,6 +33,12 @@
 		g_rc_box_release_full(spec, spec_clear);
 }
 
+uint64_t job_spec_stored_max_bytes(const struct job_spec *spec)
+{
+	return JOB_STORED_MAX_BYTES + strlen(spec->text) +
+	       (uint64_t)spec->steps->len * STEP_STORED_MAX_BYTES;
+}
+
 uint32_t job_spec_items_per_occurrence(const struct job_spec *spec)
 {
 	uint32_t count = 0;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -62,6 +62,9 @@
 /* Returns NULL if the job is acceptable, otherwise the reason why not. */
 const char *job_spec_check(const struct job_spec *spec);
 
+/* Upper bound of the size of the stored job, in bytes. */
+uint64_t job_spec_stored_max_bytes(const struct job_spec *spec);
+
 uint32_t job_spec_items_per_occurrence(const struct job_spec *spec);
 uint32_t job_spec_occurrences(const struct job_spec *spec);
 
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -70,6 +70,8 @@
 	.skew_us = 5 * USEC_PER_SEC,
 	.remote_penalty = 1.5,
 	.machine_orders_per_s = 32,
+	.record_max_bytes = UINT64_C(256) * 1024,
+	.batch_max_bytes = UINT64_C(1024) * 1024,
 };
 
 struct settings *settings_new(void)
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -15,7 +15,7 @@
 	char address[ADDRESS_SIZE_BYTES];
 };
 
-/* Limits and timings of the platform's workers and machines. */
+/* Limits and timings of the platform's workers, machines and store. */
 struct job_bounds {
 	int64_t lease_max_us; /* longest lease of an item on a worker */
 	int64_t stop_us;      /* time that an item takes to stop */
@@ -31,6 +31,8 @@
 	int64_t skew_us;	  /* largest clock skew between processes */
 	double remote_penalty;	  /* slowdown of work outside its rack */
 	uint32_t machine_orders_per_s;
+	uint64_t record_max_bytes; /* of one record in the store */
+	uint64_t batch_max_bytes;  /* of the records of one write */
 };
 
 struct settings {
--- a/test/contract/store_write.c
+++ b/test/contract/store_write.c
@@ -1,4 +1,7 @@
-/* Writes to the platform's store, which leaves some requests unanswered. */
+/*
+ * Writes to the platform's store, which leaves some requests unanswered and
+ * limits the size of an append.
+ */
 
 #include "contract/fake_http.h"
 #include "contract/harness.h"
@@ -7,6 +10,9 @@
 #include "runner/suite.h"
 
 #define REQUESTS_COUNT 5
+#define BATCH_MAX_BYTES 400
+/* A cancellation: length, length of the key, key, value */
+#define RECORD_BYTES (4 + 1 + 18 + 1)
 
 struct store_test {
 	struct harness *harness;
@@ -18,6 +24,7 @@
 	int64_t start_us; /* before the first write */
 	int64_t request_us[REQUESTS_COUNT];
 	char *targets[REQUESTS_COUNT];
+	gsize body_size_bytes[REQUESTS_COUNT];
 };
 
 static void answer_read(struct store_test *test)
@@ -41,6 +48,7 @@
 	}
 	test->request_us[test->request_count] = g_get_monotonic_time();
 	test->targets[test->request_count] = g_strdup(request->target);
+	test->body_size_bytes[test->request_count] = request->body_size_bytes;
 	if (test->reads_succeed)
 		answer_read(test);
 	reply->delay_us = test->delay_us;
@@ -62,6 +70,8 @@
 	g_strlcpy(node->name, "e1", sizeof(node->name));
 	g_strlcpy(node->store_address, fake_http_address(test->fake),
 		  sizeof(node->store_address));
+	node->bounds.record_max_bytes = BATCH_MAX_BYTES;
+	node->bounds.batch_max_bytes = BATCH_MAX_BYTES;
 	node_set(node);
 	harness_start(test->harness, PLUGIN_PLATFORM, "store_write");
 	test->start_us = g_get_monotonic_time();
@@ -157,10 +167,71 @@
 	test_free(test);
 }
 
+/* Emits a write of so many cancellations. */
+static void emit_write(struct store_test *test, enum store_writer writer,
+		       uint32_t records_count)
+{
+	struct store_write *write = store_write_new(writer);
+	struct event event = { .type = EVENT_STORE_WRITE };
+
+	write->token = 7;
+	for (uint32_t i = 0; i < records_count; i++) {
+		struct job_record *record = job_record_new(JOB_RECORD_CANCEL);
+
+		g_snprintf(record->id, sizeof(record->id), "%016x", i);
+		g_ptr_array_add(write->records, record);
+	}
+	event.msg = write;
+	harness_emit(test->harness, &event);
+}
+
+static enum store_result written_result(struct store_test *test,
+					uint32_t written_count)
+{
+	const struct store_write *written;
+
+	harness_run_until(test->harness, EVENT_STORE_WRITTEN, written_count);
+	written = harness_event(test->harness, EVENT_STORE_WRITTEN,
+				written_count - 1)
+			  ->msg;
+	return written->result;
+}
+
+/*
+ * Guards against appends that exceed the store's limit: it refuses them each
+ * time, and nothing else of the holder is stored any more.
+ */
+static void test_splits(void)
+{
+	static const bool answers[REQUESTS_COUNT] = { true, true, true, true,
+						      true };
+	struct store_test *test = test_new(answers, false);
+	gsize total_bytes = 0;
+
+	emit_write(test, STORE_WRITER_HOLDER, 40);
+	CU_ASSERT_EQUAL(written_result(test, 1), STORE_WRITTEN);
+	CU_ASSERT_EQUAL(test->request_count, 3);
+	for (uint32_t i = 0; i < test->request_count; i++) {
+		CU_ASSERT(test->body_size_bytes[i] <= BATCH_MAX_BYTES);
+		CU_ASSERT(g_str_has_suffix(
+			test->targets[i],
+			(const char *const[]){ "seq=0", "seq=1",
+					       "seq=2" }[i % 3]));
+		total_bytes += test->body_size_bytes[i];
+	}
+	CU_ASSERT_EQUAL(total_bytes, 40 * RECORD_BYTES);
+	/* Of a caller's write, no part is stored without the others. */
+	emit_write(test, STORE_WRITER_ENTRY, 40);
+	CU_ASSERT_EQUAL(written_result(test, 2), STORE_NOT_WRITTEN);
+	CU_ASSERT_EQUAL(test->request_count, 3);
+	test_free(test);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "repeats_later", test_repeats_later },
 	{ "repeats_soon", test_repeats_soon },
 	{ "latency", test_latency },
+	{ "splits", test_splits },
 	CU_TEST_INFO_NULL,
 };
 
