End a write that the store refuses for good

Cause: the holder's stream repeated an append whatever its status. One that is malformed or too large is refused each time, and the renewals of the lease wait behind it: the jobs change hands every 1.5 s, and the next holder does the same.

The holder tries again after half a second with what has changed since, and renews meanwhile.

--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -35,7 +35,8 @@
 
 enum store_result {
 	STORE_WRITTEN,
-	STORE_NOT_WRITTEN, /* certainly not written */
+	/* Certainly not written; of the holder's records, some may be */
+	STORE_NOT_WRITTEN,
 	STORE_FENCED,  /* certainly not written: a higher token has written */
 	STORE_UNKNOWN, /* STORE_WRITER_CLAIM only; others retry until known */
 };
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -9,6 +9,8 @@
 
 /* Minimum time between writes, so that one covers several changes. */
 #define FLUSH_PERIOD_US (8 * USEC_PER_MSEC)
+/* After a write that the store has refused. */
+#define REFUSED_DELAY_US (500 * USEC_PER_MSEC)
 /* Ended jobs are kept this much longer than callers may ask for them. */
 #define DROP_SLACK_US (30 * USEC_PER_SEC)
 /* The search for ended jobs visits all jobs, so it isn't part of each write. */
@@ -25,7 +27,7 @@
 	for (uint32_t i = 0; i < job->items->len; i++) {
 		struct job_item *item = job_item(job, i);
 
-		if (item->phase == ITEM_STORING && !item->store_write_id)
+		if (item->phase == ITEM_STORING)
 			item->store_write_id = write->write_id;
 	}
 	for (uint32_t i = 0; i < job_segments_count(job); i++) {
@@ -125,6 +127,19 @@
 	}
 }
 
+/* The same progress goes into the next write. */
+static void on_not_stored(struct sched *sched, uint64_t write_id)
+{
+	decision_log("write", "id=%" G_GUINT64_FORMAT " result=refused jobs=%u",
+		     write_id, sched->flushing_jobs->len);
+	for (guint i = 0; i < sched->flushing_jobs->len; i++)
+		job_mark_all_dirty(sched, g_array_index(sched->flushing_jobs,
+							struct flushing_job, i)
+						  .job);
+	sched->ends_unstored = true;
+	sched->next_flush_us = sched_now_us(sched) + REFUSED_DELAY_US;
+}
+
 void sched_on_written(struct sched *sched, const struct store_write *write)
 {
 	if (write->writer != STORE_WRITER_HOLDER ||
@@ -136,14 +151,7 @@
 	if (write->result == STORE_WRITTEN)
 		on_stored(sched, write->write_id);
 	else if (write->result == STORE_NOT_WRITTEN)
-		/* The same progress goes into the next write. */
-		for (guint i = 0; i < sched->flushing_jobs->len; i++)
-			job_mark_all_dirty(sched,
-					   g_array_index(sched->flushing_jobs,
-							 struct flushing_job, i)
-						   .job);
-	if (write->result == STORE_NOT_WRITTEN)
-		sched->ends_unstored = true;
+		on_not_stored(sched, write->write_id);
 	machine_orders_on_written(sched, write->result == STORE_WRITTEN);
 	g_array_set_size(sched->flushing_jobs, 0);
 }
--- a/test/contract/store_write.c
+++ b/test/contract/store_write.c
@@ -17,9 +17,10 @@
 struct store_test {
 	struct harness *harness;
 	struct fake_http *fake;
-	const bool *answers; /* by request: whether it is answered */
-	bool reads_succeed;  /* while appends wait */
-	int64_t delay_us;    /* of the answers */
+	const bool *answers;	   /* by request: whether it is answered */
+	unsigned int first_status; /* of the first answer; 0: success */
+	bool reads_succeed;	   /* while appends wait */
+	int64_t delay_us;	   /* of the answers */
 	uint32_t request_count;
 	int64_t start_us; /* before the first write */
 	int64_t request_us[REQUESTS_COUNT];
@@ -52,6 +53,8 @@
 	if (test->reads_succeed)
 		answer_read(test);
 	reply->delay_us = test->delay_us;
+	if (!test->request_count)
+		reply->status = test->first_status;
 	if (test->answers[test->request_count++])
 		reply->body = g_strdup("{\"offset\": 0, \"end_offset\": 1}");
 	else
@@ -227,11 +230,33 @@
 	test_free(test);
 }
 
+/*
+ * Guards against an append that is repeated for ever though the store refuses
+ * it each time: the holder's renewals wait behind it.
+ */
+static void test_refused(void)
+{
+	static const bool answers[REQUESTS_COUNT] = { true, true };
+	struct store_test *test = test_new(answers, false);
+
+	test->first_status = 400;
+	emit_write(test, STORE_WRITER_HOLDER, 1);
+	CU_ASSERT_EQUAL(written_result(test, 1), STORE_NOT_WRITTEN);
+	CU_ASSERT_EQUAL(test->request_count, 1);
+	emit_write(test, STORE_WRITER_HOLDER, 1);
+	CU_ASSERT_EQUAL(written_result(test, 2), STORE_WRITTEN);
+	CU_ASSERT_EQUAL(test->request_count, 2);
+	/* The refused append has used no sequence number. */
+	CU_ASSERT_STRING_EQUAL(test->targets[0], test->targets[1]);
+	test_free(test);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "repeats_later", test_repeats_later },
 	{ "repeats_soon", test_repeats_soon },
 	{ "latency", test_latency },
 	{ "splits", test_splits },
+	{ "refused", test_refused },
 	CU_TEST_INFO_NULL,
 };
 
--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -85,6 +85,17 @@
 	}
 }
 
+static bool has_progress(const struct store_write *write)
+{
+	for (guint i = 0; i < write->records->len; i++) {
+		const struct job_record *record = write->records->pdata[i];
+
+		if (record->kind == JOB_RECORD_PROGRESS)
+			return true;
+	}
+	return false;
+}
+
 static enum store_result apply_write(struct jobs_world *jobs,
 				     struct store_write *write)
 {
@@ -93,6 +104,8 @@
 	case STORE_WRITER_FENCE:
 		if (write->token < jobs->epoch)
 			return STORE_FENCED;
+		if (jobs->refuses_progress && has_progress(write))
+			return STORE_NOT_WRITTEN;
 		jobs->epoch = write->token;
 		append_records(jobs, write);
 		return STORE_WRITTEN;
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -106,6 +106,7 @@
 	GPtrArray *store;    /* of struct job_record, NULL: no record */
 	uint64_t epoch; /* highest token that has written; fences lower ones */
 	bool store_down;
+	bool refuses_progress;	 /* of the holder, for good */
 	int64_t store_delay_us;	 /* until a write takes effect */
 	uint32_t read_max_count; /* records of one read; 0: all */
 	GSequence *schedule;	 /* of struct delivery */
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -288,6 +288,7 @@
 
 /*
  * job-store down|up: whether it is reachable
+ * job-store refuse|accept: whether it refuses the progress of jobs for good
  * job-store cut|heal ENTRY: whether it is reachable for one entry
  * job-store slow TIME: delay of each write
  * job-store part COUNT: most records of one read
@@ -301,6 +302,10 @@
 		script_jobs(script)->store_down = !strcmp(how, "down");
 		return;
 	}
+	if (!strcmp(how, "refuse") || !strcmp(how, "accept")) {
+		script_jobs(script)->refuses_progress = !strcmp(how, "refuse");
+		return;
+	}
 	if (!strcmp(how, "slow")) {
 		script_jobs(script)->store_delay_us =
 			script_duration_us(script, script_word(script, 2));
