Bound the starts that wait for one worker

Cause: placement counts room only.

Change: a worker with 32 placed items whose start was not ordered yet gets no further ones. The first four items of a job are exempt, so that a large job does not keep small ones from being placed.

Evidence: jobs_large_job: before, the small job beside the large one is still pending 2 s after it came; now it is complete.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -71,7 +71,8 @@
 	int64_t silent_since_us;       /* first such hold; 0: it answers */
 	int64_t answered_us;	       /* when a hold was answered last */
 	uint32_t pending_starts_count; /* start orders without a result yet */
-	bool resend_pending; /* some order may have to be sent again */
+	uint32_t unstarted_count; /* items whose start was not ordered yet */
+	bool resend_pending;	  /* some order may have to be sent again */
 
 	uint32_t used_cpu_milli;
 	uint32_t used_mem_mb;
@@ -298,6 +299,10 @@
 
 /* sched_start.c: start orders, a few at a time to each worker */
 
+/* Whether so many starts wait for the worker that others should get the work.
+ */
+bool starts_queue_is_full(const struct worker *worker);
+
 /* Whether another start order may be sent to the worker now. */
 bool starts_may_send(const struct worker *worker);
 
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -98,6 +98,7 @@
 	item->progress_changed_us = 0;
 	item->pace_percent = 100;
 	worker_attach(worker, job, index);
+	worker->unstarted_count++;
 	item_mark_dirty(sched, job, index);
 	job_item_name(job, index, name, sizeof(name));
 	decision_log("place",
@@ -109,6 +110,11 @@
 			     USEC_PER_MSEC);
 }
 
+static bool is_unstarted(const struct job_item *item)
+{
+	return item->phase == ITEM_STORING || item->phase == ITEM_STORED;
+}
+
 /* Takes the item off its worker; the caller sets the next phase. */
 static void detach_from_worker(struct sched *sched, struct job *job,
 			       uint32_t index)
@@ -116,6 +122,8 @@
 	struct job_item *item = job_item(job, index);
 	struct worker *worker = worker_find(sched, item->worker);
 
+	if (worker && is_unstarted(item))
+		worker->unstarted_count--;
 	if (worker)
 		worker_detach(worker, job, index);
 	item->worker = NULL;
@@ -188,6 +196,10 @@
 
 	if (!worker || !worker->synced)
 		return;
+	if (starts_queue_is_full(worker))
+		sched_request_placement(sched);
+	if (is_unstarted(item))
+		worker->unstarted_count--;
 	order = item_order_new(sched, worker, job, index, ORDER_START);
 	order->spec = job_spec_ref(job->spec);
 	order->checkpoint = g_strdup(item->checkpoint);
@@ -220,7 +232,7 @@
 
 	if (!is_placed(item) || item->phase == ITEM_STOPPING)
 		return;
-	if (item->phase == ITEM_STORING || item->phase == ITEM_STORED) {
+	if (is_unstarted(item)) {
 		item_release(sched, job, index, reason);
 		return;
 	}
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -6,6 +6,11 @@
 #include "kernel/decision_log.h"
 
 #define STATS_LOG_PERIOD_US USEC_PER_SEC
+/*
+ * So many items of a job are placed although the starts of others wait for the
+ * worker: a large job does not hold up small ones.
+ */
+#define START_QUEUE_EXEMPT_COUNT 4
 
 /* Parts of a worker's score, in which the share of free cores is up to 1000. */
 #define SCORE_SAME_RACK 2000
@@ -32,6 +37,8 @@
 	int64_t now_us;
 	int64_t wall_ms;
 	const struct step_advice *advice; /* of the step; NULL: needs none */
+	bool limits_starts; /* workers with a full start queue are left out */
+	bool starts_queue_was_full; /* a worker was left out for this item */
 	struct placement_stats stats;
 };
 
@@ -244,6 +251,10 @@
 
 		if (!fits(worker, step) || !has_label(worker, step->label))
 			continue;
+		if (pass->limits_starts && starts_queue_is_full(worker)) {
+			pass->starts_queue_was_full = true;
+			continue;
+		}
 		if (pass->advice &&
 		    !advice_allows(pass->sched, pass->advice, worker))
 			continue;
@@ -295,8 +306,11 @@
 
 	if (!step->long_running && pool_is_full_for(pass, pool, step))
 		return NULL;
+	pass->starts_queue_was_full = false;
 	worker = choose_from(pass, pool_workers(pass, pool), job, occurrence,
 			     index);
+	if (!worker && pass->starts_queue_was_full)
+		return NULL;
 	if (!worker && needs_capacity_only(pass, step))
 		g_hash_table_insert(pass->full_pools, (gpointer)pool,
 				    (gpointer)step);
@@ -332,6 +346,8 @@
 			sched_request_placement(pass->sched);
 			continue;
 		}
+		pass->limits_starts =
+			job->placed_count >= START_QUEUE_EXEMPT_COUNT;
 		worker = choose_worker(pass, candidate->pool, job, occurrence,
 				       index);
 		if (!worker)
@@ -357,6 +373,7 @@
 			return;
 		run = MAX(run, job_item(job, i)->run);
 	}
+	pass->limits_starts = false;
 	while (placed_count < count) {
 		worker = choose_worker(pass, candidate->pool, job, occurrence,
 				       index);
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -9,6 +9,14 @@
 /* The connections to a worker that are not occupied by its hold. */
 #define PENDING_STARTS_MAX_COUNT 2
 
+/* Placements on one worker whose starts wait for their turn. */
+#define UNSTARTED_MAX_COUNT 32
+
+bool starts_queue_is_full(const struct worker *worker)
+{
+	return worker->unstarted_count >= UNSTARTED_MAX_COUNT;
+}
+
 /* The stored placement that has waited longest; its job is NULL if none. */
 static struct placement oldest_stored(const struct worker *worker)
 {
