Let items that need more than cores use surplus workers

Cause: parking closes the workers that a pool does not need, by cores alone, and only long-running items could use a closed one. Nothing reopens a worker for a label, as the cores of the open ones suffice.

Change: an item that finds no open worker and needs a label, accelerators, a limit for each worker or a gang may use one that was closed as surplus. Such workers are listed once for each pool and pass. Items that need cores and memory only still wait for the demand to reopen workers; memory is not part of that demand.

--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -31,8 +31,10 @@
 
 struct pass {
 	struct sched *sched;
-	GArray *candidates;	/* of struct candidate */
-	GHashTable *by_pool;	/* pool -> GPtrArray of struct worker */
+	GArray *candidates;  /* of struct candidate */
+	GHashTable *by_pool; /* pool -> GPtrArray of struct worker */
+	/* The same for the workers that are closed as surplus */
+	GHashTable *surplus_by_pool;
 	GHashTable *full_pools; /* pool -> struct job_step that didn't fit */
 	int64_t now_us;
 	int64_t wall_ms;
@@ -96,28 +98,39 @@
 	return workers;
 }
 
-static GPtrArray *cordoned_workers(const struct pass *pass, const char *pool)
+/* Whether a worker would accept work if it weren't closed as surplus. */
+static bool is_only_surplus(const struct sched *sched, struct worker *worker)
 {
-	GPtrArray *workers = g_ptr_array_new();
+	const struct machine *machine = machine_of_worker(sched, worker);
+	bool accepts;
+
+	if (worker->cordon != CORDON_MOVE || !machine ||
+	    machine->order_pending || machine->moving)
+		return false;
+	worker->cordon = CORDON_NONE;
+	accepts = worker_accepts_work(sched, worker);
+	worker->cordon = CORDON_MOVE;
+	return accepts;
+}
+
+static GPtrArray *surplus_workers(struct pass *pass, const char *pool)
+{
+	GPtrArray *workers = g_hash_table_lookup(pass->surplus_by_pool, pool);
 	GHashTableIter iter;
 	gpointer value;
 
+	if (workers)
+		return workers;
+	workers = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, pass->sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct worker *worker = value;
-		const struct machine *machine =
-			machine_of_worker(pass->sched, worker);
 
-		if (worker->cordon != CORDON_MOVE ||
-		    strcmp(worker->pool, pool) != 0 || !machine ||
-		    machine->order_pending || machine->moving)
-			continue;
-		/* Would it accept work without the cordon? */
-		worker->cordon = CORDON_NONE;
-		if (worker_accepts_work(pass->sched, worker))
+		if (!strcmp(worker->pool, pool) &&
+		    is_only_surplus(pass->sched, worker))
 			g_ptr_array_add(workers, worker);
-		worker->cordon = CORDON_MOVE;
 	}
+	g_hash_table_insert(pass->surplus_by_pool, g_strdup(pool), workers);
 	return workers;
 }
 
@@ -283,6 +296,16 @@
 	       !step->label[0] && !step->max_per_worker;
 }
 
+/*
+ * Whether workers with enough cores may lack something else that the step
+ * needs. The demand by which workers are closed as surplus counts cores only.
+ */
+static bool needs_more_than_cores(const struct job_step *step)
+{
+	return step->long_running || step->label[0] || step->max_per_worker ||
+	       step->gpu_count || step->gang;
+}
+
 /* Whether a step that needs the same or less found no room in this pass. */
 static bool pool_is_full_for(const struct pass *pass, const char *pool,
 			     const struct job_step *step)
@@ -302,7 +325,7 @@
 {
 	const struct job_step *step = job_step(job, index);
 	struct worker *worker;
-	GPtrArray *cordoned;
+	GPtrArray *surplus;
 
 	if (!step->long_running && pool_is_full_for(pass, pool, step))
 		return NULL;
@@ -314,17 +337,15 @@
 	if (!worker && needs_capacity_only(pass, step))
 		g_hash_table_insert(pass->full_pools, (gpointer)pool,
 				    (gpointer)step);
-	if (worker || !step->long_running)
+	if (worker || !needs_more_than_cores(step))
 		return worker;
-	/*
-	 * The limits of long-running items may need more workers than their
-	 * cores do: a worker that was cordoned for a move is used again.
-	 */
-	cordoned = cordoned_workers(pass, pool);
-	worker = choose_from(pass, cordoned, job, occurrence, index);
-	g_ptr_array_unref(cordoned);
-	if (worker)
-		worker->cordon = CORDON_NONE;
+	surplus = surplus_workers(pass, pool);
+	worker = choose_from(pass, surplus, job, occurrence, index);
+	if (!worker)
+		return NULL;
+	worker->cordon = CORDON_NONE;
+	g_ptr_array_remove_fast(surplus, worker);
+	g_ptr_array_add(pool_workers(pass, pool), worker);
 	return worker;
 }
 
@@ -505,6 +526,9 @@
 	pass.candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
 	pass.by_pool = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     (GDestroyNotify)g_ptr_array_unref);
+	pass.surplus_by_pool =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
 	pass.full_pools = g_hash_table_new(g_str_hash, g_str_equal);
 	for (guint i = 0; i < sched->open_jobs->len; i++) {
 		if (has_work_to_place(sched->open_jobs->pdata[i]))
@@ -518,6 +542,7 @@
 	pass.stats.jobs_count = pass.candidates->len;
 	count_stats(sched, &pass.stats);
 	g_hash_table_unref(pass.by_pool);
+	g_hash_table_unref(pass.surplus_by_pool);
 	g_hash_table_unref(pass.full_pools);
 	g_array_unref(pass.candidates);
 }
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -140,30 +140,6 @@
 	return false;
 }
 
-static void check_start(struct jobs_world *jobs,
-			const struct fake_worker *worker,
-			const struct order *order, uint32_t cpu_milli)
-{
-	char id[JOB_ID_SIZE_BYTES];
-	uint32_t ignored;
-
-	for (guint i = 0; i < jobs->workers->len; i++) {
-		const struct fake_worker *other = jobs->workers->pdata[i];
-
-		if (!other->dead && has_run(other, order->item, 0))
-			jobs_violation(jobs, "%s runs on %s and %s",
-				       order->item, other->id, worker->id);
-	}
-	if (g_hash_table_contains(jobs->done_items, order->item))
-		jobs_violation(jobs, "%s starts after its end was acknowledged",
-			       order->item);
-	if (used_cpu_milli(worker) + cpu_milli > worker->cpu_milli)
-		jobs_violation(jobs, "%s is above its capacity", worker->id);
-	if (!job_item_parse(order->item, id, &ignored, &ignored, &ignored) ||
-	    !g_hash_table_contains(jobs->accepted_jobs, id))
-		jobs_violation(jobs, "%s was not accepted", order->item);
-}
-
 /*
  * The step that the item of an order belongs to, as it was submitted: a
  * forwarded order has only the text of its job.
@@ -188,6 +164,34 @@
 	g_error("%s was started before its job was stored", order->item);
 }
 
+static void check_start(struct jobs_world *jobs,
+			const struct fake_worker *worker,
+			const struct order *order, uint32_t cpu_milli)
+{
+	char id[JOB_ID_SIZE_BYTES];
+	uint32_t ignored;
+
+	for (guint i = 0; i < jobs->workers->len; i++) {
+		const struct fake_worker *other = jobs->workers->pdata[i];
+
+		if (!other->dead && has_run(other, order->item, 0))
+			jobs_violation(jobs, "%s runs on %s and %s",
+				       order->item, other->id, worker->id);
+	}
+	if (g_hash_table_contains(jobs->done_items, order->item))
+		jobs_violation(jobs, "%s starts after its end was acknowledged",
+			       order->item);
+	if (used_cpu_milli(worker) + cpu_milli > worker->cpu_milli)
+		jobs_violation(jobs, "%s is above its capacity", worker->id);
+	if (strcmp(order_step(jobs, order)->label, "") != 0 &&
+	    strcmp(order_step(jobs, order)->label, worker->label) != 0)
+		jobs_violation(jobs, "%s starts on %s, which lacks its label",
+			       order->item, worker->id);
+	if (!job_item_parse(order->item, id, &ignored, &ignored, &ignored) ||
+	    !g_hash_table_contains(jobs->accepted_jobs, id))
+		jobs_violation(jobs, "%s was not accepted", order->item);
+}
+
 /* A ticket names its step, its worker and the end of its validity. */
 static char *ticket_text(const char *step, const char *worker, int64_t until_us)
 {
@@ -654,6 +658,8 @@
 		g_strlcpy(listed->address, worker->id, sizeof(listed->address));
 		g_strlcpy(listed->pool, worker->pool, sizeof(listed->pool));
 		listed->labels = g_ptr_array_new();
+		g_ptr_array_add(listed->labels,
+				(gpointer)g_intern_string(worker->label));
 		listed->cpu_milli = worker->cpu_milli;
 		listed->mem_mb = 65536;
 		listed->draining = worker->draining;
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -59,6 +59,7 @@
 	const char *id; /* interned */
 	char pool[NAME_SIZE_BYTES];
 	char machine[NAME_SIZE_BYTES];
+	char label[NAME_SIZE_BYTES]; /* empty: none */
 	uint32_t cpu_milli;
 	bool listed; /* in the directory */
 	bool dead;
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -102,7 +102,10 @@
 	}
 }
 
-/* job-worker ID pool=POOL [cpu=MILLI] [machine=NAME [waves=0]] [advised=0] */
+/*
+ * job-worker ID pool=POOL [cpu=MILLI] [machine=NAME [waves=0]] [advised=0]
+ * [label=NAME]
+ */
 static void cmd_worker(struct script *script)
 {
 	struct jobs_world *jobs = script_jobs(script);
@@ -111,6 +114,8 @@
 		jobs, script_word(script, 1), script_option(script, "pool"),
 		(uint32_t)script_number(script, "cpu", 8000));
 
+	script_copy_option(script, "label", worker->label,
+			   sizeof(worker->label));
 	worker->allowed_by_advice = script_number(script, "advised", 1);
 	if (machine) {
 		struct fake_machine *made = g_new0(struct fake_machine, 1);
@@ -354,6 +359,8 @@
 		step.dependency_mask = i ? UINT64_C(1) << (i - 1) : 0;
 		step.long_running = script_number(script, "lasting", 0);
 		step.gang = script_number(script, "gang", 0);
+		script_copy_option(script, "label", step.label,
+				   sizeof(step.label));
 		step.max_per_worker =
 			(uint32_t)script_number(script, "per_worker", 0);
 		step.max_unavailable =
@@ -366,7 +373,7 @@
 
 /*
  * job-submit ENTRY QUEUE/ID [steps=4x1000,2x500] [lasting=1] [gang=1]
- * [per_worker=N] [away=N] [mem=MB]
+ * [per_worker=N] [away=N] [mem=MB] [label=NAME]
  */
 static void cmd_submit(struct script *script)
 {
