Count a failing job against two workers at most

Cause: three failed jobs in a row eject a worker, doubled each time. Only an end as done made up for it, which long-running work has none of, and the same jobs counted again on each worker and after each ejection.

Change: a job counts once for a worker and against two workers in all; after that it is the job. A long-running item that is at work counts as a success. An item that failed goes to another worker if there is one.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -46,6 +46,9 @@
 	char image[NAME_SIZE_BYTES]; /* items of one image behave alike */
 };
 
+/* After failures on so many workers, a job tells nothing of further ones. */
+#define JOB_FAILED_WORKERS_MAX_COUNT 2
+
 /* Refcounted with g_rc_box; immutable once it is shared. */
 struct job_spec {
 	char *text; /* opaque, passed on to the workers */
@@ -102,6 +105,7 @@
 	int64_t progress_changed_us;   /* last change of progress_percent */
 	uint32_t straggler_moves_count; /* moves off slow workers */
 	int64_t retry_us;		/* earliest next placement */
+	const char *failed_worker;	/* where the last run failed, or NULL */
 };
 
 enum job_state {
@@ -145,7 +149,10 @@
 	int64_t objective_us; /* time by which it should end; 0: not computed */
 	bool late;	      /* expected to miss the objective */
 	bool open;	      /* in the scheduler's list of open jobs */
-	bool stop_all;	      /* running items are stopped, none is started */
+	/* Workers on which it failed first; interned ids */
+	const char *failed_workers[JOB_FAILED_WORKERS_MAX_COUNT];
+	uint32_t failed_workers_count;
+	bool stop_all; /* running items are stopped, none is started */
 };
 
 struct job *job_new(const char *id, struct job_spec *spec);
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -127,6 +127,7 @@
 	job->dirty = false;
 	memset(job->dirty_segments, 0,
 	       job_segments_count(job) * sizeof(*job->dirty_segments));
+	job->failed_workers_count = 0;
 	job->next_state = job->state;
 	for (uint32_t i = 0; i < job->items->len; i++) {
 		struct job_item *item = job_item(job, i);
@@ -139,6 +140,7 @@
 		item->store_write_id = 0;
 		item->progress_percent = 0;
 		item->retry_us = 0;
+		item->failed_worker = NULL;
 		item->unavailable_since_us = sched->held_since_us;
 		item->pace_percent = 100;
 		if (item->phase != ITEM_DONE)
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -80,11 +80,9 @@
 	GArray *placed; /* of struct placement */
 
 	enum cordon cordon;
-	int64_t cordoned_us;	/* start of CORDON_MOVE */
-	int64_t avoid_until_us; /* no new work after a refusal or failure */
-	/* Jobs that failed here since the last success; interned ids. */
-	const char *failed_jobs[EJECT_FAILURES_COUNT];
-	uint32_t failures_count;  /* of failed_jobs */
+	int64_t cordoned_us;	  /* start of CORDON_MOVE */
+	int64_t avoid_until_us;	  /* no new work after a refusal or failure */
+	uint32_t failures_count;  /* of different jobs since a success */
 	uint32_t ejections_count; /* since the last success */
 	int64_t fillers_paced_us; /* last change of its fillers' pace */
 };
@@ -349,9 +347,11 @@
 bool worker_accepts_work(const struct sched *sched,
 			 const struct worker *worker);
 
-/* Counts a run that has ended; ejects a worker that fails too often. */
-void worker_record_end(struct sched *sched, struct worker *worker,
-		       const struct job *job, bool failed);
+/* A run has ended as done, or a long-running one is at work. */
+void worker_record_success(struct worker *worker);
+/* A run has failed; ejects a worker on which too many jobs fail. */
+void worker_record_failure(struct sched *sched, struct worker *worker,
+			   struct job *job);
 
 /* A flush covers the ends received so far; they are stored when it is done. */
 void workers_on_flush(struct sched *sched);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -374,7 +374,7 @@
 	current = is_placed(item) && item->run == row->run &&
 		  item->worker == worker->id;
 	if (row->end == ITEM_END_DONE && !step->long_running) {
-		worker_record_end(sched, worker, job, false);
+		worker_record_success(worker);
 		if (current && item->confirmed_us)
 			loads_record_run_time(sched, job,
 					      sched_now_us(sched) -
@@ -390,7 +390,8 @@
 	set_checkpoint(item, row->checkpoint);
 	item_release(sched, job, index, item_end_name(row->end));
 	if (row->end == ITEM_END_FAILED) {
-		worker_record_end(sched, worker, job, true);
+		worker_record_failure(sched, worker, job);
+		item->failed_worker = worker->id;
 		handle_failure(sched, job, index);
 	}
 }
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -18,6 +18,7 @@
 #define PENALTY_SIBLING_RACK 100
 #define PENALTY_FILLER_NEIGHBOUR 1500
 #define PENALTY_PENDING_WAVE 3000
+#define PENALTY_FAILED_HERE 4000
 
 /* A job with work that could start now. */
 struct candidate {
@@ -39,6 +40,7 @@
 	int64_t now_us;
 	int64_t wall_ms;
 	const struct step_advice *advice; /* of the step; NULL: needs none */
+	const char *failed_worker; /* where the item failed last, or NULL */
 	bool limits_starts; /* workers with a full start queue are left out */
 	bool starts_queue_was_full; /* a worker was left out for this item */
 	struct placement_stats stats;
@@ -236,6 +238,8 @@
 		    machine_is_pending_in_wave(pass->sched, machine->name))
 			value -= PENALTY_PENDING_WAVE;
 	}
+	if (worker->id == pass->failed_worker)
+		value -= PENALTY_FAILED_HERE;
 	if (step->rack[0] && !strcmp(step->rack, worker->rack))
 		value += SCORE_SAME_RACK;
 	if (step->colocated && rack_has_sibling(pass->sched, job, first,
@@ -367,6 +371,7 @@
 			sched_request_placement(pass->sched);
 			continue;
 		}
+		pass->failed_worker = item->failed_worker;
 		pass->limits_starts =
 			job->placed_count >= START_QUEUE_EXEMPT_COUNT;
 		worker = choose_worker(pass, candidate->pool, job, occurrence,
@@ -394,6 +399,7 @@
 			return;
 		run = MAX(run, job_item(job, i)->run);
 	}
+	pass->failed_worker = NULL;
 	pass->limits_starts = false;
 	while (placed_count < count) {
 		worker = choose_worker(pass, candidate->pool, job, occurrence,
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -114,30 +114,36 @@
 	       worker->avoid_until_us <= sched_now_us(sched);
 }
 
-static bool has_failed_job(const struct worker *worker, const char *id)
+void worker_record_success(struct worker *worker)
 {
-	for (uint32_t i = 0; i < worker->failures_count; i++) {
-		if (worker->failed_jobs[i] == id)
-			return true;
+	worker->failures_count = 0;
+	worker->ejections_count = 0;
+}
+
+/*
+ * A job may fail wherever it runs. So it counts once for a worker, and not at
+ * all once it has failed on others.
+ */
+static bool counts_against(const struct worker *worker, struct job *job)
+{
+	for (uint32_t i = 0; i < job->failed_workers_count; i++) {
+		if (job->failed_workers[i] == worker->id)
+			return false;
 	}
-	return false;
+	if (job->failed_workers_count == JOB_FAILED_WORKERS_MAX_COUNT)
+		return false;
+	job->failed_workers[job->failed_workers_count++] = worker->id;
+	return true;
 }
 
-void worker_record_end(struct sched *sched, struct worker *worker,
-		       const struct job *job, bool failed)
+void worker_record_failure(struct sched *sched, struct worker *worker,
+			   struct job *job)
 {
-	const char *id = g_intern_string(job->id);
 	uint32_t doublings;
 
-	if (!failed) {
-		worker->failures_count = 0;
-		worker->ejections_count = 0;
-		return;
-	}
-	/* A job may fail on every worker, so each counts only once. */
-	if (has_failed_job(worker, id))
+	if (!counts_against(worker, job))
 		return;
-	worker->failed_jobs[worker->failures_count++] = id;
+	worker->failures_count++;
 	if (worker->failures_count < EJECT_FAILURES_COUNT)
 		return;
 	worker->failures_count = 0;
@@ -327,6 +333,9 @@
 	if (item->progress_percent != row->percent ||
 	    !item->progress_changed_us)
 		item->progress_changed_us = sched_now_us(sched);
+	if (row->percent >= 100 && item->progress_percent < 100 &&
+	    job_step(job, job_item_step(job, index))->long_running)
+		worker_record_success(worker);
 	item->progress_percent = row->percent;
 	item->observed = row->observed;
 	if (row->percent >= 100)
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -264,6 +264,7 @@
 				    const struct order *order)
 {
 	const struct job_step *step = order_step(jobs, order);
+	bool fails = !strcmp(order->spec->text, JOB_FAILS);
 	struct fake_run run = {
 		.run = order->run,
 		.cpu_milli = step->cpu_milli,
@@ -272,10 +273,11 @@
 		.max_unavailable_count = step->max_unavailable,
 		.started_us = jobs->world->now_us,
 		.ends_us =
-			step->long_running || worker->stalls_items
+			(step->long_running && !fails) || worker->stalls_items
 				? INT64_MAX
 				: jobs->world->now_us + jobs->item_duration_us,
-		.end = worker->fails_items ? ITEM_END_FAILED : ITEM_END_DONE,
+		.end = fails || worker->fails_items ? ITEM_END_FAILED
+						    : ITEM_END_DONE,
 	};
 
 	if (has_run(worker, order->item, order->run))
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -12,6 +12,9 @@
 #include "kernel/kernel.h"
 #include "runner/world.h"
 
+/* Text of a job whose runs all fail. */
+#define JOB_FAILS "fails"
+
 /* A simulated entry instance. */
 struct jobs_entry {
 	char name[NAME_SIZE_BYTES];
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -348,7 +348,8 @@
 	const char *text = script_option(script, "steps");
 	gchar **steps = g_strsplit(text ? text : "1x1000", ",", -1);
 
-	spec->text = g_strdup("text");
+	spec->text = g_strdup(script_number(script, "fails", 0) ? JOB_FAILS
+								: "text");
 	for (uint32_t i = 0; steps[i]; i++) {
 		struct job_step step = { .estimate_ms = 800 };
 		char *end;
@@ -374,6 +375,7 @@
 /*
  * job-submit ENTRY QUEUE/ID [steps=4x1000,2x500] [lasting=1] [gang=1]
  * [per_worker=N] [away=N] [mem=MB] [label=NAME]
+ * [fails=1]
  */
 static void cmd_submit(struct script *script)
 {
