Keep the limit of attempts with the job

The rule knows no exception for removed routes.

Cause: handle_failure() looked the limit up in the newest configuration only.

Change: the submission stores the limit of its queue, as it does the pool.

Evidence: jobs_route_attempts, with a change of the holder after the route is gone: before, the job is active and tried again after 10 s; now it has failed.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -118,6 +118,7 @@
 	}
 	to.queue = (char *)record->queue;
 	to.pool = (char *)record->pool;
+	to.attempts_max = record->attempts_max;
 	to.submitted_ms = record->submitted_ms;
 	to.text = spec->text;
 	to.n_steps = spec->steps->len;
@@ -265,6 +266,7 @@
 	record->spec = job_spec_new();
 	name_copy(record->queue, sizeof(record->queue), from->queue);
 	name_copy(record->pool, sizeof(record->pool), from->pool);
+	record->attempts_max = from->attempts_max;
 	record->submitted_ms = from->submitted_ms;
 	record->spec->text = g_strdup(from->text);
 	record->spec->first_due_ms = from->first_due_ms;
--- a/src/codec/proto/job.pb-c.c
+++ b/src/codec/proto/job.pb-c.c
@@ -626,7 +626,7 @@
   (ProtobufCMessageInit) pl__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pl__job_submission__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pl__job_submission__field_descriptors[9] =
 {
   {
     "queue",
@@ -724,8 +724,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempts_max",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobSubmission, attempts_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pl__job_submission__field_indices_by_name[] = {
+  8,   /* field[8] = attempts_max */
   5,   /* field[5] = first_due_ms */
   6,   /* field[6] = interval_ms */
   7,   /* field[7] = occurrence_count */
@@ -738,7 +751,7 @@
 static const ProtobufCIntRange pl__job_submission__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pl__job_submission__descriptor =
 {
@@ -748,7 +761,7 @@
   "Pl__JobSubmission",
   "pl",
   sizeof(Pl__JobSubmission),
-  8,
+  9,
   pl__job_submission__field_descriptors,
   pl__job_submission__field_indices_by_name,
   1,  pl__job_submission__number_ranges,
--- a/src/codec/proto/job.pb-c.h
+++ b/src/codec/proto/job.pb-c.h
@@ -69,10 +69,11 @@
   int64_t first_due_ms;
   int64_t interval_ms;
   uint32_t occurrence_count;
+  uint32_t attempts_max;
 };
 #define PL__JOB_SUBMISSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pl__job_submission__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Pl__JobItem
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -127,6 +127,7 @@
 	char id[JOB_ID_SIZE_BYTES];
 	char queue[NAME_SIZE_BYTES];
 	char pool[NAME_SIZE_BYTES]; /* pool of the queue at submission */
+	uint32_t attempts_max;	    /* the same for its limit; 0: none */
 	struct job_spec *spec;
 	int64_t submitted_ms; /* wall clock of the accepting process */
 	/* When it was first read here, less its age in a snapshot. */
--- a/src/jobs/table.c
+++ b/src/jobs/table.c
@@ -79,6 +79,7 @@
 	job = job_new(record->id, record->spec);
 	g_strlcpy(job->queue, record->queue, sizeof(job->queue));
 	g_strlcpy(job->pool, record->pool, sizeof(job->pool));
+	job->attempts_max = record->attempts_max;
 	job->submitted_ms = record->submitted_ms;
 	job->submit_offset = record->offset;
 	job->first_seen_us = now_us;
