Acknowledge ends with every second hold at the latest

Cause: since a worker may start again under its id, ends were acknowledged only within 300 ms after its last answer. Holds of all workers together are 400 us apart, so with 750 busy workers or more, or on a holder that lags, each hold came too late, and no end was acknowledged at all. Found while reading the change again.

Change: when the last answer is older, one hold goes without the number, and the one after it carries it.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -63,6 +63,7 @@
 	uint64_t flushing_end_number; /* covered by the current flush */
 	uint64_t stored_end_number;
 	uint64_t acked_end_number;
+	bool ack_deferred; /* the last hold only asked whether it still lives */
 
 	bool hold_pending;
 	int64_t hold_due_us;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -480,6 +480,7 @@
 				     worker->placed->len);
 			starts_cancel(sched, worker, "no-answer");
 		}
+		worker->ack_deferred = false;
 		worker->unanswered_count++;
 		worker->hold_not_before_us =
 			now_us + (worker->placed->len ? HOLD_RETRY_US
@@ -555,22 +556,27 @@
 }
 
 /*
- * Whether there are ends to acknowledge to the life of the worker that has
- * listed them. One that started again meanwhile has numbered its ends anew, and
- * would forget some that were never read.
+ * Returns the number up to which the next hold acknowledges ends; 0: none. A
+ * worker that has started again meanwhile has numbered its ends anew, and would
+ * forget some that were never read. So if its last answer is old, one hold goes
+ * without, and the next one acknowledges.
  */
-static bool may_acknowledge(const struct worker *worker, int64_t now_us)
+static uint64_t next_acked_number(struct worker *worker, int64_t now_us)
 {
-	return worker->synced && !worker->unanswered_count &&
-	       worker->stored_end_number > worker->acked_end_number &&
-	       now_us - worker->answered_us <= LIFE_KNOWN_US;
+	bool life_known = worker->ack_deferred ||
+			  now_us - worker->answered_us <= LIFE_KNOWN_US;
+
+	if (!worker->synced || worker->unanswered_count ||
+	    worker->stored_end_number == worker->acked_end_number)
+		return 0;
+	worker->ack_deferred = !life_known;
+	return life_known ? worker->stored_end_number : 0;
 }
 
 static void send_hold(struct sched *sched, struct worker *worker)
 {
 	int64_t now_us = sched_now_us(sched);
 	bool runs = has_ordered_items(worker);
-	bool acks = may_acknowledge(worker, now_us);
 	struct order *order;
 
 	if (worker->hold_pending || now_us < worker->hold_due_us ||
@@ -588,8 +594,7 @@
 		return;
 	}
 	order = worker_order_new(sched, worker, ORDER_HOLD);
-	if (acks)
-		order->acked_number = worker->stored_end_number;
+	order->acked_number = next_acked_number(worker, now_us);
 	if (worker->synced && runs && !worker->unanswered_count)
 		order->wait_us = HOLD_WAIT_US;
 	worker->hold_pending = true;
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -6,6 +6,8 @@
 #include "runner/jobs_world.h"
 #include "runner/script.h"
 
+#define DEFAULT_WORKER_CPU_MILLI 8000
+
 static struct jobs_world *script_jobs(struct script *script)
 {
 	return jobs_world_get(script->world);
@@ -112,7 +114,8 @@
 	const char *machine = script_option(script, "machine");
 	struct fake_worker *worker = fake_worker_add(
 		jobs, script_word(script, 1), script_option(script, "pool"),
-		(uint32_t)script_number(script, "cpu", 8000));
+		(uint32_t)script_number(script, "cpu",
+					DEFAULT_WORKER_CPU_MILLI));
 
 	script_copy_option(script, "label", worker->label,
 			   sizeof(worker->label));
@@ -128,6 +131,22 @@
 	send_worker_lists(jobs);
 }
 
+/* job-workers PREFIX COUNT pool=POOL: adds PREFIX1, PREFIX2 and so on. */
+static void cmd_workers(struct script *script)
+{
+	uint32_t count = (uint32_t)strtoul(script_word(script, 2), NULL, 10);
+
+	for (uint32_t i = 1; i <= count; i++) {
+		char *id = g_strdup_printf("%s%u", script_word(script, 1), i);
+
+		fake_worker_add(script_jobs(script), id,
+				script_option(script, "pool"),
+				DEFAULT_WORKER_CPU_MILLI);
+		g_free(id);
+	}
+	send_worker_lists(script_jobs(script));
+}
+
 /* job-lists on|off: whether the list of machines answers */
 static void cmd_lists(struct script *script)
 {
@@ -486,6 +505,18 @@
 	g_list_free(ids);
 }
 
+/* job-ends: prints how many ends the workers hold that aren't acknowledged. */
+static void cmd_ends(struct script *script)
+{
+	struct jobs_world *jobs = script_jobs(script);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < jobs->workers->len; i++)
+		count += ((struct fake_worker *)jobs->workers->pdata[i])
+				 ->ended->len;
+	world_print(script->world, "%u ends are not acknowledged", count);
+}
+
 /* job-counter ENTRY NAME */
 static void cmd_counter(struct script *script)
 {
@@ -513,7 +544,8 @@
 	{ "job-counter", 2, cmd_counter },   { "job-drain", 1, cmd_drain },
 	{ "job-fencing", 1, cmd_fencing },   { "job-forward", 1, cmd_forward },
 	{ "job-link", 2, cmd_link },	     { "job-restart", 1, cmd_restart },
-	{ "job-replace", 2, cmd_replace },
+	{ "job-replace", 2, cmd_replace },   { "job-workers", 3, cmd_workers },
+	{ "job-ends", 0, cmd_ends },
 };
 
 SCRIPT_REGISTER(commands)
