Move holds and ejection out of sched_worker.c

Only moved; on_hold_result() and send_hold() became hold_on_result() and hold_send_if_due(), forget_ends() became worker_forget_ends().

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -320,7 +320,7 @@
 /* sched_directory.c: updates of the workers from the directory */
 void workers_on_seen(struct sched *sched, const struct workers_seen *seen);
 
-/* sched_worker.c: leases, lists and health of the workers */
+/* sched_worker.c: the workers, their leases, and orders to them */
 
 /* Finds a worker, or adds it. */
 struct worker *worker_get(struct sched *sched, const char *id);
@@ -348,12 +348,26 @@
 bool worker_accepts_work(const struct sched *sched,
 			 const struct worker *worker);
 
+/* Each life of a worker numbers its ends anew. */
+void worker_forget_ends(struct worker *worker);
+
+/* sched_eject.c */
+
 /* A run has ended as done, or a long-running one is at work. */
 void worker_record_success(struct worker *worker);
 /* A run has failed; ejects a worker on which too many jobs fail. */
 void worker_record_failure(struct sched *sched, struct worker *worker,
 			   struct job *job);
 
+/* sched_hold.c: renewing the leases of workers and reading their lists */
+
+/* Delay after a hold without an answer, for a worker that has no items. */
+#define HOLD_IDLE_RETRY_US USEC_PER_SEC
+
+void hold_send_if_due(struct sched *sched, struct worker *worker);
+void hold_on_result(struct sched *sched, struct worker *worker,
+		    const struct order *order);
+
 /* A flush covers the ends received so far; they are stored when it is done. */
 void workers_on_flush(struct sched *sched);
 void workers_on_stored(struct sched *sched);
