--- a/review/common-2/entries.c
+++ b/review/common-2/entries.c
@@ -18,12 +18,15 @@
 static char folder[32] = "/tmp/review-XXXXXX";
 
 static void write_settings(const struct entry *entry, int number,
-			   int store_port, int machines_port)
+			   int store_port, int machines_port, int advice_port)
 {
 	char path[512];
+	char advice[32] = "";
 	FILE *file;
 
 	snprintf(path, sizeof(path), "%s/%s.json", folder, entry->name);
+	if (advice_port)
+		snprintf(advice, sizeof(advice), "127.0.0.1:%d", advice_port);
 	file = fopen(path, "w");
 	fprintf(file,
 		"{\"node_name\": \"%s\", \"role\": \"entry\", "
@@ -60,6 +63,7 @@
 		"\"lease_ms\": 3000, \"thaw_ms\": 300, \"pace_ms\": 100, "
 		"\"interference_ms\": 4000}, "
 		"\"control_mode\": \"rpc\", "
+		"\"recommendation\": \"%s\", "
 		"\"platform\": {\"address\": \"127.0.0.1:%d\", "
 		"\"form\": \"log\", \"writes_per_s\": 600, "
 		"\"reads_per_s\": 2000, \"parts\": 24, \"append_ms\": 1.0, "
@@ -72,7 +76,7 @@
 		entry->name, entry->ip, 'a' + number, entry->ip,
 		entry->front_port, entry->ip, entry->ready_port,
 		http_free_port(), http_free_port(), HEARTBEAT_MS, HOLD_MAX_MS,
-		STOP_MS, CANCEL_MS, store_port, machines_port);
+		STOP_MS, CANCEL_MS, advice, store_port, machines_port);
 	fclose(file);
 }
 
@@ -98,7 +102,7 @@
 }
 
 void entries_start(int count, const struct store_port *stores,
-		   int machines_port)
+		   int machines_port, int advice_port)
 {
 	if (!mkdtemp(folder)) {
 		perror("can't make a temporary folder");
@@ -113,7 +117,8 @@
 		snprintf(entry->ip, sizeof(entry->ip), "127.0.0.%d", 2 + i);
 		entry->front_port = http_free_port();
 		entry->ready_port = http_free_port();
-		write_settings(entry, i, stores[i].port, machines_port);
+		write_settings(entry, i, stores[i].port, machines_port,
+			       advice_port);
 		start_process(entry);
 	}
 }
--- a/review/common-2/fleet.c
+++ b/review/common-2/fleet.c
@@ -15,6 +15,7 @@
 int worker_count;
 int64_t item_work_ms;
 int gang_size;
+bool needs_tickets;
 struct start starts[256];
 int start_count;
 
@@ -224,6 +225,27 @@
 	return true;
 }
 
+/* The ticket of a step on a worker: its number of dots tells the step's end. */
+static void format_ticket(const char *step, const char *worker, char *to,
+			  size_t size_bytes)
+{
+	snprintf(to, size_bytes, "t-%s-%s", step, worker);
+}
+
+/* Tickets don't expire here within the time of a script. */
+static bool has_ticket(const struct worker *worker, const char *task,
+		       const json_t *body)
+{
+	const char *ticket = json_string_value(json_object_get(body, "ticket"));
+	char step[64];
+	char expected[128];
+
+	snprintf(step, sizeof(step), "%s", task);
+	*strrchr(step, '.') = '\0';
+	format_ticket(step, worker->id, expected, sizeof(expected));
+	return ticket && !strcmp(ticket, expected);
+}
+
 static const char *try_start(struct worker *worker, const json_t *body,
 			     bool late)
 {
@@ -244,6 +266,8 @@
 	extend_lease(worker, deadline_ms);
 	if (at >= 0 || run <= over_run(worker, task))
 		return "old";
+	if (needs_tickets && !has_ticket(worker, task, body))
+		return "ticket";
 	if (worker->run_count == RUNS_MAX_COUNT)
 		return "room";
 	at = worker->run_count++;
@@ -275,6 +299,10 @@
 {
 	const char *reason = try_start(worker, body, false);
 
+	if (reason)
+		world_note("%s: refuses to start %s: %s", worker->id,
+			   json_string_value(json_object_get(body, "task")),
+			   reason);
 	set_json(reply, reason ? 409 : 200,
 		 json_pack("{s:I, s:s*}", "clock_ms",
 			   (json_int_t)clock_ms(worker), "reason", reason));
@@ -621,6 +649,42 @@
 	return count;
 }
 
+static void advise(void *self, const struct http_request *request,
+		   struct http_reply *reply)
+{
+	json_t *body = json_loadb(request->body, request->body_bytes, 0, NULL);
+	const char *step = json_string_value(json_object_get(body, "step"));
+	const json_t *named = json_object_get(body, "workers");
+	json_t *allowed = json_array();
+	const json_t *id;
+	size_t i;
+
+	(void)self;
+	json_array_foreach((json_t *)named, i, id)
+	{
+		char ticket[128];
+
+		format_ticket(step, json_string_value(id), ticket,
+			      sizeof(ticket));
+		json_array_append_new(
+			allowed,
+			json_pack("[s, s]", json_string_value(id), ticket));
+	}
+	world_note("recommendation: asked about step %s", step);
+	world_sleep_ms(ADVICE_DECISION_MS +
+		       ADVICE_PERIOD_MS * (int64_t)json_array_size(named));
+	set_json(reply, 200,
+		 json_pack("{s:o, s:i}", "allowed", allowed, "valid_ms",
+			   ADVICE_VALID_MS));
+	json_decref(body);
+}
+
+int advice_open(void)
+{
+	needs_tickets = true;
+	return http_server_port(http_server_new(0, advise, NULL));
+}
+
 int fleet_open(int count)
 {
 	pthread_t thread;
--- a/review/common-2/world.c
+++ b/review/common-2/world.c
@@ -8,6 +8,7 @@
 
 /* A script ends by itself after this time. */
 #define SCRIPT_MAX_S 110
+#define FIRST_VERSION 7
 
 pthread_mutex_t world_lock = PTHREAD_MUTEX_INITIALIZER;
 pthread_cond_t world_changed = PTHREAD_COND_INITIALIZER;
@@ -62,9 +63,41 @@
 	_exit(2);
 }
 
+void world_configure(int version, bool has_queue)
+{
+	char text[1024];
+	char advice[128] = "";
+	char routes[512] = "";
+
+	if (needs_tickets)
+		snprintf(advice, sizeof(advice),
+			 ",\"recommendation\":{\"decision_ms\":%d,"
+			 "\"period_ms\":%d,\"valid_ms\":%d}",
+			 ADVICE_DECISION_MS, ADVICE_PERIOD_MS, ADVICE_VALID_MS);
+	if (has_queue)
+		snprintf(routes, sizeof(routes),
+			 "{\"name\":\"r-ledger\",\"host\":\"" QUEUE_HOST
+			 "\",\"path_prefix\":\"" QUEUE_PREFIX
+			 "\",\"kind\":\"non_idempotent\","
+			 "\"timeout_ms\":3000,\"target_duration_ms\":600,"
+			 "\"priority\":0,\"service\":\"svc-ledger\","
+			 "\"max_attempts\":4,\"slack_factor\":1.6%s}",
+			 advice);
+	snprintf(text, sizeof(text),
+		 "{\"version\":%d,\"routes\":[%s],\"services\":[{"
+		 "\"name\":\"svc-ledger\",\"preconditions\":true}],"
+		 "\"limits\":{\"max_body_bytes\":262144}}",
+		 version, routes);
+	store_put("keyed.op", "config", text);
+	world_note("operator: config %d, %s the queue", version,
+		   has_queue ? "with" : "without");
+}
+
 bool world_start(int entry_total, int worker_total, const char *record_path,
-		 struct store_port *stores)
+		 struct store_port *stores, bool with_advice)
 {
+	int advice_port = 0;
+
 	record = fopen(record_path, "w");
 	if (!record) {
 		perror(record_path);
@@ -76,17 +109,11 @@
 	signal(SIGINT, on_signal);
 	alarm(SCRIPT_MAX_S);
 	store_open(stores, entry_total);
-	store_put(
-		"keyed.op", "config",
-		"{\"version\":7,\"routes\":[{\"name\":\"r-ledger\","
-		"\"host\":\"" QUEUE_HOST "\",\"path_prefix\":\"" QUEUE_PREFIX
-		"\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,"
-		"\"target_duration_ms\":600,\"priority\":0,"
-		"\"service\":\"svc-ledger\",\"max_attempts\":4,"
-		"\"slack_factor\":1.6}],\"services\":[{\"name\":\"svc-ledger\","
-		"\"preconditions\":true}],"
-		"\"limits\":{\"max_body_bytes\":262144}}");
-	entries_start(entry_total, stores, fleet_open(worker_total));
+	if (with_advice)
+		advice_port = advice_open();
+	world_configure(FIRST_VERSION, true);
+	entries_start(entry_total, stores, fleet_open(worker_total),
+		      advice_port);
 	if (entries_wait_ready())
 		return true;
 	world_note("the entry instances did not become ready");
--- a/review/common-2/world.h
+++ b/review/common-2/world.h
@@ -28,6 +28,9 @@
 #define HEARTBEAT_MS 1500
 #define GANG_TIMEOUT_MS 3000
 #define CHECKPOINT_MS 500
+#define ADVICE_DECISION_MS 50
+#define ADVICE_PERIOD_MS 5
+#define ADVICE_VALID_MS 10000
 
 extern pthread_mutex_t world_lock;
 extern pthread_cond_t world_changed;
@@ -116,8 +119,12 @@
 extern int64_t item_work_ms;
 /* All tasks are members of gangs of this many; 0: none is. */
 extern int gang_size;
+/* Starts need a ticket of the recommendation service. */
+extern bool needs_tickets;
 
 int fleet_open(int count); /* returns the port of the list of machines */
+/* Opens the recommendation service, which allows all workers. */
+int advice_open(void);
 void worker_crash(struct worker *worker);
 void worker_restart(struct worker *worker);
 /* Carries out a start order that got no answer when it came. */
@@ -145,8 +152,9 @@
 extern struct entry entries[ENTRIES_MAX_COUNT];
 extern int entry_count;
 
+/* advice_port: 0 if there is no recommendation service. */
 void entries_start(int count, const struct store_port *stores,
-		   int machines_port);
+		   int machines_port, int advice_port);
 /* Starts the process of an instance that has ended, as it was started first. */
 void entry_restart(struct entry *entry);
 void entries_stop(void);
@@ -161,9 +169,14 @@
 #define QUEUE_HOST "plans.example"
 #define QUEUE_PREFIX "/ledger/"
 
-/* world.c: starts everything; returns whether the world is ready. */
+/* world.c */
+
+/* The operator's configuration, with or without the only queue. */
+void world_configure(int version, bool has_queue);
+
+/* Starts everything; returns whether the world is ready. */
 bool world_start(int entry_total, int worker_total, const char *record_path,
-		 struct store_port *stores);
+		 struct store_port *stores, bool with_advice);
 /* Ends all processes and exits: 0 held, 1 broken, 2 could not run. */
 void world_end(int code) __attribute__((noreturn));
 
