--- a/review/old10/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/bin/bash
-# See claim.txt. TROUBLE=0 does the same without the disruption.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/persimmonlatch ] && [ -x target/review-2/stop_crash ] || exit 2
-exec target/review-2/stop_crash review/10/record.txt
