--- a/review/common-2/fleet.c
+++ b/review/common-2/fleet.c
@@ -225,7 +225,7 @@
 	return true;
 }
 
-/* The ticket of a step on a worker: its number of dots tells the step's end. */
+/* The ticket of a step, ID.K.STEP, on a worker. */
 static void format_ticket(const char *step, const char *worker, char *to,
 			  size_t size_bytes)
 {
@@ -419,7 +419,6 @@
 	if (worker->kept_start)
 		return;
 	worker->kept_start = strndup(request->body, request->body_bytes);
-	snprintf(worker->kept_task, sizeof(worker->kept_task), "%s", task);
 }
 
 static void stay_silent(struct http_reply *reply)
