--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -282,6 +282,13 @@
 	return known;
 }
 
+static void note_caught_up(struct callers *callers)
+{
+	if (!callers->caught_up_us)
+		decision_log("dependency", "name=store state=reached");
+	callers->caught_up_us = kernel_now_us(callers->kernel);
+}
+
 /* Answers calls whose job has become known. */
 static void on_applied(struct callers *callers, const struct store_read *read)
 {
@@ -292,7 +299,7 @@
 	/* A read that stops before the store's end gives an older state. */
 	if (!read->local && !read->snapshot &&
 	    read->next_offset >= read->end_offset)
-		callers->caught_up_us = kernel_now_us(callers->kernel);
+		note_caught_up(callers);
 	if (read->snapshot)
 		callers->has_snapshot = true;
 	/* on_call() may add a call to the list again. */
--- a/src/jobs/callers.h
+++ b/src/jobs/callers.h
@@ -31,8 +31,9 @@
 	uint64_t next_write_id;
 	int64_t write_sent_us;
 	int64_t next_write_us; /* earliest next write */
-	int64_t caught_up_us;  /* newest read that reached the store's end */
-	bool has_snapshot;     /* a snapshot was read */
+	/* Newest read that reached the store's end; 0: none yet */
+	int64_t caught_up_us;
+	bool has_snapshot;	     /* a snapshot was read */
 	int64_t store_lost_since_us; /* store silent since; 0: it answers */
 	int64_t stop_accepting_us;   /* new jobs; 0: not draining */
 	bool drained_sent;	     /* EVENT_DRAINED was sent */
--- a/src/jobs/callers_write.c
+++ b/src/jobs/callers_write.c
@@ -163,7 +163,8 @@
 void callers_watch_store(struct callers *callers)
 {
 	int64_t now_us = kernel_now_us(callers->kernel);
-	bool silent = callers->has_snapshot && callers_store_is_silent(callers);
+	/* A process that has just started has not lost the store. */
+	bool silent = callers->caught_up_us && callers_store_is_silent(callers);
 
 	if (silent && !callers->store_lost_since_us) {
 		callers->store_lost_since_us = now_us;
