--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -151,6 +151,17 @@
 	kernel_emit_msg(lease->kernel, EVENT_STORE_WRITE, write);
 }
 
+/* How long leases of earlier holders may last yet; 0: there are none. */
+static int64_t earlier_leases_left_ms(const struct lease *lease,
+				      const struct holder_changed *changed)
+{
+	if (!changed->earlier_holder_until_us)
+		return 0;
+	return (changed->earlier_holder_until_us -
+		kernel_now_us(lease->kernel)) /
+	       USEC_PER_MSEC;
+}
+
 static void announce_holder(struct lease *lease, bool held)
 {
 	struct holder_changed *changed = g_rc_box_new0(struct holder_changed);
@@ -172,9 +183,12 @@
 	}
 	decision_log(held ? "hold" : "yield",
 		     "token=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT
-		     " newest_entry=%s",
+		     " newest_entry=%s replaced=%" G_GUINT64_FORMAT
+		     " ended=%d leases_left_ms=%" G_GINT64_FORMAT,
 		     lease->fence_token, lease->holder.token,
-		     lease->holder.entry);
+		     lease->holder.entry, lease->replaced_token,
+		     lease->replaced_ended,
+		     earlier_leases_left_ms(lease, changed));
 	counter_set(kernel_counters(lease->kernel), "jobs_held", held);
 	event.msg = changed;
 	kernel_emit_front(lease->kernel, &event);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -158,6 +158,15 @@
 	job_check_complete(sched, job);
 }
 
+/* Time since the newest order for the run; -1: this holder has sent none. */
+static int64_t order_age_ms(const struct sched *sched,
+			    const struct job_item *item)
+{
+	if (!item->ordered_us)
+		return -1;
+	return (sched_now_us(sched) - item->ordered_us) / USEC_PER_MSEC;
+}
+
 void item_release(struct sched *sched, struct job *job, uint32_t index,
 		  const char *reason)
 {
@@ -167,8 +176,11 @@
 	if (!is_placed(item))
 		return;
 	job_item_name(job, index, name, sizeof(name));
-	decision_log("release", "item=%s run=%u worker=%s reason=%s", name,
-		     item->run, item->worker, reason);
+	decision_log("release",
+		     "item=%s run=%u worker=%s reason=%s unanswered=%d "
+		     "order_age_ms=%" G_GINT64_FORMAT,
+		     name, item->run, item->worker, reason,
+		     item->start_unanswered, order_age_ms(sched, item));
 	if (item->ended_done) {
 		complete_item(sched, job, index);
 		return;
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -203,8 +203,23 @@
 static void update_clock(struct sched *sched, struct worker *worker,
 			 const struct order *order)
 {
+	int64_t took_ms =
+		(sched_now_us(sched) - order->sent_us) / USEC_PER_MSEC;
+
 	if (!order->has_clock)
 		return;
+	/* Another life; an answer may overtake one that was sent before. */
+	if (worker->has_clock && order->clock_ms + took_ms < worker->clock_ms)
+		decision_log("worker-clock",
+			     "worker=%s kind=%s item=%s run=%u "
+			     "clock_ms=%" G_GINT64_FORMAT
+			     " earlier_ms=%" G_GINT64_FORMAT
+			     " read_age_ms=%" G_GINT64_FORMAT,
+			     worker->id, order_kind_name(order->kind),
+			     order->item, order->run, order->clock_ms,
+			     worker->clock_ms,
+			     (sched_now_us(sched) - worker->clock_read_us) /
+				     USEC_PER_MSEC);
 	worker->has_clock = true;
 	worker->clock_ms = order->clock_ms;
 	worker->clock_read_us = sched_now_us(sched);
