Wait for the longest lease of a worker after a change of the holder

Callers saw work run twice: a new holder gave up the items of a worker that it couldn't reach 6.2 s after its claim (12.2 s if the earlier holder may live on). That is the lease that holders mean to grant. A worker that had started again under its id before the earlier holder's last orders counts their deadlines on a clock that is back at zero, and grants its longest lease instead: 10 s where hold_max_ms is 10,000. Where it is 6,000 nothing changes.

The wait is now the longest lease that a worker grants, on a clock that may be 2% slow.

jobs_restart_lease_takeover: the second run began at 66.840 s beside the first, whose lease ends at 70.311 s; now at 70.920 s.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -88,6 +88,11 @@
 	       50 * USEC_PER_MSEC;
 }
 
+int64_t worker_lease_any_life_us(const struct job_bounds *bounds)
+{
+	return worker_lease_local_max_us(bounds->lease_max_us);
+}
+
 /* While claiming, each pause between reads prolongs the time with no holder. */
 static void set_pace(struct lease *lease)
 {
@@ -165,8 +170,8 @@
 static void announce_holder(struct lease *lease, bool held)
 {
 	struct holder_changed *changed = g_rc_box_new0(struct holder_changed);
-	int64_t lease_us =
-		worker_lease_us(&kernel_settings(lease->kernel)->bounds);
+	const struct job_bounds *bounds =
+		&kernel_settings(lease->kernel)->bounds;
 	struct event event = { .type = EVENT_HOLDER_CHANGED };
 
 	lease->held = held;
@@ -176,7 +181,7 @@
 	changed->token = lease->fence_token;
 	if (held && lease->replaced_token) {
 		changed->earlier_holder_until_us =
-			lease->claimed_us + worker_lease_local_max_us(lease_us);
+			lease->claimed_us + worker_lease_any_life_us(bounds);
 		if (!lease->replaced_ended)
 			changed->earlier_holder_until_us +=
 				HOLDER_UNCONFIRMED_MAX_US;
--- a/src/jobs/lease.h
+++ b/src/jobs/lease.h
@@ -23,4 +23,11 @@
 /* Longest time that such a lease can last on the clock of this process. */
 int64_t worker_lease_local_max_us(int64_t lease_us);
 
+/*
+ * The same for any lease. The clock of a worker that has started again is back
+ * at zero, so it takes a deadline on its earlier clock for one that is far off
+ * and grants the longest lease there is.
+ */
+int64_t worker_lease_any_life_us(const struct job_bounds *bounds);
+
 #endif
