Count a lease by a worker's clock only for runs of a known life

Callers saw work run twice: a start was taken by a worker that had started again under its id, the worker was cut off within the second before a hold showed the restart, and the holder gave the item up when the lease that it meant to grant had expired, 6 s later. The worker had taken the deadline, on the clock of its former life, for one that was far off, and had granted its longest lease (10 s).

A run now counts as one of the known life when that life lists it, or when the answer of its start shows a clock that began before the last answered hold was sent. Other runs on a silent worker are given up only when the longest lease of any life has passed since the last order that could have begun or prolonged one had its result. The same time covers orders that were sent before a restart was noticed and carried out after it. A start that is answered by an unknown life makes the holder read the worker's lists before it sends more work, and starts are no longer repeated to a silent worker, as each would prolong that time.

jobs_restart_lease_cut: the second run began at 67.690 s beside the first, whose lease ends at 70.311 s; now at 72.365 s. In jobs_worker_restart the third item goes to the other worker, since the restarted one answers no hold until 3.8 s.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -94,6 +94,11 @@
 	uint32_t observed;	   /* tail latency in ms, or CPU in use */
 	bool settled;		   /* no order of this run is unresolved */
 	bool start_unanswered;	   /* a start of this run got no answer */
+	/* The run began in the life of its worker that answered holds last. */
+	bool life_known;
+	/* When a start last got an answer, or none; it may have been carried
+	 * out until then. 0: no start was. */
+	int64_t start_settled_us;
 	uint64_t list_number;	 /* newest worker list that contains the item */
 	uint64_t store_write_id; /* write that stores the placement; 0: none */
 	int64_t stored_us;	 /* when the placement was stored */
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -134,6 +134,8 @@
 
 		item->settled = false;
 		item->start_unanswered = false;
+		item->life_known = false;
+		item->start_settled_us = 0;
 		item->ordered_us = 0;
 		item->pending_orders_count = 0;
 		item->confirmed_us = 0;
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -57,7 +57,14 @@
 	int64_t clock_ms; /* lower bound of its clock at clock_read_us */
 	int64_t clock_read_us;
 	int64_t lease_end_ms; /* of its longest lease, on its clock; 0: none */
-	int64_t lease_expiry_us; /* all its leases have expired by then */
+	/* All leases of the life that answered the last hold end by then. */
+	int64_t lease_expiry_us;
+	int64_t any_life_expiry_us; /* the same for all lives */
+	/* That life was up at some time since; send time of that hold; 0: none
+	 */
+	int64_t life_known_us;
+	int64_t restarted_us; /* when that life was first noticed; 0: first one
+			       */
 
 	uint64_t seen_end_number;     /* newest end received */
 	uint64_t flushing_end_number; /* covered by the current flush */
@@ -333,11 +340,13 @@
 void worker_send_order(struct sched *sched, struct worker *worker,
 		       struct order *order);
 /*
- * Releases the items of a worker on which nothing can run any more; those with
- * an order under way once they have its result.
+ * Releases the items of a worker whose last known life has ended, but for those
+ * that may run in a later life: an order for them is under way, or a start got
+ * its result, from an unknown life or from none, at or after ended_us. That is
+ * the time at which every life had ended; 0 if only the known one has.
  */
 void worker_mark_gone(struct sched *sched, struct worker *worker,
-		      const char *reason);
+		      const char *reason, int64_t ended_us);
 /* The placement at an index of worker->placed. */
 struct placement worker_placement(const struct worker *worker, uint32_t at);
 struct job_item *placement_item(const struct placement *placement);
@@ -348,6 +357,14 @@
 bool worker_accepts_work(const struct sched *sched,
 			 const struct worker *worker);
 
+/*
+ * Whether the answer of an order comes from the life that answered the last
+ * hold. False if its clock doesn't show that.
+ */
+bool worker_life_is_known(const struct sched *sched,
+			  const struct worker *worker,
+			  const struct order *order);
+
 /* Each life of a worker numbers its ends anew. */
 void worker_forget_ends(struct worker *worker);
 
--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -33,15 +33,16 @@
 		     worker->reported_started_ms, worker->placed->len);
 	worker_forget_ends(worker);
 	worker->lease_end_ms = 0;
+	worker->restarted_us = sched_now_us(sched);
 	worker->lease_expiry_us =
-		sched_now_us(sched) +
-		worker_lease_local_max_us(sched->bounds->lease_max_us);
+		worker->restarted_us + worker_lease_any_life_us(sched->bounds);
 	advice_forget_worker(sched, worker);
 	starts_cancel(sched, worker, "restarted");
 	for (guint i = 0; i < worker->placed->len; i++) {
 		struct placement placement = worker_placement(worker, i);
 		struct job_item *item = placement_item(&placement);
 
+		item->life_known = false;
 		/* The new life doesn't know of a stop that was confirmed. */
 		if (item->phase == ITEM_STOPPING)
 			item->settled = false;
@@ -75,6 +76,7 @@
 		return;
 	}
 	item->list_number = sched->list_number;
+	item->life_known = true;
 	if (item->phase == ITEM_STARTING)
 		item_mark_running(sched, job, index);
 	if (item->phase == ITEM_RUNNING)
@@ -215,6 +217,7 @@
 	worker->unanswered_count = 0;
 	worker->silent_since_us = 0;
 	worker->answered_us = now_us;
+	worker->life_known_us = order->sent_us;
 	update_reported_start(sched, worker, order);
 	if (!worker->synced)
 		sched_request_placement(sched);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -90,6 +90,8 @@
 	item->run++;
 	item->settled = true;
 	item->start_unanswered = false;
+	item->life_known = false;
+	item->start_settled_us = 0;
 	item->store_write_id = 0;
 	item->ordered_us = 0;
 	item->pending_orders_count = 0;
@@ -217,6 +219,7 @@
 	order->checkpoint = g_strdup(item->checkpoint);
 	order->ticket = advice_ticket(sched, job, index, worker);
 	item->phase = ITEM_STARTING;
+	item->life_known = false;
 	item->ordered_us = sched_now_us(sched);
 	item->pending_orders_count++;
 	worker->pending_starts_count++;
@@ -438,6 +441,8 @@
 {
 	struct job_item *item = job_item(job, index);
 
+	if (order->result == ORDER_OK || order->result == ORDER_UNANSWERED)
+		item->start_settled_us = sched_now_us(sched);
 	if (item->phase != ITEM_STARTING)
 		return;
 	counter_observe(kernel_counters(sched->kernel), "start_order",
@@ -445,6 +450,10 @@
 	switch (order->result) {
 	case ORDER_OK:
 		item_mark_running(sched, job, index);
+		item->life_known = worker_life_is_known(sched, worker, order);
+		/* Another life: its lists are read before it gets more work. */
+		if (!item->life_known)
+			worker->synced = false;
 		worker->hold_due_us =
 			MIN(worker->hold_due_us, sched_now_us(sched));
 		break;
@@ -507,7 +516,4 @@
 		on_start_result(sched, worker, job, index, order);
 	else if (order->kind == ORDER_STOP)
 		on_stop_result(sched, worker, job, index, order);
-	if (worker->gone && !item->pending_orders_count &&
-	    !order_is_answered(order))
-		item_release(sched, job, index, "worker-gone");
 }
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -26,6 +26,7 @@
 	worker->id = g_intern_string(id);
 	worker->placed = g_array_new(FALSE, TRUE, sizeof(struct placement));
 	worker->lease_expiry_us = sched->earlier_holder_until_us;
+	worker->any_life_expiry_us = sched->earlier_holder_until_us;
 	worker->unlisted_us = sched_now_us(sched);
 	g_hash_table_insert(sched->workers, (gpointer)worker->id, worker);
 	return worker;
@@ -168,8 +169,29 @@
 	worker->acked_end_number = 0;
 }
 
+/* Whether the run of an item has ended; ended_us as in worker_mark_gone(). */
+static bool run_has_ended(const struct job_item *item, int64_t ended_us)
+{
+	if (item->pending_orders_count)
+		return false;
+	if (item->phase == ITEM_STORING || item->phase == ITEM_STORED)
+		return true;
+	return item->life_known || item->start_settled_us < ended_us;
+}
+
+static bool any_run_has_ended(const struct worker *worker, int64_t ended_us)
+{
+	for (guint i = 0; i < worker->placed->len; i++) {
+		struct placement placement = worker_placement(worker, i);
+
+		if (run_has_ended(placement_item(&placement), ended_us))
+			return true;
+	}
+	return false;
+}
+
 void worker_mark_gone(struct sched *sched, struct worker *worker,
-		      const char *reason)
+		      const char *reason, int64_t ended_us)
 {
 	if (!worker->gone || worker->placed->len)
 		decision_log("worker-gone",
@@ -181,21 +203,17 @@
 					worker->silent_since_us) /
 					       USEC_PER_MSEC
 				     : 0);
-	worker->gone = true;
 	worker->synced = false;
 	worker->lease_end_ms = 0;
 	advice_forget_worker(sched, worker);
 	for (guint i = worker->placed->len; i > 0; i--) {
 		struct placement placement = worker_placement(worker, i - 1);
 
-		/*
-		 * An order under way may yet reach a new life of the worker.
-		 * Its result decides about the item.
-		 */
-		if (!placement_item(&placement)->pending_orders_count)
+		if (run_has_ended(placement_item(&placement), ended_us))
 			item_release(sched, placement.job, placement.index,
 				     reason);
 	}
+	worker->gone = !worker->placed->len;
 	worker_forget_ends(worker);
 	sched_request_placement(sched);
 }
@@ -246,7 +264,8 @@
 			continue;
 		if (item->phase == ITEM_STARTING && item->ordered_us &&
 		    !placement.job->stop_all) {
-			if (!starts_may_send(worker))
+			if (!starts_may_send(worker) ||
+			    worker->unanswered_count)
 				continue;
 			item_send_start(sched, placement.job, placement.index);
 		} else if (item->phase == ITEM_STOPPING) {
@@ -260,6 +279,38 @@
 	}
 }
 
+bool worker_life_is_known(const struct sched *sched,
+			  const struct worker *worker,
+			  const struct order *order)
+{
+	int64_t since_us = sched_now_us(sched) - worker->life_known_us;
+
+	/* A later life's clock counts from a time after that hold. */
+	return worker->life_known_us && order->has_clock &&
+	       order->clock_ms * USEC_PER_MSEC >
+		       worker_lease_local_max_us(since_us);
+}
+
+/*
+ * Notes a lease that the order may have given in a life whose clock we don't
+ * know; such an order may be carried out until it has its result.
+ */
+static void note_lease(struct sched *sched, struct worker *worker,
+		       const struct order *order)
+{
+	int64_t expiry_us =
+		sched_now_us(sched) + worker_lease_any_life_us(sched->bounds);
+
+	if (!order->lease_ms || order->result == ORDER_NOT_SENT ||
+	    worker_life_is_known(sched, worker, order))
+		return;
+	worker->any_life_expiry_us = MAX(worker->any_life_expiry_us, expiry_us);
+	/* It was sent with a deadline on the clock of an earlier life. */
+	if (order->sent_us <= worker->restarted_us)
+		worker->lease_expiry_us =
+			MAX(worker->lease_expiry_us, expiry_us);
+}
+
 /* Whether a worker left so long ago that it can be removed. */
 static bool is_forgettable(const struct worker *worker, int64_t now_us)
 {
@@ -268,16 +319,28 @@
 	       now_us - worker->unlisted_us > FORGET_AFTER_US;
 }
 
+/* Takes off the items whose leases have expired on a worker that is silent. */
+static void release_lapsed(struct sched *sched, struct worker *worker)
+{
+	int64_t now_us = sched_now_us(sched);
+	bool all_lives = now_us >= worker->any_life_expiry_us;
+	int64_t ended_us = all_lives ? now_us : 0;
+
+	if (any_run_has_ended(worker, ended_us))
+		worker_mark_gone(sched, worker, "lapsed", ended_us);
+	if (!all_lives)
+		sched_wake_at(sched, worker->any_life_expiry_us);
+}
+
 /* Runs the tasks that are due for a worker. */
 static void worker_tick(struct sched *sched, struct worker *worker)
 {
 	int64_t now_us = sched_now_us(sched);
 
-	if (worker->placed->len && !worker->gone &&
-	    now_us >= worker->lease_expiry_us &&
+	if (worker->placed->len && now_us >= worker->lease_expiry_us &&
 	    (worker->unanswered_count || !worker->address[0]) &&
 	    sched->directory_seen)
-		worker_mark_gone(sched, worker, "lapsed");
+		release_lapsed(sched, worker);
 	hold_send_if_due(sched, worker);
 	if (worker->synced)
 		resend_orders(sched, worker);
@@ -310,6 +373,7 @@
 
 	if (!worker || order->token != sched->token)
 		return;
+	note_lease(sched, worker, order);
 	update_clock(sched, worker, order);
 	if (order->kind == ORDER_START && worker->pending_starts_count)
 		worker->pending_starts_count--;
@@ -317,7 +381,8 @@
 		if (order->kind != ORDER_HOLD && order->kind != ORDER_PACE)
 			item_on_order(sched, worker, order);
 		worker->hold_pending = false;
-		worker_mark_gone(sched, worker, "other-life");
+		worker_mark_gone(sched, worker, "other-life",
+				 sched_now_us(sched));
 		worker->hold_not_before_us =
 			sched_now_us(sched) + HOLD_IDLE_RETRY_US;
 		return;
--- a/test/runner/jobs_machines.c
+++ b/test/runner/jobs_machines.c
@@ -51,7 +51,8 @@
 		g_strlcpy(row.pool, worker->pool, sizeof(row.pool));
 		g_array_append_val(seen->rows, row);
 	}
-	jobs_deliver(jobs, entry, EVENT_MACHINES_SEEN, seen, ORDER_LATENCY_US);
+	jobs_deliver(jobs, entry, EVENT_MACHINES_SEEN, seen,
+		     ORDER_LATENCY_US + jobs->machine_list_delay_us);
 }
 
 /* Ends the worker; another one joins the new pool after MOVE_DURATION_US. */
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -59,6 +59,8 @@
 	worker->orders = g_array_new(FALSE, TRUE, sizeof(struct fake_order));
 	worker->connecting =
 		g_ptr_array_new_with_free_func((GDestroyNotify)order_unref);
+	worker->delayed =
+		g_ptr_array_new_with_free_func((GDestroyNotify)order_unref);
 	worker->ended = g_array_new(FALSE, TRUE, sizeof(struct ended_row));
 	g_array_set_clear_func(worker->ended, ended_clear);
 	worker->closed_runs =
@@ -84,6 +86,7 @@
 	g_array_unref(worker->running);
 	g_array_unref(worker->orders);
 	g_ptr_array_unref(worker->connecting);
+	g_ptr_array_unref(worker->delayed);
 	g_array_unref(worker->ended);
 	g_hash_table_unref(worker->closed_runs);
 	g_free(worker);
@@ -415,7 +418,8 @@
 			struct jobs_entry *entry, struct order *order)
 {
 	bool lost = worker->unreachable || worker->dead ||
-		    worker->loses_answers || entry->workers_unreachable;
+		    worker->loses_answers || entry->workers_unreachable ||
+		    (order->kind == ORDER_START && worker->delays_starts);
 
 	order->has_clock = !lost && !worker->refuses_connections;
 	order->clock_ms = worker_clock_us(jobs, worker) / USEC_PER_MSEC;
@@ -522,6 +526,18 @@
 	receive_connecting(jobs, worker);
 }
 
+void fake_worker_carry_out(struct jobs_world *jobs, struct fake_worker *worker)
+{
+	for (guint i = 0; i < worker->delayed->len; i++) {
+		/* The sender's order keeps the result that it has. */
+		struct order order =
+			*(const struct order *)worker->delayed->pdata[i];
+
+		execute_order(jobs, worker, &order);
+	}
+	g_ptr_array_set_size(worker->delayed, 0);
+}
+
 static void drop_settled_orders(struct fake_worker *worker, int64_t now_us)
 {
 	for (guint i = worker->orders->len; i > 0; i--) {
@@ -582,12 +598,18 @@
 		       !worker->refuses_connections &&
 		       !entry->workers_unreachable;
 
+	bool delayed =
+		arrives && order->kind == ORDER_START && worker->delays_starts;
+
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
 		check_order_in_flight(entry, worker, order,
 				      worker->dead || worker->unreachable ||
 					      worker->loses_answers ||
+					      delayed ||
 					      entry->workers_unreachable);
-	if (arrives)
+	if (delayed)
+		g_ptr_array_add(worker->delayed, order_ref(order));
+	else if (arrives)
 		execute_order(jobs, worker, order);
 	else if (worker->dead && order->kind != ORDER_HOLD)
 		g_ptr_array_add(worker->connecting, order_ref(order));
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -68,6 +68,7 @@
 	bool dead;
 	bool unreachable;   /* orders and answers are lost, but items run on */
 	bool loses_answers; /* orders take effect, but their answers are lost */
+	bool delays_starts; /* starts get no answer and are kept in delayed */
 	bool refuses_connections; /* no order can be sent to it */
 	bool fails_items;	  /* the items that it starts fail */
 	bool draining;		  /* the directory shows it as draining */
@@ -86,6 +87,7 @@
 	GHashTable *closed_runs;
 	GArray *orders;	       /* of struct fake_order */
 	GPtrArray *connecting; /* starts and stops sent while it was dead */
+	GPtrArray *delayed;    /* starts to be carried out late */
 	struct jobs_entry *waiting_entry; /* that has sent the waiting hold */
 	struct order *waiting_hold; /* answered when an item ends, or NULL */
 	int64_t hold_until_us;	    /* answered at the latest */
@@ -122,10 +124,11 @@
 	int64_t stop_duration_us; /* from a stop order to the end of the run */
 	GHashTable *accepted_jobs; /* ids of jobs whose submission was stored */
 	GHashTable
-		*cancelled_jobs;  /* ids of jobs that callers have cancelled */
-	bool machine_list_down;	  /* the list of machines does not answer */
-	bool machines_unfenced;	  /* machines accept orders of any token */
-	bool quiet;		  /* prints no replies and orders */
+		*cancelled_jobs; /* ids of jobs that callers have cancelled */
+	bool machine_list_down;	 /* the list of machines does not answer */
+	int64_t machine_list_delay_us; /* of its answers, after it was read */
+	bool machines_unfenced;	       /* machines accept orders of any token */
+	bool quiet;		       /* prints no replies and orders */
 	uint32_t entry_cpu_milli; /* of entries started later; 0: unknown */
 	bool forwards_orders; /* entries started later forward at any load */
 	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
@@ -173,6 +176,8 @@
 /* Starts a killed worker again under its id; it knows nothing of before. */
 void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker);
 void fake_advice(struct jobs_entry *entry, struct advice *advice);
+/* Carries out the starts that got no answer, in the worker's present life. */
+void fake_worker_carry_out(struct jobs_world *jobs, struct fake_worker *worker);
 /* Drops the waiting hold without an answer. */
 void fake_worker_drop_hold(struct fake_worker *worker);
 
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -147,11 +147,18 @@
 	send_worker_lists(script_jobs(script));
 }
 
-/* job-lists on|off: whether the list of machines answers */
+/*
+ * job-lists on|off: whether the list of machines answers
+ * job-lists slow TIME: delay of its answers, which show what it was before
+ */
 static void cmd_lists(struct script *script)
 {
-	script_jobs(script)->machine_list_down =
-		!strcmp(script_word(script, 1), "off");
+	const char *how = script_word(script, 1);
+
+	script_jobs(script)->machine_list_down = !strcmp(how, "off");
+	if (!strcmp(how, "slow"))
+		script_jobs(script)->machine_list_delay_us =
+			script_duration_us(script, script_word(script, 2));
 }
 
 /* job-fencing on|off: whether machines check the token of an order */
@@ -183,10 +190,10 @@
 }
 
 /*
- * job-fault WORKER dead|dark|left|cut|expired|lose|closed|other|drains|fails|
- * stalls|ok: sets its only fault, see struct fake_worker; dark: dead, but still
- * in the directory; left: dead, and the directory says so; expired: cut off,
- * and its entry in the directory has expired
+ * job-fault WORKER dead|dark|left|cut|expired|lose|late|closed|other|drains|
+ * fails|stalls|ok: sets its only fault, see struct fake_worker; dark: dead, but
+ * still in the directory; left: dead, and the directory says so; expired: cut
+ * off, and its entry in the directory has expired
  */
 static void cmd_fault(struct script *script)
 {
@@ -207,6 +214,7 @@
 	worker->unreachable = !strcmp(how, "cut") || !strcmp(how, "expired");
 	worker->refuses_connections = !strcmp(how, "closed");
 	worker->loses_answers = !strcmp(how, "lose");
+	worker->delays_starts = !strcmp(how, "late");
 	worker->other_incarnation = !strcmp(how, "other");
 	worker->draining = !strcmp(how, "drains");
 	if (worker->draining || !strcmp(how, "left") || !strcmp(how, "expired"))
@@ -234,6 +242,19 @@
 		send_worker_lists(script_jobs(script));
 }
 
+/* job-late WORKER: carries out the starts that it got while it was "late". */
+static void cmd_late(struct script *script)
+{
+	struct fake_worker *worker =
+		fake_worker_find(script_jobs(script), script_word(script, 1));
+
+	if (worker)
+		fake_worker_carry_out(script_jobs(script), worker);
+	else
+		script_fail(script, "no worker is called \"%s\"",
+			    script_word(script, 1));
+}
+
 /* job-tickets ok|refused: whether workers accept valid tickets */
 static void cmd_tickets(struct script *script)
 {
@@ -544,8 +565,8 @@
 	{ "job-counter", 2, cmd_counter },   { "job-drain", 1, cmd_drain },
 	{ "job-fencing", 1, cmd_fencing },   { "job-forward", 1, cmd_forward },
 	{ "job-link", 2, cmd_link },	     { "job-restart", 1, cmd_restart },
-	{ "job-replace", 2, cmd_replace },   { "job-workers", 3, cmd_workers },
-	{ "job-ends", 0, cmd_ends },
+	{ "job-late", 1, cmd_late },	     { "job-replace", 2, cmd_replace },
+	{ "job-workers", 3, cmd_workers },   { "job-ends", 0, cmd_ends },
 };
 
 SCRIPT_REGISTER(commands)
