Take a list of machines as proof only for starts that were settled before it

Callers could see work run twice: a list that was asked for while a machine was down, and answered late, ended runs that the worker's next life had started since. Such a run was answered or had timed out after the list was asked for, so the list says nothing of it.

A list now ends a run only if the run is one of the known life, or if the last start of the run had its result before the list was asked for.

jobs_restart_list_late fails without the change: the second run of the item began at 5.474 s beside the first; now at 14.665 s, when the longest lease is over. The item of the former life still starts at 5.474 s. The 78 jobs scripts pass.

--- a/src/jobs/sched_machine.c
+++ b/src/jobs/sched_machine.c
@@ -113,7 +113,7 @@
 		if (is_suspect(sched, worker, seen->asked_us) &&
 		    !g_hash_table_contains(up, worker->id))
 			worker_mark_gone(sched, worker, "machine-list",
-					 sched_now_us(sched));
+					 seen->asked_us);
 	}
 	g_hash_table_unref(up);
 }
