Ask a restarted worker for its lists while a hold waits at its former life

Callers waited up to 1.8 s longer than needed: the directory shows the new life of a worker, but no hold was sent to it, and so no work, before the one that had been waiting at the former life ran into its time limit. For as long the holder didn't learn what orders had reached the new life.

A life that the directory shows first gets a hold at once; the result of the older one is ignored.

jobs_restart_seen fails without the change: both items started at 4.006 s, 0.8 s after the restart; now at 3.219 s.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -73,6 +73,7 @@
 	bool ack_deferred; /* the last hold only asked whether it still lives */
 
 	bool hold_pending;
+	int64_t hold_sent_us; /* of the newest hold; older ones don't count */
 	int64_t hold_due_us;
 	int64_t hold_not_before_us;    /* retry delay */
 	uint32_t unanswered_count;     /* consecutive holds without an answer */
--- a/src/jobs/sched_directory.c
+++ b/src/jobs/sched_directory.c
@@ -32,10 +32,15 @@
 		worker->listed_started_ms = entry->started_ms;
 		worker->hold_due_us = 0;
 		worker->hold_not_before_us = 0;
-		/* Another life: its lists are read before it gets more work. */
+		/*
+		 * Another life: its lists are read before it gets more work. A
+		 * hold that waits at the former one won't be answered.
+		 */
 		if (worker->reported_started_ms &&
-		    worker->reported_started_ms != entry->started_ms)
+		    worker->reported_started_ms != entry->started_ms) {
 			worker->synced = false;
+			worker->hold_pending = false;
+		}
 	}
 	if (worker->draining && !was_draining)
 		starts_cancel(sched, worker, "draining");
--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -182,6 +182,8 @@
 {
 	int64_t now_us = sched_now_us(sched);
 
+	if (order->sent_us < worker->hold_sent_us)
+		return;
 	worker->hold_pending = false;
 	if (!order_is_answered(order) || order->result == ORDER_REFUSED) {
 		if (!worker->unanswered_count) {
@@ -315,5 +317,6 @@
 	if (worker->synced && runs && !worker->unanswered_count)
 		order->wait_us = HOLD_WAIT_US;
 	worker->hold_pending = true;
+	worker->hold_sent_us = now_us;
 	worker_send_order(sched, worker, order);
 }
