Stop the run of an unanswered start in each later life of its worker

The worker starts again under its id, and then the order is carried out. The new life can't tell that the order is old: its fencing token is the holder's own, no run was stopped there, and the deadline is one of another clock. The holder had nothing placed on that worker any more and never looked at it.

The holder now keeps the starts that got no answer when their items are taken off a worker, for as long as they may be carried out (20 s), also those of items that are done. Each life of the worker that answers a hold is told to stop these runs; a worker rejects a run that was stopped.

Not closed: an order that is carried out between the start of the new life and the stop, which follows the directory's news of that life, and starts that were given up by an earlier holder.

jobs_restart_start_late fails without the change ("runs on w2 and w1", at 6.1 s; the run was stopped at 6.7 s).

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -94,6 +94,8 @@
 	uint32_t observed;	   /* tail latency in ms, or CPU in use */
 	bool settled;		   /* no order of this run is unresolved */
 	bool start_unanswered;	   /* a start of this run got no answer */
+	/* Until then a start without an answer may be carried out; 0: none */
+	int64_t start_late_until_us;
 	/* The run began in the life of its worker that answered holds last. */
 	bool life_known;
 	/* When a start last got an answer, or none; it may have been carried
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -86,7 +86,8 @@
 	uint32_t used_cpu_milli;
 	uint32_t used_mem_mb;
 	uint32_t used_gpu_count;
-	GArray *placed; /* of struct placement */
+	GArray *placed;	     /* of struct placement */
+	GArray *late_starts; /* of struct late_start */
 
 	enum cordon cordon;
 	int64_t cordoned_us;	  /* start of CORDON_MOVE */
@@ -96,6 +97,16 @@
 	int64_t fillers_paced_us; /* last change of its fillers' pace */
 };
 
+/* A start that may be carried out after its item was taken off the worker. */
+struct late_start {
+	char item[NAME_SIZE_BYTES];
+	uint32_t run;
+	int64_t until_us; /* it isn't carried out later */
+	bool refused;	  /* by the present life, should it arrive there */
+	bool pending;	  /* a stop is under way */
+	int64_t retry_us; /* earliest next stop */
+};
+
 enum wave_step {
 	WAVE_WAITING,
 	WAVE_EMPTYING,
@@ -325,6 +336,25 @@
 void starts_cancel(struct sched *sched, struct worker *worker,
 		   const char *reason);
 
+/* sched_late.c: starts that may be carried out late */
+
+/* An order without an answer is carried out within this time, or never. */
+#define START_LATE_MAX_US (20 * USEC_PER_SEC)
+
+/* Called when an item is taken off a worker. */
+void late_starts_note(struct sched *sched, struct worker *worker,
+		      const struct job *job, uint32_t index);
+/* A new life of the worker has answered; it refuses none of them yet. */
+void late_starts_on_restart(struct worker *worker);
+/* Stops the runs that the present life doesn't refuse yet. */
+void late_starts_tick(struct sched *sched, struct worker *worker);
+/* Whether such a start is known, and so its run will be stopped. */
+bool late_starts_contain(const struct worker *worker, const char *item,
+			 uint32_t run);
+/* Handles the result of a stop. */
+void late_starts_on_order(struct sched *sched, struct worker *worker,
+			  const struct order *order);
+
 /* sched_directory.c: updates of the workers from the directory */
 void workers_on_seen(struct sched *sched, const struct workers_seen *seen);
 
--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -37,6 +37,7 @@
 	worker->lease_expiry_us =
 		worker->restarted_us + worker_lease_any_life_us(sched->bounds);
 	advice_forget_worker(sched, worker);
+	late_starts_on_restart(worker);
 	starts_cancel(sched, worker, "restarted");
 	for (guint i = 0; i < worker->placed->len; i++) {
 		struct placement placement = worker_placement(worker, i);
@@ -72,7 +73,8 @@
 	struct job_item *item = job ? job_item(job, index) : NULL;
 
 	if (!item || item->worker != worker->id || item->run != row->run) {
-		stop_stray(sched, worker, row);
+		if (!late_starts_contain(worker, row->item, row->run))
+			stop_stray(sched, worker, row);
 		return;
 	}
 	item->list_number = sched->list_number;
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -90,6 +90,7 @@
 	item->run++;
 	item->settled = true;
 	item->start_unanswered = false;
+	item->start_late_until_us = 0;
 	item->life_known = false;
 	item->start_settled_us = 0;
 	item->store_write_id = 0;
@@ -126,8 +127,10 @@
 
 	if (worker && is_unstarted(item))
 		worker->unstarted_count--;
-	if (worker)
+	if (worker) {
 		worker_detach(worker, job, index);
+		late_starts_note(sched, worker, job, index);
+	}
 	item->worker = NULL;
 	item->store_write_id = 0;
 	item->unavailable_since_us = sched_now_us(sched);
@@ -460,6 +463,8 @@
 	case ORDER_UNANSWERED:
 		item->settled = false;
 		item->start_unanswered = true;
+		item->start_late_until_us =
+			sched_now_us(sched) + START_LATE_MAX_US;
 		worker->resend_pending = true;
 		item->ordered_us = sched_now_us(sched);
 		sched_wake_at(sched, item->ordered_us + ORDER_RESEND_DELAY_US);
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -25,6 +25,8 @@
 	worker = g_new0(struct worker, 1);
 	worker->id = g_intern_string(id);
 	worker->placed = g_array_new(FALSE, TRUE, sizeof(struct placement));
+	worker->late_starts =
+		g_array_new(FALSE, TRUE, sizeof(struct late_start));
 	worker->lease_expiry_us = sched->earlier_holder_until_us;
 	worker->any_life_expiry_us = sched->earlier_holder_until_us;
 	worker->unlisted_us = sched_now_us(sched);
@@ -39,6 +41,7 @@
 	if (worker->labels)
 		g_ptr_array_unref(worker->labels);
 	g_array_unref(worker->placed);
+	g_array_unref(worker->late_starts);
 	g_free(worker);
 }
 
@@ -344,6 +347,7 @@
 	hold_send_if_due(sched, worker);
 	if (worker->synced)
 		resend_orders(sched, worker);
+	late_starts_tick(sched, worker);
 	if (worker->hold_not_before_us > now_us)
 		sched_wake_at(sched, worker->hold_not_before_us);
 }
@@ -391,6 +395,8 @@
 		hold_on_result(sched, worker, order);
 	else if (order->kind != ORDER_PACE)
 		item_on_order(sched, worker, order);
+	if (order->kind == ORDER_STOP)
+		late_starts_on_order(sched, worker, order);
 	if (order->kind == ORDER_START)
 		starts_on_order(sched, worker, order);
 	worker_tick(sched, worker);
