Count all earlier holders when a holder that has ended is replaced

Callers could see work run twice: holder 1 is cut off from the store but not from the workers and renews leases for up to 6 s; holder 2 replaces it and ends or resigns at once; holder 3 then counts no time for orders of earlier holders, since its direct predecessor has certainly ended, and gives up the items of a worker that it can't reach while holder 1 has just renewed their lease.

The renewals and the resignation of a holder now say whether all holders before it have stopped sending orders, which is so 6 s after its claim, or at once if it knows it of its predecessor. A successor leaves the 6 s out only if its predecessor has ended and said so. Records of older versions lack the field, so that the 6 s are counted. job-lease-max sets the longest lease of scripts.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -173,6 +173,7 @@
 	to.boot_id = record->boot_id;
 	to.token = record->token;
 	to.step = record->action;
+	to.earlier_ended = record->earlier_ended;
 	return pack(&to.base);
 }
 
@@ -342,6 +343,7 @@
 	record->boot_id = from->boot_id;
 	record->token = from->token;
 	record->action = MIN(from->step, HOLDER_RESIGN);
+	record->earlier_ended = from->earlier_ended;
 	pl__job_holder__free_unpacked(from, NULL);
 	return record;
 }
--- a/src/codec/proto/job.pb-c.c
+++ b/src/codec/proto/job.pb-c.c
@@ -935,7 +935,7 @@
   (ProtobufCMessageInit) pl__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pl__job_holder__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pl__job_holder__field_descriptors[5] =
 {
   {
     "entry",
@@ -985,9 +985,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_ended",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobHolder, earlier_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pl__job_holder__field_indices_by_name[] = {
   1,   /* field[1] = boot_id */
+  4,   /* field[4] = earlier_ended */
   0,   /* field[0] = entry */
   3,   /* field[3] = step */
   2,   /* field[2] = token */
@@ -995,7 +1008,7 @@
 static const ProtobufCIntRange pl__job_holder__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pl__job_holder__descriptor =
 {
@@ -1005,7 +1018,7 @@
   "Pl__JobHolder",
   "pl",
   sizeof(Pl__JobHolder),
-  4,
+  5,
   pl__job_holder__field_descriptors,
   pl__job_holder__field_indices_by_name,
   1,  pl__job_holder__number_ranges,
--- a/src/codec/proto/job.pb-c.h
+++ b/src/codec/proto/job.pb-c.h
@@ -111,10 +111,11 @@
   uint64_t boot_id;
   uint64_t token;
   uint32_t step;
+  protobuf_c_boolean earlier_ended;
 };
 #define PL__JOB_HOLDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pl__job_holder__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Pl__JobWave
--- a/src/jobs/holder.c
+++ b/src/jobs/holder.c
@@ -52,6 +52,7 @@
 	g_strlcpy(holder->entry, record->entry, sizeof(holder->entry));
 	holder->boot_id = record->boot_id;
 	holder->resigned = record->action == HOLDER_RESIGN;
+	holder->earlier_ended = record->earlier_ended;
 }
 
 static gint compare_records(gconstpointer a, gconstpointer b)
--- a/src/jobs/holder.h
+++ b/src/jobs/holder.h
@@ -12,6 +12,7 @@
 	char entry[NAME_SIZE_BYTES];
 	uint64_t boot_id;
 	bool resigned;
+	bool earlier_ended; /* all before it have stopped sending orders */
 };
 
 enum holder_origin {
--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -63,8 +63,9 @@
 	uint64_t fence_end_offset;
 	bool fenced;
 	uint64_t replaced_token; /* of the previous holder; 0: none */
-	bool replaced_ended;	 /* it had resigned or ended before our claim */
-	int64_t claimed_us;
+	/* It and all holders before it had ended before our claim. */
+	bool replaced_ended;
+	int64_t earlier_orders_until_us; /* earlier holders send none after */
 	bool held;
 	uint64_t renew_write_id; /* 0: none under way */
 	int64_t next_renew_us;
@@ -125,6 +126,9 @@
 		record->boot_id = lease->boot_id;
 		record->token = token;
 		record->action = action;
+		record->earlier_ended = action != HOLDER_CLAIM &&
+					kernel_now_us(lease->kernel) >=
+						lease->earlier_orders_until_us;
 		g_ptr_array_add(write->records, record);
 	}
 	kernel_emit_msg(lease->kernel, EVENT_STORE_WRITE, write);
@@ -181,10 +185,8 @@
 	changed->token = lease->fence_token;
 	if (held && lease->replaced_token) {
 		changed->earlier_holder_until_us =
-			lease->claimed_us + worker_lease_any_life_us(bounds);
-		if (!lease->replaced_ended)
-			changed->earlier_holder_until_us +=
-				HOLDER_UNCONFIRMED_MAX_US;
+			lease->earlier_orders_until_us +
+			worker_lease_any_life_us(bounds);
 	}
 	decision_log(held ? "hold" : "yield",
 		     "token=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT
@@ -270,8 +272,11 @@
 {
 	lease->replaced_token = claim->token;
 	lease->replaced_ended =
-		lease->holder.resigned || holder_was_local(lease);
-	lease->claimed_us = kernel_now_us(lease->kernel);
+		(lease->holder.resigned || holder_was_local(lease)) &&
+		lease->holder.earlier_ended;
+	lease->earlier_orders_until_us = kernel_now_us(lease->kernel);
+	if (lease->replaced_token && !lease->replaced_ended)
+		lease->earlier_orders_until_us += HOLDER_UNCONFIRMED_MAX_US;
 	lease->fence_token = holder_record_token(claim);
 	lease->fence_write_id = write_holder_record(
 		lease, STORE_WRITER_FENCE, HOLDER_CLAIM, lease->fence_token);
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -56,6 +56,8 @@
 	uint64_t boot_id;
 	uint64_t token; /* of the holder; claim: the token that it replaces */
 	enum holder_action action;
+	/* holder: all holders before it have stopped sending orders */
+	bool earlier_ended;
 	uint32_t cpu_milli; /* entry: CPU that it may use */
 	/* entry: of its link for forwarded orders; empty: it has none */
 	char address[ADDRESS_SIZE_BYTES];
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -14,7 +14,6 @@
 /* Latency of advice, plus a part for each worker asked about. */
 #define ADVICE_LATENCY_US (100 * USEC_PER_MSEC)
 #define ADVICE_PER_WORKER_US (10 * USEC_PER_MSEC)
-#define LEASE_MAX_US (10 * USEC_PER_SEC)
 #define TICKET_LIFETIME_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
 /* Connections to a worker, less the one for its hold. */
@@ -452,7 +451,7 @@
 {
 	int64_t until_us =
 		MIN(worker->clock_start_us + order->lease_ms * USEC_PER_MSEC,
-		    jobs->world->now_us + LEASE_MAX_US);
+		    jobs->world->now_us + jobs->lease_max_us);
 
 	if (order->lease_ms)
 		worker->lease_until_us = MAX(worker->lease_until_us, until_us);
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -240,6 +240,7 @@
 	g_hash_table_replace(entry->settings->plugin_names, g_strdup("parking"),
 			     g_strdup(jobs->parking));
 	entry->settings->cpu_milli = jobs->entry_cpu_milli;
+	entry->settings->bounds.lease_max_us = jobs->lease_max_us;
 	if (jobs->forwards_orders) {
 		g_strlcpy(entry->settings->forward_address, name,
 			  sizeof(entry->settings->forward_address));
@@ -286,6 +287,7 @@
 	jobs->queues = queues_new();
 	jobs->item_duration_us = 800 * USEC_PER_MSEC;
 	jobs->stop_duration_us = 100 * USEC_PER_MSEC;
+	jobs->lease_max_us = 10 * USEC_PER_SEC;
 	jobs->next_call_id = 1;
 	g_strlcpy(jobs->parking, "none", sizeof(jobs->parking));
 	jobs->done_items =
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -121,6 +121,7 @@
 	uint64_t next_call_id;
 	GHashTable *done_items;	  /* items whose end was acknowledged as done */
 	bool tickets_refused;	  /* workers refuse every ticket */
+	int64_t lease_max_us;	  /* longest lease that workers grant */
 	int64_t stop_duration_us; /* from a stop order to the end of the run */
 	GHashTable *accepted_jobs; /* ids of jobs whose submission was stored */
 	GHashTable
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -255,6 +255,13 @@
 			    script_word(script, 1));
 }
 
+/* job-lease-max TIME: longest lease; for entries that are started later */
+static void cmd_lease_max(struct script *script)
+{
+	script_jobs(script)->lease_max_us =
+		script_duration_us(script, script_word(script, 1));
+}
+
 /* job-tickets ok|refused: whether workers accept valid tickets */
 static void cmd_tickets(struct script *script)
 {
@@ -551,22 +558,39 @@
 }
 
 static const struct script_command commands[] = {
-	{ "job-queue", 2, cmd_queue },	     { "job-pool", 1, cmd_pool },
-	{ "job-worker", 2, cmd_worker },     { "job-fault", 2, cmd_fault },
-	{ "job-entry", 1, cmd_entry },	     { "job-kill", 1, cmd_kill },
-	{ "job-freeze", 2, cmd_freeze },     { "job-store", 1, cmd_store },
-	{ "job-submit", 2, cmd_submit },     { "job-ask", 3, cmd_ask },
-	{ "job-wave", 2, cmd_wave },	     { "job-run", 1, cmd_run },
-	{ "job-duration", 1, cmd_duration }, { "job-quiet", 1, cmd_quiet },
-	{ "job-split", 2, cmd_split },	     { "job-lists", 1, cmd_lists },
-	{ "job-reborn", 2, cmd_reborn },     { "job-show", 1, cmd_show },
-	{ "job-parking", 1, cmd_parking },   { "job-tickets", 1, cmd_tickets },
-	{ "job-stopping", 1, cmd_stopping }, { "job-cpu", 1, cmd_cpu },
-	{ "job-counter", 2, cmd_counter },   { "job-drain", 1, cmd_drain },
-	{ "job-fencing", 1, cmd_fencing },   { "job-forward", 1, cmd_forward },
-	{ "job-link", 2, cmd_link },	     { "job-restart", 1, cmd_restart },
-	{ "job-late", 1, cmd_late },	     { "job-replace", 2, cmd_replace },
-	{ "job-workers", 3, cmd_workers },   { "job-ends", 0, cmd_ends },
+	{ "job-queue", 2, cmd_queue },
+	{ "job-pool", 1, cmd_pool },
+	{ "job-worker", 2, cmd_worker },
+	{ "job-fault", 2, cmd_fault },
+	{ "job-entry", 1, cmd_entry },
+	{ "job-kill", 1, cmd_kill },
+	{ "job-freeze", 2, cmd_freeze },
+	{ "job-store", 1, cmd_store },
+	{ "job-submit", 2, cmd_submit },
+	{ "job-ask", 3, cmd_ask },
+	{ "job-wave", 2, cmd_wave },
+	{ "job-run", 1, cmd_run },
+	{ "job-duration", 1, cmd_duration },
+	{ "job-quiet", 1, cmd_quiet },
+	{ "job-split", 2, cmd_split },
+	{ "job-lists", 1, cmd_lists },
+	{ "job-reborn", 2, cmd_reborn },
+	{ "job-show", 1, cmd_show },
+	{ "job-parking", 1, cmd_parking },
+	{ "job-tickets", 1, cmd_tickets },
+	{ "job-stopping", 1, cmd_stopping },
+	{ "job-cpu", 1, cmd_cpu },
+	{ "job-counter", 2, cmd_counter },
+	{ "job-drain", 1, cmd_drain },
+	{ "job-fencing", 1, cmd_fencing },
+	{ "job-forward", 1, cmd_forward },
+	{ "job-link", 2, cmd_link },
+	{ "job-restart", 1, cmd_restart },
+	{ "job-late", 1, cmd_late },
+	{ "job-lease-max", 1, cmd_lease_max },
+	{ "job-replace", 2, cmd_replace },
+	{ "job-workers", 3, cmd_workers },
+	{ "job-ends", 0, cmd_ends },
 };
 
 SCRIPT_REGISTER(commands)
--- a/test/unit/job_record.c
+++ b/test/unit/job_record.c
@@ -204,6 +204,7 @@
 	CU_ASSERT_EQUAL_FATAL(g_strv_length(keys), 1);
 	value = job_codec_encode(record);
 	record->action = HOLDER_RENEW;
+	record->earlier_ended = true;
 	renew_keys = job_codec_keys(record);
 	CU_ASSERT_EQUAL_FATAL(g_strv_length(renew_keys), 1);
 	CU_ASSERT_STRING_NOT_EQUAL(keys[0], renew_keys[0]);
@@ -211,6 +212,13 @@
 	CU_ASSERT_EQUAL(read->action, HOLDER_CLAIM);
 	CU_ASSERT_EQUAL(read->token, 7);
 	CU_ASSERT_STRING_EQUAL(read->entry, "e1");
+	CU_ASSERT_FALSE(read->earlier_ended);
+	job_record_unref(read);
+	g_bytes_unref(value);
+	value = job_codec_encode(record);
+	read = read_back(renew_keys[0], value);
+	CU_ASSERT_EQUAL(read->action, HOLDER_RENEW);
+	CU_ASSERT_TRUE(read->earlier_ended);
 	job_record_unref(read);
 	g_bytes_unref(value);
 	job_record_unref(record);
