--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -18,6 +18,8 @@
 #define DEFAULT_CPU_MILLI 1000
 /* Connections to a worker, less the one for its hold. */
 #define STARTS_IN_FLIGHT_MAX 2
+/* Longest run that starts after its job was cancelled, until it is stopped. */
+#define CANCELLED_RUN_MAX_US (5 * USEC_PER_SEC)
 
 static void run_clear(gpointer data)
 {
@@ -102,7 +104,8 @@
 				     GUINT_TO_POINTER(run));
 }
 
-static void end_run(struct fake_worker *worker, guint index, enum item_end end)
+static void end_run(struct jobs_world *jobs, struct fake_worker *worker,
+		    guint index, enum item_end end)
 {
 	struct fake_run *run =
 		&g_array_index(worker->running, struct fake_run, index);
@@ -112,6 +115,10 @@
 		.end = end,
 	};
 
+	if (run->after_cancel &&
+	    jobs->world->now_us - run->started_us > CANCELLED_RUN_MAX_US)
+		jobs_violation(jobs, "%s of a cancelled job isn't stopped",
+			       run->item);
 	g_strlcpy(row.item, run->item, sizeof(row.item));
 	close_run(worker, run->item, run->run);
 	g_array_append_val(worker->ended, row);
@@ -233,6 +240,11 @@
 	return false;
 }
 
+static bool guards_capacity(const struct jobs_world *jobs, const char *pool)
+{
+	return queues_pool(jobs->queues, pool)->has_preconditions;
+}
+
 void fake_advice(struct jobs_entry *entry, struct advice *advice)
 {
 	struct jobs_world *jobs = entry->jobs;
@@ -261,6 +273,16 @@
 	jobs_deliver(jobs, entry, EVENT_ADVICE_RESPONSE, event.msg, took_us);
 }
 
+/* Whether a caller has cancelled the job of an item. */
+static bool job_is_cancelled(const struct jobs_world *jobs, const char *item)
+{
+	char id[JOB_ID_SIZE_BYTES];
+	uint32_t ignored;
+
+	return job_item_parse(item, id, &ignored, &ignored, &ignored) &&
+	       g_hash_table_contains(jobs->cancelled_jobs, id);
+}
+
 static enum order_result start_item(struct jobs_world *jobs,
 				    struct fake_worker *worker,
 				    const struct order *order)
@@ -287,13 +309,15 @@
 	if (order->run <= GPOINTER_TO_UINT(g_hash_table_lookup(
 				  worker->closed_runs, order->item)))
 		return ORDER_STALE_RUN;
-	if (used_cpu_milli(worker) + step->cpu_milli > worker->cpu_milli)
+	if (guards_capacity(jobs, worker->pool) &&
+	    used_cpu_milli(worker) + step->cpu_milli > worker->cpu_milli)
 		return ORDER_NO_ROOM;
 	if (needs_ticket(jobs, worker->pool) &&
 	    !ticket_is_valid(jobs, worker, order))
 		return ORDER_NO_TICKET;
 	check_start(jobs, worker, order, step->cpu_milli);
 	g_strlcpy(run.item, order->item, sizeof(run.item));
+	run.after_cancel = job_is_cancelled(jobs, order->item);
 	g_array_append_val(worker->running, run);
 	return ORDER_OK;
 }
@@ -322,12 +346,8 @@
 
 static void check_stop(struct jobs_world *jobs, const struct fake_run *run)
 {
-	char id[JOB_ID_SIZE_BYTES];
-	uint32_t ignored;
-
-	job_item_parse(run->item, id, &ignored, &ignored, &ignored);
 	if (run->long_running && run->max_unavailable_count &&
-	    !g_hash_table_contains(jobs->cancelled_jobs, id) &&
+	    !job_is_cancelled(jobs, run->item) &&
 	    run->step_item_count - active_item_count(jobs, run->item) >=
 		    run->max_unavailable_count)
 		jobs_violation(jobs, "%s is stopped above its budget",
@@ -413,12 +433,20 @@
 	return jobs->world->now_us - worker->clock_start_us;
 }
 
+/* Whether the worker keeps the order, to carry it out late. */
+static bool delays_order(const struct fake_worker *worker,
+			 const struct order *order)
+{
+	return (order->kind == ORDER_START && worker->delays_starts) ||
+	       (order->kind == ORDER_HOLD && worker->delays_holds);
+}
+
 static void send_answer(struct jobs_world *jobs, struct fake_worker *worker,
 			struct jobs_entry *entry, struct order *order)
 {
 	bool lost = worker->unreachable || worker->dead ||
 		    worker->loses_answers || entry->workers_unreachable ||
-		    (order->kind == ORDER_START && worker->delays_starts);
+		    delays_order(worker, order);
 
 	order->has_clock = !lost && !worker->refuses_connections;
 	order->clock_ms = worker_clock_us(jobs, worker) / USEC_PER_MSEC;
@@ -430,7 +458,8 @@
 	else if (order->kind == ORDER_HOLD)
 		fill_run_lists(worker, order, jobs->world->now_us);
 	jobs_deliver(jobs, entry, EVENT_ORDER_SENT, g_rc_box_acquire(order),
-		     lost ? LOST_ORDER_TIMEOUT_US : ORDER_LATENCY_US);
+		     lost ? LOST_ORDER_TIMEOUT_US
+			  : ORDER_LATENCY_US + worker->answer_delay_us);
 }
 
 void fake_worker_kill(struct jobs_world *jobs, struct fake_worker *worker)
@@ -562,8 +591,10 @@
 		.kind = order->kind,
 		.token = order->token,
 		.run = order->run,
-		.settled_us = now_us +
-			      (lost ? LOST_ORDER_TIMEOUT_US : ORDER_LATENCY_US),
+		.settled_us =
+			now_us +
+			(lost ? LOST_ORDER_TIMEOUT_US
+			      : ORDER_LATENCY_US + worker->answer_delay_us),
 	};
 	uint32_t starts_count = order->kind == ORDER_START;
 
@@ -597,8 +628,7 @@
 		       !worker->refuses_connections &&
 		       !entry->workers_unreachable;
 
-	bool delayed =
-		arrives && order->kind == ORDER_START && worker->delays_starts;
+	bool delayed = arrives && delays_order(worker, order);
 
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
 		check_order_in_flight(entry, worker, order,
@@ -612,7 +642,7 @@
 		execute_order(jobs, worker, order);
 	else if (worker->dead && order->kind != ORDER_HOLD)
 		g_ptr_array_add(worker->connecting, order_ref(order));
-	if (!arrives || order->result != ORDER_OK ||
+	if (!arrives || delayed || order->result != ORDER_OK ||
 	    order->kind != ORDER_HOLD || !order->wait_us ||
 	    worker->ended->len) {
 		send_answer(jobs, worker, entry, order);
@@ -635,9 +665,9 @@
 			&g_array_index(worker->running, struct fake_run, i - 1);
 
 		if (worker->lease_until_us && now_us >= worker->lease_until_us)
-			end_run(worker, i - 1, ITEM_END_LEASE_EXPIRED);
+			end_run(jobs, worker, i - 1, ITEM_END_LEASE_EXPIRED);
 		else if (now_us >= run->ends_us)
-			end_run(worker, i - 1, run->end);
+			end_run(jobs, worker, i - 1, run->end);
 		else
 			next_us = MIN(next_us,
 				      MIN(run->ends_us,
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -45,6 +45,7 @@
 	uint32_t max_unavailable_count; /* of its step; 0: no budget */
 	int64_t started_us;
 	int64_t ends_us;
+	bool after_cancel; /* its job was cancelled before it started */
 	enum item_end end;
 };
 
@@ -69,12 +70,14 @@
 	bool unreachable;   /* orders and answers are lost, but items run on */
 	bool loses_answers; /* orders take effect, but their answers are lost */
 	bool delays_starts; /* starts get no answer and are kept in delayed */
+	bool delays_holds;  /* the same for holds */
 	bool refuses_connections; /* no order can be sent to it */
 	bool fails_items;	  /* the items that it starts fail */
 	bool draining;		  /* the directory shows it as draining */
 	bool other_incarnation;	  /* another worker answers at its address */
-	bool stalls_items;	/* the items that it starts make no progress */
-	bool allowed_by_advice; /* may run queues that need advice */
+	bool stalls_items;	 /* the items that it starts make no progress */
+	bool allowed_by_advice;	 /* may run queues that need advice */
+	int64_t answer_delay_us; /* of its answers, after it has made them */
 	int64_t started_ms;
 	int64_t clock_start_us; /* its clock counts from here */
 	uint64_t fence_token;	/* highest token of the orders so far */
@@ -87,7 +90,7 @@
 	GHashTable *closed_runs;
 	GArray *orders;	       /* of struct fake_order */
 	GPtrArray *connecting; /* starts and stops sent while it was dead */
-	GPtrArray *delayed;    /* starts to be carried out late */
+	GPtrArray *delayed;    /* orders to be carried out late */
 	struct jobs_entry *waiting_entry; /* that has sent the waiting hold */
 	struct order *waiting_hold; /* answered when an item ends, or NULL */
 	int64_t hold_until_us;	    /* answered at the latest */
@@ -177,7 +180,7 @@
 /* Starts a killed worker again under its id; it knows nothing of before. */
 void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker);
 void fake_advice(struct jobs_entry *entry, struct advice *advice);
-/* Carries out the starts that got no answer, in the worker's present life. */
+/* Carries out the orders kept in delayed, in the worker's present life. */
 void fake_worker_carry_out(struct jobs_world *jobs, struct fake_worker *worker);
 /* Drops the waiting hold without an answer. */
 void fake_worker_drop_hold(struct fake_worker *worker);
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -84,13 +84,13 @@
 	}
 }
 
-/* job-pool NAME [standby=1] */
+/* job-pool NAME [standby=1] [unguarded=1]: whether workers start all orders */
 static void cmd_pool(struct script *script)
 {
 	struct pool *pool = queues_add_pool(script_jobs(script)->queues);
 
 	g_strlcpy(pool->name, script_word(script, 1), sizeof(pool->name));
-	pool->has_preconditions = true;
+	pool->has_preconditions = !script_number(script, "unguarded", 0);
 	pool->standby = script_number(script, "standby", 0);
 }
 
@@ -190,10 +190,10 @@
 }
 
 /*
- * job-fault WORKER dead|dark|left|cut|expired|lose|late|closed|other|drains|
- * fails|stalls|ok: sets its only fault, see struct fake_worker; dark: dead, but
- * still in the directory; left: dead, and the directory says so; expired: cut
- * off, and its entry in the directory has expired
+ * job-fault WORKER dead|dark|left|cut|expired|lose|late|holds-late|closed|
+ * other|drains|fails|stalls|ok: sets its only fault, see struct fake_worker;
+ * dark: dead, but still in the directory; left: dead, and the directory says
+ * so; expired: cut off, and its entry in the directory has expired
  */
 static void cmd_fault(struct script *script)
 {
@@ -215,6 +215,7 @@
 	worker->refuses_connections = !strcmp(how, "closed");
 	worker->loses_answers = !strcmp(how, "lose");
 	worker->delays_starts = !strcmp(how, "late");
+	worker->delays_holds = !strcmp(how, "holds-late");
 	worker->other_incarnation = !strcmp(how, "other");
 	worker->draining = !strcmp(how, "drains");
 	if (worker->draining || !strcmp(how, "left") || !strcmp(how, "expired"))
@@ -223,9 +224,24 @@
 	worker->stalls_items = !strcmp(how, "stalls");
 }
 
+/* job-answers WORKER TIME: delay of the answers that it makes from now on */
+static void cmd_answers(struct script *script)
+{
+	struct fake_worker *worker =
+		fake_worker_find(script_jobs(script), script_word(script, 1));
+
+	if (worker)
+		worker->answer_delay_us =
+			script_duration_us(script, script_word(script, 2));
+	else
+		script_fail(script, "no worker is called \"%s\"",
+			    script_word(script, 1));
+}
+
 /*
- * job-restart WORKER [seen=0]: a dead worker starts again under its id. seen=0:
- * the directory does not show it yet.
+ * job-restart WORKER [seen=0] [label=NAME]: a dead worker starts again under
+ * its id, with another label if there is one. seen=0: the directory does not
+ * show it yet.
  */
 static void cmd_restart(struct script *script)
 {
@@ -237,12 +253,17 @@
 			    script_word(script, 1));
 		return;
 	}
+	script_copy_option(script, "label", worker->label,
+			   sizeof(worker->label));
 	fake_worker_restart(script_jobs(script), worker);
 	if (script_number(script, "seen", 1))
 		send_worker_lists(script_jobs(script));
 }
 
-/* job-late WORKER: carries out the starts that it got while it was "late". */
+/*
+ * job-late WORKER: carries out the orders that it got while it was "late" or
+ * "holds-late".
+ */
 static void cmd_late(struct script *script)
 {
 	struct fake_worker *worker =
@@ -591,6 +612,7 @@
 	{ "job-replace", 2, cmd_replace },
 	{ "job-workers", 3, cmd_workers },
 	{ "job-ends", 0, cmd_ends },
+	{ "job-answers", 2, cmd_answers },
 };
 
 SCRIPT_REGISTER(commands)
