Take a list of machines as proof only for lives that answered before it

Work could run twice: a worker that had left the directory started again, took a start and listed the run, and then a list of machines arrived that had been asked for while the machine was down. It ended the run, since the run was one of the known life, and that life was newer than the list.

A list now ends runs of the known life only if that life last answered before the list was asked for.

No other output changes.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -372,9 +372,10 @@
 		       struct order *order);
 /*
  * Releases the items of a worker whose last known life has ended, but for those
- * that may run in a later life: an order for them is under way, or a start got
- * its result, from an unknown life or from none, at or after ended_us. That is
- * the time at which every life had ended; 0 if only the known one has.
+ * that may run in a later life: an order for them is under way, or they were
+ * listed or their start got its result, from an unknown life or from none, at
+ * or after ended_us. That is the time at which every life had ended; 0 if only
+ * the known one has.
  */
 void worker_mark_gone(struct sched *sched, struct worker *worker,
 		      const char *reason, int64_t ended_us);
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -173,13 +173,16 @@
 }
 
 /* Whether the run of an item has ended; ended_us as in worker_mark_gone(). */
-static bool run_has_ended(const struct job_item *item, int64_t ended_us)
+static bool run_has_ended(const struct worker *worker,
+			  const struct job_item *item, int64_t ended_us)
 {
 	if (item->pending_orders_count)
 		return false;
 	if (item->phase == ITEM_STORING || item->phase == ITEM_STORED)
 		return true;
-	return item->life_known || item->start_settled_us < ended_us;
+	if (item->life_known && (!ended_us || worker->answered_us < ended_us))
+		return true;
+	return item->start_settled_us < ended_us;
 }
 
 static bool any_run_has_ended(const struct worker *worker, int64_t ended_us)
@@ -187,7 +190,7 @@
 	for (guint i = 0; i < worker->placed->len; i++) {
 		struct placement placement = worker_placement(worker, i);
 
-		if (run_has_ended(placement_item(&placement), ended_us))
+		if (run_has_ended(worker, placement_item(&placement), ended_us))
 			return true;
 	}
 	return false;
@@ -212,7 +215,7 @@
 	for (guint i = worker->placed->len; i > 0; i--) {
 		struct placement placement = worker_placement(worker, i - 1);
 
-		if (run_has_ended(placement_item(&placement), ended_us))
+		if (run_has_ended(worker, placement_item(&placement), ended_us))
 			item_release(sched, placement.job, placement.index,
 				     reason);
 	}
