Place nothing by the directory's entry of a worker's former life

Work could start on a worker that lacks its label or its capacity: a hold shows that the worker has started again, and until its new entry is in the directory it gets work by the labels and the capacity of its former life, which may have been of another kind.

A worker gets no work while the directory shows another life than its answers.

jobs_restart_kind fails without the change ("starts on w1, which lacks its label"). In jobs_worker_restart the items go to the other worker; in jobs_worker_restart_ack the directory now shows the new life (job-seen), so that its items still run there again. jobs_restart_ack_slow_answer, found beside it, is held since a life that the directory shows first is asked at once; before that it failed.

--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -93,11 +93,18 @@
 	}
 }
 
+/* Capacity and labels in the directory may be those of a former life. */
+static bool directory_is_of_other_life(const struct worker *worker)
+{
+	return worker->listed_started_ms && worker->reported_started_ms &&
+	       worker->listed_started_ms != worker->reported_started_ms;
+}
+
 bool worker_accepts_work(const struct sched *sched, const struct worker *worker)
 {
 	return worker->listed && worker->synced && !worker->gone &&
-	       worker->has_clock && worker->cordon == CORDON_NONE &&
-	       worker->unanswered_count == 0 &&
+	       !directory_is_of_other_life(worker) && worker->has_clock &&
+	       worker->cordon == CORDON_NONE && worker->unanswered_count == 0 &&
 	       worker->avoid_until_us <= sched_now_us(sched);
 }
 
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -283,6 +283,12 @@
 		script_duration_us(script, script_word(script, 1));
 }
 
+/* job-seen: the directory shows all workers as they are now. */
+static void cmd_seen(struct script *script)
+{
+	send_worker_lists(script_jobs(script));
+}
+
 /* job-tickets ok|refused: whether workers accept valid tickets */
 static void cmd_tickets(struct script *script)
 {
@@ -608,6 +614,7 @@
 	{ "job-link", 2, cmd_link },
 	{ "job-restart", 1, cmd_restart },
 	{ "job-late", 1, cmd_late },
+	{ "job-seen", 0, cmd_seen },
 	{ "job-lease-max", 1, cmd_lease_max },
 	{ "job-replace", 2, cmd_replace },
 	{ "job-workers", 3, cmd_workers },
