Remember an unanswered start also when its item is being stopped

A cancelled item could run to its end in a later life of its worker: the start had no answer yet when the job was cancelled, and when it got none, the item was being stopped, so that the start was not remembered as one that may come late.

jobs_restart_cancelled_late fails without the change (an item of a cancelled job isn't stopped); in jobs_cancel two stops more are sent to a worker whose answers were lost.

--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -446,6 +446,9 @@
 
 	if (order->result == ORDER_OK || order->result == ORDER_UNANSWERED)
 		item->start_settled_us = sched_now_us(sched);
+	if (order->result == ORDER_UNANSWERED)
+		item->start_late_until_us =
+			sched_now_us(sched) + START_LATE_MAX_US;
 	if (item->phase != ITEM_STARTING)
 		return;
 	counter_observe(kernel_counters(sched->kernel), "start_order",
@@ -463,8 +466,6 @@
 	case ORDER_UNANSWERED:
 		item->settled = false;
 		item->start_unanswered = true;
-		item->start_late_until_us =
-			sched_now_us(sched) + START_LATE_MAX_US;
 		worker->resend_pending = true;
 		item->ordered_us = sched_now_us(sched);
 		sched_wake_at(sched, item->ordered_us + ORDER_RESEND_DELAY_US);
