Wait for the orders that an earlier holder had under way

Work could run twice after a change of the holder: a start of the earlier holder waits for its connection to a worker that is down; the new holder's first list of machines shows the machine down and ends the run; the worker is back a moment later and takes that start.

For items of an earlier holder a list counts only if it was asked for at least a second after the takeover, which is the time limit of a start order.

jobs_restart_list_takeover fails without the change ("runs on w2 and w1"). In jobs_gone_takeover the items of a worker that is gone start later, as the first list no longer counts (see the script's output); the random scripts change in times and tokens only.

--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -97,6 +97,9 @@
 	}
 }
 
+/* An order that an earlier holder had under way has its result by then. */
+#define EARLIER_ORDER_MAX_US USEC_PER_SEC
+
 static void open_job(struct sched *sched, struct job *job)
 {
 	if (job->open)
@@ -137,7 +140,8 @@
 		item->start_late_until_us =
 			sched->held_since_us + START_LATE_MAX_US;
 		item->life_known = false;
-		item->start_settled_us = 0;
+		item->start_settled_us =
+			sched->held_since_us + EARLIER_ORDER_MAX_US;
 		item->ordered_us = 0;
 		item->pending_orders_count = 0;
 		item->confirmed_us = 0;
