Acknowledge ends only right after an answer, also when the store is slow

Work could run twice: a hold asked a worker only whether it still lived, its answer listed a new end, and while that end was written for 600 ms the worker started again. The next hold acknowledged by the numbers of the former life and made the new one forget ends that nobody had read.

The answer that allows an acknowledgement is at most 300 ms old, whatever the hold was for. The acknowledging hold follows it after 40 ms, also while newer ends are being written and with a thousand workers, so that one comes in time.

jobs_restart_ack_slow_store fails without the change (two violations, starts after an acknowledged end). jobs_acks_many passes unchanged.

--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -34,6 +34,7 @@
 	worker_forget_ends(worker);
 	worker->lease_end_ms = 0;
 	worker->restarted_us = sched_now_us(sched);
+	worker->ack_deferred = false;
 	worker->lease_expiry_us =
 		worker->restarted_us + worker_lease_any_life_us(sched->bounds);
 	advice_forget_worker(sched, worker);
@@ -179,6 +180,17 @@
 			MAX(worker->acked_end_number, order->acked_number);
 }
 
+/* The delay lets one answer list several ends that come together. */
+static int64_t hold_interval_us(const struct sched *sched,
+				const struct worker *worker)
+{
+	/* The next hold acknowledges, while the answer is recent. */
+	if (worker->ack_deferred)
+		return HOLD_MIN_INTERVAL_US;
+	return MAX(HOLD_MIN_INTERVAL_US,
+		   (int64_t)sched->busy_workers_count * HOLD_SPACING_US);
+}
+
 void hold_on_result(struct sched *sched, struct worker *worker,
 		    const struct order *order)
 {
@@ -231,10 +243,7 @@
 	starts_send_next(sched, worker);
 	stragglers_on_hold(sched, worker);
 	fillers_on_hold(sched, worker);
-	/* The delay lets one answer list several ends that come together. */
-	worker->hold_due_us = now_us + MAX(HOLD_MIN_INTERVAL_US,
-					   (int64_t)sched->busy_workers_count *
-						   HOLD_SPACING_US);
+	worker->hold_due_us = now_us + hold_interval_us(sched, worker);
 	sched_wake_at(sched, worker->hold_due_us);
 }
 
@@ -284,8 +293,7 @@
  */
 static uint64_t next_acked_number(struct worker *worker, int64_t now_us)
 {
-	bool life_known = worker->ack_deferred ||
-			  now_us - worker->answered_us <= LIFE_KNOWN_US;
+	bool life_known = now_us - worker->answered_us <= LIFE_KNOWN_US;
 
 	if (!worker->synced || worker->unanswered_count ||
 	    worker->stored_end_number == worker->acked_end_number)
@@ -305,7 +313,8 @@
 		return;
 	if (worker->synced) {
 		/* Ends that aren't acknowledged make a hold return at once. */
-		if (worker->seen_end_number > worker->stored_end_number)
+		if (worker->seen_end_number > worker->stored_end_number &&
+		    !worker->ack_deferred)
 			return;
 		if (!runs &&
 		    worker->acked_end_number == worker->stored_end_number &&
