Count the items of a silent worker as unavailable

A wave could stop an item of a step beyond its budget: a worker restarted and was cut off, and until a lease or the list of machines ended its item, the last progress that it had reported, 100 %, counted as being at work. Any silence of a worker has this effect.

Items lose their reported progress when their worker doesn't answer a hold; its next list gives it back.

jobs_restart_budget fails without the change ("is stopped above its budget").

--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -180,6 +180,19 @@
 			MAX(worker->acked_end_number, order->acked_number);
 }
 
+/* Nothing shows that the items of a silent worker are at work. */
+static void mark_items_unavailable(struct worker *worker, int64_t now_us)
+{
+	for (guint i = 0; i < worker->placed->len; i++) {
+		struct placement placement = worker_placement(worker, i);
+		struct job_item *item = placement_item(&placement);
+
+		item->progress_percent = 0;
+		if (!item->unavailable_since_us)
+			item->unavailable_since_us = now_us;
+	}
+}
+
 /* The delay lets one answer list several ends that come together. */
 static int64_t hold_interval_us(const struct sched *sched,
 				const struct worker *worker)
@@ -211,6 +224,7 @@
 				     order_result_name(order->result),
 				     worker->placed->len);
 			starts_cancel(sched, worker, "no-answer");
+			mark_items_unavailable(worker, now_us);
 		}
 		worker->ack_deferred = false;
 		worker->unanswered_count++;
