Place an item only when its stray run has been stopped

Work ran twice while a stray run was being stopped: the first list of a worker's new life showed a run that was started late, the stop was ordered, and the waiting item was placed again 9 ms later, though a stop takes up to stop_ms.

A waiting item whose stray run is listed isn't placed for the time that a stop takes, and 200 ms more for its way.

jobs_restart_stray_waits fails without the change ("runs on w1" twice); the second run now begins 1.2 s after the list. No other output changes.

--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -15,6 +15,8 @@
 #define HOLD_SPACING_US 400
 /* No worker ends and starts again within this time. */
 #define LIFE_KNOWN_US (300 * USEC_PER_MSEC)
+/* From a list of runs to the arrival of a stop, besides the stop itself. */
+#define STRAY_STOP_SLACK_US (200 * USEC_PER_MSEC)
 /* Delay after a hold without an answer. */
 #define HOLD_RETRY_US (200 * USEC_PER_MSEC)
 /* An answer with this many ends may not list all of them. */
@@ -66,6 +68,18 @@
 	worker_send_order(sched, worker, order);
 }
 
+/* The item isn't placed before its stray run has been stopped. */
+static void wait_for_stray(struct sched *sched, struct job_item *item)
+{
+	int64_t stopped_us = sched_now_us(sched) + sched->bounds->stop_us +
+			     STRAY_STOP_SLACK_US;
+
+	if (item->phase != ITEM_WAITING)
+		return;
+	item->retry_us = MAX(item->retry_us, stopped_us);
+	sched_wake_at(sched, item->retry_us);
+}
+
 static void process_running_row(struct sched *sched, struct worker *worker,
 				const struct running_row *row)
 {
@@ -74,6 +88,8 @@
 	struct job_item *item = job ? job_item(job, index) : NULL;
 
 	if (!item || item->worker != worker->id || item->run != row->run) {
+		if (item)
+			wait_for_stray(sched, item);
 		if (!late_starts_contain(worker, row->item, row->run))
 			stop_stray(sched, worker, row);
 		return;
