Count the lease that a late hold of a former life may still give

Work could run twice: a hold gets no answer, its worker restarts, the new life lists a run and is cut off, and only then is the hold carried out. Its deadline on the clock of the former life gives the run 10 s more, while the holder counts from the hold that showed the restart.

If an order with a deadline had no answer, the leases of the next life are counted from the time until which that order may still be carried out, 15 s after it was sent. It matters only for a worker that restarts and then falls silent while the list of machines shows it as up.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -63,6 +63,8 @@
 	/* That life was up at some time since; send time of that hold; 0: none
 	 */
 	int64_t life_known_us;
+	/* An order with a lease that got no answer isn't carried out later. */
+	int64_t late_lease_us;
 	int64_t restarted_us; /* when that life was first noticed; 0: first one
 			       */
 
@@ -339,7 +341,7 @@
 /* sched_late.c: starts that may be carried out late */
 
 /* An order without an answer is carried out within this time, or never. */
-#define START_LATE_MAX_US (20 * USEC_PER_SEC)
+#define ORDER_LATE_MAX_US (15 * USEC_PER_SEC)
 
 /* Called when an item is taken off a worker. */
 void late_starts_note(struct sched *sched, struct worker *worker,
@@ -397,6 +399,12 @@
 			  const struct worker *worker,
 			  const struct order *order);
 
+/*
+ * Counts the leases of the present life from now, or from when an order may
+ * still be carried out that was sent to a former one.
+ */
+void worker_extend_life_leases(struct sched *sched, struct worker *worker);
+
 /* Each life of a worker numbers its ends anew. */
 void worker_forget_ends(struct worker *worker);
 
--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -37,8 +37,8 @@
 	worker->lease_end_ms = 0;
 	worker->restarted_us = sched_now_us(sched);
 	worker->ack_deferred = false;
-	worker->lease_expiry_us =
-		worker->restarted_us + worker_lease_any_life_us(sched->bounds);
+	worker->lease_expiry_us = 0;
+	worker_extend_life_leases(sched, worker);
 	advice_forget_worker(sched, worker);
 	late_starts_on_restart(worker);
 	starts_cancel(sched, worker, "restarted");
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -448,7 +448,7 @@
 		item->start_settled_us = sched_now_us(sched);
 	if (order->result == ORDER_UNANSWERED)
 		item->start_late_until_us =
-			sched_now_us(sched) + START_LATE_MAX_US;
+			sched_now_us(sched) + ORDER_LATE_MAX_US;
 	if (item->phase != ITEM_STARTING)
 		return;
 	counter_observe(kernel_counters(sched->kernel), "start_order",
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -304,6 +304,15 @@
 		       worker_lease_local_max_us(since_us);
 }
 
+void worker_extend_life_leases(struct sched *sched, struct worker *worker)
+{
+	int64_t from_us = MAX(sched_now_us(sched), worker->late_lease_us);
+
+	worker->lease_expiry_us =
+		MAX(worker->lease_expiry_us,
+		    from_us + worker_lease_any_life_us(sched->bounds));
+}
+
 /*
  * Notes a lease that the order may have given in a life whose clock we don't
  * know; such an order may be carried out until it has its result.
@@ -318,10 +327,11 @@
 	    worker_life_is_known(sched, worker, order))
 		return;
 	worker->any_life_expiry_us = MAX(worker->any_life_expiry_us, expiry_us);
+	if (order->result == ORDER_UNANSWERED)
+		worker->late_lease_us = order->sent_us + ORDER_LATE_MAX_US;
 	/* It was sent with a deadline on the clock of an earlier life. */
 	if (order->sent_us <= worker->restarted_us)
-		worker->lease_expiry_us =
-			MAX(worker->lease_expiry_us, expiry_us);
+		worker_extend_life_leases(sched, worker);
 }
 
 /* Whether a worker left so long ago that it can be removed. */
