Refuse forwarded orders that arrived during a pause of the forwarder

Work could run twice: a forwarder is frozen with a start in its socket, the holder gives the order up and the item ends and is placed elsewhere, the worker starts again, and the forwarder thaws and sends the start to the new life, which has heard of no stop and no later token.

A forwarder that has handled no event for a second reports the orders that it handles within the next 100 ms as not sent. The holder has given them up by then (1.5 s), or calls the worker directly.

jobs_restart_forward_frozen fails without the change ("runs on w2 and w1"). In jobs_forward_frozen the late start is no longer sent.

--- a/src/jobs/forward.c
+++ b/src/jobs/forward.c
@@ -26,6 +26,11 @@
 /* After the last busy period, forwarding goes on for this long. */
 #define FORWARD_FOR_US (10 * USEC_PER_SEC)
 
+/* A process that handled no event for so long may have been paused. */
+#define PAUSE_MIN_US USEC_PER_SEC
+/* After that, it handles what had arrived meanwhile within this time. */
+#define PAUSE_BACKLOG_US (100 * USEC_PER_MSEC)
+
 struct pending_order {
 	struct order *order; /* owned reference */
 	struct forwarder *forwarder;
@@ -38,11 +43,13 @@
 	bool held;
 	uint64_t newest_token; /* of any holder, according to the store */
 	bool draining;
-	uint64_t next_id;    /* its upper half is random */
-	GHashTable *pending; /* id -> struct pending_order */
-	GHashTable *orders;  /* address -> struct forward_msg, to be sent */
-	GHashTable *results; /* the same for results */
-	int64_t flush_us;    /* 0: nothing to send */
+	int64_t handled_us;	 /* when an event was handled last */
+	int64_t refuse_until_us; /* orders may have arrived long ago */
+	uint64_t next_id;	 /* its upper half is random */
+	GHashTable *pending;	 /* id -> struct pending_order */
+	GHashTable *orders;	 /* address -> struct forward_msg, to be sent */
+	GHashTable *results;	 /* the same for results */
+	int64_t flush_us;	 /* 0: nothing to send */
 	int64_t next_tick_us;
 	uint32_t busy_percent; /* of this process, in the last period */
 	uint64_t busy_us_total;
@@ -174,7 +181,8 @@
 			  sizeof(order->forward_for));
 		if (order->token < forward->newest_token)
 			order->result = ORDER_FENCED;
-		else if (forward->draining)
+		else if (forward->draining || kernel_now_us(forward->kernel) <
+						      forward->refuse_until_us)
 			order->result = ORDER_NOT_SENT;
 		else {
 			kernel_emit_msg(forward->kernel, EVENT_ORDER_SEND,
@@ -328,11 +336,29 @@
 		kernel_wake_at(forward->kernel, forward->flush_us);
 }
 
+/*
+ * The holder has given up the orders that arrived during a pause of this
+ * process, and may have started their items elsewhere.
+ */
+static void note_pause(struct forward *forward)
+{
+	int64_t now_us = kernel_now_us(forward->kernel);
+
+	if (forward->handled_us &&
+	    now_us - forward->handled_us >= PAUSE_MIN_US) {
+		decision_log("paused", "ms=%" G_GINT64_FORMAT,
+			     (now_us - forward->handled_us) / USEC_PER_MSEC);
+		forward->refuse_until_us = now_us + PAUSE_BACKLOG_US;
+	}
+	forward->handled_us = now_us;
+}
+
 static void forward_handle(void *self, const struct event *event)
 {
 	struct forward *forward = self;
 	const struct forward_msg *msg = event->msg;
 
+	note_pause(forward);
 	switch (event->type) {
 	case EVENT_ORDER:
 		on_order(forward, event->msg);
