Don't take advice that was asked for before a restart for the new life

A ticket is valid for one life of a worker. An answer that was under way while the worker started again was stored for the new life: its tickets cost rejected starts, and a worker that it didn't allow was never asked about again. Found by reading; no test of its own.

--- a/src/jobs/sched_advice.c
+++ b/src/jobs/sched_advice.c
@@ -136,12 +136,20 @@
 	kernel_emit_msg(sched->kernel, EVENT_ADVICE_REQUEST, msg);
 }
 
-static void store_tickets(struct step_advice *advice, const struct advice *msg,
-			  int64_t now_us)
+/* An answer is not valid for a life that began after the question. */
+static void store_tickets(const struct sched *sched, struct step_advice *advice,
+			  const struct advice *msg, int64_t now_us)
 {
-	for (guint i = 0; i < msg->workers->len; i++)
-		g_hash_table_replace(advice->tickets, msg->workers->pdata[i],
-				     g_new0(struct ticket, 1));
+	for (guint i = 0; i < msg->workers->len; i++) {
+		const char *id = msg->workers->pdata[i];
+		const struct worker *worker = worker_find(sched, id);
+
+		if (worker && worker->restarted_us > msg->asked_us)
+			g_hash_table_remove(advice->tickets, id);
+		else
+			g_hash_table_replace(advice->tickets, (gpointer)id,
+					     g_new0(struct ticket, 1));
+	}
 	for (guint i = 0; i < msg->allowed->len; i++) {
 		const struct advice_row *row =
 			&g_array_index(msg->allowed, struct advice_row, i);
@@ -172,7 +180,7 @@
 	if (!advice)
 		return;
 	if (msg->answered) {
-		store_tickets(advice, msg, now_us);
+		store_tickets(sched, advice, msg, now_us);
 		return;
 	}
 	advice->retry_us = now_us + RETRY_DELAY_US;
