Take no clock and no end of a worker from answers of a former life

An answer of the former life that arrives after the restart was noticed passed for one of the new life, as its clock is large, and the next lease was computed from it. And an answer 421 proved the end of a worker as of its arrival, not as of when its order was sent. Found by reading; no test of its own.

--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -237,7 +237,8 @@
 	int64_t took_ms =
 		(sched_now_us(sched) - order->sent_us) / USEC_PER_MSEC;
 
-	if (!order->has_clock)
+	/* The order may have been answered by a former life. */
+	if (!order->has_clock || order->sent_us < worker->restarted_us)
 		return;
 	/* Another life; an answer may overtake one that was sent before. */
 	if (worker->has_clock && order->clock_ms + took_ms < worker->clock_ms)
@@ -300,6 +301,7 @@
 
 	/* A later life's clock counts from a time after that hold. */
 	return worker->life_known_us && order->has_clock &&
+	       order->sent_us >= worker->restarted_us &&
 	       order->clock_ms * USEC_PER_MSEC >
 		       worker_lease_local_max_us(since_us);
 }
@@ -405,8 +407,7 @@
 		if (order->kind != ORDER_HOLD && order->kind != ORDER_PACE)
 			item_on_order(sched, worker, order);
 		worker->hold_pending = false;
-		worker_mark_gone(sched, worker, "other-life",
-				 sched_now_us(sched));
+		worker_mark_gone(sched, worker, "other-life", order->sent_us);
 		worker->hold_not_before_us =
 			sched_now_us(sched) + HOLD_IDLE_RETRY_US;
 		return;
