Start all members of a gang from the same checkpoint

A checkpoint was kept for each work item. The members of a gang end at different times and in different ways, so each was started from another one, and a gang that never works writes no new ones.

A gang now has one checkpoint, kept and stored with its first member. As checkpoints are opaque and the lists of workers arrive in any order, one that stands for more progress of the current run is newer; what a member has written as it was stopped comes before what was listed while it ran. Which one a run starts from is settled when it is placed, so a repeated start carries the value of the first one. Of records of earlier versions, which have a checkpoint with each member, the first one found counts.

The fake workers now know gangs and checkpoints: members work only while all of one run are present with one value, and end as broken or alone otherwise. They check that all starts of a run carry the same value, that it was written by the item or its gang, and that no member starts beside one of another run. With gangs=1 half of the jobs of job-random are gangs.

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -87,6 +87,7 @@
 	struct job_item *item = data;
 
 	g_free(item->checkpoint);
+	g_free(item->start_checkpoint);
 }
 
 struct job *job_new(const char *id, struct job_spec *spec)
@@ -170,6 +171,15 @@
 	return first;
 }
 
+uint32_t job_checkpoint_index(const struct job *job, uint32_t index)
+{
+	uint32_t step = job_item_step(job, index);
+
+	if (!job_step(job, step)->gang)
+		return index;
+	return job_first_item(job, job_item_occurrence(job, index), step);
+}
+
 void job_item_name(const struct job *job, uint32_t index, char *to,
 		   size_t size_bytes)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -86,14 +86,19 @@
 	uint32_t run; /* number of the newest run; 0: none yet */
 	uint32_t failed_count;
 	const char *worker; /* interned id; NULL: not placed */
-	char *checkpoint;   /* newest checkpoint; NULL: none */
+	/* Newest checkpoint, see job_checkpoint_index(); NULL: none */
+	char *checkpoint;
 	bool ended_done; /* an earlier run was done; a later one is stopped */
 
 	/* Used by the holder only; not stored. */
 	uint32_t progress_percent; /* progress reported by the worker */
 	uint32_t observed;	   /* tail latency in ms, or CPU in use */
-	bool settled;		   /* no order of this run is unresolved */
-	bool start_unanswered;	   /* a start of this run got no answer */
+	/* Progress in the current run that the checkpoint stands for */
+	uint32_t checkpoint_percent;
+	/* Carried by each start of the current run; NULL: none */
+	char *start_checkpoint;
+	bool settled;	       /* no order of this run is unresolved */
+	bool start_unanswered; /* a start of this run got no answer */
 	/* The run began in the life of its worker that answered holds last. */
 	bool life_known;
 	/* When a start last got an answer, or none; it may have been carried
@@ -179,6 +184,12 @@
 uint32_t job_first_item(const struct job *job, uint32_t occurrence,
 			uint32_t step);
 
+/*
+ * The item that keeps the checkpoint of an item: itself or, as the members of
+ * a gang must all resume from the same one, the first member.
+ */
+uint32_t job_checkpoint_index(const struct job *job, uint32_t index);
+
 /* "ID.occurrence.step.index"; size_bytes of NAME_SIZE_BYTES suffices. */
 void job_item_name(const struct job *job, uint32_t index, char *to,
 		   size_t size_bytes);
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -141,6 +141,8 @@
 		item->confirmed_us = 0;
 		item->store_write_id = 0;
 		item->progress_percent = 0;
+		item->checkpoint_percent = 0;
+		g_clear_pointer(&item->start_checkpoint, g_free);
 		item->retry_us = 0;
 		item->failed_worker = NULL;
 		item->unavailable_since_us = sched->held_since_us;
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -265,6 +265,13 @@
 void item_on_end(struct sched *sched, struct worker *worker,
 		 const struct ended_row *row);
 
+/*
+ * Keeps the checkpoint of a run if it is the newest: of a gang, the one of most
+ * progress, as those of its members arrive in any order. NULL or empty: none.
+ */
+void item_set_checkpoint(struct job *job, uint32_t index,
+			 const char *checkpoint, uint32_t percent);
+
 void item_send_start(struct sched *sched, struct job *job, uint32_t index);
 
 /* Ends the run of an item; releases it if its start was not ordered yet. */
--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -93,11 +93,8 @@
 		item->unavailable_since_us = 0;
 	else if (!item->unavailable_since_us)
 		item->unavailable_since_us = sched_now_us(sched);
-	if (row->checkpoint && *row->checkpoint &&
-	    g_strcmp0(row->checkpoint, item->checkpoint)) {
-		g_free(item->checkpoint);
-		item->checkpoint = g_strdup(row->checkpoint);
-	}
+	item_set_checkpoint(job, index, row->checkpoint,
+			    MIN(row->percent, 100));
 	if ((job->stop_all || job_has_ended(job)) &&
 	    item->phase == ITEM_RUNNING)
 		item_stop(sched, job, index, "job-ended");
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -24,6 +24,11 @@
 /* Longer, as long-running items may fail every time and have no limit. */
 #define LONG_RUNNING_RETRY_US (200 * USEC_PER_MSEC)
 
+/* Progress of a checkpoint from the end of a run: more than any it had. */
+#define CHECKPOINT_END_PERCENT 101
+/* The same if the run wrote it as it was stopped. */
+#define CHECKPOINT_STOP_PERCENT 102
+
 static void mark_segment_dirty(struct sched *sched, struct job *job,
 			       uint32_t segment)
 {
@@ -79,6 +84,21 @@
 	job_mark_begun(sched, job);
 }
 
+/*
+ * A start that is repeated carries the same checkpoint as the first one, also
+ * if another member of the gang has written a newer one meanwhile.
+ */
+static void set_start_checkpoint(struct job *job, uint32_t index)
+{
+	const struct job_item *keeper =
+		job_item(job, job_checkpoint_index(job, index));
+	struct job_item *item = job_item(job, index);
+
+	g_free(item->start_checkpoint);
+	item->start_checkpoint = g_strdup(keeper->checkpoint);
+	item->checkpoint_percent = 0;
+}
+
 void item_place(struct sched *sched, struct job *job, uint32_t index,
 		struct worker *worker)
 {
@@ -99,6 +119,7 @@
 	item->progress_percent = 0;
 	item->progress_changed_us = 0;
 	item->pace_percent = 100;
+	set_start_checkpoint(job, index);
 	worker_attach(worker, job, index);
 	worker->unstarted_count++;
 	item_mark_dirty(sched, job, index);
@@ -216,7 +237,7 @@
 		worker->unstarted_count--;
 	order = item_order_new(sched, worker, job, index, ORDER_START);
 	order->spec = job_spec_ref(job->spec);
-	order->checkpoint = g_strdup(item->checkpoint);
+	order->checkpoint = g_strdup(item->start_checkpoint);
 	order->ticket = advice_ticket(sched, job, index, worker);
 	item->phase = ITEM_STARTING;
 	item->life_known = false;
@@ -299,12 +320,35 @@
 	return unavailable_count < allowed;
 }
 
-static void set_checkpoint(struct job_item *item, const char *saved)
+void item_set_checkpoint(struct job *job, uint32_t index,
+			 const char *checkpoint, uint32_t percent)
 {
-	if (!saved || !*saved || !g_strcmp0(saved, item->checkpoint))
+	struct job_item *keeper =
+		job_item(job, job_checkpoint_index(job, index));
+
+	/* The percent of a long-running item shows its health. */
+	if (job_step(job, job_item_step(job, index))->long_running &&
+	    percent < CHECKPOINT_END_PERCENT)
+		percent = 0;
+	if (!checkpoint || !*checkpoint || percent < keeper->checkpoint_percent)
+		return;
+	keeper->checkpoint_percent = percent;
+	if (!g_strcmp0(checkpoint, keeper->checkpoint))
 		return;
-	g_free(item->checkpoint);
-	item->checkpoint = g_strdup(saved);
+	g_free(keeper->checkpoint);
+	keeper->checkpoint = g_strdup(checkpoint);
+}
+
+static void set_end_checkpoint(struct sched *sched, struct job *job,
+			       uint32_t index, const struct ended_row *row)
+{
+	bool was_stopped =
+		row->end == ITEM_END_STOPPED || row->end == ITEM_END_BROKEN;
+
+	item_set_checkpoint(job, index, row->checkpoint,
+			    was_stopped ? CHECKPOINT_STOP_PERCENT
+					: CHECKPOINT_END_PERCENT);
+	item_mark_dirty(sched, job, job_checkpoint_index(job, index));
 }
 
 static void fail_job(struct sched *sched, struct job *job)
@@ -405,7 +449,7 @@
 	}
 	if (!current)
 		return;
-	set_checkpoint(item, row->checkpoint);
+	set_end_checkpoint(sched, job, index, row);
 	item_release(sched, job, index, item_end_name(row->end));
 	if (row->end == ITEM_END_FAILED) {
 		worker_record_failure(sched, worker, job);
--- a/src/jobs/table.c
+++ b/src/jobs/table.c
@@ -94,10 +94,25 @@
 	enum item_phase phase = item->phase;
 
 	g_free(item->checkpoint);
+	g_free(item->start_checkpoint);
 	*item = (struct job_item){ .phase = phase };
 	job_set_phase(job, index, done ? ITEM_DONE : ITEM_WAITING);
 }
 
+/* Earlier versions have stored a checkpoint with each member of a gang. */
+static void apply_checkpoint(struct job *job,
+			     const struct job_record_item *progress)
+{
+	uint32_t index = job_checkpoint_index(job, progress->index);
+	struct job_item *item = job_item(job, index);
+
+	if (index != progress->index &&
+	    (item->checkpoint || !progress->checkpoint))
+		return;
+	g_free(item->checkpoint);
+	item->checkpoint = g_strdup(progress->checkpoint);
+}
+
 static void apply_item(struct job *job, const struct job_record_item *progress)
 {
 	struct job_item *item = job_item(job, progress->index);
@@ -107,8 +122,7 @@
 	item->worker = progress->worker;
 	job_set_phase(job, progress->index,
 		      progress->worker ? ITEM_STARTING : ITEM_WAITING);
-	g_free(item->checkpoint);
-	item->checkpoint = g_strdup(progress->checkpoint);
+	apply_checkpoint(job, progress);
 }
 
 /*
--- a/test/runner/jobs_random.c
+++ b/test/runner/jobs_random.c
@@ -1,8 +1,8 @@
 /*
- * job-random seed=N steps=N [verbose=1] [forward=1] [restarts=1]: random faults
- * of entry instances, the store and workers, alone and overlapping. The fakes
- * check every start. At the end all faults are repaired, and every accepted job
- * must end.
+ * job-random seed=N steps=N [verbose=1] [forward=1] [restarts=1] [gangs=1]:
+ * random faults of entry instances, the store and workers, alone and
+ * overlapping. The fakes check every start. At the end all faults are repaired,
+ * and every accepted job must end.
  */
 
 #include <string.h>
@@ -19,6 +19,7 @@
 	struct script *script;
 	struct jobs_world *jobs;
 	GRand *random;
+	bool gangs; /* every other job is one, with checkpoints */
 	uint32_t job_count;
 	uint32_t worker_count; /* including those that were replaced */
 };
@@ -60,10 +61,13 @@
 	const struct jobs_entry *entry = random_entry(driver);
 
 	if (entry->kernel)
-		run_command(driver, "job-submit %s q/%016x steps=%ux%u,%ux%u",
+		run_command(driver, "job-submit %s q/%016x steps=%ux%u,%ux%u%s",
 			    entry->name, number, 1 + number % 5,
 			    500 + number * 373 % 2500, 1 + number % 4,
-			    500 + number * 911 % 2500);
+			    500 + number * 911 % 2500,
+			    driver->gangs && number % 2
+				    ? " gang=1 checkpoints=1"
+				    : "");
 }
 
 static void submit_new(struct driver *driver)
@@ -224,6 +228,9 @@
 		worker->unreachable = false;
 		worker->loses_answers = false;
 		worker->fails_items = false;
+		/* A gang needs room for all its members at once. */
+		if (driver->gangs && worker->dead)
+			run_command(driver, "job-restart %s", worker->id);
 	}
 	jobs_world_run(driver->jobs, RECOVERY_US);
 }
@@ -265,6 +272,7 @@
 	struct driver driver = {
 		.script = script,
 		.jobs = jobs_world_get(script->world),
+		.gangs = script_number(script, "gangs", 0),
 		.random = g_rand_new_with_seed(
 			(guint32)script_number(script, "seed", 1)),
 	};
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -22,7 +22,9 @@
 
 static void run_clear(gpointer data)
 {
-	(void)data;
+	struct fake_run *run = data;
+
+	g_free(run->checkpoint);
 }
 
 static void ended_clear(gpointer data)
@@ -103,7 +105,8 @@
 				     GUINT_TO_POINTER(run));
 }
 
-static void end_run(struct fake_worker *worker, guint index, enum item_end end)
+static void end_run(struct jobs_world *jobs, struct fake_worker *worker,
+		    guint index, enum item_end end)
 {
 	struct fake_run *run =
 		&g_array_index(worker->running, struct fake_run, index);
@@ -114,6 +117,11 @@
 	};
 
 	g_strlcpy(row.item, run->item, sizeof(row.item));
+	row.checkpoint = fake_run_checkpoint(
+		jobs, run, end == ITEM_END_STOPPED || end == ITEM_END_BROKEN);
+	jobs->alone_count += end == ITEM_END_ALONE;
+	if (end != ITEM_END_DONE)
+		fake_gang_break(jobs, run);
 	close_run(worker, run->item, run->run);
 	g_array_append_val(worker->ended, row);
 	g_array_remove_index(worker->running, index);
@@ -281,8 +289,12 @@
 				: jobs->world->now_us + jobs->item_duration_us,
 		.end = fails || worker->fails_items ? ITEM_END_FAILED
 						    : ITEM_END_DONE,
+		.gang = step->gang,
+		.checkpointable = step->checkpointable,
 	};
 
+	if (step->checkpointable)
+		fake_checkpoint_check(jobs, order, step);
 	if (has_run(worker, order->item, order->run))
 		return ORDER_OK;
 	if (order->run <= GPOINTER_TO_UINT(g_hash_table_lookup(
@@ -295,7 +307,14 @@
 		return ORDER_NO_TICKET;
 	check_start(jobs, worker, order, step->cpu_milli);
 	g_strlcpy(run.item, order->item, sizeof(run.item));
+	run.checkpoint = g_strdup(order->checkpoint);
+	if (step->gang)
+		fake_gang_join(jobs, &run);
+	else if (step->checkpointable)
+		fake_run_resume(jobs, &run);
 	g_array_append_val(worker->running, run);
+	if (step->gang)
+		fake_gang_begin(jobs, &run);
 	return ORDER_OK;
 }
 
@@ -371,9 +390,14 @@
 	}
 }
 
-static uint32_t run_percent(const struct fake_worker *worker,
-			    const struct fake_run *run, int64_t now_us)
+static uint32_t run_percent(const struct jobs_world *jobs,
+			    const struct fake_worker *worker,
+			    const struct fake_run *run)
 {
+	int64_t now_us = jobs->world->now_us;
+
+	if (run->gang)
+		return fake_run_work_percent(jobs, run);
 	/* A long-running item still reports 100 % while it is being stopped. */
 	if (run->long_running || run->ends_us == INT64_MAX)
 		return worker->stalls_items ? 10 : 100;
@@ -383,8 +407,9 @@
 			  (run->ends_us - run->started_us));
 }
 
-static void fill_run_lists(const struct fake_worker *worker,
-			   struct order *order, int64_t now_us)
+static void fill_run_lists(const struct jobs_world *jobs,
+			   const struct fake_worker *worker,
+			   struct order *order)
 {
 	g_array_set_size(order->running, 0);
 	g_array_set_size(order->ended, 0);
@@ -393,7 +418,8 @@
 			&g_array_index(worker->running, struct fake_run, i);
 		struct running_row row = {
 			.run = run->run,
-			.percent = run_percent(worker, run, now_us),
+			.percent = run_percent(jobs, worker, run),
+			.checkpoint = fake_run_checkpoint(jobs, run, false),
 		};
 
 		g_strlcpy(row.item, run->item, sizeof(row.item));
@@ -429,7 +455,7 @@
 	else if (worker->refuses_connections)
 		order->result = ORDER_NOT_SENT;
 	else if (order->kind == ORDER_HOLD)
-		fill_run_lists(worker, order, jobs->world->now_us);
+		fill_run_lists(jobs, worker, order);
 	jobs_deliver(jobs, entry, EVENT_ORDER_SENT, g_rc_box_acquire(order),
 		     lost ? LOST_ORDER_TIMEOUT_US : ORDER_LATENCY_US);
 }
@@ -438,6 +464,9 @@
 {
 	worker->dead = true;
 	worker->listed = false;
+	for (guint i = 0; i < worker->running->len; i++)
+		fake_gang_break(jobs, &g_array_index(worker->running,
+						     struct fake_run, i));
 	g_array_set_size(worker->running, 0);
 	g_array_set_size(worker->ended, 0);
 	if (worker->waiting_hold)
@@ -636,9 +665,9 @@
 			&g_array_index(worker->running, struct fake_run, i - 1);
 
 		if (worker->lease_until_us && now_us >= worker->lease_until_us)
-			end_run(worker, i - 1, ITEM_END_LEASE_EXPIRED);
+			end_run(jobs, worker, i - 1, ITEM_END_LEASE_EXPIRED);
 		else if (now_us >= run->ends_us)
-			end_run(worker, i - 1, run->end);
+			end_run(jobs, worker, i - 1, run->end);
 		else
 			next_us = MIN(next_us,
 				      MIN(run->ends_us,
@@ -659,11 +688,16 @@
 
 int64_t fake_workers_advance(struct jobs_world *jobs)
 {
-	int64_t next_us = INT64_MAX;
+	int64_t next_us;
 
-	for (guint i = 0; i < jobs->workers->len; i++)
-		next_us = MIN(next_us,
-			      advance_worker(jobs, jobs->workers->pdata[i]));
+	do {
+		jobs->gang_broken = false;
+		next_us = INT64_MAX;
+		for (guint i = 0; i < jobs->workers->len; i++)
+			next_us = MIN(
+				next_us,
+				advance_worker(jobs, jobs->workers->pdata[i]));
+	} while (jobs->gang_broken);
 	return next_us;
 }
 
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -118,10 +118,11 @@
 
 	if (order->kind == ORDER_HOLD || entry->jobs->quiet)
 		return;
-	world_print(world, "%.3f %s %s %s run %u on %s",
+	world_print(world, "%.3f %s %s %s run %u on %s%s%s",
 		    (double)world->now_us / USEC_PER_SEC, entry->name,
 		    order_kind_name(order->kind), order->item, order->run,
-		    order->worker);
+		    order->worker, order->checkpoint ? " from " : "",
+		    order->checkpoint ? order->checkpoint : "");
 }
 
 static void on_holder(struct jobs_entry *entry,
@@ -294,6 +295,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	jobs->cancelled_jobs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	jobs->start_checkpoints =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world->jobs = jobs;
 	return jobs;
 }
@@ -316,6 +319,7 @@
 	g_sequence_free(jobs->schedule);
 	queues_unref(jobs->queues);
 	g_hash_table_unref(jobs->done_items);
+	g_hash_table_unref(jobs->start_checkpoints);
 	g_hash_table_unref(jobs->accepted_jobs);
 	g_hash_table_unref(jobs->cancelled_jobs);
 	g_free(jobs);
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -46,6 +46,13 @@
 	int64_t started_us;
 	int64_t ends_us;
 	enum item_end end;
+	bool gang;
+	bool checkpointable;
+	char *checkpoint; /* that it started from; NULL: none */
+	/* Gang or checkpointable */
+	int64_t began_us; /* of its work; 0: it waits for its gang */
+	int64_t work_us;  /* in all, with what its checkpoint stands for */
+	enum item_end end_at_work; /* how it ends once its gang works */
 };
 
 /* A start or stop order in flight: the holder has no answer to it yet. */
@@ -132,6 +139,11 @@
 	uint32_t entry_cpu_milli; /* of entries started later; 0: unknown */
 	bool forwards_orders; /* entries started later forward at any load */
 	char parking[NAME_SIZE_BYTES]; /* policy of entries started later */
+	/* Item or step, with the run -> checkpoint of its first start */
+	GHashTable *start_checkpoints;
+	uint32_t present_count; /* members counted by fake_gang_begin() */
+	uint32_t alone_count;	/* runs that ended as alone */
+	bool gang_broken;	/* runs were broken and haven't ended yet */
 };
 
 struct jobs_world *jobs_world_get(struct world *world);
@@ -181,6 +193,25 @@
 /* Drops the waiting hold without an answer. */
 void fake_worker_drop_hold(struct fake_worker *worker);
 
+/* jobs_gangs.c */
+
+/* Checks the checkpoint of a start order, also of one that is repeated. */
+void fake_checkpoint_check(struct jobs_world *jobs, const struct order *order,
+			   const struct job_step *step);
+/* Newest checkpoint of a run, or NULL; caller frees. */
+char *fake_run_checkpoint(const struct jobs_world *jobs,
+			  const struct fake_run *run, bool at_stop);
+uint32_t fake_run_work_percent(const struct jobs_world *jobs,
+			       const struct fake_run *run);
+/* A run that belongs to no gang resumes from its checkpoint. */
+void fake_run_resume(struct jobs_world *jobs, struct fake_run *run);
+/* The run waits for the other members of its gang. */
+void fake_gang_join(struct jobs_world *jobs, struct fake_run *run);
+/* Lets a gang work if all members of the run are present. */
+void fake_gang_begin(struct jobs_world *jobs, const struct fake_run *run);
+/* Ends the other members of a gang that has worked. */
+void fake_gang_break(struct jobs_world *jobs, const struct fake_run *run);
+
 /* jobs_machines.c */
 void fake_machines_send_list(struct jobs_entry *entry);
 void fake_machine_order(struct jobs_entry *entry, struct machine_order *order);
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -400,6 +400,7 @@
 		step.dependency_mask = i ? UINT64_C(1) << (i - 1) : 0;
 		step.long_running = script_number(script, "lasting", 0);
 		step.gang = script_number(script, "gang", 0);
+		step.checkpointable = script_number(script, "checkpoints", 0);
 		script_copy_option(script, "label", step.label,
 				   sizeof(step.label));
 		step.max_per_worker =
@@ -414,7 +415,7 @@
 
 /*
  * job-submit ENTRY QUEUE/ID [steps=4x1000,2x500] [lasting=1] [gang=1]
- * [per_worker=N] [away=N] [mem=MB] [label=NAME]
+ * [checkpoints=1] [per_worker=N] [away=N] [mem=MB] [label=NAME]
  * [fails=1]
  */
 static void cmd_submit(struct script *script)
@@ -538,6 +539,13 @@
 	world_print(script->world, "%u ends are not acknowledged", count);
 }
 
+/* job-alone: prints how many members of gangs have ended as alone. */
+static void cmd_alone(struct script *script)
+{
+	world_print(script->world, "%u members ended alone",
+		    script_jobs(script)->alone_count);
+}
+
 /* job-counter ENTRY NAME */
 static void cmd_counter(struct script *script)
 {
@@ -567,6 +575,7 @@
 	{ "job-link", 2, cmd_link },	     { "job-restart", 1, cmd_restart },
 	{ "job-late", 1, cmd_late },	     { "job-replace", 2, cmd_replace },
 	{ "job-workers", 3, cmd_workers },   { "job-ends", 0, cmd_ends },
+	{ "job-alone", 0, cmd_alone },
 };
 
 SCRIPT_REGISTER(commands)
--- a/test/unit/job_record.c
+++ b/test/unit/job_record.c
@@ -162,6 +162,48 @@
 	job_table_free(table);
 }
 
+/*
+ * Guards against a gang that starts anew after an upgrade: earlier versions
+ * have stored a checkpoint with each member.
+ */
+static void test_record_gang(void)
+{
+	struct job_table *table = job_table_new();
+	struct job_record *submit = job_record_new(JOB_RECORD_SUBMIT);
+	struct job_record *record = job_record_new(JOB_RECORD_PROGRESS);
+	char *checkpoints[] = { NULL, "c1", "c2" };
+	const struct job *job;
+
+	submit->spec = new_spec(3);
+	g_array_index(submit->spec->steps, struct job_step, 0).gang = true;
+	g_strlcpy(submit->id, "00000000000000a1", sizeof(submit->id));
+	g_strlcpy(record->id, submit->id, sizeof(record->id));
+	record->offset = 1;
+	record->done = g_byte_array_new();
+	g_byte_array_append(record->done, (const guint8 *)"", 1);
+	record->items =
+		g_array_new(FALSE, TRUE, sizeof(struct job_record_item));
+	for (uint32_t i = 0; i < 3; i++) {
+		struct job_record_item item = { .index = i, .run = 2 };
+
+		item.checkpoint = checkpoints[i];
+		g_array_append_val(record->items, item);
+	}
+	job_table_apply(table, submit, 0, false);
+	job_table_apply(table, record, 0, false);
+	job = job_table_find(table, submit->id);
+	if (!job) {
+		CU_FAIL_FATAL("the job is not known");
+		abort(); /* The analyzer doesn't know that CUnit jumps out. */
+	}
+	CU_ASSERT_EQUAL(job_checkpoint_index(job, 2), 0);
+	CU_ASSERT_STRING_EQUAL(job_item(job, 0)->checkpoint, "c1");
+	CU_ASSERT_PTR_NULL(job_item(job, 2)->checkpoint);
+	job_record_unref(submit);
+	job_record_unref(record);
+	job_table_free(table);
+}
+
 /* Guards against lost names: the next holder would order them again. */
 static void test_record_machines(void)
 {
@@ -248,6 +290,7 @@
 	{ "record", test_record },
 	{ "record of each segment", test_record_segments },
 	{ "record of a whole job", test_record_whole_job },
+	{ "record of a gang of an earlier version", test_record_gang },
 	{ "record of machines", test_record_machines },
 	{ "record of a claim", test_record_claim },
 	{ "record of an entry instance", test_record_entry },
