Stop the rest of a gang that loses a member before it has begun

Callers could see a gang end as alone without a fault of any worker: a wave stopped one member while the start of another was under way, and the rest waited for it until gang_timeout_ms had passed. Workers end the rest of a run by themselves, as broken, only once the gang has begun to work. The same holds for a member whose start is refused or whose worker has ended.

When some members of a gang wait to be placed and others are still on workers, placement now stops the others. It sends nothing if a member has ended as broken, since the rest then ends by itself, and nothing to workers that are silent or whose lists the holder hasn't read: an order without an answer there would delay the proof that nothing runs.

jobs_gang_left fails without the change: 2 members end as alone, and the second run begins at 6.017 s; now none does, and it begins at 4.061 s.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -97,7 +97,8 @@
 	uint32_t checkpoint_percent;
 	/* Carried by each start of the current run; NULL: none */
 	char *start_checkpoint;
-	bool settled;	       /* no order of this run is unresolved */
+	bool ended_broken; /* the run ended as another member of the gang did */
+	bool settled;	   /* no order of this run is unresolved */
 	bool start_unanswered; /* a start of this run got no answer */
 	/* The run began in the life of its worker that answered holds last. */
 	bool life_known;
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -142,6 +142,7 @@
 		item->store_write_id = 0;
 		item->progress_percent = 0;
 		item->checkpoint_percent = 0;
+		item->ended_broken = false;
 		g_clear_pointer(&item->start_checkpoint, g_free);
 		item->retry_us = 0;
 		item->failed_worker = NULL;
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -119,6 +119,7 @@
 	item->progress_percent = 0;
 	item->progress_changed_us = 0;
 	item->pace_percent = 100;
+	item->ended_broken = false;
 	set_start_checkpoint(job, index);
 	worker_attach(worker, job, index);
 	worker->unstarted_count++;
@@ -450,6 +451,7 @@
 	if (!current)
 		return;
 	set_end_checkpoint(sched, job, index, row);
+	item->ended_broken = row->end == ITEM_END_BROKEN;
 	item_release(sched, job, index, item_end_name(row->end));
 	if (row->end == ITEM_END_FAILED) {
 		worker_record_failure(sched, worker, job);
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -383,6 +383,36 @@
 	}
 }
 
+static bool has_broken_member(const struct job *job, uint32_t first,
+			      uint32_t count)
+{
+	for (uint32_t i = first; i < first + count; i++) {
+		if (job_item(job, i)->ended_broken)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Stops the rest of a run that has lost a member: if the gang has not begun,
+ * they would wait for it. One that has begun ends by itself, as broken. No
+ * order goes to a silent worker, where it would only delay the proof that
+ * nothing runs.
+ */
+static void stop_incomplete_gang(struct pass *pass, struct job *job,
+				 uint32_t first, uint32_t count)
+{
+	if (has_broken_member(job, first, count))
+		return;
+	for (uint32_t i = first; i < first + count; i++) {
+		const struct worker *worker =
+			worker_find(pass->sched, job_item(job, i)->worker);
+
+		if (worker && worker->synced && !worker->unanswered_count)
+			item_stop(pass->sched, job, i, "gang-incomplete");
+	}
+}
+
 /* Places all members of a gang under the same run number, or none. */
 static void place_gang(struct pass *pass, const struct candidate *candidate,
 		       uint32_t occurrence, uint32_t index)
@@ -394,11 +424,12 @@
 	uint32_t placed_count = 0;
 	struct worker *worker;
 
-	for (uint32_t i = first; i < first + count; i++) {
-		if (job_item(job, i)->phase != ITEM_WAITING)
-			return;
-		run = MAX(run, job_item(job, i)->run);
+	if (job_step_count(job, occurrence, index)->waiting < count) {
+		stop_incomplete_gang(pass, job, first, count);
+		return;
 	}
+	for (uint32_t i = first; i < first + count; i++)
+		run = MAX(run, job_item(job, i)->run);
 	pass->failed_worker = NULL;
 	pass->limits_starts = false;
 	while (placed_count < count) {
