--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -434,6 +434,7 @@
 		step.dependency_mask = i ? UINT64_C(1) << (i - 1) : 0;
 		step.long_running = script_number(script, "lasting", 0);
 		step.gang = script_number(script, "gang", 0);
+		step.checkpointable = script_number(script, "checkpoints", 0);
 		script_copy_option(script, "label", step.label,
 				   sizeof(step.label));
 		step.max_per_worker =
@@ -448,7 +449,7 @@
 
 /*
  * job-submit ENTRY QUEUE/ID [steps=4x1000,2x500] [lasting=1] [gang=1]
- * [per_worker=N] [away=N] [mem=MB] [label=NAME]
+ * [checkpoints=1] [per_worker=N] [away=N] [mem=MB] [label=NAME]
  * [fails=1]
  */
 static void cmd_submit(struct script *script)
@@ -572,6 +573,13 @@
 	world_print(script->world, "%u ends are not acknowledged", count);
 }
 
+/* job-alone: prints how many members of gangs have ended as alone. */
+static void cmd_alone(struct script *script)
+{
+	world_print(script->world, "%u members ended alone",
+		    script_jobs(script)->alone_count);
+}
+
 /* job-counter ENTRY NAME */
 static void cmd_counter(struct script *script)
 {
@@ -620,6 +628,7 @@
 	{ "job-workers", 3, cmd_workers },
 	{ "job-ends", 0, cmd_ends },
 	{ "job-answers", 2, cmd_answers },
+	{ "job-alone", 0, cmd_alone },
 };
 
 SCRIPT_REGISTER(commands)
