Add late orders and short takeovers to the random scripts

job-random late=1 lets workers keep starts and carry them out up to 12 s later, makes the list of machines slow, and kills the holder and starts it again. An order that is older than 12 s isn't carried out by job-late. At the end the directory shows all workers.

--- a/test/runner/jobs_random.c
+++ b/test/runner/jobs_random.c
@@ -1,5 +1,6 @@
 /*
- * job-random seed=N steps=N [verbose=1] [forward=1] [restarts=1] [gangs=1]:
+ * job-random seed=N steps=N [verbose=1] [forward=1] [restarts=1] [gangs=1]
+ * [late=1]:
  * random faults of entry instances, the store and workers, alone and
  * overlapping. The fakes check every start. At the end all faults are repaired,
  * and every accepted job must end.
@@ -178,6 +179,43 @@
 		run_command(driver, "job-fault %s dark", worker->id);
 }
 
+static void restart_holder(struct driver *driver)
+{
+	for (uint32_t i = 0; i < ENTRY_COUNT; i++) {
+		struct jobs_entry *entry = driver->jobs->entries->pdata[i];
+
+		if (!entry->kernel || !entry->is_holder)
+			continue;
+		run_command(driver, "job-kill %s", entry->name);
+		run_command(driver, "job-entry %s", entry->name);
+		return;
+	}
+}
+
+/* Starts without an answer, late lists of machines, and short takeovers. */
+static void delay_something(struct driver *driver)
+{
+	struct fake_worker *worker = random_worker(driver);
+
+	switch (random_below(driver, 4)) {
+	case 0:
+		if (!worker->dead)
+			run_command(driver, "job-fault %s late", worker->id);
+		break;
+	case 1:
+		if (!worker->dead && !worker->unreachable)
+			run_command(driver, "job-late %s", worker->id);
+		break;
+	case 2:
+		run_command(driver, "job-lists slow %ums",
+			    random_below(driver, 2000));
+		break;
+	default:
+		restart_holder(driver);
+		break;
+	}
+}
+
 static void (*const actions[])(struct driver *driver) = {
 	submit_new,
 	submit_new,
@@ -212,6 +250,7 @@
 static void repair_all(struct driver *driver)
 {
 	driver->jobs->store_down = false;
+	driver->jobs->machine_list_delay_us = 0;
 	for (guint i = 0; i < driver->jobs->entries->len; i++) {
 		struct jobs_entry *entry = driver->jobs->entries->pdata[i];
 
@@ -227,11 +266,13 @@
 
 		worker->unreachable = false;
 		worker->loses_answers = false;
+		worker->delays_starts = false;
 		worker->fails_items = false;
 		/* A gang needs room for all its members at once. */
 		if (driver->gangs && worker->dead)
 			run_command(driver, "job-restart %s", worker->id);
 	}
+	run_command(driver, "job-seen");
 	jobs_world_run(driver->jobs, RECOVERY_US);
 }
 
@@ -269,6 +310,7 @@
 	uint32_t step_count = (uint32_t)script_number(script, "steps", 200);
 	bool forwards = script_number(script, "forward", 0);
 	bool restarts = script_number(script, "restarts", 0);
+	bool late = script_number(script, "late", 0);
 	struct driver driver = {
 		.script = script,
 		.jobs = jobs_world_get(script->world),
@@ -291,6 +333,8 @@
 			toggle_link(&driver);
 		if (restarts && random_below(&driver, 4) == 0)
 			toggle_power(&driver);
+		if (late && random_below(&driver, 4) == 0)
+			delay_something(&driver);
 		if (random_below(&driver, 2))
 			repair_some(&driver);
 		jobs_world_run(driver.jobs, random_below(&driver, STEP_MAX_US));
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -14,6 +14,8 @@
 /* Latency of advice, plus a part for each worker asked about. */
 #define ADVICE_LATENCY_US (100 * USEC_PER_MSEC)
 #define ADVICE_PER_WORKER_US (10 * USEC_PER_MSEC)
+/* An order that is carried out late is carried out within this time. */
+#define ORDER_DELAY_MAX_US (12 * USEC_PER_SEC)
 #define TICKET_LIFETIME_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
 /* Connections to a worker, less the one for its hold. */
@@ -589,7 +591,8 @@
 		struct order order =
 			*(const struct order *)worker->delayed->pdata[i];
 
-		execute_order(jobs, worker, &order);
+		if (jobs->world->now_us - order.sent_us <= ORDER_DELAY_MAX_US)
+			execute_order(jobs, worker, &order);
 	}
 	g_ptr_array_set_size(worker->delayed, 0);
 }
