Deny a job only after a read that was sent after the call

Callers lost a cancellation: an entry instance that the store turned away answered 410 "no such job" to the DELETE of a job that another one had accepted. Nothing was stored; the long-running work ran on and was started again.

A state of up to 2 s ago counted as fresh enough for a 410, and its age was counted from the response to a read, not from its sending. A job that was accepted since is missing in such a state.

Each read now carries the time at which it was sent. A call about an unknown job waits for a read that was sent after it and reached the store's end; only then the answer is 410. Without one within 1.2 s, or at once if reads have had no answer for 1.5 s, it is 503 with Retry-After. The same goes for what else an old state may deny: the length of a queue is as old as the sending of its read, and a queue that is not in the configuration is no 404 while reads have no answer.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -9,9 +9,12 @@
 #include "jobs/callers.h"
 #include "kernel/decision_log.h"
 
-/* An unknown job may just have been accepted by another entry instance. */
-#define UNKNOWN_JOB_WAIT_US (400 * USEC_PER_MSEC)
-/* An older state may lack jobs; it is not used for depths or a 410. */
+/*
+ * An unknown job may have been accepted by another entry instance, so the next
+ * read decides. The read before it may be held back for 500 ms by the store.
+ */
+#define UNKNOWN_JOB_WAIT_US (1200 * USEC_PER_MSEC)
+/* The depth of a queue may be this old. */
 #define STATE_AGE_MAX_US (2 * USEC_PER_SEC)
 #define RETRY_AFTER_US USEC_PER_SEC
 /*
@@ -31,13 +34,6 @@
 	g_free(pending);
 }
 
-static bool is_fresh(const struct callers *callers)
-{
-	return callers->has_snapshot &&
-	       kernel_now_us(callers->kernel) - callers->caught_up_us <=
-		       STATE_AGE_MAX_US;
-}
-
 static const char *call_name(enum call_kind kind)
 {
 	static const char *const names[] = {
@@ -212,13 +208,25 @@
 	return true;
 }
 
-static void reply_unknown(struct callers *callers, const struct job_call *call)
+/* A job that isn't known may only be missing here, until a later read. */
+static void await_read(struct callers *callers, struct job_call *call)
 {
-	if (is_fresh(callers))
-		callers_refuse(callers, call, 410, "no such job");
-	else
+	if (callers_reads_are_silent(callers))
 		callers_refuse(callers, call, 503,
 			       "the state is too old to tell");
+	else
+		add_pending(callers, call, NULL, PENDING_RECORD,
+			    UNKNOWN_JOB_WAIT_US);
+}
+
+/* A newer configuration, not read yet, may have the queue. */
+static void reply_no_queue(struct callers *callers, const struct job_call *call)
+{
+	if (callers_reads_are_silent(callers))
+		callers_refuse(callers, call, 503,
+			       "the configuration is too old to tell");
+	else
+		callers_refuse(callers, call, 404, "no such queue");
 }
 
 static void reply_depth(struct callers *callers, const struct job_call *call,
@@ -226,6 +234,12 @@
 {
 	struct job_reply msg = { .status = 200, .has_depth = true };
 
+	if (!callers->has_snapshot ||
+	    kernel_now_us(callers->kernel) - callers->state_as_of_us >
+		    STATE_AGE_MAX_US) {
+		callers_refuse(callers, call, 503, "the state is too old");
+		return;
+	}
 	msg.depth_count =
 		job_table_depth(kernel_jobs(callers->kernel), queue->name);
 	reply(callers, call, &msg);
@@ -244,22 +258,17 @@
 	}
 	queue = queues_route(queues, call->host, call->path, &id);
 	if (!queue) {
-		callers_refuse(callers, call, 404, "no such queue");
+		reply_no_queue(callers, call);
 		return;
 	}
 	if (call->kind == CALL_SUBMIT) {
 		submit(callers, call, queue, id);
 	} else if (call->kind == CALL_STATE && !*id) {
-		if (is_fresh(callers))
-			reply_depth(callers, call, queue);
-		else
-			callers_refuse(callers, call, 503,
-				       "the state is too old");
+		reply_depth(callers, call, queue);
 	} else if (!job_id_is_valid(id)) {
 		callers_refuse(callers, call, 410, "no such job");
 	} else if (!reply_known(callers, call, id)) {
-		add_pending(callers, call, NULL, PENDING_RECORD,
-			    UNKNOWN_JOB_WAIT_US);
+		await_read(callers, call);
 	}
 }
 
@@ -282,14 +291,34 @@
 	return known;
 }
 
-static void note_caught_up(struct callers *callers)
+/*
+ * Answers the calls that still wait for their job and came in before the read
+ * was sent: it would have shown every job that was accepted before the call.
+ */
+static void refuse_unknown(struct callers *callers)
+{
+	for (guint i = 0; i < callers->pending->len;) {
+		struct pending_call *pending = callers->pending->pdata[i];
+
+		if (pending->state != PENDING_RECORD ||
+		    pending->arrived_us > callers->state_as_of_us) {
+			i++;
+			continue;
+		}
+		callers_refuse(callers, pending->call, 410, "no such job");
+		g_ptr_array_remove_index(callers->pending, i);
+	}
+}
+
+static void note_caught_up(struct callers *callers, int64_t read_sent_us)
 {
 	if (!callers->caught_up_us)
 		decision_log("dependency", "name=store state=reached");
 	callers->caught_up_us = kernel_now_us(callers->kernel);
+	callers->state_as_of_us = read_sent_us;
 }
 
-/* Answers calls whose job has become known. */
+/* Answers calls whose job has become known, or is known not to exist. */
 static void on_applied(struct callers *callers, const struct store_read *read)
 {
 	GPtrArray *known;
@@ -299,7 +328,7 @@
 	/* A read that stops before the store's end gives an older state. */
 	if (!read->local && !read->snapshot &&
 	    read->next_offset >= read->end_offset)
-		note_caught_up(callers);
+		note_caught_up(callers, read->sent_us);
 	if (read->snapshot)
 		callers->has_snapshot = true;
 	/* on_call() may add a call to the list again. */
@@ -310,6 +339,7 @@
 		on_call(callers, pending->call);
 	}
 	g_ptr_array_unref(known);
+	refuse_unknown(callers);
 }
 
 static void reply_timed_out(struct callers *callers,
@@ -325,7 +355,8 @@
 			       "the store has not confirmed it yet");
 		break;
 	default:
-		reply_unknown(callers, pending->call);
+		callers_refuse(callers, pending->call, 503,
+			       "the store was not read in time to tell");
 		break;
 	}
 }
--- a/src/jobs/callers.h
+++ b/src/jobs/callers.h
@@ -12,7 +12,7 @@
 enum pending_state {
 	PENDING_QUEUED, /* not sent to the store yet */
 	PENDING_WRITE,	/* its write is under way */
-	PENDING_RECORD, /* waits until its job is read */
+	PENDING_RECORD, /* its job isn't known; waits for the next read */
 };
 
 struct pending_call {
@@ -33,6 +33,8 @@
 	int64_t next_write_us; /* earliest next write */
 	/* Newest read that reached the store's end; 0: none yet */
 	int64_t caught_up_us;
+	/* When that read was sent: all that was stored before is known. */
+	int64_t state_as_of_us;
 	bool has_snapshot;	     /* a snapshot was read */
 	int64_t store_lost_since_us; /* store silent since; 0: it answers */
 	int64_t stop_accepting_us;   /* new jobs; 0: not draining */
@@ -57,6 +59,9 @@
 void callers_on_written(struct callers *callers,
 			const struct store_write *write);
 
+/* Whether reads have had no answer for too long. */
+bool callers_reads_are_silent(const struct callers *callers);
+
 /* Whether reads, or the write under way, have had no answer for too long. */
 bool callers_store_is_silent(const struct callers *callers);
 
--- a/src/jobs/callers_write.c
+++ b/src/jobs/callers_write.c
@@ -68,14 +68,19 @@
 	kernel_emit_msg(callers->kernel, EVENT_STORE_WRITE, write);
 }
 
-bool callers_store_is_silent(const struct callers *callers)
+bool callers_reads_are_silent(const struct callers *callers)
 {
-	int64_t now_us = kernel_now_us(callers->kernel);
-
 	return !callers->has_snapshot ||
-	       now_us - callers->caught_up_us > STORE_SILENT_US ||
+	       kernel_now_us(callers->kernel) - callers->caught_up_us >
+		       STORE_SILENT_US;
+}
+
+bool callers_store_is_silent(const struct callers *callers)
+{
+	return callers_reads_are_silent(callers) ||
 	       (callers->write_id &&
-		now_us - callers->write_sent_us > STORE_SILENT_US);
+		kernel_now_us(callers->kernel) - callers->write_sent_us >
+			STORE_SILENT_US);
 }
 
 /* Applies stored records at once, without waiting to read them back. */
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -15,6 +15,7 @@
 	GPtrArray *records;   /* of struct job_record */
 	uint64_t next_offset; /* every earlier record has been read */
 	uint64_t end_offset;  /* one past the newest record in the store */
+	int64_t sent_us;      /* when it was asked for; 0: a snapshot */
 	bool snapshot;	/* newest record of each key; replaces the state */
 	bool reachable; /* the store answered the read */
 	bool local;	/* stored by this process, not read back yet */
--- a/test/runner/jobs_store.c
+++ b/test/runner/jobs_store.c
@@ -37,6 +37,7 @@
 					     : READ_INTERVAL_US;
 
 	entry->read_due = false;
+	read->sent_us = jobs->world->now_us;
 	read->reachable = store_reachable(entry);
 	if (read->reachable) {
 		if (entry->snapshot_due)
