Refuse requests that are read while a server stops

Callers lost their connections without an answer, and the process ended with signal 6: an entry instance that was stopped under load aborted while it sent the last responses.

httpd_free() runs libmicrohttpd until these responses are sent. It still accepted connections then and passed on the requests that it read. Nothing answers them any more, since the loop has ended; their connections stayed suspended, and libmicrohttpd aborts if it is stopped with such a connection.

httpd_free() now closes the listening socket first. A request that is read from then on is refused with 503, Retry-After and the verdict not-run, and every response closes its connection, so that the flush ends under load. This holds for all HTTP servers of the program.

The contract test "stop" of httpd ends the runner with signal 6 without the change, and passes with it; the 280 tests pass.

--- a/src/io/mhd_exchange.c
+++ b/src/io/mhd_exchange.c
@@ -6,6 +6,9 @@
 
 #include "io/mhd_private.h"
 
+/* Of requests that are received while the server stops. */
+#define STOPPING_RETRY_AFTER_S "1"
+
 char *exchange_error_text(const char *reason, enum verdict verdict,
 			  const char *request)
 {
@@ -213,6 +216,9 @@
 	for (guint i = 0; i + 1 < exchange->headers->len; i += 2)
 		MHD_add_response_header(response, exchange->headers->pdata[i],
 					exchange->headers->pdata[i + 1]);
+	if (exchange->conn->httpd->stopping)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
+					"close");
 	queued = MHD_queue_response(exchange->conn->mhd, exchange->status,
 				    response);
 	MHD_destroy_response(response);
@@ -230,6 +236,16 @@
 	exchange_check_headers(exchange);
 }
 
+/* Nobody is left to answer a request that waits. */
+static void refuse_stopping(struct exchange *exchange)
+{
+	exchange_add_header(exchange, MHD_HTTP_HEADER_RETRY_AFTER,
+			    STOPPING_RETRY_AFTER_S);
+	exchange_reply_error(exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
+			     "this entry instance is leaving", VERDICT_NOT_RUN,
+			     NULL);
+}
+
 static void dispatch_request(struct exchange *exchange)
 {
 	struct httpd *httpd = exchange->conn->httpd;
@@ -239,6 +255,10 @@
 		exchange_reply_too_large(exchange);
 		return;
 	}
+	if (httpd->stopping) {
+		refuse_stopping(exchange);
+		return;
+	}
 	if (exchange->received)
 		exchange->body = g_byte_array_free_to_bytes(exchange->received);
 	exchange->received = NULL;
--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -227,10 +227,21 @@
 	}
 }
 
+/* Accepts no more connections; those that are open are still served. */
+static void stop_listening(struct httpd *httpd)
+{
+	MHD_socket fd = MHD_quiesce_daemon(httpd->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
 void httpd_free(struct httpd *httpd)
 {
 	if (!httpd)
 		return;
+	httpd->stopping = true;
+	stop_listening(httpd);
 	flush_responses(httpd);
 	ev_io_stop(httpd->ev, &httpd->io);
 	ev_timer_stop(httpd->ev, &httpd->timer);
--- a/src/io/mhd_loop.h
+++ b/src/io/mhd_loop.h
@@ -39,7 +39,8 @@
 
 /*
  * Sends pending responses for a limited time, then closes all connections.
- * Every exchange must have got its response.
+ * Every exchange must have got its response. A request that is received
+ * meanwhile is refused with 503 and not passed on.
  */
 void httpd_free(struct httpd *httpd);
 
--- a/src/io/mhd_private.h
+++ b/src/io/mhd_private.h
@@ -65,6 +65,7 @@
 	uint32_t unsent_count; /* responses given and not yet sent */
 	uint32_t connection_count;
 	bool limit_cleared; /* has just dropped below its connection limit */
+	bool stopping;	    /* httpd_free() sends the last responses */
 };
 
 /* mhd_loop.c */
--- a/test/contract/httpd.c
+++ b/test/contract/httpd.c
@@ -1,6 +1,7 @@
 /* The HTTP server against slow clients and many connections. */
 
 #include <string.h>
+#include <sys/socket.h>
 
 #include "contract/contract.h"
 #include "io/mhd_loop.h"
@@ -14,6 +15,7 @@
 	struct httpd *httpd;
 	uint32_t request_count;
 	bool big_answers; /* answers exceed the socket buffers */
+	bool holds;	  /* requests get no answer */
 };
 
 static void request(void *self, struct exchange *exchange)
@@ -22,6 +24,8 @@
 	GBytes *body = NULL;
 
 	test->request_count++;
+	if (test->holds)
+		return;
 	if (test->big_answers)
 		body = g_bytes_new_take(g_malloc0(BIG_BYTES), BIG_BYTES);
 	exchange_reply(exchange, 200, "", body);
@@ -167,11 +171,47 @@
 	teardown(&test);
 }
 
+static void check_refused(const char *answer)
+{
+	contract_expect("stop", answer, "HTTP/1.1 503 ");
+	contract_expect("stop", answer, "Retry-After: 1");
+	contract_expect("stop", answer, "Connection: close");
+	contract_expect("stop", answer, "Pl-Verdict: not-run");
+}
+
+/* Guards against an abort of the process by a request that is read while the
+ * server is stopped, and against leaving it without an answer.
+ */
+static void test_stop(void)
+{
+	static const char request[] = GET_ROOT;
+	struct httpd_test test;
+	struct raw_conn *conn;
+
+	setup(&test);
+	conn = raw_conn_connect(test.ev, httpd_port(test.httpd));
+	contract_expect("first", raw_conn_ask(conn, request), "HTTP/1.1 200 ");
+	test.holds = true;
+	/* Sent here, as the loop would let the server read it before the stop.
+	 */
+	CU_ASSERT_EQUAL(send(conn->reader.fd, request, strlen(request), 0),
+			(ssize_t)strlen(request));
+	httpd_free(test.httpd);
+	test.httpd = NULL;
+	g_string_truncate(conn->received, 0);
+	check_refused(raw_conn_wait_answer(conn));
+	CU_ASSERT_TRUE(raw_conn_wait_closed(conn));
+	CU_ASSERT_EQUAL(test.request_count, 1);
+	raw_conn_free(conn);
+	teardown(&test);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "slow_sender", test_slow_sender },
 	{ "idle_connection", test_idle_connection },
 	{ "connection_limit", test_connection_limit },
 	{ "slow_reader", test_slow_reader },
+	{ "stop", test_stop },
 	CU_TEST_INFO_NULL,
 };
 
