Stop a start without an answer when its worker drains

A start that got no answer was sent again every 1.2 s whatever the state of its worker was. A placement that was still being stored when its worker began to drain was started as well, since only stored ones were withdrawn.

A worker that drains now gets a stop of that run instead of the repeat. A placement that is stored after its worker began to drain is withdrawn. The runner checks in every script that no start is sent to a worker more than 2 s after that.

--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -68,6 +68,9 @@
 		item->phase = ITEM_STORED;
 		item->stored_us = sched_now_us(sched);
 		worker = worker_find(sched, item->worker);
+		/* It has begun to drain since it was chosen. */
+		if (worker && worker->draining)
+			starts_cancel(sched, worker, "draining");
 		if (worker)
 			starts_send_next(sched, worker);
 	}
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -245,7 +245,8 @@
 
 /*
  * Sends orders again whose outcome is unknown, unless one for the same run may
- * still be answered.
+ * still be answered. A worker that drains gets a stop instead of a start: the
+ * item is placed elsewhere once no earlier start of the run can take effect.
  */
 static void resend_orders(struct sched *sched, struct worker *worker)
 {
@@ -264,6 +265,11 @@
 			continue;
 		if (item->phase == ITEM_STARTING && item->ordered_us &&
 		    !placement.job->stop_all) {
+			if (worker->draining) {
+				item_stop(sched, placement.job, placement.index,
+					  "draining");
+				continue;
+			}
 			if (!starts_may_send(worker) ||
 			    worker->unanswered_count)
 				continue;
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -19,6 +19,8 @@
 #define DEFAULT_CPU_MILLI 1000
 /* Connections to a worker, less the one for its hold. */
 #define STARTS_IN_FLIGHT_MAX 2
+/* A worker that drains runs on for at least this long. */
+#define DRAIN_US (2 * USEC_PER_SEC)
 
 static void run_clear(gpointer data)
 {
@@ -590,6 +592,18 @@
 	g_array_append_val(worker->orders, sent);
 }
 
+/* A worker that leaves gets no start once it may have begun to end. */
+static void check_draining(struct jobs_world *jobs,
+			   const struct fake_worker *worker,
+			   const struct order *order)
+{
+	int64_t since_us = jobs->world->now_us - worker->draining_since_us;
+
+	if (worker->draining && since_us > DRAIN_US)
+		jobs_violation(jobs, "%s is to start on %s, which drains",
+			       order->item, worker->id);
+}
+
 void fake_worker_order(struct jobs_entry *entry, struct order *order)
 {
 	struct jobs_world *jobs = entry->jobs;
@@ -601,6 +615,8 @@
 	bool delayed =
 		arrives && order->kind == ORDER_START && worker->delays_starts;
 
+	if (order->kind == ORDER_START)
+		check_draining(jobs, worker, order);
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
 		check_order_in_flight(entry, worker, order,
 				      worker->dead || worker->unreachable ||
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -75,6 +75,7 @@
 	bool other_incarnation;	  /* another worker answers at its address */
 	bool stalls_items;	/* the items that it starts make no progress */
 	bool allowed_by_advice; /* may run queues that need advice */
+	int64_t draining_since_us;
 	int64_t started_ms;
 	int64_t clock_start_us; /* its clock counts from here */
 	uint64_t fence_token;	/* highest token of the orders so far */
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -191,9 +191,10 @@
 
 /*
  * job-fault WORKER dead|dark|left|cut|expired|lose|late|closed|other|drains|
- * fails|stalls|ok: sets its only fault, see struct fake_worker; dark: dead, but
- * still in the directory; left: dead, and the directory says so; expired: cut
- * off, and its entry in the directory has expired
+ * drains-late|fails|stalls|ok: sets its only fault, see struct fake_worker;
+ * dark: dead, but still in the directory; left: dead, and the directory says
+ * so; expired: cut off, and its entry in the directory has expired;
+ * drains-late: drains, and is late
  */
 static void cmd_fault(struct script *script)
 {
@@ -214,9 +215,13 @@
 	worker->unreachable = !strcmp(how, "cut") || !strcmp(how, "expired");
 	worker->refuses_connections = !strcmp(how, "closed");
 	worker->loses_answers = !strcmp(how, "lose");
-	worker->delays_starts = !strcmp(how, "late");
+	worker->delays_starts =
+		!strcmp(how, "late") || !strcmp(how, "drains-late");
 	worker->other_incarnation = !strcmp(how, "other");
-	worker->draining = !strcmp(how, "drains");
+	if (!worker->draining)
+		worker->draining_since_us = script->world->now_us;
+	worker->draining =
+		!strcmp(how, "drains") || !strcmp(how, "drains-late");
 	if (worker->draining || !strcmp(how, "left") || !strcmp(how, "expired"))
 		send_worker_lists(script_jobs(script));
 	worker->fails_items = !strcmp(how, "fails");
