--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -208,7 +208,7 @@
 	return true;
 }
 
-/* A job that isn't known may only be missing here, until a later read. */
+/* Only a read that is sent after the call shows that there is no such job. */
 static void await_read(struct callers *callers, struct job_call *call)
 {
 	if (callers_reads_are_silent(callers))
