--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -22,6 +22,8 @@
 #define STARTS_IN_FLIGHT_MAX 2
 /* Longest run that starts after its job was cancelled, until it is stopped. */
 #define CANCELLED_RUN_MAX_US (5 * USEC_PER_SEC)
+/* A worker that drains runs on for at least this long. */
+#define DRAIN_US (2 * USEC_PER_SEC)
 
 static void run_clear(gpointer data)
 {
@@ -651,6 +653,18 @@
 	g_array_append_val(worker->orders, sent);
 }
 
+/* A worker that leaves gets no start once it may have begun to end. */
+static void check_draining(struct jobs_world *jobs,
+			   const struct fake_worker *worker,
+			   const struct order *order)
+{
+	int64_t since_us = jobs->world->now_us - worker->draining_since_us;
+
+	if (worker->draining && since_us > DRAIN_US)
+		jobs_violation(jobs, "%s is to start on %s, which drains",
+			       order->item, worker->id);
+}
+
 void fake_worker_order(struct jobs_entry *entry, struct order *order)
 {
 	struct jobs_world *jobs = entry->jobs;
@@ -661,6 +675,8 @@
 
 	bool delayed = arrives && delays_order(worker, order);
 
+	if (order->kind == ORDER_START)
+		check_draining(jobs, worker, order);
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
 		check_order_in_flight(entry, worker, order,
 				      worker->dead || worker->unreachable ||
