Keep what a queue says of its jobs after its route is removed

Cause: the scheduler looked up what a queue says of its jobs in the newest configuration each time that it needed it. Without the queue no advice was asked for. Priority and objective were lost in the same way: such a job came first and counted as late. Only the pool and the limit of attempts were stored.

Change: all of it is one type, struct queue_policy, which is stored with each job. apply updates it for as long as the configuration has the queue, and the scheduler reads the job only. A start that is refused for lack of a ticket shows that the job needs advice, for jobs that an earlier version has stored.

--- a/src/codec/job_codec.c
+++ b/src/codec/job_codec.c
@@ -103,6 +103,31 @@
 	return g_bytes_new_take(data, size_bytes);
 }
 
+static void policy_to_wire(const struct queue_policy *policy,
+			   Pl__JobSubmission *to)
+{
+	to->priority = policy->priority;
+	to->attempts_max = policy->attempts_max;
+	to->slack_factor = policy->slack_factor;
+	to->target_us = policy->target_us;
+	to->needs_advice = policy->needs_advice;
+	to->advice_decision_us = policy->advice_decision_us;
+	to->advice_period_us = policy->advice_period_us;
+}
+
+static struct queue_policy policy_from_wire(const Pl__JobSubmission *from)
+{
+	return (struct queue_policy){
+		.priority = from->priority,
+		.attempts_max = from->attempts_max,
+		.slack_factor = from->slack_factor,
+		.target_us = from->target_us,
+		.needs_advice = from->needs_advice,
+		.advice_decision_us = from->advice_decision_us,
+		.advice_period_us = from->advice_period_us,
+	};
+}
+
 static GBytes *encode_submit(const struct job_record *record)
 {
 	const struct job_spec *spec = record->spec;
@@ -118,7 +143,7 @@
 	}
 	to.queue = (char *)record->queue;
 	to.pool = (char *)record->pool;
-	to.attempts_max = record->attempts_max;
+	policy_to_wire(&record->policy, &to);
 	to.submitted_ms = record->submitted_ms;
 	to.text = spec->text;
 	to.n_steps = spec->steps->len;
@@ -266,7 +291,7 @@
 	record->spec = job_spec_new();
 	name_copy(record->queue, sizeof(record->queue), from->queue);
 	name_copy(record->pool, sizeof(record->pool), from->pool);
-	record->attempts_max = from->attempts_max;
+	record->policy = policy_from_wire(from);
 	record->submitted_ms = from->submitted_ms;
 	record->spec->text = g_strdup(from->text);
 	record->spec->first_due_ms = from->first_due_ms;
@@ -279,7 +304,8 @@
 		g_array_append_val(record->spec->steps, step);
 	}
 	pl__job_submission__free_unpacked(from, NULL);
-	if (job_spec_check(record->spec)) {
+	if (job_spec_check(record->spec) ||
+	    !queue_policy_is_valid(&record->policy)) {
 		job_record_unref(record);
 		return NULL;
 	}
--- a/src/codec/proto/job.pb-c.c
+++ b/src/codec/proto/job.pb-c.c
@@ -626,7 +626,7 @@
   (ProtobufCMessageInit) pl__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pl__job_submission__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pl__job_submission__field_descriptors[15] =
 {
   {
     "queue",
@@ -736,22 +736,100 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobSubmission, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slack_factor",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobSubmission, slack_factor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobSubmission, target_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needs_advice",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobSubmission, needs_advice),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_decision_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobSubmission, advice_decision_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_period_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pl__JobSubmission, advice_period_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pl__job_submission__field_indices_by_name[] = {
+  13,   /* field[13] = advice_decision_us */
+  14,   /* field[14] = advice_period_us */
   8,   /* field[8] = attempts_max */
   5,   /* field[5] = first_due_ms */
   6,   /* field[6] = interval_ms */
+  12,   /* field[12] = needs_advice */
   7,   /* field[7] = occurrence_count */
   1,   /* field[1] = pool */
+  9,   /* field[9] = priority */
   0,   /* field[0] = queue */
+  10,   /* field[10] = slack_factor */
   4,   /* field[4] = steps */
   2,   /* field[2] = submitted_ms */
+  11,   /* field[11] = target_us */
   3,   /* field[3] = text */
 };
 static const ProtobufCIntRange pl__job_submission__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor pl__job_submission__descriptor =
 {
@@ -761,7 +839,7 @@
   "Pl__JobSubmission",
   "pl",
   sizeof(Pl__JobSubmission),
-  9,
+  15,
   pl__job_submission__field_descriptors,
   pl__job_submission__field_indices_by_name,
   1,  pl__job_submission__number_ranges,
--- a/src/codec/proto/job.pb-c.h
+++ b/src/codec/proto/job.pb-c.h
@@ -70,10 +70,16 @@
   int64_t interval_ms;
   uint32_t occurrence_count;
   uint32_t attempts_max;
+  uint32_t priority;
+  double slack_factor;
+  int64_t target_us;
+  protobuf_c_boolean needs_advice;
+  int64_t advice_decision_us;
+  int64_t advice_period_us;
 };
 #define PL__JOB_SUBMISSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pl__job_submission__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pl__JobItem
--- a/src/jobs/apply.c
+++ b/src/jobs/apply.c
@@ -17,16 +17,26 @@
  * A job of a snapshot may have been submitted long before it was read. Since
  * wall clocks may step, a negative age counts as zero and a long one is capped.
  */
-static void set_age(struct apply *apply, const struct job_record *record)
+static void set_age(struct apply *apply, struct job *job)
+{
+	int64_t age_us = kernel_wall_us(apply->kernel) -
+			 job->submitted_ms * USEC_PER_MSEC;
+
+	job->first_seen_us =
+		kernel_now_us(apply->kernel) - CLAMP(age_us, 0, AGE_MAX_US);
+}
+
+static void apply_submitted(struct apply *apply,
+			    const struct job_record *record, bool snapshot)
 {
 	struct job *job =
 		job_table_find(kernel_jobs(apply->kernel), record->id);
-	int64_t age_us = kernel_wall_us(apply->kernel) -
-			 record->submitted_ms * USEC_PER_MSEC;
 
-	if (job)
-		job->first_seen_us = kernel_now_us(apply->kernel) -
-				     CLAMP(age_us, 0, AGE_MAX_US);
+	if (!job)
+		return;
+	job_update_policy(job, kernel_queues(apply->kernel));
+	if (snapshot)
+		set_age(apply, job);
 }
 
 static void apply_read(struct apply *apply, struct store_read *read)
@@ -41,9 +51,9 @@
 
 		job_table_apply(table, record, kernel_now_us(apply->kernel),
 				apply->held);
-		if (read->snapshot && !apply->held &&
-		    record->kind == JOB_RECORD_SUBMIT)
-			set_age(apply, record);
+		if (record->kind == JOB_RECORD_SUBMIT)
+			apply_submitted(apply, record,
+					read->snapshot && !apply->held);
 	}
 	applied.msg = g_rc_box_acquire(read);
 	kernel_emit_front(apply->kernel, &applied);
@@ -62,6 +72,8 @@
 	case EVENT_CONFIG_SEEN:
 		config = event->msg;
 		kernel_set_queues(apply->kernel, queues_ref(config->queues));
+		job_table_update_policies(kernel_jobs(apply->kernel),
+					  config->queues);
 		break;
 	default:
 		changed = event->msg;
--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -157,7 +157,7 @@
 	g_strlcpy(record->id, id, sizeof(record->id));
 	g_strlcpy(record->queue, queue->name, sizeof(record->queue));
 	g_strlcpy(record->pool, queue->pool, sizeof(record->pool));
-	record->attempts_max = queue->attempts_max;
+	record->policy = queue->policy;
 	record->submitted_ms = kernel_wall_us(callers->kernel) / USEC_PER_MSEC;
 	record->spec = job_spec_ref(call->spec);
 	add_pending(callers, call, record, PENDING_QUEUED, QUEUE_WAIT_MAX_US);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "core/types.h"
+#include "jobs/queues.h"
 
 #define JOB_ID_SIZE_BYTES 17 /* 16 hexadecimal digits and a NUL */
 #define JOB_STEPS_MAX_COUNT 64
@@ -131,8 +132,9 @@
 struct job {
 	char id[JOB_ID_SIZE_BYTES];
 	char queue[NAME_SIZE_BYTES];
-	char pool[NAME_SIZE_BYTES]; /* pool of the queue at submission */
-	uint32_t attempts_max;	    /* the same for its limit; 0: none */
+	/* Of the newest configuration read that has the queue */
+	char pool[NAME_SIZE_BYTES];
+	struct queue_policy policy;
 	struct job_spec *spec;
 	int64_t submitted_ms; /* wall clock of the accepting process */
 	/* When it was first read here, less its age in a snapshot. */
--- a/src/jobs/queues.c
+++ b/src/jobs/queues.c
@@ -15,6 +15,20 @@
 	g_free(queue);
 }
 
+static bool is_duration(int64_t value_us)
+{
+	return value_us >= 0 && value_us <= QUEUE_DURATION_MAX_US;
+}
+
+bool queue_policy_is_valid(const struct queue_policy *policy)
+{
+	return policy->slack_factor >= 0. &&
+	       policy->slack_factor <= SLACK_FACTOR_MAX &&
+	       is_duration(policy->target_us) &&
+	       is_duration(policy->advice_decision_us) &&
+	       is_duration(policy->advice_period_us);
+}
+
 struct queues *queues_new(void)
 {
 	struct queues *queues = g_rc_box_new0(struct queues);
--- a/src/jobs/queues.h
+++ b/src/jobs/queues.h
@@ -7,23 +7,35 @@
 
 #include "core/types.h"
 
-struct queue {
-	char name[NAME_SIZE_BYTES];
-	char host[256];
-	char *prefix; /* path prefix; ends with '/' */
-	char pool[NAME_SIZE_BYTES];
+/* Sums and small multiples of such durations fit into 64 bits. */
+#define QUEUE_DURATION_MAX_US (INT64_C(1) << 53)
+#define SLACK_FACTOR_MAX 1000.
+
+/*
+ * What a queue determines about its jobs. It is stored with each job, so that
+ * it outlives a route that a later configuration removes.
+ */
+struct queue_policy {
 	uint32_t priority;     /* 0 is the highest */
 	uint32_t attempts_max; /* of one work item; 0: no limit */
 	/* The objective is target_us + slack * time of the critical path. */
 	double slack_factor;
 	int64_t target_us;
-	int64_t timeout_us;
 	/* Items run only on workers for which the platform gives a ticket. */
 	bool needs_advice;
 	int64_t advice_decision_us; /* time of one answer */
 	int64_t advice_period_us;   /* extra time per worker asked about */
 };
 
+struct queue {
+	char name[NAME_SIZE_BYTES];
+	char host[256];
+	char *prefix; /* path prefix; ends with '/' */
+	char pool[NAME_SIZE_BYTES];
+	int64_t timeout_us;
+	struct queue_policy policy;
+};
+
 struct pool {
 	char name[NAME_SIZE_BYTES];
 	bool has_preconditions; /* its workers refuse items that do not fit */
@@ -49,6 +61,9 @@
 struct queue *queue_new(void);
 void queue_free(struct queue *queue);
 
+/* Whether the values are in range; they may come from the store. */
+bool queue_policy_is_valid(const struct queue_policy *policy);
+
 /* Takes ownership of a queue whose name, host and prefix are set. */
 void queues_add_queue(struct queues *queues, struct queue *queue);
 struct pool *queues_add_pool(struct queues *queues);
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -41,7 +41,7 @@
 	/* submit */
 	char queue[NAME_SIZE_BYTES];
 	char pool[NAME_SIZE_BYTES];
-	uint32_t attempts_max; /* of the queue at submission */
+	struct queue_policy policy; /* of the queue at submission */
 	int64_t submitted_ms;
 	struct job_spec *spec;
 	/* progress; drop: the number of segments of the job */
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -29,19 +29,6 @@
 	sched->placement_requested = true;
 }
 
-const struct queue *sched_queue(const struct sched *sched,
-				const struct job *job)
-{
-	return queues_find(kernel_queues(sched->kernel), job->queue);
-}
-
-const char *sched_pool(const struct sched *sched, const struct job *job)
-{
-	const struct queue *queue = sched_queue(sched, job);
-
-	return queue ? queue->pool : job->pool;
-}
-
 struct job *sched_find_item(const struct sched *sched, const char *name,
 			    uint32_t *index)
 {
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -238,11 +238,6 @@
 int64_t sched_now_us(const struct sched *sched);
 void sched_request_placement(struct sched *sched);
 void sched_wake_at(struct sched *sched, int64_t deadline_us);
-const struct queue *sched_queue(const struct sched *sched,
-				const struct job *job);
-
-/* Name of the pool whose workers run a job. */
-const char *sched_pool(const struct sched *sched, const struct job *job);
 
 /* Finds an item by its name; returns its job, or NULL if it is unknown. */
 struct job *sched_find_item(const struct sched *sched, const char *name,
@@ -421,8 +416,11 @@
 char *advice_ticket(const struct sched *sched, const struct job *job,
 		    uint32_t index, const struct worker *worker);
 
-/* Drops a ticket that the worker has refused. */
-void advice_refused(struct sched *sched, const struct job *job, uint32_t index,
+/*
+ * Drops a ticket that the worker has refused. If none was sent, the refusal
+ * shows that the job needs advice.
+ */
+void advice_refused(struct sched *sched, struct job *job, uint32_t index,
 		    const struct worker *worker);
 
 /* Drops all advice on a worker that is gone. */
--- a/src/jobs/sched_advice.c
+++ b/src/jobs/sched_advice.c
@@ -47,11 +47,10 @@
 struct step_advice *advice_get(struct sched *sched, const struct job *job,
 			       uint32_t occurrence, uint32_t step)
 {
-	const struct queue *queue = sched_queue(sched, job);
 	struct step_advice *advice;
 	char name[NAME_SIZE_BYTES];
 
-	if (!queue || !queue->needs_advice)
+	if (!job->policy.needs_advice)
 		return NULL;
 	job_step_name(job, occurrence, step, name, sizeof(name));
 	advice = g_hash_table_lookup(sched->advice, name);
@@ -103,7 +102,6 @@
 		uint32_t step, const GPtrArray *workers)
 {
 	struct step_advice *advice = advice_get(sched, job, occurrence, step);
-	const struct queue *queue = sched_queue(sched, job);
 	GPtrArray *candidates;
 	struct advice *msg;
 
@@ -127,8 +125,8 @@
 		g_ptr_array_add(
 			msg->workers,
 			(gpointer)((struct worker *)candidates->pdata[i])->id);
-	msg->timeout_us = queue->advice_decision_us +
-			  queue->advice_period_us * msg->workers->len +
+	msg->timeout_us = job->policy.advice_decision_us +
+			  job->policy.advice_period_us * msg->workers->len +
 			  RESPONSE_SLACK_US;
 	msg->asked_us = sched_now_us(sched);
 	sched->advice_pending = true;
@@ -201,13 +199,16 @@
 	return ticket ? g_strdup(ticket->text) : NULL;
 }
 
-void advice_refused(struct sched *sched, const struct job *job, uint32_t index,
+void advice_refused(struct sched *sched, struct job *job, uint32_t index,
 		    const struct worker *worker)
 {
-	struct step_advice *advice = find_item_advice(sched, job, index);
+	struct step_advice *advice;
 
-	if (!advice)
-		return;
+	/* The record of a job may not say so if an earlier version stored it.
+	 */
+	job->policy.needs_advice = true;
+	advice = advice_get(sched, job, job_item_occurrence(job, index),
+			    job_item_step(job, index));
 	g_hash_table_remove(advice->tickets, worker->id);
 	advice->retry_us = sched_now_us(sched) + RETRY_DELAY_US;
 	sched_wake_at(sched, advice->retry_us);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -350,20 +350,16 @@
 static void handle_failure(struct sched *sched, struct job *job, uint32_t index)
 {
 	const struct job_step *step = job_step(job, job_item_step(job, index));
-	const struct queue *queue = sched_queue(sched, job);
 	struct job_item *item = job_item(job, index);
 
-	/* The limit of a queue that is removed later still holds. */
-	if (queue)
-		job->attempts_max = queue->attempts_max;
 	item->failed_count++;
 	item->retry_us = sched_now_us(sched) +
 			 (step->long_running
 				  ? LONG_RUNNING_RETRY_US
 				  : FAILED_RETRY_STEP_US * item->failed_count);
 	sched_wake_at(sched, item->retry_us);
-	if (job->attempts_max && !step->long_running &&
-	    item->failed_count >= job->attempts_max &&
+	if (job->policy.attempts_max && !step->long_running &&
+	    item->failed_count >= job->policy.attempts_max &&
 	    job->next_state < JOB_COMPLETE)
 		fail_job(sched, job);
 }
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -189,7 +189,7 @@
 
 		if (job->next_state >= JOB_COMPLETE || job->cancelled)
 			continue;
-		load = pool_load_get(sched, sched_pool(sched, job));
+		load = pool_load_get(sched, job->pool);
 		job_update_objective(sched, job);
 		add_job_load(job, load);
 		if (now_us - job->first_seen_us < ARRIVAL_WINDOW_US)
--- a/src/jobs/sched_objective.c
+++ b/src/jobs/sched_objective.c
@@ -27,12 +27,8 @@
 static int64_t compute_objective_us(const struct sched *sched,
 				    const struct job *job)
 {
-	const struct queue *queue = sched_queue(sched, job);
-
-	if (!queue)
-		return job->first_seen_us;
-	return job->first_seen_us + queue->target_us +
-	       (int64_t)(queue->slack_factor *
+	return job->first_seen_us + job->policy.target_us +
+	       (int64_t)(job->policy.slack_factor *
 			 (double)critical_path_us(sched, job, false));
 }
 
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -48,12 +48,11 @@
 
 static void add_candidate(struct pass *pass, struct job *job)
 {
-	const struct queue *queue = sched_queue(pass->sched, job);
 	struct candidate candidate = {
 		.job = job,
-		.pool = sched_pool(pass->sched, job),
+		.pool = job->pool,
 		.long_running = job_step(job, 0)->long_running,
-		.priority = queue ? queue->priority : 0,
+		.priority = job->policy.priority,
 	};
 
 	if (!job->objective_us)
--- a/src/jobs/table.c
+++ b/src/jobs/table.c
@@ -69,6 +69,27 @@
 	job->ended_us = now_us;
 }
 
+void job_update_policy(struct job *job, const struct queues *queues)
+{
+	const struct queue *queue = queues_find(queues, job->queue);
+
+	if (!queue)
+		return;
+	g_strlcpy(job->pool, queue->pool, sizeof(job->pool));
+	job->policy = queue->policy;
+}
+
+void job_table_update_policies(struct job_table *table,
+			       const struct queues *queues)
+{
+	GHashTableIter iter;
+	gpointer job;
+
+	g_hash_table_iter_init(&iter, table->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &job))
+		job_update_policy(job, queues);
+}
+
 static void apply_submit(struct job_table *table,
 			 const struct job_record *record, int64_t now_us)
 {
@@ -79,7 +100,7 @@
 	job = job_new(record->id, record->spec);
 	g_strlcpy(job->queue, record->queue, sizeof(job->queue));
 	g_strlcpy(job->pool, record->pool, sizeof(job->pool));
-	job->attempts_max = record->attempts_max;
+	job->policy = record->policy;
 	job->submitted_ms = record->submitted_ms;
 	job->submit_offset = record->offset;
 	job->first_seen_us = now_us;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -25,6 +25,14 @@
 
 struct job *job_table_find(const struct job_table *table, const char *id);
 
+/*
+ * Takes over what a configuration says of a job, or of all jobs. A job whose
+ * queue is not in it keeps what is known.
+ */
+void job_update_policy(struct job *job, const struct queues *queues);
+void job_table_update_policies(struct job_table *table,
+			       const struct queues *queues);
+
 /* Id -> struct job; read-only. */
 GHashTable *job_table_all(const struct job_table *table);
 
--- a/test/fuzz/config.c
+++ b/test/fuzz/config.c
@@ -7,11 +7,11 @@
 {
 	fuzz_check(queue->name[0] && queue->host[0] && queue->pool[0],
 		   "a queue has a name, a host and a pool");
-	fuzz_check(queue->target_us >= 0 && queue->timeout_us >= 0 &&
-			   queue->advice_decision_us >= 0 &&
-			   queue->advice_period_us >= 0,
+	fuzz_check(queue->policy.target_us >= 0 && queue->timeout_us >= 0 &&
+			   queue->policy.advice_decision_us >= 0 &&
+			   queue->policy.advice_period_us >= 0,
 		   "durations are positive");
-	fuzz_check(queue->slack_factor >= 0., "the slack is positive");
+	fuzz_check(queue->policy.slack_factor >= 0., "the slack is positive");
 }
 
 static void run(const uint8_t *data, size_t size_bytes)
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -228,7 +228,7 @@
 	for (guint i = 0; i < jobs->queues->queues->len; i++) {
 		const struct queue *queue = jobs->queues->queues->pdata[i];
 
-		if (!strcmp(queue->pool, pool) && queue->needs_advice)
+		if (!strcmp(queue->pool, pool) && queue->policy.needs_advice)
 			return true;
 	}
 	return false;
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -34,11 +34,12 @@
 	g_strlcpy(queue->host, "h", sizeof(queue->host));
 	queue->prefix = g_strdup_printf("/%s/", queue->name);
 	script_copy_option(script, "pool", queue->pool, sizeof(queue->pool));
-	queue->attempts_max = (uint32_t)script_number(script, "attempts", 3);
-	queue->priority = (uint32_t)script_number(script, "priority", 0);
-	queue->needs_advice = script_number(script, "advice", 0);
-	queue->slack_factor = 1.6;
-	queue->target_us =
+	queue->policy.attempts_max =
+		(uint32_t)script_number(script, "attempts", 3);
+	queue->policy.priority = (uint32_t)script_number(script, "priority", 0);
+	queue->policy.needs_advice = script_number(script, "advice", 0);
+	queue->policy.slack_factor = 1.6;
+	queue->policy.target_us =
 		script_option_us(script, "target", 600 * USEC_PER_MSEC);
 	queues_add_queue(script_jobs(script)->queues, queue);
 }
--- a/test/unit/job_record.c
+++ b/test/unit/job_record.c
@@ -3,6 +3,7 @@
  * for, or that exceed the limit of the store.
  */
 
+#include <math.h>
 #include <string.h>
 
 #include "codec/job_codec.h"
@@ -244,6 +245,83 @@
 	g_strfreev(keys);
 }
 
+static struct job_record *new_submission(void)
+{
+	struct job_record *record = job_record_new(JOB_RECORD_SUBMIT);
+
+	g_strlcpy(record->id, "00000000000000a1", sizeof(record->id));
+	record->spec = new_spec(1);
+	record->policy = (struct queue_policy){
+		.priority = 2,
+		.attempts_max = 4,
+		.slack_factor = 2.5,
+		.target_us = 600000,
+		.needs_advice = true,
+		.advice_decision_us = 30000,
+		.advice_period_us = 4000,
+	};
+	return record;
+}
+
+/*
+ * Guards against stored jobs that lack what their queue says of them: it is
+ * known from nowhere else once the queue is removed.
+ */
+static void test_record_policy(void)
+{
+	struct job_record *record = new_submission();
+	GBytes *value = job_codec_encode(record);
+	struct job_record *read = read_back("j/00000000000000a1", value);
+
+	CU_ASSERT_EQUAL(read->policy.priority, 2);
+	CU_ASSERT_EQUAL(read->policy.attempts_max, 4);
+	CU_ASSERT_EQUAL(read->policy.slack_factor, 2.5);
+	CU_ASSERT_EQUAL(read->policy.target_us, 600000);
+	CU_ASSERT_TRUE(read->policy.needs_advice);
+	CU_ASSERT_EQUAL(read->policy.advice_decision_us, 30000);
+	CU_ASSERT_EQUAL(read->policy.advice_period_us, 4000);
+	job_record_unref(read);
+	g_bytes_unref(value);
+	job_record_unref(record);
+}
+
+static bool policy_is_decoded(const struct queue_policy *policy)
+{
+	struct job_record *record = new_submission();
+	struct job_record *read;
+	GBytes *value;
+
+	record->policy = *policy;
+	value = job_codec_encode(record);
+	read = job_codec_decode("j/00000000000000a1",
+				g_bytes_get_data(value, NULL),
+				g_bytes_get_size(value));
+	g_bytes_unref(value);
+	job_record_unref(record);
+	if (!read)
+		return false;
+	job_record_unref(read);
+	return true;
+}
+
+/* Guards against overflows by times and factors of a damaged record. */
+static void test_record_policy_range(void)
+{
+	static const struct queue_policy invalid[] = {
+		{ .slack_factor = NAN },
+		{ .slack_factor = -1. },
+		{ .slack_factor = 2 * SLACK_FACTOR_MAX },
+		{ .target_us = -1 },
+		{ .target_us = QUEUE_DURATION_MAX_US + 1 },
+		{ .advice_decision_us = INT64_MAX },
+		{ .advice_period_us = INT64_MIN },
+	};
+
+	CU_ASSERT_TRUE(policy_is_decoded(&(struct queue_policy){ 0 }));
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++)
+		CU_ASSERT_FALSE(policy_is_decoded(&invalid[i]));
+}
+
 static const CU_TestInfo tests[] = {
 	{ "record", test_record },
 	{ "record of each segment", test_record_segments },
@@ -251,6 +329,8 @@
 	{ "record of machines", test_record_machines },
 	{ "record of a claim", test_record_claim },
 	{ "record of an entry instance", test_record_entry },
+	{ "record of a submission", test_record_policy },
+	{ "submission out of range", test_record_policy_range },
 	CU_TEST_INFO_NULL,
 };
 
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -151,7 +151,7 @@
 		return;
 	CU_ASSERT_EQUAL(queues->version, 7);
 	CU_ASSERT_TRUE(queues_pool(queues, "p")->standby);
-	CU_ASSERT_EQUAL(queues_find(queues, "r")->target_us, 600000);
+	CU_ASSERT_EQUAL(queues_find(queues, "r")->policy.target_us, 600000);
 	CU_ASSERT_STRING_EQUAL(
 		queues_route(queues, "h.example:80", "/a/b/c", &rest)->name,
 		"s");
