Measure the demand of a pool in memory and accelerators too

Cause: workers are closed by the demand in cores, by which two were enough. What may use a closed worker was a list of what a step needs besides cores; memory was missing in it.

Change: the load of a pool is measured for cores, memory and accelerators, and the scarcest of them gives the number of machines. As a sum hides pieces that are too small, an item may also use a closed worker if an open one has the cores for it but lacks anything else. Workers that are closed as surplus are asked about, where a step needs advice and no open worker may run it: such a step waited without end.

--- a/src/jobs/parking_demand.c
+++ b/src/jobs/parking_demand.c
@@ -10,8 +10,8 @@
 #include "kernel/decision_log.h"
 #include "kernel/plugin.h"
 
-/* Usable share of a machine's cores; placement never fills all of them. */
-#define USABLE_CPU_PERCENT 90
+/* Usable share of a machine; placement never fills all of it. */
+#define USABLE_PERCENT 90
 /* Spare machines added to the need of each pool. */
 #define SPARE_COUNT 1
 /* An empty machine moves to a standby pool this long after it was closed. */
@@ -74,15 +74,37 @@
 	}
 }
 
+static void add_capacity(const struct worker *worker,
+			 struct resources *capacity)
+{
+	const struct resources amounts = {
+		.amounts = {
+			[RESOURCE_CPU_MILLI] = worker->cpu_milli,
+			[RESOURCE_MEM_MB] = worker->mem_mb,
+			[RESOURCE_GPU_COUNT] = worker->gpu_count,
+		},
+	};
+
+	resources_add(capacity, &amounts, 1);
+}
+
+/* Workers of a pool, or of all pools, and what they have together. */
+struct pool_capacity {
+	struct resources total;
+	uint32_t workers_count;
+};
+
 /*
- * CPU of a machine of this pool. The machines of a pool are alike; for a pool
- * without a worker, any other machine serves as an estimate.
+ * For a pool without a worker, the workers of all pools serve as an estimate of
+ * a machine.
  */
-static uint32_t machine_cpu_milli(const struct sched *sched, const char *pool)
+static struct pool_capacity measure_capacity(const struct sched *sched,
+					     const char *pool)
 {
+	struct pool_capacity own = { 0 };
+	struct pool_capacity all = { 0 };
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t any_milli = 0;
 
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -90,17 +112,35 @@
 
 		if (!worker->cpu_milli)
 			continue;
-		any_milli = worker->cpu_milli;
-		if (!strcmp(worker->pool, pool))
-			return any_milli;
+		add_capacity(worker, &all.total);
+		all.workers_count++;
+		if (strcmp(worker->pool, pool) != 0)
+			continue;
+		add_capacity(worker, &own.total);
+		own.workers_count++;
 	}
-	return any_milli;
+	return own.workers_count ? own : all;
 }
 
-static uint32_t machines_needed(uint64_t work_milli, uint64_t usable_milli)
+/* Machines for some work, by the resource that needs most of them. */
+static uint32_t machines_needed(const struct resources *work,
+				const struct pool_capacity *capacity)
 {
-	return (uint32_t)((work_milli + usable_milli - 1) / usable_milli) +
-	       SPARE_COUNT;
+	uint64_t most_count = 0;
+
+	for (uint32_t i = 0; i < RESOURCE_COUNT; i++) {
+		uint64_t usable =
+			capacity->total.amounts[i] * USABLE_PERCENT / 100;
+		uint64_t count;
+
+		if (!usable)
+			continue;
+		count = (work->amounts[i] * capacity->workers_count + usable -
+			 1) /
+			usable;
+		most_count = MAX(most_count, count);
+	}
+	return (uint32_t)most_count + SPARE_COUNT;
 }
 
 static void compute_needs(struct sched *sched)
@@ -112,19 +152,17 @@
 	g_hash_table_iter_init(&iter, sched->loads);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		struct pool_load *load = value;
-		uint64_t usable_milli =
-			(uint64_t)machine_cpu_milli(sched, name) *
-			USABLE_CPU_PERCENT / 100;
+		struct pool_capacity capacity = measure_capacity(sched, name);
 
 		load->standby = is_standby(sched, name);
-		if (load->standby || !usable_milli)
+		if (load->standby || !capacity.workers_count)
 			continue;
 		load->need_count =
-			machines_needed(load->need_milli, usable_milli);
+			machines_needed(&load->need.amount, &capacity);
 		load->on_time_count =
-			machines_needed(load->on_time_milli, usable_milli);
+			machines_needed(&load->on_time.amount, &capacity);
 		load->min_count =
-			machines_needed(load->long_running_milli, usable_milli);
+			machines_needed(&load->long_running, &capacity);
 		/* Placement limits may need more machines than the CPU does. */
 		if (load->unplaced_count)
 			load->need_count =
@@ -384,6 +422,11 @@
 	}
 }
 
+static uint64_t cores(const struct resources *load)
+{
+	return load->amounts[RESOURCE_CPU_MILLI] / 1000;
+}
+
 /* Logs the inputs of the decisions above, at most once a second. */
 static void log_loads(struct sched *sched)
 {
@@ -403,11 +446,15 @@
 			"pool=%s have=%u need=%u running=%" G_GUINT64_FORMAT
 			" ready=%" G_GUINT64_FORMAT
 			" lasting=%" G_GUINT64_FORMAT " late=%" G_GUINT64_FORMAT
-			" arriving=%" G_GUINT64_FORMAT,
+			" arriving=%" G_GUINT64_FORMAT
+			" need_mem_mb=%" G_GUINT64_FORMAT
+			" need_gpus=%" G_GUINT64_FORMAT,
 			(const char *)name, load->have_count, load->need_count,
-			load->running_milli / 1000, load->ready_milli / 1000,
-			load->long_running_milli / 1000,
-			load->late_milli / 1000, load->arriving_milli / 1000);
+			cores(&load->running), cores(&load->ready),
+			cores(&load->long_running), cores(&load->late),
+			cores(&load->arriving),
+			load->need.amount.amounts[RESOURCE_MEM_MB],
+			load->need.amount.amounts[RESOURCE_GPU_COUNT]);
 	}
 }
 
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -10,6 +10,7 @@
 
 #include "jobs/lease.h"
 #include "jobs/msg.h"
+#include "jobs/resources.h"
 #include "kernel/kernel.h"
 
 /* A work item that is placed on a worker. */
@@ -206,20 +207,18 @@
 	int64_t next_loads_log_us;
 };
 
-/* Load of a pool, in thousandths of a core. */
+/* Load of a pool. */
 struct pool_load {
-	uint64_t running_milli; /* placed items that are not long-running */
-	uint64_t ready_milli;	/* items that could start but are not placed */
-	uint64_t long_running_milli;
-	uint32_t unplaced_count; /* long-running items on no worker */
-	uint64_t arriving_milli; /* recent arrival rate of work */
-	uint64_t burst_milli;	 /* the same over a shorter window */
-	uint32_t burst_count;	 /* jobs in that window */
-	uint64_t late_milli;	 /* part of running and ready that is late */
-	uint64_t need_milli;	 /* recent peak of the need */
-	int64_t need_us;	 /* time of that peak */
-	uint64_t on_time_milli;	 /* the same peak without late work */
-	int64_t on_time_us;	 /* time of that peak */
+	struct resources running; /* placed items that are not long-running */
+	struct resources ready; /* items that could start but are not placed */
+	struct resources long_running;
+	uint32_t unplaced_count;    /* long-running items on no worker */
+	struct resources arriving;  /* recent arrival rate of work */
+	struct resources burst;	    /* the same over a shorter window */
+	uint32_t burst_count;	    /* jobs in that window */
+	struct resources late;	    /* part of running and ready that is late */
+	struct resources_peak need; /* recent peak of the need */
+	struct resources_peak on_time; /* the same without late work */
 	/* Set by the parking policy */
 	uint32_t have_count;	/* machines in the pool or moving to it */
 	uint32_t need_count;	/* reduced if there are too few for all pools */
@@ -408,8 +407,15 @@
 bool advice_allows(const struct sched *sched, const struct step_advice *advice,
 		   const struct worker *worker);
 
-/* Asks about those of the workers (struct worker) that lack an answer. */
-void advice_ask(struct sched *sched, const struct job *job, uint32_t occurrence,
+/* Whether the answer was that this worker may not run the step. */
+bool advice_forbids(const struct step_advice *advice,
+		    const struct worker *worker);
+
+/*
+ * Asks about those of the workers (struct worker) that lack an answer. Returns
+ * false if none does.
+ */
+bool advice_ask(struct sched *sched, const struct job *job, uint32_t occurrence,
 		uint32_t step, const GPtrArray *workers);
 
 /* Ticket for a start order; NULL if there is none. Caller frees. */
--- a/src/jobs/sched_advice.c
+++ b/src/jobs/sched_advice.c
@@ -77,6 +77,15 @@
 	       is_valid(ticket, sched_now_us(sched) + TICKET_MARGIN_US);
 }
 
+bool advice_forbids(const struct step_advice *advice,
+		    const struct worker *worker)
+{
+	const struct ticket *ticket =
+		g_hash_table_lookup(advice->tickets, worker->id);
+
+	return ticket && !ticket->text;
+}
+
 static bool needs_request(const struct sched *sched,
 			  const struct step_advice *advice,
 			  const struct worker *worker)
@@ -98,7 +107,7 @@
 	return strcmp(left->id, right->id);
 }
 
-void advice_ask(struct sched *sched, const struct job *job, uint32_t occurrence,
+bool advice_ask(struct sched *sched, const struct job *job, uint32_t occurrence,
 		uint32_t step, const GPtrArray *workers)
 {
 	struct step_advice *advice = advice_get(sched, job, occurrence, step);
@@ -107,7 +116,7 @@
 
 	/* The service handles one request of an entry instance at a time. */
 	if (sched->advice_pending || advice->retry_us > sched_now_us(sched))
-		return;
+		return true;
 	candidates = g_ptr_array_new();
 	for (guint i = 0; i < workers->len; i++) {
 		if (needs_request(sched, advice, workers->pdata[i]))
@@ -115,7 +124,7 @@
 	}
 	if (!candidates->len) {
 		g_ptr_array_unref(candidates);
-		return;
+		return false;
 	}
 	g_ptr_array_sort(candidates, compare_load);
 	msg = advice_new();
@@ -132,6 +141,7 @@
 	sched->advice_pending = true;
 	g_ptr_array_unref(candidates);
 	kernel_emit_msg(sched->kernel, EVENT_ADVICE_REQUEST, msg);
+	return true;
 }
 
 static void store_tickets(struct step_advice *advice, const struct advice *msg,
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -68,24 +68,25 @@
 {
 	const struct job_step *step = job_step(job, index);
 	const struct step_count *count = job_step_count(job, occurrence, index);
-	uint64_t placed_milli =
-		(uint64_t)step->cpu_milli * (count->left - count->waiting);
-	uint64_t ready_milli = 0;
+	uint32_t placed_count = count->left - count->waiting;
+	uint32_t ready_count =
+		job_step_is_ready(job, occurrence, index) ? count->waiting : 0;
+	struct resources item = resources_of_step(step);
 
-	if (step->filler || !count->left)
+	if (!count->left)
 		return;
+	/* Fillers use cores that other items leave, but memory of their own. */
+	if (step->filler)
+		item.amounts[RESOURCE_CPU_MILLI] = 0;
 	if (step->long_running) {
-		load->unplaced_count += count->waiting;
-		load->long_running_milli +=
-			(uint64_t)step->cpu_milli * count->left;
+		load->unplaced_count += step->filler ? 0 : count->waiting;
+		resources_add(&load->long_running, &item, count->left);
 		return;
 	}
-	if (job_step_is_ready(job, occurrence, index))
-		ready_milli = (uint64_t)step->cpu_milli * count->waiting;
-	load->running_milli += placed_milli;
-	load->ready_milli += ready_milli;
+	resources_add(&load->running, &item, placed_count);
+	resources_add(&load->ready, &item, ready_count);
 	if (job->late)
-		load->late_milli += placed_milli + ready_milli;
+		resources_add(&load->late, &item, placed_count + ready_count);
 }
 
 static void add_job_load(const struct job *job, struct pool_load *load)
@@ -96,17 +97,21 @@
 	}
 }
 
-/* Work of a whole job, in thousandths of a core times microseconds. */
-static uint64_t job_work(const struct sched *sched, const struct job *job)
+/* Work of a whole job: what its items take, times microseconds. */
+static struct resources job_work(const struct sched *sched,
+				 const struct job *job)
 {
-	uint64_t work = 0;
+	struct resources work = { 0 };
 
 	for (uint32_t i = 0; i < job->spec->steps->len; i++) {
 		const struct job_step *step = job_step(job, i);
+		struct resources item = resources_of_step(step);
 
 		if (!step->long_running)
-			work += (uint64_t)step->cpu_milli * step->item_count *
-				(uint64_t)step_estimate_us(sched, job, i);
+			resources_add(&work, &item,
+				      step->item_count *
+					      (uint64_t)step_estimate_us(
+						      sched, job, i));
 	}
 	return work;
 }
@@ -114,17 +119,20 @@
 static void add_arrival(const struct sched *sched, const struct job *job,
 			struct pool_load *load, int64_t now_us)
 {
-	uint64_t work = job_work(sched, job);
+	struct resources work = job_work(sched, job);
+	struct resources rate = resources_divide(&work, ARRIVAL_WINDOW_US);
 
-	load->arriving_milli += work / ARRIVAL_WINDOW_US;
+	resources_add(&load->arriving, &rate, 1);
 	if (now_us - job->first_seen_us >= BURST_WINDOW_US)
 		return;
-	load->burst_milli += work / BURST_WINDOW_US;
+	rate = resources_divide(&work, BURST_WINDOW_US);
+	resources_add(&load->burst, &rate, 1);
 	load->burst_count++;
 }
 
 static void reset_loads(struct sched *sched)
 {
+	static const struct resources none;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -132,26 +140,25 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_load *load = value;
 
-		load->running_milli = 0;
-		load->ready_milli = 0;
-		load->long_running_milli = 0;
-		load->late_milli = 0;
+		load->running = none;
+		load->ready = none;
+		load->long_running = none;
+		load->late = none;
 		load->unplaced_count = 0;
-		load->arriving_milli = 0;
-		load->burst_milli = 0;
+		load->arriving = none;
+		load->burst = none;
 		load->burst_count = 0;
 	}
 }
 
-/* Keeps a peak until it is exceeded or too old. */
-static void update_peak(uint64_t need_milli, int64_t now_us,
-			uint64_t *peak_milli, int64_t *peak_us)
+/* Long-running work, and the larger of what is there and what arrives. */
+static struct resources total_need(const struct pool_load *load,
+				   const struct resources *work)
 {
-	if (need_milli < *peak_milli &&
-	    now_us - *peak_us <= NEED_PEAK_WINDOW_US)
-		return;
-	*peak_milli = need_milli;
-	*peak_us = now_us;
+	struct resources need = resources_max(work, &load->arriving);
+
+	resources_add(&need, &load->long_running, 1);
+	return need;
 }
 
 static void compute_needs(struct sched *sched, int64_t now_us)
@@ -162,19 +169,21 @@
 	g_hash_table_iter_init(&iter, sched->loads);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_load *load = value;
-		uint64_t work_milli = load->running_milli + load->ready_milli;
+		struct resources work = load->running;
+		struct resources need;
 
 		/* The shorter window shows first that a queue becomes busy. */
 		if (load->burst_count >= BURST_MIN_COUNT)
-			load->arriving_milli =
-				MAX(load->arriving_milli, load->burst_milli);
-		update_peak(load->long_running_milli +
-				    MAX(work_milli, load->arriving_milli),
-			    now_us, &load->need_milli, &load->need_us);
-		update_peak(load->long_running_milli +
-				    MAX(work_milli - load->late_milli,
-					load->arriving_milli),
-			    now_us, &load->on_time_milli, &load->on_time_us);
+			load->arriving =
+				resources_max(&load->arriving, &load->burst);
+		resources_add(&work, &load->ready, 1);
+		need = total_need(load, &work);
+		resources_peak_update(&load->need, &need, now_us,
+				      NEED_PEAK_WINDOW_US);
+		resources_subtract(&work, &load->late);
+		need = total_need(load, &work);
+		resources_peak_update(&load->on_time, &need, now_us,
+				      NEED_PEAK_WINDOW_US);
 	}
 }
 
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -42,7 +42,10 @@
 	const struct step_advice *advice; /* of the step; NULL: needs none */
 	const char *failed_worker; /* where the item failed last, or NULL */
 	bool limits_starts; /* workers with a full start queue are left out */
-	bool starts_queue_was_full; /* a worker was left out for this item */
+	/* A worker was left out for this item that may take it soon. */
+	bool waits_for_worker;
+	/* A worker has the cores for this item, but not all that it needs. */
+	bool lacks_more_than_cores;
 	struct placement_stats stats;
 };
 
@@ -146,12 +149,16 @@
 	return false;
 }
 
+static bool has_cores(const struct worker *worker, const struct job_step *step)
+{
+	return step->filler ||
+	       worker->used_cpu_milli + step->cpu_milli <= worker->cpu_milli;
+}
+
 static bool fits(const struct worker *worker, const struct job_step *step)
 {
-	if (!step->filler &&
-	    worker->used_cpu_milli + step->cpu_milli > worker->cpu_milli)
-		return false;
-	return worker->used_mem_mb + step->mem_mb <= worker->mem_mb &&
+	return has_cores(worker, step) &&
+	       worker->used_mem_mb + step->mem_mb <= worker->mem_mb &&
 	       worker->used_gpu_count + step->gpu_count <= worker->gpu_count;
 }
 
@@ -251,6 +258,22 @@
 	return value;
 }
 
+/* Whether a worker has the room, the label and no advice against it. */
+static bool is_suitable(const struct pass *pass, const struct worker *worker,
+			const struct job_step *step)
+{
+	return fits(worker, step) && has_label(worker, step->label) &&
+	       !(pass->advice && advice_forbids(pass->advice, worker));
+}
+
+/* Whether a suitable worker can't be used now, but may be soon. */
+static bool must_wait(const struct pass *pass, const struct worker *worker)
+{
+	return (pass->limits_starts && starts_queue_is_full(worker)) ||
+	       (pass->advice &&
+		!advice_allows(pass->sched, pass->advice, worker));
+}
+
 static struct worker *choose_from(struct pass *pass, const GPtrArray *workers,
 				  const struct job *job, uint32_t occurrence,
 				  uint32_t index)
@@ -265,15 +288,16 @@
 		struct neighbours neighbours = { 0 };
 		int64_t value;
 
-		if (!fits(worker, step) || !has_label(worker, step->label))
+		if (!has_cores(worker, step))
 			continue;
-		if (pass->limits_starts && starts_queue_is_full(worker)) {
-			pass->starts_queue_was_full = true;
+		if (!is_suitable(pass, worker, step)) {
+			pass->lacks_more_than_cores = true;
 			continue;
 		}
-		if (pass->advice &&
-		    !advice_allows(pass->sched, pass->advice, worker))
+		if (must_wait(pass, worker)) {
+			pass->waits_for_worker = true;
 			continue;
+		}
 		if (needs_neighbours(step))
 			neighbours = count_neighbours(worker, job, occurrence,
 						      index);
@@ -300,13 +324,16 @@
 }
 
 /*
- * Whether workers with enough cores may lack something else that the step
- * needs. The demand by which workers are closed as surplus counts cores only.
+ * Whether a worker that is closed as surplus may be used for a step that found
+ * no open one. Waiting for cores alone is no reason: the parking policy reopens
+ * workers for these, or leaves them to other pools.
  */
-static bool needs_more_than_cores(const struct job_step *step)
+static bool may_use_surplus(const struct pass *pass,
+			    const struct job_step *step)
 {
-	return step->long_running || step->label[0] || step->max_per_worker ||
-	       step->gpu_count || step->gang;
+	return pass->lacks_more_than_cores || step->long_running ||
+	       step->label[0] || step->max_per_worker || step->gpu_count ||
+	       step->gang;
 }
 
 /* Whether a step that needs the same or less found no room in this pass. */
@@ -322,28 +349,15 @@
 	       step->gpu_count >= rejected->gpu_count;
 }
 
-static struct worker *choose_worker(struct pass *pass, const char *pool,
-				    const struct job *job, uint32_t occurrence,
-				    uint32_t index)
+/* Opens a worker that was closed as surplus for a step, if one has room. */
+static struct worker *reopen_surplus(struct pass *pass, const char *pool,
+				     const struct job *job, uint32_t occurrence,
+				     uint32_t index)
 {
-	const struct job_step *step = job_step(job, index);
-	struct worker *worker;
-	GPtrArray *surplus;
+	GPtrArray *surplus = surplus_workers(pass, pool);
+	struct worker *worker =
+		choose_from(pass, surplus, job, occurrence, index);
 
-	if (!step->long_running && pool_is_full_for(pass, pool, step))
-		return NULL;
-	pass->starts_queue_was_full = false;
-	worker = choose_from(pass, pool_workers(pass, pool), job, occurrence,
-			     index);
-	if (!worker && pass->starts_queue_was_full)
-		return NULL;
-	if (!worker && needs_capacity_only(pass, step))
-		g_hash_table_insert(pass->full_pools, (gpointer)pool,
-				    (gpointer)step);
-	if (worker || !needs_more_than_cores(step))
-		return worker;
-	surplus = surplus_workers(pass, pool);
-	worker = choose_from(pass, surplus, job, occurrence, index);
 	if (!worker)
 		return NULL;
 	worker->cordon = CORDON_NONE;
@@ -352,6 +366,29 @@
 	return worker;
 }
 
+static struct worker *choose_worker(struct pass *pass, const char *pool,
+				    const struct job *job, uint32_t occurrence,
+				    uint32_t index)
+{
+	const struct job_step *step = job_step(job, index);
+	bool full = !step->long_running && pool_is_full_for(pass, pool, step);
+	struct worker *worker = NULL;
+
+	pass->waits_for_worker = false;
+	pass->lacks_more_than_cores = false;
+	if (!full)
+		worker = choose_from(pass, pool_workers(pass, pool), job,
+				     occurrence, index);
+	if (worker || pass->waits_for_worker)
+		return worker;
+	if (may_use_surplus(pass, step))
+		worker = reopen_surplus(pass, pool, job, occurrence, index);
+	if (!worker && !full && needs_capacity_only(pass, step))
+		g_hash_table_insert(pass->full_pools, (gpointer)pool,
+				    (gpointer)step);
+	return worker;
+}
+
 static void place_items(struct pass *pass, const struct candidate *candidate,
 			uint32_t occurrence, uint32_t index)
 {
@@ -415,20 +452,37 @@
 		item_release(pass->sched, job, first + i, "gang-incomplete");
 }
 
-static void request_advice(struct pass *pass, const struct candidate *candidate,
-			   uint32_t occurrence, uint32_t index)
+/* Returns false if nothing needs to be asked about these workers. */
+static bool request_advice_from(struct pass *pass,
+				const struct candidate *candidate,
+				uint32_t occurrence, uint32_t index,
+				const GPtrArray *workers)
 {
 	const struct job_step *step = job_step(candidate->job, index);
-	const GPtrArray *workers = pool_workers(pass, candidate->pool);
 	GPtrArray *suitable = g_ptr_array_new();
+	bool asked;
 
 	for (guint i = 0; i < workers->len; i++) {
 		if (fits(workers->pdata[i], step) &&
 		    has_label(workers->pdata[i], step->label))
 			g_ptr_array_add(suitable, workers->pdata[i]);
 	}
-	advice_ask(pass->sched, candidate->job, occurrence, index, suitable);
+	asked = advice_ask(pass->sched, candidate->job, occurrence, index,
+			   suitable);
 	g_ptr_array_unref(suitable);
+	return asked;
+}
+
+/* Workers that are closed as surplus are asked about if no open one will do. */
+static void request_advice(struct pass *pass, const struct candidate *candidate,
+			   uint32_t occurrence, uint32_t index)
+{
+	if (request_advice_from(pass, candidate, occurrence, index,
+				pool_workers(pass, candidate->pool)) ||
+	    !may_use_surplus(pass, job_step(candidate->job, index)))
+		return;
+	request_advice_from(pass, candidate, occurrence, index,
+			    surplus_workers(pass, candidate->pool));
 }
 
 static void place_step(struct pass *pass, const struct candidate *candidate,
@@ -437,6 +491,7 @@
 	struct job *job = candidate->job;
 
 	pass->advice = advice_get(pass->sched, job, occurrence, index);
+	pass->lacks_more_than_cores = false;
 	if (job_step(job, index)->gang)
 		place_gang(pass, candidate, occurrence, index);
 	else
--- a/test/runner/jobs_machines.c
+++ b/test/runner/jobs_machines.c
@@ -63,6 +63,7 @@
 	struct fake_worker *next =
 		fake_worker_add(jobs, id, pool, worker->cpu_milli);
 
+	next->gpu_count = worker->gpu_count;
 	worker->listed = false;
 	worker->dead = true;
 	fake_worker_drop_hold(worker);
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -17,6 +17,7 @@
 #define LEASE_MAX_US (10 * USEC_PER_SEC)
 #define TICKET_LIFETIME_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
+#define DEFAULT_MEM_MB 65536
 /* Connections to a worker, less the one for its hold. */
 #define STARTS_IN_FLIGHT_MAX 2
 
@@ -51,6 +52,7 @@
 	worker->id = g_intern_string(id);
 	g_strlcpy(worker->pool, pool, sizeof(worker->pool));
 	worker->cpu_milli = cpu_milli;
+	worker->mem_mb = DEFAULT_MEM_MB;
 	worker->listed = true;
 	worker->started_ms = jobs->world->now_us / USEC_PER_MSEC + 1;
 	worker->next_number = 1;
@@ -119,14 +121,23 @@
 	g_array_remove_index(worker->running, index);
 }
 
-static uint32_t used_cpu_milli(const struct fake_worker *worker)
+static bool has_room(const struct fake_worker *worker,
+		     const struct job_step *step)
 {
-	uint32_t used = 0;
+	uint32_t cpu_milli = step->cpu_milli;
+	uint32_t mem_mb = step->mem_mb;
+	uint32_t gpu_count = step->gpu_count;
 
-	for (guint i = 0; i < worker->running->len; i++)
-		used += g_array_index(worker->running, struct fake_run, i)
-				.cpu_milli;
-	return used;
+	for (guint i = 0; i < worker->running->len; i++) {
+		const struct fake_run *run =
+			&g_array_index(worker->running, struct fake_run, i);
+
+		cpu_milli += run->cpu_milli;
+		mem_mb += run->mem_mb;
+		gpu_count += run->gpu_count;
+	}
+	return cpu_milli <= worker->cpu_milli && mem_mb <= worker->mem_mb &&
+	       gpu_count <= worker->gpu_count;
 }
 
 static bool has_run(const struct fake_worker *worker, const char *item,
@@ -169,7 +180,7 @@
 
 static void check_start(struct jobs_world *jobs,
 			const struct fake_worker *worker,
-			const struct order *order, uint32_t cpu_milli)
+			const struct order *order)
 {
 	char id[JOB_ID_SIZE_BYTES];
 	uint32_t ignored;
@@ -184,7 +195,7 @@
 	if (g_hash_table_contains(jobs->done_items, order->item))
 		jobs_violation(jobs, "%s starts after its end was acknowledged",
 			       order->item);
-	if (used_cpu_milli(worker) + cpu_milli > worker->cpu_milli)
+	if (!has_room(worker, order_step(jobs, order)))
 		jobs_violation(jobs, "%s is above its capacity", worker->id);
 	if (strcmp(order_step(jobs, order)->label, "") != 0 &&
 	    strcmp(order_step(jobs, order)->label, worker->label) != 0)
@@ -271,6 +282,8 @@
 	struct fake_run run = {
 		.run = order->run,
 		.cpu_milli = step->cpu_milli,
+		.mem_mb = step->mem_mb,
+		.gpu_count = step->gpu_count,
 		.long_running = step->long_running,
 		.step_item_count = step->item_count,
 		.max_unavailable_count = step->max_unavailable,
@@ -288,12 +301,12 @@
 	if (order->run <= GPOINTER_TO_UINT(g_hash_table_lookup(
 				  worker->closed_runs, order->item)))
 		return ORDER_STALE_RUN;
-	if (used_cpu_milli(worker) + step->cpu_milli > worker->cpu_milli)
+	if (!has_room(worker, step))
 		return ORDER_NO_ROOM;
 	if (needs_ticket(jobs, worker->pool) &&
 	    !ticket_is_valid(jobs, worker, order))
 		return ORDER_NO_TICKET;
-	check_start(jobs, worker, order, step->cpu_milli);
+	check_start(jobs, worker, order);
 	g_strlcpy(run.item, order->item, sizeof(run.item));
 	g_array_append_val(worker->running, run);
 	return ORDER_OK;
@@ -685,7 +698,8 @@
 		g_ptr_array_add(listed->labels,
 				(gpointer)g_intern_string(worker->label));
 		listed->cpu_milli = worker->cpu_milli;
-		listed->mem_mb = 65536;
+		listed->mem_mb = worker->mem_mb;
+		listed->gpu_count = worker->gpu_count;
 		listed->draining = worker->draining;
 		listed->started_ms = worker->started_ms;
 		g_ptr_array_add(seen->entries, listed);
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -40,6 +40,8 @@
 	char item[NAME_SIZE_BYTES];
 	uint32_t run; /* number of the run of this item */
 	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t gpu_count;
 	bool long_running;
 	uint32_t step_item_count;
 	uint32_t max_unavailable_count; /* of its step; 0: no budget */
@@ -64,6 +66,8 @@
 	char machine[NAME_SIZE_BYTES];
 	char label[NAME_SIZE_BYTES]; /* empty: none */
 	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t gpu_count;
 	bool listed; /* in the directory */
 	bool dead;
 	bool unreachable;   /* orders and answers are lost, but items run on */
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -106,8 +106,8 @@
 }
 
 /*
- * job-worker ID pool=POOL [cpu=MILLI] [machine=NAME [waves=0]] [advised=0]
- * [label=NAME]
+ * job-worker ID pool=POOL [cpu=MILLI] [gpu=N] [machine=NAME [waves=0]]
+ * [advised=0] [label=NAME]
  */
 static void cmd_worker(struct script *script)
 {
@@ -120,6 +120,7 @@
 
 	script_copy_option(script, "label", worker->label,
 			   sizeof(worker->label));
+	worker->gpu_count = (uint32_t)script_number(script, "gpu", 0);
 	worker->allowed_by_advice = script_number(script, "advised", 1);
 	if (machine) {
 		struct fake_machine *made = g_new0(struct fake_machine, 1);
@@ -185,6 +186,7 @@
 		fake_worker_kill(jobs, old);
 		next = fake_worker_add(jobs, script_word(script, 2), old->pool,
 				       old->cpu_milli);
+		next->gpu_count = old->gpu_count;
 		machine->worker = next->id;
 	}
 	send_worker_lists(jobs);
@@ -398,6 +400,7 @@
 		step.item_count = (uint32_t)strtoul(steps[i], &end, 10);
 		step.cpu_milli = (uint32_t)strtoul(end + 1, NULL, 10);
 		step.mem_mb = (uint32_t)script_number(script, "mem", 100);
+		step.gpu_count = (uint32_t)script_number(script, "gpu", 0);
 		step.dependency_mask = i ? UINT64_C(1) << (i - 1) : 0;
 		step.long_running = script_number(script, "lasting", 0);
 		step.gang = script_number(script, "gang", 0);
@@ -415,8 +418,7 @@
 
 /*
  * job-submit ENTRY QUEUE/ID [steps=4x1000,2x500] [lasting=1] [gang=1]
- * [per_worker=N] [away=N] [mem=MB] [label=NAME]
- * [fails=1]
+ * [per_worker=N] [away=N] [mem=MB] [gpu=N] [label=NAME] [fails=1]
  */
 static void cmd_submit(struct script *script)
 {
