--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -18,6 +18,7 @@
 #define ORDER_DELAY_MAX_US (12 * USEC_PER_SEC)
 #define TICKET_LIFETIME_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
+#define DEFAULT_MEM_MB 65536
 /* Connections to a worker, less the one for its hold. */
 #define STARTS_IN_FLIGHT_MAX 2
 /* Longest run that starts after its job was cancelled, until it is stopped. */
@@ -58,6 +59,7 @@
 	worker->id = g_intern_string(id);
 	g_strlcpy(worker->pool, pool, sizeof(worker->pool));
 	worker->cpu_milli = cpu_milli;
+	worker->mem_mb = DEFAULT_MEM_MB;
 	worker->listed = true;
 	worker->started_ms = jobs->world->now_us / USEC_PER_MSEC + 1;
 	worker->next_number = 1;
@@ -136,14 +138,23 @@
 	g_array_remove_index(worker->running, index);
 }
 
-static uint32_t used_cpu_milli(const struct fake_worker *worker)
+static bool has_room(const struct fake_worker *worker,
+		     const struct job_step *step)
 {
-	uint32_t used = 0;
+	uint32_t cpu_milli = step->cpu_milli;
+	uint32_t mem_mb = step->mem_mb;
+	uint32_t gpu_count = step->gpu_count;
 
-	for (guint i = 0; i < worker->running->len; i++)
-		used += g_array_index(worker->running, struct fake_run, i)
-				.cpu_milli;
-	return used;
+	for (guint i = 0; i < worker->running->len; i++) {
+		const struct fake_run *run =
+			&g_array_index(worker->running, struct fake_run, i);
+
+		cpu_milli += run->cpu_milli;
+		mem_mb += run->mem_mb;
+		gpu_count += run->gpu_count;
+	}
+	return cpu_milli <= worker->cpu_milli && mem_mb <= worker->mem_mb &&
+	       gpu_count <= worker->gpu_count;
 }
 
 static bool has_run(const struct fake_worker *worker, const char *item,
@@ -186,7 +197,7 @@
 
 static void check_start(struct jobs_world *jobs,
 			const struct fake_worker *worker,
-			const struct order *order, uint32_t cpu_milli)
+			const struct order *order)
 {
 	char id[JOB_ID_SIZE_BYTES];
 	uint32_t ignored;
@@ -201,7 +212,7 @@
 	if (g_hash_table_contains(jobs->done_items, order->item))
 		jobs_violation(jobs, "%s starts after its end was acknowledged",
 			       order->item);
-	if (used_cpu_milli(worker) + cpu_milli > worker->cpu_milli)
+	if (!has_room(worker, order_step(jobs, order)))
 		jobs_violation(jobs, "%s is above its capacity", worker->id);
 	if (strcmp(order_step(jobs, order)->label, "") != 0 &&
 	    strcmp(order_step(jobs, order)->label, worker->label) != 0)
@@ -245,7 +256,7 @@
 	for (guint i = 0; i < jobs->queues->queues->len; i++) {
 		const struct queue *queue = jobs->queues->queues->pdata[i];
 
-		if (!strcmp(queue->pool, pool) && queue->needs_advice)
+		if (!strcmp(queue->pool, pool) && queue->policy.needs_advice)
 			return true;
 	}
 	return false;
@@ -303,6 +314,8 @@
 	struct fake_run run = {
 		.run = order->run,
 		.cpu_milli = step->cpu_milli,
+		.mem_mb = step->mem_mb,
+		.gpu_count = step->gpu_count,
 		.long_running = step->long_running,
 		.step_item_count = step->item_count,
 		.max_unavailable_count = step->max_unavailable,
@@ -324,13 +337,12 @@
 	if (order->run <= GPOINTER_TO_UINT(g_hash_table_lookup(
 				  worker->closed_runs, order->item)))
 		return ORDER_STALE_RUN;
-	if (guards_capacity(jobs, worker->pool) &&
-	    used_cpu_milli(worker) + step->cpu_milli > worker->cpu_milli)
+	if (guards_capacity(jobs, worker->pool) && !has_room(worker, step))
 		return ORDER_NO_ROOM;
 	if (needs_ticket(jobs, worker->pool) &&
 	    !ticket_is_valid(jobs, worker, order))
 		return ORDER_NO_TICKET;
-	check_start(jobs, worker, order, step->cpu_milli);
+	check_start(jobs, worker, order);
 	g_strlcpy(run.item, order->item, sizeof(run.item));
 	run.after_cancel = job_is_cancelled(jobs, order->item);
 	run.checkpoint = g_strdup(order->checkpoint);
@@ -766,7 +778,8 @@
 		g_ptr_array_add(listed->labels,
 				(gpointer)g_intern_string(worker->label));
 		listed->cpu_milli = worker->cpu_milli;
-		listed->mem_mb = 65536;
+		listed->mem_mb = worker->mem_mb;
+		listed->gpu_count = worker->gpu_count;
 		listed->draining = worker->draining;
 		listed->started_ms = worker->started_ms;
 		g_ptr_array_add(seen->entries, listed);
