Move what concerns the lives of a worker into a file of its own

sched_life.c has worker_mark_gone(), the proofs that a run has ended, and the leases that orders to another life may give. Two static functions get the prefix worker_ as they are called from sched_worker.c.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -339,6 +339,38 @@
 void starts_cancel(struct sched *sched, struct worker *worker,
 		   const char *reason);
 
+/* sched_life.c: the lives of a worker, and which of them a run belongs to */
+
+/*
+ * Releases the items of a worker whose last known life has ended, but for those
+ * that may run in a later life: an order for them is under way, or they were
+ * listed or their start got its result, from an unknown life or from none, at
+ * or after ended_us. That is the time at which every life had ended; 0 if only
+ * the known one has.
+ */
+void worker_mark_gone(struct sched *sched, struct worker *worker,
+		      const char *reason, int64_t ended_us);
+
+/* Notes the lease that an order may have given, once it has its result. */
+void worker_note_lease(struct sched *sched, struct worker *worker,
+		       const struct order *order);
+/* Takes off the items whose leases have expired on a worker that is silent. */
+void worker_release_lapsed(struct sched *sched, struct worker *worker);
+
+/*
+ * Whether the answer of an order comes from the life that answered the last
+ * hold. False if its clock doesn't show that.
+ */
+bool worker_life_is_known(const struct sched *sched,
+			  const struct worker *worker,
+			  const struct order *order);
+
+/*
+ * Counts the leases of the present life from now, or from when an order may
+ * still be carried out that was sent to a former one.
+ */
+void worker_extend_life_leases(struct sched *sched, struct worker *worker);
+
 /* sched_late.c: starts that may be carried out late */
 
 /* An order without an answer is carried out within this time, or never. */
@@ -373,15 +405,6 @@
 			       enum order_kind kind);
 void worker_send_order(struct sched *sched, struct worker *worker,
 		       struct order *order);
-/*
- * Releases the items of a worker whose last known life has ended, but for those
- * that may run in a later life: an order for them is under way, or they were
- * listed or their start got its result, from an unknown life or from none, at
- * or after ended_us. That is the time at which every life had ended; 0 if only
- * the known one has.
- */
-void worker_mark_gone(struct sched *sched, struct worker *worker,
-		      const char *reason, int64_t ended_us);
 /* The placement at an index of worker->placed. */
 struct placement worker_placement(const struct worker *worker, uint32_t at);
 struct job_item *placement_item(const struct placement *placement);
@@ -392,20 +415,6 @@
 bool worker_accepts_work(const struct sched *sched,
 			 const struct worker *worker);
 
-/*
- * Whether the answer of an order comes from the life that answered the last
- * hold. False if its clock doesn't show that.
- */
-bool worker_life_is_known(const struct sched *sched,
-			  const struct worker *worker,
-			  const struct order *order);
-
-/*
- * Counts the leases of the present life from now, or from when an order may
- * still be carried out that was sent to a former one.
- */
-void worker_extend_life_leases(struct sched *sched, struct worker *worker);
-
 /* Each life of a worker numbers its ends anew. */
 void worker_forget_ends(struct worker *worker);
 
