Tell lives of a worker apart by clocks that don't begin at zero

A start was taken for one of the known life if its answer showed a clock that had begun before the last answered hold. That is a proof only if each life's clock begins at zero.

The clock must now also go on from the one in the last hold's answer, within the time that both orders were out and a clock that is 2% slow.

--- a/src/jobs/lease.h
+++ b/src/jobs/lease.h
@@ -24,9 +24,9 @@
 int64_t worker_lease_local_max_us(int64_t lease_us);
 
 /*
- * The same for any lease. The clock of a worker that has started again is back
- * at zero, so it takes a deadline on its earlier clock for one that is far off
- * and grants the longest lease there is.
+ * The same for any lease. The clock of a worker that has started again may be
+ * behind, so that it takes a deadline on its earlier clock for one that is far
+ * off and grants the longest lease there is.
  */
 int64_t worker_lease_any_life_us(const struct job_bounds *bounds);
 
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -64,6 +64,8 @@
 	/* That life was up at some time since; send time of that hold; 0: none
 	 */
 	int64_t life_known_us;
+	int64_t life_clock_us;	    /* its clock in that answer */
+	int64_t life_clock_read_us; /* when that answer came */
 	/* An order with a lease that got no answer isn't carried out later. */
 	int64_t late_lease_us;
 	int64_t restarted_us; /* when that life was first noticed; 0: first one
@@ -357,9 +359,14 @@
 /* Takes off the items whose leases have expired on a worker that is silent. */
 void worker_release_lapsed(struct sched *sched, struct worker *worker);
 
+/* Notes the life that has answered a hold. */
+void worker_note_life(struct sched *sched, struct worker *worker,
+		      const struct order *order);
+
 /*
  * Whether the answer of an order comes from the life that answered the last
- * hold. False if its clock doesn't show that.
+ * hold. False if its clock doesn't show that: the clock of a later life begins
+ * at zero or elsewhere.
  */
 bool worker_life_is_known(const struct sched *sched,
 			  const struct worker *worker,
--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -260,7 +260,7 @@
 	worker->unanswered_count = 0;
 	worker->silent_since_us = 0;
 	worker->answered_us = now_us;
-	worker->life_known_us = order->sent_us;
+	worker_note_life(sched, worker, order);
 	update_reported_start(sched, worker, order);
 	if (!worker->synced)
 		sched_request_placement(sched);
--- a/src/jobs/sched_life.c
+++ b/src/jobs/sched_life.c
@@ -8,6 +8,9 @@
 #include "jobs/sched.h"
 #include "kernel/decision_log.h"
 
+/* Clocks are read in milliseconds. */
+#define CLOCK_SLACK_US (5 * USEC_PER_MSEC)
+
 /* Whether the run of an item has ended; ended_us as in worker_mark_gone(). */
 static bool run_has_ended(const struct worker *worker,
 			  const struct job_item *item, int64_t ended_us)
@@ -60,17 +63,33 @@
 	sched_request_placement(sched);
 }
 
+void worker_note_life(struct sched *sched, struct worker *worker,
+		      const struct order *order)
+{
+	worker->life_known_us = order->has_clock ? order->sent_us : 0;
+	worker->life_clock_us = order->clock_ms * USEC_PER_MSEC;
+	worker->life_clock_read_us = sched_now_us(sched);
+}
+
 bool worker_life_is_known(const struct sched *sched,
 			  const struct worker *worker,
 			  const struct order *order)
 {
-	int64_t since_us = sched_now_us(sched) - worker->life_known_us;
+	int64_t now_us = sched_now_us(sched);
+	int64_t clock_us = order->clock_ms * USEC_PER_MSEC;
+	/* Both readings were taken at some time while their order was out. */
+	int64_t least_us = order->sent_us - worker->life_clock_read_us;
+	int64_t most_us = now_us - worker->life_known_us;
 
-	/* A later life's clock counts from a time after that hold. */
-	return worker->life_known_us && order->has_clock &&
-	       order->sent_us >= worker->restarted_us &&
-	       order->clock_ms * USEC_PER_MSEC >
-		       worker_lease_local_max_us(since_us);
+	if (!worker->life_known_us || !order->has_clock ||
+	    order->sent_us < worker->restarted_us)
+		return false;
+	if (least_us > 0)
+		least_us -= least_us * WORKER_CLOCK_SLOW_PERCENT / 100;
+	/* A clock that began at zero after that hold can't show more. */
+	return clock_us > worker_lease_local_max_us(most_us) &&
+	       clock_us >= worker->life_clock_us + least_us - CLOCK_SLACK_US &&
+	       clock_us <= worker->life_clock_us + most_us + CLOCK_SLACK_US;
 }
 
 void worker_extend_life_leases(struct sched *sched, struct worker *worker)
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -179,14 +179,11 @@
 static void update_clock(struct sched *sched, struct worker *worker,
 			 const struct order *order)
 {
-	int64_t took_ms =
-		(sched_now_us(sched) - order->sent_us) / USEC_PER_MSEC;
-
 	/* The order may have been answered by a former life. */
 	if (!order->has_clock || order->sent_us < worker->restarted_us)
 		return;
-	/* Another life; an answer may overtake one that was sent before. */
-	if (worker->has_clock && order->clock_ms + took_ms < worker->clock_ms)
+	if (order->kind != ORDER_HOLD && worker->life_known_us &&
+	    !worker_life_is_known(sched, worker, order))
 		decision_log("worker-clock",
 			     "worker=%s kind=%s item=%s run=%u "
 			     "clock_ms=%" G_GINT64_FORMAT
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -584,12 +584,13 @@
 	g_ptr_array_set_size(worker->connecting, 0);
 }
 
-void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker)
+void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker,
+			 int64_t clock_us)
 {
 	worker->dead = false;
 	worker->listed = true;
 	worker->started_ms = jobs->world->now_us / USEC_PER_MSEC + 1;
-	worker->clock_start_us = jobs->world->now_us;
+	worker->clock_start_us = jobs->world->now_us - clock_us;
 	worker->fence_token = 0;
 	worker->lease_until_us = 0;
 	worker->acked_number = 0;
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -194,8 +194,12 @@
 int64_t fake_workers_advance(struct jobs_world *jobs);
 void fake_workers_send_list(struct jobs_world *jobs, struct jobs_entry *entry);
 void fake_worker_kill(struct jobs_world *jobs, struct fake_worker *worker);
-/* Starts a killed worker again under its id; it knows nothing of before. */
-void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker);
+/*
+ * Starts a killed worker again under its id, with clock_us on its clock; it
+ * knows nothing of before.
+ */
+void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker,
+			 int64_t clock_us);
 void fake_advice(struct jobs_entry *entry, struct advice *advice);
 /* Carries out the orders kept in delayed, in the worker's present life. */
 void fake_worker_carry_out(struct jobs_world *jobs, struct fake_worker *worker);
--- a/test/runner/script_jobs.c
+++ b/test/runner/script_jobs.c
@@ -247,9 +247,9 @@
 }
 
 /*
- * job-restart WORKER [seen=0] [label=NAME]: a dead worker starts again under
- * its id, with another label if there is one. seen=0: the directory does not
- * show it yet.
+ * job-restart WORKER [seen=0] [label=NAME] [clock_s=N]: a dead worker starts
+ * again under its id, with another label if there is one, and with this time on
+ * its clock. seen=0: the directory does not show it yet.
  */
 static void cmd_restart(struct script *script)
 {
@@ -263,7 +263,9 @@
 	}
 	script_copy_option(script, "label", worker->label,
 			   sizeof(worker->label));
-	fake_worker_restart(script_jobs(script), worker);
+	fake_worker_restart(script_jobs(script), worker,
+			    (int64_t)script_number(script, "clock_s", 0) *
+				    USEC_PER_SEC);
 	if (script_number(script, "seen", 1))
 		send_worker_lists(script_jobs(script));
 }
