Note in which life a repeated start was answered

Work could run twice: a start gets no answer and is repeated, the former life lists the run, the worker starts again, and the new life answers the repeated start. The run was still counted as one of the former life, and given up with its lease.

Each result of a start says in which life the run may be, also when a list has shown it before.

--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -480,17 +480,36 @@
 	item_release(sched, job, index, order_result_name(order->result));
 }
 
+/*
+ * Notes in which life of the worker the run may be now. A repeated start may
+ * have reached a later one than that which has listed the run.
+ */
+static void note_start_life(struct sched *sched, struct worker *worker,
+			    struct job_item *item, const struct order *order)
+{
+	int64_t now_us = sched_now_us(sched);
+
+	if (order->result == ORDER_OK) {
+		item->life_known = worker_life_is_known(sched, worker, order);
+		/* Another life: its lists are read before it gets more work. */
+		if (!item->life_known)
+			worker->synced = false;
+	} else if (order->result == ORDER_UNANSWERED) {
+		item->life_known = false;
+		item->start_late_until_us = now_us + ORDER_LATE_MAX_US;
+	} else {
+		return;
+	}
+	item->start_settled_us = now_us;
+}
+
 static void on_start_result(struct sched *sched, struct worker *worker,
 			    struct job *job, uint32_t index,
 			    const struct order *order)
 {
 	struct job_item *item = job_item(job, index);
 
-	if (order->result == ORDER_OK || order->result == ORDER_UNANSWERED)
-		item->start_settled_us = sched_now_us(sched);
-	if (order->result == ORDER_UNANSWERED)
-		item->start_late_until_us =
-			sched_now_us(sched) + ORDER_LATE_MAX_US;
+	note_start_life(sched, worker, item, order);
 	if (item->phase != ITEM_STARTING)
 		return;
 	counter_observe(kernel_counters(sched->kernel), "start_order",
@@ -498,10 +517,6 @@
 	switch (order->result) {
 	case ORDER_OK:
 		item_mark_running(sched, job, index);
-		item->life_known = worker_life_is_known(sched, worker, order);
-		/* Another life: its lists are read before it gets more work. */
-		if (!item->life_known)
-			worker->synced = false;
 		worker->hold_due_us =
 			MIN(worker->hold_due_us, sched_now_us(sched));
 		break;
