Ask a worker that doesn't answer a stop for its lists again

An idle worker that was cut off went on to count as reachable, though several stops of late starts got no answer: work was placed on it and waited there until its lease was over.

A stop of a late start without an answer makes the next hold decide. And the time until which a late order may prolong a lease is no longer lowered by an order that was sent earlier.

jobs_restart_late_stop_cut fails without the change: the second job was placed on the silent worker first.

--- a/src/jobs/sched_late.c
+++ b/src/jobs/sched_late.c
@@ -100,6 +100,9 @@
 		late->refused = order->result == ORDER_OK &&
 				order->sent_us >= worker->restarted_us;
 		late->retry_us = sched_now_us(sched) + STOP_RETRY_US;
+		/* A hold tells whether the worker is reachable. */
+		if (!order_is_answered(order))
+			worker->synced = false;
 		if (!late->refused)
 			sched_wake_at(sched, late->retry_us);
 	}
--- a/src/jobs/sched_life.c
+++ b/src/jobs/sched_life.c
@@ -113,7 +113,8 @@
 	/* A life whose clock we don't know may have taken it until now. */
 	worker->any_life_expiry_us = MAX(worker->any_life_expiry_us, expiry_us);
 	if (order->result == ORDER_UNANSWERED)
-		worker->late_lease_us = order->sent_us + ORDER_LATE_MAX_US;
+		worker->late_lease_us = MAX(worker->late_lease_us,
+					    order->sent_us + ORDER_LATE_MAX_US);
 	/* It was sent with a deadline on the clock of an earlier life. */
 	if (order->sent_us <= worker->restarted_us)
 		worker_extend_life_leases(sched, worker);
