Move the fake advice service and the checks of orders into their own files

jobs_workers.c had grown to 789 lines and held three things. jobs_advice.c has the fake of the advice service and its tickets, jobs_checks.c the checks of start and stop orders; jobs_workers.c keeps the workers themselves.

No behaviour and no check is changed.

--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -1,30 +1,15 @@
-/*
- * Fake of the workers, with leases, fencing tokens and lists of runs. Checked
- * for every start: the item runs on no other live worker, its end was not
- * acknowledged as done, the worker has capacity for it, and its job was
- * accepted. Checked for every planned stop: the step's budget allows it.
- */
+/* Fake of the workers, with leases, fencing tokens and lists of runs. */
 
 #include <string.h>
 
 #include "runner/jobs_world.h"
 
-#define ORDER_LATENCY_US USEC_PER_MSEC
-#define LOST_ORDER_TIMEOUT_US (800 * USEC_PER_MSEC)
-/* Latency of advice, plus a part for each worker asked about. */
-#define ADVICE_LATENCY_US (100 * USEC_PER_MSEC)
-#define ADVICE_PER_WORKER_US (10 * USEC_PER_MSEC)
 /* An order that is carried out late is carried out within this time. */
 #define ORDER_DELAY_MAX_US (12 * USEC_PER_SEC)
-#define TICKET_LIFETIME_US (2 * USEC_PER_SEC)
 #define DEFAULT_CPU_MILLI 1000
 #define DEFAULT_MEM_MB 65536
-/* Connections to a worker, less the one for its hold. */
-#define STARTS_IN_FLIGHT_MAX 2
 /* Longest run that starts after its job was cancelled, until it is stopped. */
 #define CANCELLED_RUN_MAX_US (5 * USEC_PER_SEC)
-/* A worker that drains runs on for at least this long. */
-#define DRAIN_US (2 * USEC_PER_SEC)
 
 static void run_clear(gpointer data)
 {
@@ -138,8 +123,8 @@
 	g_array_remove_index(worker->running, index);
 }
 
-static bool has_room(const struct fake_worker *worker,
-		     const struct job_step *step)
+bool fake_worker_has_room(const struct fake_worker *worker,
+			  const struct job_step *step)
 {
 	uint32_t cpu_milli = step->cpu_milli;
 	uint32_t mem_mb = step->mem_mb;
@@ -157,8 +142,8 @@
 	       gpu_count <= worker->gpu_count;
 }
 
-static bool has_run(const struct fake_worker *worker, const char *item,
-		    uint32_t run)
+bool fake_worker_has_run(const struct fake_worker *worker, const char *item,
+			 uint32_t run)
 {
 	for (guint i = 0; i < worker->running->len; i++) {
 		const struct fake_run *running =
@@ -171,132 +156,13 @@
 	return false;
 }
 
-/*
- * The step that the item of an order belongs to, as it was submitted: a
- * forwarded order has only the text of its job.
- */
-static const struct job_step *order_step(const struct jobs_world *jobs,
-					 const struct order *order)
-{
-	char id[JOB_ID_SIZE_BYTES];
-	uint32_t occurrence;
-	uint32_t step = 0;
-	uint32_t index;
-
-	job_item_parse(order->item, id, &occurrence, &step, &index);
-	for (guint i = 0; i < jobs->store->len; i++) {
-		const struct job_record *record = jobs->store->pdata[i];
-
-		if (record->kind == JOB_RECORD_SUBMIT &&
-		    !strcmp(record->id, id))
-			return &g_array_index(record->spec->steps,
-					      struct job_step, step);
-	}
-	g_error("%s was started before its job was stored", order->item);
-}
-
-static void check_start(struct jobs_world *jobs,
-			const struct fake_worker *worker,
-			const struct order *order)
-{
-	char id[JOB_ID_SIZE_BYTES];
-	uint32_t ignored;
-
-	for (guint i = 0; i < jobs->workers->len; i++) {
-		const struct fake_worker *other = jobs->workers->pdata[i];
-
-		if (!other->dead && has_run(other, order->item, 0))
-			jobs_violation(jobs, "%s runs on %s and %s",
-				       order->item, other->id, worker->id);
-	}
-	if (g_hash_table_contains(jobs->done_items, order->item))
-		jobs_violation(jobs, "%s starts after its end was acknowledged",
-			       order->item);
-	if (!has_room(worker, order_step(jobs, order)))
-		jobs_violation(jobs, "%s is above its capacity", worker->id);
-	if (strcmp(order_step(jobs, order)->label, "") != 0 &&
-	    strcmp(order_step(jobs, order)->label, worker->label) != 0)
-		jobs_violation(jobs, "%s starts on %s, which lacks its label",
-			       order->item, worker->id);
-	if (!job_item_parse(order->item, id, &ignored, &ignored, &ignored) ||
-	    !g_hash_table_contains(jobs->accepted_jobs, id))
-		jobs_violation(jobs, "%s was not accepted", order->item);
-}
-
-/* A ticket names its step, its worker and the end of its validity. */
-static char *ticket_text(const char *step, const char *worker, int64_t until_us)
-{
-	return g_strdup_printf("%s/%s/%" G_GINT64_FORMAT, step, worker,
-			       until_us);
-}
-
-static bool ticket_is_valid(const struct jobs_world *jobs,
-			    const struct fake_worker *worker,
-			    const struct order *order)
-{
-	const char *until = order->ticket ? strrchr(order->ticket, '/') : NULL;
-	char *step = g_strndup(
-		order->item, (gsize)(strrchr(order->item, '.') - order->item));
-	char *expected;
-	int64_t until_us;
-	bool valid;
-
-	until_us = until ? g_ascii_strtoll(until + 1, NULL, 10) : 0;
-	expected = ticket_text(step, worker->id, until_us);
-	valid = !jobs->tickets_refused && worker->allowed_by_advice &&
-		until_us > jobs->world->now_us &&
-		!g_strcmp0(order->ticket, expected);
-	g_free(expected);
-	g_free(step);
-	return valid;
-}
-
-static bool needs_ticket(const struct jobs_world *jobs, const char *pool)
-{
-	for (guint i = 0; i < jobs->queues->queues->len; i++) {
-		const struct queue *queue = jobs->queues->queues->pdata[i];
-
-		if (!strcmp(queue->pool, pool) && queue->policy.needs_advice)
-			return true;
-	}
-	return false;
-}
-
 static bool guards_capacity(const struct jobs_world *jobs, const char *pool)
 {
 	return queues_pool(jobs->queues, pool)->has_preconditions;
 }
 
-void fake_advice(struct jobs_entry *entry, struct advice *advice)
-{
-	struct jobs_world *jobs = entry->jobs;
-	int64_t took_us =
-		ADVICE_LATENCY_US + ADVICE_PER_WORKER_US * advice->workers->len;
-	struct event event = { .type = EVENT_ADVICE_REQUEST };
-
-	world_print(jobs->world, "%.3f %s asks for %s about %u workers",
-		    (double)jobs->world->now_us / USEC_PER_SEC, entry->name,
-		    advice->step, advice->workers->len);
-	advice->answered = true;
-	advice->valid_us = TICKET_LIFETIME_US;
-	for (guint i = 0; i < advice->workers->len; i++) {
-		struct advice_row row = { .worker = advice->workers->pdata[i] };
-		const struct fake_worker *worker =
-			fake_worker_find(jobs, row.worker);
-
-		if (!worker->allowed_by_advice)
-			continue;
-		row.ticket = ticket_text(advice->step, row.worker,
-					 jobs->world->now_us + took_us +
-						 TICKET_LIFETIME_US);
-		g_array_append_val(advice->allowed, row);
-	}
-	event.msg = g_rc_box_acquire(advice);
-	jobs_deliver(jobs, entry, EVENT_ADVICE_RESPONSE, event.msg, took_us);
-}
-
 /* Whether a caller has cancelled the job of an item. */
-static bool job_is_cancelled(const struct jobs_world *jobs, const char *item)
+bool fake_job_is_cancelled(const struct jobs_world *jobs, const char *item)
 {
 	char id[JOB_ID_SIZE_BYTES];
 	uint32_t ignored;
@@ -309,7 +175,7 @@
 				    struct fake_worker *worker,
 				    const struct order *order)
 {
-	const struct job_step *step = order_step(jobs, order);
+	const struct job_step *step = fake_order_step(jobs, order);
 	bool fails = !strcmp(order->spec->text, JOB_FAILS);
 	struct fake_run run = {
 		.run = order->run,
@@ -332,19 +198,20 @@
 
 	if (step->checkpointable)
 		fake_checkpoint_check(jobs, order, step);
-	if (has_run(worker, order->item, order->run))
+	if (fake_worker_has_run(worker, order->item, order->run))
 		return ORDER_OK;
 	if (order->run <= GPOINTER_TO_UINT(g_hash_table_lookup(
 				  worker->closed_runs, order->item)))
 		return ORDER_STALE_RUN;
-	if (guards_capacity(jobs, worker->pool) && !has_room(worker, step))
+	if (guards_capacity(jobs, worker->pool) &&
+	    !fake_worker_has_room(worker, step))
 		return ORDER_NO_ROOM;
-	if (needs_ticket(jobs, worker->pool) &&
-	    !ticket_is_valid(jobs, worker, order))
+	if (fake_needs_ticket(jobs, worker->pool) &&
+	    !fake_ticket_is_valid(jobs, worker, order))
 		return ORDER_NO_TICKET;
-	check_start(jobs, worker, order);
+	fake_check_start(jobs, worker, order);
 	g_strlcpy(run.item, order->item, sizeof(run.item));
-	run.after_cancel = job_is_cancelled(jobs, order->item);
+	run.after_cancel = fake_job_is_cancelled(jobs, order->item);
 	run.checkpoint = g_strdup(order->checkpoint);
 	if (step->gang)
 		fake_gang_join(jobs, &run);
@@ -356,38 +223,6 @@
 	return ORDER_OK;
 }
 
-/* Items of the same step that run and have no stop order. */
-static uint32_t active_item_count(const struct jobs_world *jobs,
-				  const char *item)
-{
-	size_t step_bytes = (size_t)(strrchr(item, '.') - item) + 1;
-	uint32_t count = 0;
-
-	for (guint i = 0; i < jobs->workers->len; i++) {
-		const struct fake_worker *worker = jobs->workers->pdata[i];
-
-		for (guint j = 0; !worker->dead && j < worker->running->len;
-		     j++) {
-			const struct fake_run *run = &g_array_index(
-				worker->running, struct fake_run, j);
-
-			count += !strncmp(run->item, item, step_bytes) &&
-				 run->end != ITEM_END_STOPPED;
-		}
-	}
-	return count;
-}
-
-static void check_stop(struct jobs_world *jobs, const struct fake_run *run)
-{
-	if (run->long_running && run->max_unavailable_count &&
-	    !job_is_cancelled(jobs, run->item) &&
-	    run->step_item_count - active_item_count(jobs, run->item) >=
-		    run->max_unavailable_count)
-		jobs_violation(jobs, "%s is stopped above its budget",
-			       run->item);
-}
-
 static void stop_item(struct jobs_world *jobs, struct fake_worker *worker,
 		      const struct order *order)
 {
@@ -401,7 +236,7 @@
 			continue;
 		if (run->end == ITEM_END_STOPPED)
 			continue;
-		check_stop(jobs, run);
+		fake_check_stop(jobs, run);
 		run->end = ITEM_END_STOPPED;
 		run->ends_us = jobs->world->now_us + jobs->stop_duration_us;
 	}
@@ -499,8 +334,8 @@
 	else if (order->kind == ORDER_HOLD)
 		fill_run_lists(jobs, worker, order);
 	jobs_deliver(jobs, entry, EVENT_ORDER_SENT, g_rc_box_acquire(order),
-		     lost ? LOST_ORDER_TIMEOUT_US
-			  : ORDER_LATENCY_US + worker->answer_delay_us);
+		     lost ? FAKE_LOST_ORDER_TIMEOUT_US
+			  : FAKE_ORDER_LATENCY_US + worker->answer_delay_us);
 }
 
 void fake_worker_kill(struct jobs_world *jobs, struct fake_worker *worker)
@@ -574,7 +409,7 @@
 	for (guint i = 0; i < worker->connecting->len; i++) {
 		struct order *order = worker->connecting->pdata[i];
 
-		if (order->sent_us + LOST_ORDER_TIMEOUT_US <=
+		if (order->sent_us + FAKE_LOST_ORDER_TIMEOUT_US <=
 		    jobs->world->now_us)
 			continue;
 		execute_order(jobs, worker, order);
@@ -611,72 +446,6 @@
 	g_ptr_array_set_size(worker->delayed, 0);
 }
 
-static void drop_settled_orders(struct fake_worker *worker, int64_t now_us)
-{
-	for (guint i = worker->orders->len; i > 0; i--) {
-		if (g_array_index(worker->orders, struct fake_order, i - 1)
-			    .settled_us <= now_us)
-			g_array_remove_index_fast(worker->orders, i - 1);
-	}
-}
-
-/*
- * An order is not repeated before it is answered or has timed out, and no more
- * starts of one process are in flight than it has connections to a worker:
- * further ones would wait in its HTTP client.
- */
-static void check_order_in_flight(struct jobs_entry *sender,
-				  struct fake_worker *worker,
-				  const struct order *order, bool lost)
-{
-	struct jobs_world *jobs = sender->jobs;
-	int64_t now_us = jobs->world->now_us;
-	struct fake_order sent = {
-		.sender = sender,
-		.kind = order->kind,
-		.token = order->token,
-		.run = order->run,
-		.settled_us =
-			now_us +
-			(lost ? LOST_ORDER_TIMEOUT_US
-			      : ORDER_LATENCY_US + worker->answer_delay_us),
-	};
-	uint32_t starts_count = order->kind == ORDER_START;
-
-	drop_settled_orders(worker, now_us);
-	for (guint i = 0; i < worker->orders->len; i++) {
-		const struct fake_order *other =
-			&g_array_index(worker->orders, struct fake_order, i);
-
-		if (other->token != order->token)
-			continue;
-		starts_count +=
-			other->kind == ORDER_START && other->sender == sender;
-		if (other->kind == order->kind && other->run == order->run &&
-		    !strcmp(other->item, order->item))
-			jobs_violation(jobs,
-				       "an order for %s is repeated unanswered",
-				       order->item);
-	}
-	if (starts_count > STARTS_IN_FLIGHT_MAX)
-		jobs_violation(jobs, "%u starts are in flight to %s",
-			       starts_count, worker->id);
-	g_strlcpy(sent.item, order->item, sizeof(sent.item));
-	g_array_append_val(worker->orders, sent);
-}
-
-/* A worker that leaves gets no start once it may have begun to end. */
-static void check_draining(struct jobs_world *jobs,
-			   const struct fake_worker *worker,
-			   const struct order *order)
-{
-	int64_t since_us = jobs->world->now_us - worker->draining_since_us;
-
-	if (worker->draining && since_us > DRAIN_US)
-		jobs_violation(jobs, "%s is to start on %s, which drains",
-			       order->item, worker->id);
-}
-
 void fake_worker_order(struct jobs_entry *entry, struct order *order)
 {
 	struct jobs_world *jobs = entry->jobs;
@@ -688,13 +457,13 @@
 	bool delayed = arrives && delays_order(worker, order);
 
 	if (order->kind == ORDER_START)
-		check_draining(jobs, worker, order);
+		fake_check_draining(jobs, worker, order);
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
-		check_order_in_flight(entry, worker, order,
-				      worker->dead || worker->unreachable ||
-					      worker->loses_answers ||
-					      delayed ||
-					      entry->workers_unreachable);
+		fake_check_order_in_flight(
+			entry, worker, order,
+			worker->dead || worker->unreachable ||
+				worker->loses_answers || delayed ||
+				entry->workers_unreachable);
 	if (delayed)
 		g_ptr_array_add(worker->delayed, order_ref(order));
 	else if (arrives)
@@ -785,5 +554,6 @@
 		g_ptr_array_add(seen->entries, listed);
 	}
 	seen->all = true;
-	jobs_deliver(jobs, entry, EVENT_WORKERS_SEEN, seen, ORDER_LATENCY_US);
+	jobs_deliver(jobs, entry, EVENT_WORKERS_SEEN, seen,
+		     FAKE_ORDER_LATENCY_US);
 }
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -15,6 +15,10 @@
 /* Text of a job whose runs all fail. */
 #define JOB_FAILS "fails"
 
+/* Until an order to a worker is answered, and until a lost one times out. */
+#define FAKE_ORDER_LATENCY_US USEC_PER_MSEC
+#define FAKE_LOST_ORDER_TIMEOUT_US (800 * USEC_PER_MSEC)
+
 /* A simulated entry instance. */
 struct jobs_entry {
 	char name[NAME_SIZE_BYTES];
@@ -196,11 +200,44 @@
 void fake_worker_kill(struct jobs_world *jobs, struct fake_worker *worker);
 /* Starts a killed worker again under its id; it knows nothing of before. */
 void fake_worker_restart(struct jobs_world *jobs, struct fake_worker *worker);
-void fake_advice(struct jobs_entry *entry, struct advice *advice);
 /* Carries out the orders kept in delayed, in the worker's present life. */
 void fake_worker_carry_out(struct jobs_world *jobs, struct fake_worker *worker);
 /* Drops the waiting hold without an answer. */
 void fake_worker_drop_hold(struct fake_worker *worker);
+/* Whether the worker has free capacity for an item of the step. */
+bool fake_worker_has_room(const struct fake_worker *worker,
+			  const struct job_step *step);
+/* Whether this run of an item is on the worker; 0: any run of it. */
+bool fake_worker_has_run(const struct fake_worker *worker, const char *item,
+			 uint32_t run);
+/* Whether a caller has cancelled the job of an item. */
+bool fake_job_is_cancelled(const struct jobs_world *jobs, const char *item);
+
+/* jobs_advice.c */
+void fake_advice(struct jobs_entry *entry, struct advice *advice);
+/* Whether a queue of the pool needs advice. */
+bool fake_needs_ticket(const struct jobs_world *jobs, const char *pool);
+bool fake_ticket_is_valid(const struct jobs_world *jobs,
+			  const struct fake_worker *worker,
+			  const struct order *order);
+
+/* jobs_checks.c */
+
+/* The step of an order's item, as it was submitted. */
+const struct job_step *fake_order_step(const struct jobs_world *jobs,
+				       const struct order *order);
+/* Checks a start that the worker is about to carry out. */
+void fake_check_start(struct jobs_world *jobs, const struct fake_worker *worker,
+		      const struct order *order);
+/* Checks a stop before the run is marked as stopped. */
+void fake_check_stop(struct jobs_world *jobs, const struct fake_run *run);
+/* Checks a start or stop at the time at which it is sent, and records it. */
+void fake_check_order_in_flight(struct jobs_entry *sender,
+				struct fake_worker *worker,
+				const struct order *order, bool lost);
+void fake_check_draining(struct jobs_world *jobs,
+			 const struct fake_worker *worker,
+			 const struct order *order);
 
 /* jobs_gangs.c */
 
