Wait for stray runs also in gangs, stored placements and behind cuts

The wait now holds for every phase and for gangs, a placement that isn't started yet is withdrawn, and a stop without an answer makes the item wait for the longest lease.

--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -68,14 +68,15 @@
 	worker_send_order(sched, worker, order);
 }
 
-/* The item isn't placed before its stray run has been stopped. */
-static void wait_for_stray(struct sched *sched, struct job_item *item)
+/* The item isn't started before its stray run has been stopped. */
+static void wait_for_stray(struct sched *sched, struct job *job, uint32_t index)
 {
+	struct job_item *item = job_item(job, index);
 	int64_t stopped_us = sched_now_us(sched) + sched->bounds->stop_us +
 			     STRAY_STOP_SLACK_US;
 
-	if (item->phase != ITEM_WAITING)
-		return;
+	if (item->phase == ITEM_STORING || item->phase == ITEM_STORED)
+		item_release(sched, job, index, "stray");
 	item->retry_us = MAX(item->retry_us, stopped_us);
 	sched_wake_at(sched, item->retry_us);
 }
@@ -89,7 +90,7 @@
 
 	if (!item || item->worker != worker->id || item->run != row->run) {
 		if (item)
-			wait_for_stray(sched, item);
+			wait_for_stray(sched, job, index);
 		if (!late_starts_contain(worker, row->item, row->run))
 			stop_stray(sched, worker, row);
 		return;
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -553,6 +553,17 @@
 	}
 }
 
+/* A stray run whose stop got no answer may go on until its lease is over. */
+static void wait_for_stray_lease(const struct sched *sched,
+				 struct job_item *item)
+{
+	int64_t now_us = sched_now_us(sched);
+
+	if (item->phase == ITEM_WAITING && item->retry_us > now_us)
+		item->retry_us =
+			now_us + worker_lease_any_life_us(sched->bounds);
+}
+
 void item_on_order(struct sched *sched, struct worker *worker,
 		   const struct order *order)
 {
@@ -571,8 +582,11 @@
 	if (!job)
 		return;
 	item = job_item(job, index);
-	if (item->run != order->run || item->worker != worker->id)
+	if (item->run != order->run || item->worker != worker->id) {
+		if (order->kind == ORDER_STOP && !order_is_answered(order))
+			wait_for_stray_lease(sched, item);
 		return;
+	}
 	if (item->pending_orders_count)
 		item->pending_orders_count--;
 	if (order->kind == ORDER_START)
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -119,8 +119,16 @@
 		stop_incomplete_gang(pass, job, first, count);
 		return;
 	}
-	for (uint32_t i = first; i < first + count; i++)
-		run = MAX(run, job_item(job, i)->run);
+	for (uint32_t i = first; i < first + count; i++) {
+		const struct job_item *item = job_item(job, i);
+
+		if (item->retry_us > pass->now_us) {
+			sched_wake_at(pass->sched, item->retry_us);
+			sched_request_placement(pass->sched);
+			return;
+		}
+		run = MAX(run, item->run);
+	}
 	pass->failed_worker = NULL;
 	pass->limits_starts = false;
 	while (placed_count < count) {
