Give forwarded orders a send time in the fakes, and random scripts a worker

Forwarded orders had the send time 0 in the scripts, so that one that was sent to a worker which was down never reached its next life, and late ones were dropped after 12 s of virtual time.

--- a/test/runner/jobs_random.c
+++ b/test/runner/jobs_random.c
@@ -247,8 +247,22 @@
 		toggle_worker_reach(driver);
 }
 
+static bool any_worker_is_alive(const struct driver *driver)
+{
+	for (guint i = 0; i < driver->jobs->workers->len; i++) {
+		const struct fake_worker *worker =
+			driver->jobs->workers->pdata[i];
+
+		if (!worker->dead)
+			return true;
+	}
+	return false;
+}
+
 static void repair_all(struct driver *driver)
 {
+	bool any_alive = any_worker_is_alive(driver);
+
 	driver->jobs->store_down = false;
 	driver->jobs->machine_list_delay_us = 0;
 	for (guint i = 0; i < driver->jobs->entries->len; i++) {
@@ -269,7 +283,7 @@
 		worker->delays_starts = false;
 		worker->fails_items = false;
 		/* A gang needs room for all its members at once. */
-		if (driver->gangs && worker->dead)
+		if (worker->dead && (driver->gangs || !any_alive))
 			run_command(driver, "job-restart %s", worker->id);
 	}
 	run_command(driver, "job-seen");
--- a/test/runner/jobs_workers.c
+++ b/test/runner/jobs_workers.c
@@ -457,6 +457,9 @@
 
 	bool delayed = arrives && delays_order(worker, order);
 
+	/* The codec of forwarded orders leaves out when they were sent. */
+	if (!order->sent_us)
+		order->sent_us = jobs->world->now_us;
 	if (order->kind == ORDER_START)
 		fake_check_draining(jobs, worker, order);
 	if (order->kind == ORDER_START || order->kind == ORDER_STOP)
