Add the time of orders under way to the leases of an earlier holder

Work could run twice after a change of the holder: a start that the earlier holder, or a forwarder for it, had under way was taken by a new life of its worker after the takeover, and its lease outlasted the one that the new holder counted from the takeover.

An order of an earlier holder has its result within two seconds, with the second that a forwarder may take.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -169,7 +169,7 @@
 	changed->token = lease->fence_token;
 	if (held && lease->replaced_token) {
 		changed->earlier_holder_until_us =
-			lease->earlier_orders_until_us +
+			lease->earlier_orders_until_us + EARLIER_ORDER_MAX_US +
 			worker_lease_any_life_us(bounds);
 	}
 	decision_log(held ? "hold" : "yield",
--- a/src/jobs/lease.h
+++ b/src/jobs/lease.h
@@ -12,6 +12,12 @@
  */
 #define HOLDER_UNCONFIRMED_MAX_US (6 * USEC_PER_SEC)
 
+/*
+ * The last orders of a holder that has stopped have their results by then: an
+ * order is given a second, after it has been forwarded for up to a second.
+ */
+#define EARLIER_ORDER_MAX_US (2 * USEC_PER_SEC)
+
 #define WORKER_LEASE_TARGET_US (6 * USEC_PER_SEC)
 
 /* Clocks of workers may run slow by this much. */
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -84,9 +84,6 @@
 	}
 }
 
-/* An order that an earlier holder had under way has its result by then. */
-#define EARLIER_ORDER_MAX_US USEC_PER_SEC
-
 static void open_job(struct sched *sched, struct job *job)
 {
 	if (job->open)
