Start work only while the store has lately confirmed the holder

Work could run twice: a holder was paused for 4 s, was replaced meanwhile, and started a stored placement when it went on, before it read of its successor. The fencing token keeps a worker from taking that, but not one that has started again since and has not seen the newer token.

Starts are sent only while the store has confirmed a write of this holder that was sent within the last 3 s; those that wait go out with the next confirmation. Until now a holder acted for 6 s, which still holds for holds and stops.

--- a/src/jobs/lease.c
+++ b/src/jobs/lease.c
@@ -103,6 +103,7 @@
 	lease->write_id += 2;
 	write->write_id = lease->write_id;
 	write->token = token;
+	write->sent_us = kernel_now_us(lease->kernel);
 	if (writer != STORE_WRITER_FENCE) {
 		record = job_record_new(JOB_RECORD_HOLDER);
 		g_strlcpy(record->entry, kernel_settings(lease->kernel)->entry,
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -48,6 +48,7 @@
 	enum store_writer writer;
 	uint64_t token;	    /* fencing token (holder, fence) */
 	GPtrArray *records; /* of struct job_record */
+	int64_t sent_us;    /* when its sender emitted it; holder only */
 	enum store_result result;
 	uint64_t end_offset; /* STORE_WRITTEN */
 	int64_t took_us;     /* duration of the attempt that was answered */
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -164,6 +164,7 @@
 	sched->is_holder = changed->held;
 	sched->token = changed->token;
 	sched->held_since_us = sched_now_us(sched);
+	sched->confirmed_us = sched->held_since_us;
 	sched->earlier_holder_until_us = changed->earlier_holder_until_us;
 	if (!sched->is_holder)
 		return;
@@ -280,6 +281,7 @@
 		on_jobs_applied(sched, event->msg);
 		break;
 	case EVENT_STORE_WRITTEN:
+		starts_on_confirmed(sched, event->msg);
 		sched_on_written(sched, event->msg);
 		waves_on_written(sched, event->msg);
 		break;
--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -174,6 +174,8 @@
 	bool is_holder;
 	uint64_t token;
 	int64_t held_since_us;
+	/* The store has confirmed that it held the jobs at this time. */
+	int64_t confirmed_us;
 	int64_t earlier_holder_until_us; /* 0: there was no earlier holder */
 	bool directory_seen;		 /* a full list has been received */
 
@@ -327,7 +329,10 @@
 bool starts_queue_is_full(const struct worker *worker);
 
 /* Whether another start order may be sent to the worker now. */
-bool starts_may_send(const struct worker *worker);
+bool starts_may_send(const struct sched *sched, const struct worker *worker);
+
+/* Notes that the store has accepted a write of this holder. */
+void starts_on_confirmed(struct sched *sched, const struct store_write *write);
 
 /* Orders the starts that the worker may get now, the oldest first. */
 void starts_send_next(struct sched *sched, struct worker *worker);
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -99,6 +99,7 @@
 	write = store_write_new(STORE_WRITER_HOLDER);
 	write->write_id = sched->next_write_id;
 	write->token = sched->token;
+	write->sent_us = now_us;
 	sched->next_write_id += 2;
 	for (guint i = 0; i < sched->dirty_jobs->len; i++)
 		add_job_progress(sched, write, sched->dirty_jobs->pdata[i]);
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -9,6 +9,9 @@
 /* The connections to a worker that are not occupied by its hold. */
 #define PENDING_STARTS_MAX_COUNT 2
 
+/* Age of the newest confirmation by the store up to which work is started. */
+#define START_CONFIRMED_MAX_US (3 * USEC_PER_SEC)
+
 /* Placements on one worker whose starts wait for their turn. */
 #define UNSTARTED_MAX_COUNT 32
 
@@ -35,15 +38,27 @@
 	return first;
 }
 
-bool starts_may_send(const struct worker *worker)
+/*
+ * Whether this process may still start work. One that was paused or cut off
+ * from the store may have been replaced, and a worker that has started again
+ * since doesn't know the newer token.
+ */
+static bool is_confirmed(const struct sched *sched)
+{
+	return sched_now_us(sched) - sched->confirmed_us <=
+	       START_CONFIRMED_MAX_US;
+}
+
+bool starts_may_send(const struct sched *sched, const struct worker *worker)
 {
 	return worker->synced &&
-	       worker->pending_starts_count < PENDING_STARTS_MAX_COUNT;
+	       worker->pending_starts_count < PENDING_STARTS_MAX_COUNT &&
+	       is_confirmed(sched);
 }
 
 void starts_send_next(struct sched *sched, struct worker *worker)
 {
-	while (starts_may_send(worker)) {
+	while (starts_may_send(sched, worker)) {
 		struct placement next = oldest_stored(worker);
 
 		if (!next.job)
@@ -52,6 +67,23 @@
 	}
 }
 
+void starts_on_confirmed(struct sched *sched, const struct store_write *write)
+{
+	bool was_confirmed = is_confirmed(sched);
+	GHashTableIter iter;
+	gpointer worker;
+
+	if (write->writer != STORE_WRITER_HOLDER ||
+	    write->result != STORE_WRITTEN || write->token != sched->token)
+		return;
+	sched->confirmed_us = MAX(sched->confirmed_us, write->sent_us);
+	if (was_confirmed || !is_confirmed(sched))
+		return;
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &worker))
+		starts_send_next(sched, worker);
+}
+
 void starts_on_stored(struct sched *sched, struct job *job, uint64_t write_id)
 {
 	for (uint32_t i = 0; i < job->items->len; i++) {
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -226,7 +226,7 @@
 					  "draining");
 				continue;
 			}
-			if (!starts_may_send(worker) ||
+			if (!starts_may_send(sched, worker) ||
 			    worker->unanswered_count)
 				continue;
 			item_send_start(sched, placement.job, placement.index);
