Give the runs' entry instances ports that no connection takes

One of 20 runs couldn't begin: another run's connection had the port of its link between entry instances. Ports are now below the range of outgoing connections and are tried on the address of the instance.

--- a/test/restart/entries.c
+++ b/test/restart/entries.c
@@ -2,13 +2,14 @@
 
 #include "restart.h"
 
-#include <errno.h>
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +18,9 @@
 #define READY_TIMEOUT_MS 20000
 #define READY_CALL_TIMEOUT_MS 500
 #define CALL_TIMEOUT_MS 3000
+/* Below the ports that outgoing connections take, also those of other runs. */
+#define PORT_MIN 20000
+#define PORT_MAX 32000
 
 struct entry {
 	char name[32];
@@ -34,6 +38,29 @@
 static struct entry entries[ENTRY_COUNT];
 static const char *program_path;
 
+static bool port_is_free(const char *ip, int port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool is_free;
+
+	address.sin_port = htons((uint16_t)port);
+	inet_pton(AF_INET, ip, &address.sin_addr);
+	is_free = !bind(fd, (struct sockaddr *)&address, sizeof(address));
+	close(fd);
+	return is_free;
+}
+
+static int pick_port(const char *ip)
+{
+	int port;
+
+	do {
+		port = g_random_int_range(PORT_MIN, PORT_MAX);
+	} while (!port_is_free(ip, port));
+	return port;
+}
+
 static json_t *settings_bounds(void)
 {
 	return json_pack(
@@ -89,10 +116,10 @@
 		"edge", "serves", "edge", "ip", entry->ip, "zone", zone,
 		"region", "r", "zones", "zone-a", "r", "zone-b", "r", "zone-c",
 		"r", "listen", "frontend", front, "readiness", ready,
-		"internal_ports", http_free_port(), http_free_port(), "seeds",
-		"bootstrap", 1, "counts_as_loss", 0, "limits", "cpu_share",
-		0.25, "cores", 1, "memory_mb", 260, "max_fds", 4100,
-		"link_mbps", 1000., "disk_mb", 0, "data_dir", "discovery",
+		"internal_ports", pick_port(entry->ip), pick_port(entry->ip),
+		"seeds", "bootstrap", 1, "counts_as_loss", 0, "limits",
+		"cpu_share", 0.25, "cores", 1, "memory_mb", 260, "max_fds",
+		4100, "link_mbps", 1000., "disk_mb", 0, "data_dir", "discovery",
 		"platform", "entry", "vip", "heartbeat_ms", HEARTBEAT_MS,
 		"contracts", "base", "drain", "config", "cost", "recover",
 		"sched", "platform", "fault_tolerance", "machines", 2, "zones",
@@ -143,8 +170,8 @@
 	g_snprintf(entry->name, sizeof(entry->name), "edge-zone-%c-1",
 		   'a' + number);
 	g_snprintf(entry->ip, sizeof(entry->ip), "127.0.0.%d", 2 + number);
-	entry->front_port = http_free_port();
-	entry->ready_port = http_free_port();
+	entry->front_port = pick_port(entry->ip);
+	entry->ready_port = pick_port(entry->ip);
 	entry->settings_path =
 		g_strdup_printf("%s/%s.json", folder, entry->name);
 	entry->log_path = g_strdup_printf("%s/%s.log", folder, entry->name);
