Forget with the ends of a worker that an acknowledgement was due

A deferred acknowledgement outlived a worker that was taken for gone, so that its next life was asked every 40 ms while ends were being written. Found by reading; all scripts pass unchanged.

--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -36,7 +36,6 @@
 	worker_forget_ends(worker);
 	worker->lease_end_ms = 0;
 	worker->restarted_us = sched_now_us(sched);
-	worker->ack_deferred = false;
 	worker->lease_expiry_us = 0;
 	worker_extend_life_leases(sched, worker);
 	advice_forget_worker(sched, worker);
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -174,6 +174,7 @@
 	worker->flushing_end_number = 0;
 	worker->stored_end_number = 0;
 	worker->acked_end_number = 0;
+	worker->ack_deferred = false;
 }
 
 static void update_clock(struct sched *sched, struct worker *worker,
