Say in one place what is known of the lives of a worker

The fields on leases and lives of struct worker stand together, with what the known life is; life_known_us of a worker, which was easily taken for life_known of an item, is now life_asked_us. Names and comments only.

--- a/src/jobs/sched.h
+++ b/src/jobs/sched.h
@@ -58,18 +58,20 @@
 	int64_t clock_ms; /* lower bound of its clock at clock_read_us */
 	int64_t clock_read_us;
 	int64_t lease_end_ms; /* of its longest lease, on its clock; 0: none */
-	/* All leases of the life that answered the last hold end by then. */
-	int64_t lease_expiry_us;
-	int64_t any_life_expiry_us; /* the same for all lives */
-	/* That life was up at some time since; send time of that hold; 0: none
+	/*
+	 * The known life is the one that answered the last hold; a later one
+	 * may be up. The times after which no lease lasts any longer:
 	 */
-	int64_t life_known_us;
-	int64_t life_clock_us;	    /* its clock in that answer */
-	int64_t life_clock_read_us; /* when that answer came */
-	/* An order with a lease that got no answer isn't carried out later. */
+	int64_t lease_expiry_us;    /* in the known life */
+	int64_t any_life_expiry_us; /* in any life */
+	/* Until then a late order may give a lease to a life after the known */
 	int64_t late_lease_us;
-	int64_t restarted_us; /* when that life was first noticed; 0: first one
+	int64_t restarted_us; /* when the known life was noticed; 0: first one
 			       */
+	/* The hold that it answered, and its clock in the answer */
+	int64_t life_asked_us; /* 0: none */
+	int64_t life_clock_us;
+	int64_t life_clock_read_us;
 
 	uint64_t seen_end_number;     /* newest end received */
 	uint64_t flushing_end_number; /* covered by the current flush */
@@ -385,7 +387,10 @@
 
 /* sched_late.c: starts that may be carried out late */
 
-/* An order without an answer is carried out within this time, or never. */
+/*
+ * An order without an answer may be carried out seconds later; this long after
+ * it was sent, or was given up, it is taken for lost.
+ */
 #define ORDER_LATE_MAX_US (15 * USEC_PER_SEC)
 
 /* Called when an item is taken off a worker. */
--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -13,7 +13,7 @@
 #define HOLD_MIN_INTERVAL_US (40 * USEC_PER_MSEC)
 /* Average time between two holds, of all workers together. */
 #define HOLD_SPACING_US 400
-/* No worker ends and starts again within this time. */
+/* Taken for the least time between an answer of a worker and its next life. */
 #define LIFE_KNOWN_US (300 * USEC_PER_MSEC)
 /* From a list of runs to the arrival of a stop, besides the stop itself. */
 #define STRAY_STOP_SLACK_US (200 * USEC_PER_MSEC)
--- a/src/jobs/sched_life.c
+++ b/src/jobs/sched_life.c
@@ -66,7 +66,7 @@
 void worker_note_life(struct sched *sched, struct worker *worker,
 		      const struct order *order)
 {
-	worker->life_known_us = order->has_clock ? order->sent_us : 0;
+	worker->life_asked_us = order->has_clock ? order->sent_us : 0;
 	worker->life_clock_us = order->clock_ms * USEC_PER_MSEC;
 	worker->life_clock_read_us = sched_now_us(sched);
 }
@@ -79,9 +79,9 @@
 	int64_t clock_us = order->clock_ms * USEC_PER_MSEC;
 	/* Both readings were taken at some time while their order was out. */
 	int64_t least_us = order->sent_us - worker->life_clock_read_us;
-	int64_t most_us = now_us - worker->life_known_us;
+	int64_t most_us = now_us - worker->life_asked_us;
 
-	if (!worker->life_known_us || !order->has_clock ||
+	if (!worker->life_asked_us || !order->has_clock ||
 	    order->sent_us < worker->restarted_us)
 		return false;
 	if (least_us > 0)
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -183,7 +183,7 @@
 	/* The order may have been answered by a former life. */
 	if (!order->has_clock || order->sent_us < worker->restarted_us)
 		return;
-	if (order->kind != ORDER_HOLD && worker->life_known_us &&
+	if (order->kind != ORDER_HOLD && worker->life_asked_us &&
 	    !worker_life_is_known(sched, worker, order))
 		decision_log("worker-clock",
 			     "worker=%s kind=%s item=%s run=%u "
