Ask a restarted worker at once also if it never answered this holder

A late start of an earlier holder could begin in a worker's next life: the worker was down when the new holder took over, so that it had not answered it yet. When the directory showed the next life, the hold that was waiting for the former one still had to time out. Until then the new life hadn't seen the newer token, which refuses such starts.

The hold is sent at once whenever the directory shows another life than the one that has answered, also if none has.

jobs_restart_unheard fails without the change ("runs on w2 and w1").

--- a/src/jobs/sched_directory.c
+++ b/src/jobs/sched_directory.c
@@ -37,8 +37,7 @@
 		 * hold that waits at the former one won't be answered, and an
 		 * answer that is still under way doesn't count.
 		 */
-		if (worker->reported_started_ms &&
-		    worker->reported_started_ms != entry->started_ms) {
+		if (worker->reported_started_ms != entry->started_ms) {
 			worker->synced = false;
 			worker->hold_pending = false;
 			worker->hold_sent_us = sched_now_us(sched);
