Don't keep late starts of earlier holders

Each life that has answered a hold of the present holder refuses them by their token, so a stop adds nothing, and a new holder noted the starts of all items that it took over. All scripts pass unchanged.

--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -121,8 +121,8 @@
 
 		item->settled = false;
 		item->start_unanswered = false;
-		item->start_late_until_us =
-			sched->held_since_us + ORDER_LATE_MAX_US;
+		/* Late starts of earlier holders are refused by their token. */
+		item->start_late_until_us = 0;
 		item->life_known = false;
 		item->start_settled_us =
 			sched->held_since_us + EARLIER_ORDER_MAX_US;
