--- a/src/jobs/sched_hold.c
+++ b/src/jobs/sched_hold.c
@@ -222,6 +222,7 @@
 {
 	int64_t now_us = sched_now_us(sched);
 
+	/* The directory has shown another life since it was sent. */
 	if (order->sent_us < worker->hold_sent_us)
 		return;
 	worker->hold_pending = false;
