--- a/test/runner/jobs_random.c
+++ b/test/runner/jobs_random.c
@@ -299,8 +299,10 @@
 /* The first member has no limit. */
 static void change_limit(struct driver *driver)
 {
-	run_command(driver, "job-limit m%u cpu=%u",
-		    1 + random_below(driver, MEMBER_COUNT - 1),
+	/* A variable: the order in which arguments are evaluated is open. */
+	uint32_t member = 1 + random_below(driver, MEMBER_COUNT - 1);
+
+	run_command(driver, "job-limit m%u cpu=%u", member,
 		    2000 + random_below(driver, 8000));
 }
 
