Add tests of clients whose accepted jobs take the memory

The crowd tests end where a job is accepted.

Change: two cases, on the bound that the others have (48 MB more than without a crowd). scheduled-jobs: 4 clients, 60 jobs each, that run once an hour for a year. wide-jobs: 32 clients, 250 jobs each, with 4,000 bytes of text and 64 steps. The harness takes up to 32 variants of what clients send.

--- a/test/crowd/cases.c
+++ b/test/crowd/cases.c
@@ -1,4 +1,7 @@
-/* The kinds of misbehaviour, each against every path of the servers. */
+/*
+ * The kinds of misbehaviour, each against every path of the servers; jobs that
+ * are accepted and kept are submitted on the path of a queue.
+ */
 
 #include "crowd.h"
 
@@ -12,6 +15,10 @@
 #define STATED_HUGE_BYTES ((size_t)1024 * 1024 * 1024)
 #define PIPELINED_COUNT 1000
 #define UNREAD_COUNT 50
+#define SCHEDULED_JOBS_COUNT 60
+#define WIDE_JOBS_COUNT 250
+#define HOUR_MS INT64_C(3600000)
+#define HOURS_OF_A_YEAR 8760
 
 static const char *const paths[] = {
 	[TARGET_QUEUE] = "/crowd/00000000000c0de5",
@@ -180,6 +187,51 @@
 		write_stated_body(to, target, variant);
 }
 
+static void append_job(GString *to, uint32_t variant, uint32_t number,
+		       const GString *body)
+{
+	g_string_append_printf(to,
+			       "POST /crowd/%08x%08x HTTP/1.1\r\n"
+			       "Host: " QUEUE_HOST "\r\n"
+			       "Content-Length: %zu\r\n\r\n%s",
+			       variant, number, body->len, body->str);
+}
+
+/* Jobs that run once an hour for a year, the first time in an hour. */
+static void write_scheduled_jobs(GString *to, enum target target,
+				 uint32_t variant)
+{
+	GString *body = g_string_new(NULL);
+
+	(void)target;
+	g_string_printf(body,
+			"{\"spec\":\"work\",\"start_at_ms\":%" G_GINT64_FORMAT
+			",\"interval_ms\":%" G_GINT64_FORMAT
+			",\"times\":%d,\"steps\":[{\"count\":2,\"cpu\":500}]}",
+			g_get_real_time() / 1000 + HOUR_MS, HOUR_MS,
+			HOURS_OF_A_YEAR);
+	for (uint32_t i = 0; i < SCHEDULED_JOBS_COUNT; i++)
+		append_job(to, variant, i, body);
+	g_string_free(body, TRUE);
+}
+
+/* Jobs with the longest text and as many steps as a job may have. */
+static void write_wide_jobs(GString *to, enum target target, uint32_t variant)
+{
+	GString *body = g_string_new("{\"spec\":\"");
+
+	(void)target;
+	while (body->len < 4000)
+		g_string_append_c(body, 'x');
+	g_string_append(body, "\",\"steps\":[{\"count\":1,\"cpu\":500}");
+	for (int i = 1; i < 64; i++)
+		g_string_append(body, ",{\"count\":1,\"cpu\":500}");
+	g_string_append(body, "]}");
+	for (uint32_t i = 0; i < WIDE_JOBS_COUNT; i++)
+		append_job(to, variant, i, body);
+	g_string_free(body, TRUE);
+}
+
 /* 400 clients, bodies of 100 MB in all */
 #define MANY_BODIES                                                            \
 	{                                                                      \
@@ -285,6 +337,18 @@
 		.reconnect_count = 10,
 		.reading = READ_NOTHING,
 	},
+	{
+		.name = "scheduled-jobs",
+		.write = write_scheduled_jobs,
+		.variant_count = 4,
+		.client_counts = { 4 },
+	},
+	{
+		.name = "wide-jobs",
+		.write = write_wide_jobs,
+		.variant_count = 32,
+		.client_counts = { 32 },
+	},
 };
 
 const uint32_t crowd_case_count = G_N_ELEMENTS(crowd_cases);
--- a/test/crowd/clients.c
+++ b/test/crowd/clients.c
@@ -10,7 +10,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define VARIANTS_MAX_COUNT 4
 #define TURN_MS 2
 #define TRICKLE_MS 100
 #define RECONNECT_MS 300
--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -13,6 +13,7 @@
 #define QUEUE_HOST "plans.example"
 #define BODY_MAX_BYTES 262144
 #define HEADERS_MAX_BYTES 16384
+#define VARIANTS_MAX_COUNT 32
 
 /* world.c */
 
@@ -73,7 +74,7 @@
 	struct {
 		uint32_t burst_bytes;
 		bool trickles;
-	} pace[4];
+	} pace[VARIANTS_MAX_COUNT];
 };
 
 extern const struct crowd_case crowd_cases[];
