Allocate the items of a job when they change, by segment

Change: a segment of 128 items is allocated when one of them is changed, and freed again when all of them are done and that is being stored. Until then its items are read from one that they share. The counts of steps are kept in blocks of 64 occurrences in the same way. A job counts what it holds, in bytes, also in a sum that the caller gives.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -20,6 +20,8 @@
  * record of its own, since the size of a record is limited.
  */
 #define JOB_SEGMENT_ITEMS_COUNT 128
+/* The counts of items are kept in blocks of so many occurrences. */
+#define JOB_BLOCK_OCCURRENCES_COUNT 64
 #define JOB_TEXT_MAX_BYTES 4000
 #define CHECKPOINT_MAX_BYTES 512
 /* Until 2286; sums of two, in microseconds, fit into 64 bits. */
@@ -69,6 +71,9 @@
 /* Upper bound of the size of the stored job, in bytes. */
 uint64_t job_spec_stored_max_bytes(const struct job_spec *spec);
 
+/* Memory of a job whose first items are being run, in bytes. */
+uint64_t job_spec_held_bytes(const struct job_spec *spec);
+
 uint32_t job_spec_items_per_occurrence(const struct job_spec *spec);
 uint32_t job_spec_occurrences(const struct job_spec *spec);
 
@@ -159,8 +164,20 @@
 	uint64_t submit_offset;
 	/* By segment: offset of the newest progress applied */
 	uint64_t *segment_offsets;
-	GArray *items;			/* of struct job_item */
-	struct step_count *step_counts; /* by occurrence and step */
+	uint32_t item_count;
+	/*
+	 * By segment: its items, which are allocated when one of them changes.
+	 * NULL: all are as `untouched`. Segments that are done share one item.
+	 */
+	struct job_item **segments;
+	struct job_item untouched;
+	/*
+	 * By block of JOB_BLOCK_OCCURRENCES_COUNT, then by occurrence and step.
+	 * NULL: all items are waiting.
+	 */
+	struct step_count **step_counts;
+	uint64_t held_bytes; /* memory of the job */
+	uint64_t *held_sum;  /* includes held_bytes; NULL: no such sum */
 	/* Used by the holder only; not stored. */
 	enum job_state next_state; /* state that the next write stores */
 	uint32_t left_count;	   /* items not done */
@@ -180,7 +197,24 @@
 struct job *job_new(const char *id, struct job_spec *spec);
 void job_free(struct job *job);
 
-struct job_item *job_item(const struct job *job, uint32_t index);
+/* Counts what the job holds in a sum, until it is freed. */
+void job_count_in(struct job *job, uint64_t *sum);
+
+/* An item that may be changed. Allocates the items of its segment. */
+struct job_item *job_item(struct job *job, uint32_t index);
+
+/* An item that is only read, until the next change of the job. */
+const struct job_item *job_item_view(const struct job *job, uint32_t index);
+
+/* Whether the segment has no items of its own: none is placed. */
+bool job_segment_is_shared(const struct job *job, uint32_t segment);
+
+/* Frees the items of a segment if all are done. */
+void job_release_done_segment(struct job *job, uint32_t segment);
+
+/* Replaces a checkpoint of an item of the job by a copy; NULL: by none. */
+void job_replace_checkpoint(struct job *job, char **checkpoint, const char *by);
+
 const struct job_step *job_step(const struct job *job, uint32_t step);
 
 /* Step and occurrence of an item. */
@@ -229,8 +263,8 @@
 bool job_has_ended(const struct job *job);
 
 /* Number of unfinished items of a step in an occurrence. */
-const struct step_count *job_step_count(const struct job *job,
-					uint32_t occurrence, uint32_t step);
+struct step_count job_step_count(const struct job *job, uint32_t occurrence,
+				 uint32_t step);
 
 /* Sets the phase of an item and updates the counts of the job and its step. */
 void job_set_phase(struct job *job, uint32_t index, enum item_phase phase);
--- a/src/jobs/record.c
+++ b/src/jobs/record.c
@@ -44,7 +44,7 @@
 static void add_item_progress(struct job_record *record, const struct job *job,
 			      uint32_t index)
 {
-	const struct job_item *item = job_item(job, index);
+	const struct job_item *item = job_item_view(job, index);
 	uint32_t bit = index % JOB_SEGMENT_ITEMS_COUNT;
 	struct job_record_item progress = {
 		.index = index,
@@ -65,7 +65,7 @@
 {
 	struct job_record *record = job_record_new(JOB_RECORD_PROGRESS);
 	uint32_t first = segment * JOB_SEGMENT_ITEMS_COUNT;
-	uint32_t end = MIN(first + JOB_SEGMENT_ITEMS_COUNT, job->items->len);
+	uint32_t end = MIN(first + JOB_SEGMENT_ITEMS_COUNT, job->item_count);
 
 	g_strlcpy(record->id, job->id, sizeof(record->id));
 	record->segment = segment;
--- a/src/jobs/sched.c
+++ b/src/jobs/sched.c
@@ -108,6 +108,31 @@
 	}
 }
 
+static void adopt_item(const struct sched *sched, struct job *job,
+		       struct job_item *item)
+{
+	item->settled = false;
+	item->start_unanswered = false;
+	/* Late starts of earlier holders are refused by their token. */
+	item->start_late_until_us = 0;
+	item->life_known = false;
+	item->start_settled_us = sched->held_since_us + EARLIER_ORDER_MAX_US;
+	item->ordered_us = 0;
+	item->pending_orders_count = 0;
+	item->confirmed_us = 0;
+	item->store_write_id = 0;
+	item->progress_percent = 0;
+	item->checkpoint_percent = 0;
+	item->ended_broken = false;
+	job_replace_checkpoint(job, &item->start_checkpoint, NULL);
+	item->retry_us = 0;
+	item->failed_worker = NULL;
+	item->unavailable_since_us = sched->held_since_us;
+	item->pace_percent = 100;
+	if (item->phase != ITEM_DONE)
+		item->phase = item->worker ? ITEM_STARTING : ITEM_WAITING;
+}
+
 /*
  * Resets what only a holder knows of a job. Items that an earlier holder
  * placed may be running until their worker's lists show that they are not.
@@ -120,31 +145,14 @@
 	       job_segments_count(job) * sizeof(*job->dirty_segments));
 	job->failed_workers_count = 0;
 	job->next_state = job->state;
-	for (uint32_t i = 0; i < job->items->len; i++) {
-		struct job_item *item = job_item(job, i);
-
-		item->settled = false;
-		item->start_unanswered = false;
-		/* Late starts of earlier holders are refused by their token. */
-		item->start_late_until_us = 0;
-		item->life_known = false;
-		item->start_settled_us =
-			sched->held_since_us + EARLIER_ORDER_MAX_US;
-		item->ordered_us = 0;
-		item->pending_orders_count = 0;
-		item->confirmed_us = 0;
-		item->store_write_id = 0;
-		item->progress_percent = 0;
-		item->checkpoint_percent = 0;
-		item->ended_broken = false;
-		g_clear_pointer(&item->start_checkpoint, g_free);
-		item->retry_us = 0;
-		item->failed_worker = NULL;
-		item->unavailable_since_us = sched->held_since_us;
-		item->pace_percent = 100;
-		if (item->phase != ITEM_DONE)
-			item->phase =
-				item->worker ? ITEM_STARTING : ITEM_WAITING;
+	adopt_item(sched, job, &job->untouched);
+	for (uint32_t i = 0; i < job->item_count; i++) {
+		struct job_item *item;
+
+		if (job_segment_is_shared(job, job_item_segment(i)))
+			continue;
+		item = job_item(job, i);
+		adopt_item(sched, job, item);
 		if (item->worker && item->phase != ITEM_DONE) {
 			struct worker *worker = worker_get(sched, item->worker);
 
@@ -190,7 +198,7 @@
 		     "estimate_ms=%u lasting=%d filler=%d per_worker=%u "
 		     "away_max=%u target_ms=%u",
 		     job->id, job->queue, job->pool, job->spec->steps->len,
-		     job->items->len, first->cpu_milli, first->mem_mb,
+		     job->item_count, first->cpu_milli, first->mem_mb,
 		     first->estimate_ms, first->long_running, first->filler,
 		     first->max_per_worker, first->max_unavailable,
 		     first->target_ms);
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -24,17 +24,16 @@
 {
 	struct flushing_job flushed = { .job = job, .state = job->next_state };
 
-	for (uint32_t i = 0; i < job->items->len; i++) {
-		struct job_item *item = job_item(job, i);
-
-		if (item->phase == ITEM_STORING)
-			item->store_write_id = write->write_id;
+	for (uint32_t i = 0; i < job->item_count; i++) {
+		if (job_item_view(job, i)->phase == ITEM_STORING)
+			job_item(job, i)->store_write_id = write->write_id;
 	}
 	for (uint32_t i = 0; i < job_segments_count(job); i++) {
-		if (job->dirty_segments[i])
-			g_ptr_array_add(write->records,
-					job_record_progress(job, i));
+		if (!job->dirty_segments[i])
+			continue;
+		g_ptr_array_add(write->records, job_record_progress(job, i));
 		job->dirty_segments[i] = false;
+		job_release_done_segment(job, i);
 	}
 	job->dirty = false;
 	g_array_append_val(sched->flushing_jobs, flushed);
--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -91,11 +91,11 @@
 static void set_start_checkpoint(struct job *job, uint32_t index)
 {
 	const struct job_item *keeper =
-		job_item(job, job_checkpoint_index(job, index));
+		job_item_view(job, job_checkpoint_index(job, index));
 	struct job_item *item = job_item(job, index);
 
-	g_free(item->start_checkpoint);
-	item->start_checkpoint = g_strdup(keeper->checkpoint);
+	job_replace_checkpoint(job, &item->start_checkpoint,
+			       keeper->checkpoint);
 	item->checkpoint_percent = 0;
 }
 
@@ -170,7 +170,7 @@
 	decision_log("complete", "job=%s age_ms=%" G_GINT64_FORMAT " items=%u",
 		     job->id,
 		     (sched_now_us(sched) - job->first_seen_us) / USEC_PER_MSEC,
-		     job->items->len);
+		     job->item_count);
 }
 
 static void complete_item(struct sched *sched, struct job *job, uint32_t index)
@@ -223,7 +223,7 @@
 	struct order *order = worker_order_new(sched, worker, kind);
 
 	job_item_name(job, index, order->item, sizeof(order->item));
-	order->run = job_item(job, index)->run;
+	order->run = job_item_view(job, index)->run;
 	return order;
 }
 
@@ -269,11 +269,14 @@
 void item_stop(struct sched *sched, struct job *job, uint32_t index,
 	       const char *reason)
 {
-	struct job_item *item = job_item(job, index);
+	struct job_item *item;
 	struct worker *worker;
 	char name[NAME_SIZE_BYTES];
 
-	if (!is_placed(item) || item->phase == ITEM_STOPPING)
+	if (!is_placed(job_item_view(job, index)))
+		return;
+	item = job_item(job, index);
+	if (item->phase == ITEM_STOPPING)
 		return;
 	if (is_unstarted(item)) {
 		item_release(sched, job, index, reason);
@@ -295,7 +298,7 @@
 void job_stop_items(struct sched *sched, struct job *job, const char *reason)
 {
 	job->stop_all = true;
-	for (uint32_t i = 0; i < job->items->len; i++)
+	for (uint32_t i = 0; i < job->item_count; i++)
 		item_stop(sched, job, i, reason);
 }
 
@@ -306,7 +309,7 @@
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < job_step(job, step)->item_count; i++) {
-		const struct job_item *item = job_item(job, first + i);
+		const struct job_item *item = job_item_view(job, first + i);
 
 		if (item->phase != ITEM_RUNNING || item->progress_percent < 100)
 			count++;
@@ -317,7 +320,7 @@
 bool item_may_be_stopped(const struct job *job, uint32_t index)
 {
 	uint32_t step = job_item_step(job, index);
-	const struct job_item *item = job_item(job, index);
+	const struct job_item *item = job_item_view(job, index);
 	uint32_t unavailable_count = step_unavailable_count(
 		job, job_item_occurrence(job, index), step);
 	uint32_t allowed = MAX(job_step(job, step)->max_unavailable, 1);
@@ -342,8 +345,7 @@
 	keeper->checkpoint_percent = percent;
 	if (!g_strcmp0(checkpoint, keeper->checkpoint))
 		return;
-	g_free(keeper->checkpoint);
-	keeper->checkpoint = g_strdup(checkpoint);
+	job_replace_checkpoint(job, &keeper->checkpoint, checkpoint);
 }
 
 static void set_end_checkpoint(struct sched *sched, struct job *job,
@@ -373,7 +375,7 @@
 static void record_done(struct sched *sched, struct job *job, uint32_t index,
 			bool current)
 {
-	struct job_item *item = job_item(job, index);
+	const struct job_item *item = job_item_view(job, index);
 
 	if (item->phase == ITEM_DONE)
 		return;
@@ -381,7 +383,7 @@
 		complete_item(sched, job, index);
 		return;
 	}
-	item->ended_done = true;
+	job_item(job, index)->ended_done = true;
 	item_mark_dirty(sched, job, index);
 	item_stop(sched, job, index, "done-elsewhere");
 }
@@ -432,10 +434,10 @@
 	if (!job)
 		return;
 	job_mark_begun(sched, job);
+	if (job_item_view(job, index)->phase == ITEM_DONE)
+		return;
 	item = job_item(job, index);
 	step = job_step(job, job_item_step(job, index));
-	if (item->phase == ITEM_DONE)
-		return;
 	current = is_placed(item) && item->run == row->run &&
 		  item->worker == worker->id;
 	if (row->end == ITEM_END_DONE && !step->long_running) {
@@ -582,7 +584,7 @@
 			order_kind_name(order->kind), order->item, order->run,
 			worker->id, order_result_name(order->result),
 			(sched_now_us(sched) - order->sent_us) / USEC_PER_MSEC);
-	if (!job)
+	if (!job || job_item_view(job, index)->phase == ITEM_DONE)
 		return;
 	item = job_item(job, index);
 	if (item->run != order->run || item->worker != worker->id) {
--- a/src/jobs/sched_late.c
+++ b/src/jobs/sched_late.c
@@ -38,7 +38,7 @@
 void late_starts_note(struct sched *sched, struct worker *worker,
 		      const struct job *job, uint32_t index)
 {
-	const struct job_item *item = job_item(job, index);
+	const struct job_item *item = job_item_view(job, index);
 	struct late_start late = {
 		.run = item->run,
 		.until_us = item->start_late_until_us,
--- a/src/jobs/sched_load.c
+++ b/src/jobs/sched_load.c
@@ -68,13 +68,13 @@
 			  uint32_t index, struct pool_load *load)
 {
 	const struct job_step *step = job_step(job, index);
-	const struct step_count *count = job_step_count(job, occurrence, index);
-	uint32_t placed_count = count->left - count->waiting;
-	uint32_t ready_count = count->waiting;
+	const struct step_count count = job_step_count(job, occurrence, index);
+	uint32_t placed_count = count.left - count.waiting;
+	uint32_t ready_count = count.waiting;
 	uint32_t startable_count;
 	struct resources item = resources_of_step(step);
 
-	if (!count->left)
+	if (!count.left)
 		return false;
 	if (!step->long_running && !job_step_is_ready(job, occurrence, index))
 		ready_count = 0;
--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -56,7 +56,7 @@
 	uint32_t count = job_step(job, index)->item_count;
 
 	for (uint32_t i = first; i < first + count; i++) {
-		struct job_item *item = job_item(job, i);
+		const struct job_item *item = job_item_view(job, i);
 		struct worker *worker;
 
 		if (item->phase != ITEM_WAITING)
@@ -84,7 +84,7 @@
 			      uint32_t count)
 {
 	for (uint32_t i = first; i < first + count; i++) {
-		if (job_item(job, i)->ended_broken)
+		if (job_item_view(job, i)->ended_broken)
 			return true;
 	}
 	return false;
@@ -103,7 +103,7 @@
 		return;
 	for (uint32_t i = first; i < first + count; i++) {
 		const struct worker *worker =
-			worker_find(pass->sched, job_item(job, i)->worker);
+			worker_find(pass->sched, job_item_view(job, i)->worker);
 
 		if (worker && worker->synced && !worker->unanswered_count)
 			item_stop(pass->sched, job, i, "gang-incomplete");
@@ -121,12 +121,12 @@
 	uint32_t placed_count = 0;
 	struct worker *worker;
 
-	if (job_step_count(job, occurrence, index)->waiting < count) {
+	if (job_step_count(job, occurrence, index).waiting < count) {
 		stop_incomplete_gang(pass, job, first, count);
 		return;
 	}
 	for (uint32_t i = first; i < first + count; i++) {
-		const struct job_item *item = job_item(job, i);
+		const struct job_item *item = job_item_view(job, i);
 
 		if (item->retry_us > pass->now_us) {
 			sched_wake_at(pass->sched, item->retry_us);
@@ -163,14 +163,14 @@
 		place_gang(pass, candidate, occurrence, index);
 	else
 		place_items(pass, candidate, occurrence, index);
-	if (pass->advice && job_step_count(job, occurrence, index)->waiting)
+	if (pass->advice && job_step_count(job, occurrence, index).waiting)
 		place_request_advice(pass, candidate, occurrence, index);
 }
 
 static bool step_may_start(const struct job *job, uint32_t occurrence,
 			   uint32_t step)
 {
-	uint32_t waiting_count = job_step_count(job, occurrence, step)->waiting;
+	uint32_t waiting_count = job_step_count(job, occurrence, step).waiting;
 
 	if (!waiting_count || !job_step_is_ready(job, occurrence, step))
 		return false;
--- a/src/jobs/sched_place_worker.c
+++ b/src/jobs/sched_place_worker.c
@@ -138,8 +138,8 @@
 			     uint32_t first, uint32_t count, const char *rack)
 {
 	for (uint32_t i = 0; i < count; i++) {
-		const struct worker *worker =
-			worker_find(sched, job_item(job, first + i)->worker);
+		const struct worker *worker = worker_find(
+			sched, job_item_view(job, first + i)->worker);
 
 		if (worker && !strcmp(worker->rack, rack))
 			return true;
--- a/src/jobs/sched_quota.c
+++ b/src/jobs/sched_quota.c
@@ -252,8 +252,8 @@
 		const struct job *job = value;
 		struct resources *sum = g_hash_table_lookup(sums, job->member);
 
-		for (uint32_t i = 0; sum && i < job->items->len; i++) {
-			enum item_phase phase = job_item(job, i)->phase;
+		for (uint32_t i = 0; sum && i < job->item_count; i++) {
+			enum item_phase phase = job_item_view(job, i)->phase;
 			struct resources amount = resources_of_step(
 				job_step(job, job_item_step(job, i)));
 
--- a/src/jobs/sched_start.c
+++ b/src/jobs/sched_start.c
@@ -86,13 +86,15 @@
 
 void starts_on_stored(struct sched *sched, struct job *job, uint64_t write_id)
 {
-	for (uint32_t i = 0; i < job->items->len; i++) {
-		struct job_item *item = job_item(job, i);
+	for (uint32_t i = 0; i < job->item_count; i++) {
+		const struct job_item *view = job_item_view(job, i);
+		struct job_item *item;
 		struct worker *worker;
 
-		if (item->phase != ITEM_STORING ||
-		    item->store_write_id != write_id)
+		if (view->phase != ITEM_STORING ||
+		    view->store_write_id != write_id)
 			continue;
+		item = job_item(job, i);
 		if (job->stop_all || job->cancelled) {
 			item_release(sched, job, i, "job-ended");
 			continue;
--- a/src/jobs/sched_stragglers.c
+++ b/src/jobs/sched_stragglers.c
@@ -24,7 +24,7 @@
 static const char *straggler_reason(const struct sched *sched,
 				    const struct job *job, uint32_t index)
 {
-	const struct job_item *item = job_item(job, index);
+	const struct job_item *item = job_item_view(job, index);
 	uint32_t step = job_item_step(job, index);
 	int64_t now_us = sched_now_us(sched);
 	int64_t age_us = now_us - item->confirmed_us;
--- a/src/jobs/table.c
+++ b/src/jobs/table.c
@@ -149,11 +149,18 @@
 
 static void reset_item(struct job *job, uint32_t index, bool done)
 {
-	struct job_item *item = job_item(job, index);
-	enum item_phase phase = item->phase;
+	struct job_item *item;
+	enum item_phase phase;
 
-	g_free(item->checkpoint);
-	g_free(item->start_checkpoint);
+	/* Nothing to reset, or to free by the new phase. */
+	if (job_segment_is_shared(job, job_item_segment(index)) &&
+	    job_item_view(job, index)->phase ==
+		    (done ? ITEM_DONE : ITEM_WAITING))
+		return;
+	item = job_item(job, index);
+	phase = item->phase;
+	job_replace_checkpoint(job, &item->checkpoint, NULL);
+	job_replace_checkpoint(job, &item->start_checkpoint, NULL);
 	*item = (struct job_item){ .phase = phase };
 	job_set_phase(job, index, done ? ITEM_DONE : ITEM_WAITING);
 }
@@ -168,8 +175,7 @@
 	if (index != progress->index &&
 	    (item->checkpoint || !progress->checkpoint))
 		return;
-	g_free(item->checkpoint);
-	item->checkpoint = g_strdup(progress->checkpoint);
+	job_replace_checkpoint(job, &item->checkpoint, progress->checkpoint);
 }
 
 static void apply_item(struct job *job, const struct job_record_item *progress)
@@ -197,7 +203,7 @@
 		uint32_t index = first + i;
 		uint64_t *offset;
 
-		if (index >= job->items->len)
+		if (index >= job->item_count)
 			return;
 		offset = &job->segment_offsets[job_item_segment(index)];
 		if (record->offset < *offset)
@@ -220,11 +226,12 @@
 		const struct job_record_item *progress = &g_array_index(
 			record->items, struct job_record_item, i);
 
-		if (progress->index < job->items->len &&
+		if (progress->index < job->item_count &&
 		    job->segment_offsets[job_item_segment(progress->index)] ==
 			    record->offset)
 			apply_item(job, progress);
 	}
+	job_release_done_segment(job, record->segment);
 	if (record->segment || job->segment_offsets[0] != record->offset)
 		return;
 	job->begun = record->begun;
--- a/test/fuzz/job.c
+++ b/test/fuzz/job.c
@@ -12,8 +12,8 @@
 	if (spec && !job_spec_check(spec)) {
 		struct job *job = job_new("00000000000000a1", spec);
 
-		fuzz_check(job->items->len > 0 &&
-				   job->items->len <= JOB_ITEMS_MAX_COUNT,
+		fuzz_check(job->item_count > 0 &&
+				   job->item_count <= JOB_ITEMS_MAX_COUNT,
 			   "an accepted job has a limited number of items");
 		fuzz_check(job_due_ms(job, job_spec_occurrences(spec) - 1) >= 0,
 			   "every due time is representable");
--- a/test/unit/job_record.c
+++ b/test/unit/job_record.c
@@ -87,7 +87,7 @@
 
 	memset(worker, 'w', sizeof(worker) - 1);
 	worker[sizeof(worker) - 1] = '\0';
-	for (uint32_t i = 0; i < job->items->len; i++) {
+	for (uint32_t i = 0; i < job->item_count; i++) {
 		job_item(job, i)->run = UINT32_MAX;
 		job_item(job, i)->failed_count = UINT32_MAX;
 		job_item(job, i)->worker = g_intern_string(worker);
@@ -156,8 +156,8 @@
 	}
 	CU_ASSERT_EQUAL(job->left_count, 299);
 	CU_ASSERT_EQUAL(job->placed_count, 1);
-	CU_ASSERT_EQUAL(job_item(job, 250)->run, 3);
-	CU_ASSERT_EQUAL(job_item(job, 299)->phase, ITEM_DONE);
+	CU_ASSERT_EQUAL(job_item_view(job, 250)->run, 3);
+	CU_ASSERT_EQUAL(job_item_view(job, 299)->phase, ITEM_DONE);
 	job_record_unref(submit);
 	job_record_unref(record);
 	job_table_free(table);
@@ -198,8 +198,8 @@
 		abort(); /* The analyzer doesn't know that CUnit jumps out. */
 	}
 	CU_ASSERT_EQUAL(job_checkpoint_index(job, 2), 0);
-	CU_ASSERT_STRING_EQUAL(job_item(job, 0)->checkpoint, "c1");
-	CU_ASSERT_PTR_NULL(job_item(job, 2)->checkpoint);
+	CU_ASSERT_STRING_EQUAL(job_item_view(job, 0)->checkpoint, "c1");
+	CU_ASSERT_PTR_NULL(job_item_view(job, 2)->checkpoint);
 	job_record_unref(submit);
 	job_record_unref(record);
 	job_table_free(table);
