Refuse jobs that there is no memory for, large ones first

Cause: nothing bounded what all accepted jobs hold in each entry instance; clients inside all limits could run every process out of memory.

Change: a process counts what its jobs hold and takes a further one only if it needs at most a 64th of what is left of 30 % of memory_mb (jobs.budget_percent); queued submissions count, and are checked again before they are written. A refusal is a 503 with Retry-After, before anything is written, with a counter and one log line a second. From a quarter of that memory on, ended jobs are dropped without waiting for another write, as there may be none.

--- a/src/jobs/callers.c
+++ b/src/jobs/callers.c
@@ -212,6 +212,8 @@
 		refuse_over_rate(callers, call, member);
 		return;
 	}
+	if (!callers_admit_memory(callers, call))
+		return;
 	add_pending(callers, call, member_name,
 		    submit_record_new(callers, call, queue, id, member),
 		    PENDING_QUEUED, QUEUE_WAIT_MAX_US);
@@ -426,6 +428,7 @@
 	 * checked again: the call was sent before a removal that is known only
 	 * now.
 	 */
+	callers_show_memory(callers);
 	known = take_known_calls(callers);
 	for (guint i = 0; i < known->len; i++) {
 		struct pending_call *pending = known->pdata[i];
--- a/src/jobs/callers.h
+++ b/src/jobs/callers.h
@@ -42,6 +42,9 @@
 	int64_t store_lost_since_us; /* store silent since; 0: it answers */
 	int64_t stop_accepting_us;   /* new jobs; 0: not draining */
 	bool drained_sent;	     /* EVENT_DRAINED was sent */
+	/* Jobs refused for want of memory since the last log line on it */
+	uint32_t memory_refused_count;
+	int64_t memory_log_us; /* earliest next line */
 };
 
 /* callers.c */
@@ -81,6 +84,20 @@
  */
 bool callers_knows_config(const struct callers *callers);
 
+/* callers_memory.c */
+
+/* Returns false if there is no memory for the job, which was answered. */
+bool callers_admit_memory(struct callers *callers, const struct job_call *call);
+
+/*
+ * Refuses queued submissions for which there is no memory any more, as other
+ * processes have taken jobs meanwhile.
+ */
+void callers_recheck_memory(struct callers *callers);
+
+/* Sets the counter of the memory that jobs hold. */
+void callers_show_memory(const struct callers *callers);
+
 /* callers_write.c: calls queue up while a write is under way */
 
 /* Writes the queued calls, unless a write or a pause is under way. */
--- a/src/jobs/callers_write.c
+++ b/src/jobs/callers_write.c
@@ -39,6 +39,7 @@
 		kernel_wake_at(callers->kernel, callers->next_write_us);
 		return;
 	}
+	callers_recheck_memory(callers);
 	write = store_write_new(STORE_WRITER_ENTRY);
 	for (guint i = 0; i < callers->pending->len; i++) {
 		struct pending_call *pending = callers->pending->pdata[i];
@@ -57,10 +58,7 @@
 	}
 	write->write_id = callers->next_write_id;
 	if (!write->records->len) {
-		struct event event = { .type = EVENT_STORE_WRITE };
-
-		event.msg = write;
-		event_clear(&event);
+		store_write_unref(write);
 		return;
 	}
 	callers->write_id = callers->next_write_id++;
--- a/src/jobs/msg.c
+++ b/src/jobs/msg.c
@@ -136,6 +136,12 @@
 	g_ptr_array_unref(msg->records);
 }
 
+void store_write_unref(struct store_write *msg)
+{
+	if (msg)
+		g_rc_box_release_full(msg, store_write_clear);
+}
+
 static void job_call_clear(gpointer data)
 {
 	struct job_call *msg = data;
--- a/src/jobs/msg.h
+++ b/src/jobs/msg.h
@@ -289,6 +289,7 @@
 
 struct store_read *store_read_new(void);
 struct store_write *store_write_new(enum store_writer writer);
+void store_write_unref(struct store_write *msg);
 struct job_call *job_call_new(void);
 struct workers_seen *workers_seen_new(void);
 struct wave_seen *wave_seen_new(void);
--- a/src/jobs/sched_flush.c
+++ b/src/jobs/sched_flush.c
@@ -16,6 +16,8 @@
 /* The search for ended jobs visits all jobs, so it isn't part of each write. */
 #define DROP_PERIOD_US USEC_PER_SEC
 #define DROP_MAX_COUNT 256
+/* From this part of their memory on, ended jobs are dropped without delay. */
+#define DROP_SOON_DIVISOR 4
 /* A new holder drops no jobs for this long. */
 #define DROP_MIN_HELD_US (5 * USEC_PER_SEC)
 
@@ -46,6 +48,21 @@
 		       sched->bounds->status_retention_us + DROP_SLACK_US;
 }
 
+/*
+ * Drops are part of writes that have another cause, unless jobs take so much
+ * memory that further ones may be refused: then nothing else may be written.
+ */
+static bool needs_drops(const struct sched *sched)
+{
+	uint64_t max_bytes = sched->bounds->jobs_max_bytes;
+	int64_t now_us = sched_now_us(sched);
+
+	return max_bytes && now_us >= sched->next_drop_us &&
+	       now_us - sched->held_since_us >= DROP_MIN_HELD_US &&
+	       job_table_held_bytes(kernel_jobs(sched->kernel)) >
+		       max_bytes / DROP_SOON_DIVISOR;
+}
+
 static void add_job_drops(struct sched *sched, struct store_write *write)
 {
 	int64_t now_us = sched_now_us(sched);
@@ -77,11 +94,12 @@
 void sched_flush(struct sched *sched)
 {
 	int64_t now_us = sched_now_us(sched);
+	bool drops = needs_drops(sched);
 	struct store_write *write;
 
 	if (sched->flush_write_id ||
 	    (!sched->dirty_jobs->len && !sched->ends_unstored &&
-	     !sched->waves_dirty && !sched->orders_queued->len))
+	     !sched->waves_dirty && !sched->orders_queued->len && !drops))
 		return;
 	if (now_us < sched->next_flush_us) {
 		sched_wake_at(sched, sched->next_flush_us);
@@ -90,7 +108,7 @@
 	workers_on_flush(sched);
 	sched->ends_unstored = false;
 	if (!sched->dirty_jobs->len && !sched->waves_dirty &&
-	    !sched->orders_queued->len) {
+	    !sched->orders_queued->len && !drops) {
 		/* The ends since the last flush changed no stored state. */
 		workers_on_stored(sched);
 		return;
@@ -106,6 +124,11 @@
 	waves_add_progress(sched, write);
 	machine_orders_add_queued(sched, write);
 	add_job_drops(sched, write);
+	if (!write->records->len) {
+		store_write_unref(write);
+		workers_on_stored(sched);
+		return;
+	}
 	sched->flush_write_id = write->write_id;
 	sched->flush_sent_us = now_us;
 	sched->next_flush_us = now_us + FLUSH_PERIOD_US;
--- a/src/jobs/table.c
+++ b/src/jobs/table.c
@@ -11,6 +11,7 @@
 	GHashTable *jobs;      /* id -> struct job */
 	GHashTable *cancelled; /* ids of jobs that have not been read yet */
 	GHashTable *loads;     /* name of a member -> struct member_load */
+	uint64_t held_bytes;   /* by the jobs */
 };
 
 /* What a member has submitted. */
@@ -53,6 +54,11 @@
 	return g_hash_table_lookup(table->jobs, id);
 }
 
+uint64_t job_table_held_bytes(const struct job_table *table)
+{
+	return table->held_bytes;
+}
+
 GHashTable *job_table_all(const struct job_table *table)
 {
 	return table->jobs;
@@ -130,6 +136,7 @@
 	if (job)
 		return;
 	job = job_new(record->id, record->spec);
+	job_count_in(job, &table->held_bytes);
 	g_strlcpy(job->queue, record->queue, sizeof(job->queue));
 	g_strlcpy(job->pool, record->pool, sizeof(job->pool));
 	job->policy = record->policy;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -33,6 +33,9 @@
 void job_table_update_policies(struct job_table *table,
 			       const struct queues *queues);
 
+/* Memory that all jobs hold, in bytes. */
+uint64_t job_table_held_bytes(const struct job_table *table);
+
 /* Id -> struct job; read-only. */
 GHashTable *job_table_all(const struct job_table *table);
 
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -36,6 +36,8 @@
 	uint32_t machine_orders_per_s;
 	uint64_t record_max_bytes; /* of one record in the store */
 	uint64_t batch_max_bytes;  /* of the records of one write */
+	/* Memory that jobs may hold in a process; 0: no limit */
+	uint64_t jobs_max_bytes;
 };
 
 struct settings {
--- a/test/runner/jobs_world.c
+++ b/test/runner/jobs_world.c
@@ -260,6 +260,7 @@
 	entry->settings->bounds.quota_overage_percent =
 		FAKE_QUOTA_OVERAGE_PERCENT;
 	entry->settings->bounds.revoke_us = jobs->revoke_us;
+	entry->settings->bounds.jobs_max_bytes = jobs->memory_bytes;
 	if (jobs->forwards_orders) {
 		g_strlcpy(entry->settings->forward_address, name,
 			  sizeof(entry->settings->forward_address));
--- a/test/runner/jobs_world.h
+++ b/test/runner/jobs_world.h
@@ -189,6 +189,7 @@
 	/* By HTTP status: answers to calls that need a key */
 	uint32_t keyed_replies_count[600];
 	int64_t revoke_us; /* of entries started later; see struct job_bounds */
+	uint64_t memory_bytes; /* the same, jobs_max_bytes */
 };
 
 struct jobs_world *jobs_world_get(struct world *world);
--- a/test/runner/script_jobs_members.c
+++ b/test/runner/script_jobs_members.c
@@ -1,4 +1,7 @@
-/* Commands of the job simulation on members, their API keys and revocation. */
+/*
+ * Commands of the job simulation on members, their API keys and revocation, and
+ * on the memory of jobs.
+ */
 
 #include <string.h>
 
@@ -11,6 +14,13 @@
 		script_duration_us(script, script_word(script, 1));
 }
 
+/* job-memory BYTES: that jobs may hold in entries started later */
+static void cmd_memory(struct script *script)
+{
+	script_jobs(script)->memory_bytes =
+		g_ascii_strtoull(script_word(script, 1), NULL, 10);
+}
+
 static bool store_is_up(struct script *script)
 {
 	if (script_jobs(script)->store_down)
@@ -76,6 +86,7 @@
 
 static const struct script_command commands[] = {
 	{ "job-revoke", 1, cmd_revoke },
+	{ "job-memory", 1, cmd_memory },
 	{ "job-key", 2, cmd_key },
 	{ "job-member-remove", 1, cmd_member_remove },
 	{ "job-ready", 1, cmd_ready },
--- a/test/unit/platform.c
+++ b/test/unit/platform.c
@@ -400,6 +400,11 @@
 		{ "\"http\":{\"rate_bytes_per_s\":0}",
 		  "http.rate_bytes_per_s:" },
 		{ "\"http\":{\"grace_ms\":60000}", "http.grace_ms:" },
+		{ "\"jobs\":{\"budget_percent\":45}", NULL },
+		{ "\"jobs\":{\"budget_percent\":46}", "jobs.budget_percent:" },
+		{ "\"jobs\":{\"budget_percent\":4}", "jobs.budget_percent:" },
+		{ "\"jobs\":[]", "jobs:" },
+		{ "\"http\":{\"budget_percent\":80}", NULL },
 	};
 	char *base = g_strdup_printf(NODE_TEXT, "64", "");
 
@@ -440,6 +445,8 @@
 			node->http.conn
 				.partition_max_bytes[CONN_PARTITION_SHARED] >=
 			used_bytes);
+		CU_ASSERT_EQUAL(node->bounds.jobs_max_bytes,
+				UINT64_C(160) * 1024 * 1024 / 100 * 30);
 	}
 	g_free(node);
 	g_free(text);
