Read the memory and descriptors of the machine in the settings of serve

Cause: the limits of its HTTP servers are to follow from them, as those of entry do.

Nothing uses them yet.

Result: the crowd tests of serve can state the machine that they run on.

--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -5,6 +5,8 @@
 #include "codec/yaml_doc.h"
 
 #define DRAIN_DEFAULT_US (30 * USEC_PER_SEC)
+#define MEMORY_DEFAULT_MB 256
+#define FDS_DEFAULT_COUNT 4100
 
 #define FIELD_TEXT(member, kind, need)                                         \
 	{                                                                      \
@@ -33,6 +35,16 @@
 	  .offset_bytes = offsetof(struct settings, seed),
 	  .min = 0,
 	  .max = UINT32_MAX },
+	{ .key = "memory_mb",
+	  .type = YAML_FIELD_U32,
+	  .offset_bytes = offsetof(struct settings, memory_mb),
+	  .min = 32,
+	  .max = 1 << 24 },
+	{ .key = "max_fds",
+	  .type = YAML_FIELD_U32,
+	  .offset_bytes = offsetof(struct settings, max_fds),
+	  .min = 128,
+	  .max = 1 << 24 },
 };
 
 static const struct yaml_field peer_fields[] = {
@@ -81,6 +93,8 @@
 	name_copy(settings->entry, sizeof(settings->entry), "entry");
 	name_copy(settings->dc, sizeof(settings->dc), "dc");
 	settings->drain_us = DRAIN_DEFAULT_US;
+	settings->memory_mb = MEMORY_DEFAULT_MB;
+	settings->max_fds = FDS_DEFAULT_COUNT;
 	settings->bounds = default_bounds;
 	settings->forward_busy_percent = FORWARD_BUSY_PERCENT;
 	settings->peers =
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -54,8 +54,11 @@
 	/* A holder whose loop is busier has its orders forwarded. */
 	uint32_t forward_busy_percent;
 	uint32_t cpu_milli; /* CPU limit of this process; 0: not known */
-	int64_t drain_us;   /* time limit of a graceful shutdown */
-	uint32_t seed;	    /* of the random number generator; 0: random */
+	/* Of the machine, for the limits of the HTTP servers of `serve` */
+	uint32_t memory_mb;
+	uint32_t max_fds;
+	int64_t drain_us; /* time limit of a graceful shutdown */
+	uint32_t seed;	  /* of the random number generator; 0: random */
 	struct job_bounds bounds;
 	GArray *peers;		  /* of struct settings_peer */
 	GHashTable *plugin_names; /* kind name -> plug-in name */
