Add tests of misbehaving clients against serve

Cause: docs/design/http-budget.md names its servers as not covered: no limit on what they hold.

Afterwards a request must be answered and the metrics be shown.

--- a/test/crowd/crowd.h
+++ b/test/crowd/crowd.h
@@ -38,14 +38,29 @@
 	uint32_t fd_count;
 };
 
+/* How the process is started, and which interface it serves. */
+struct entry_setup {
+	const char *program;
+	const char *folder;
+	bool serve; /* its own interface; otherwise that of the users' platform
+		     */
+	int store_port;
+	int machines_port;
+	uint32_t memory_mb;
+	uint32_t max_fds;
+};
+
 /* Starts the process and waits until it is ready. */
-bool entry_start(const char *program, const char *folder, int store_port,
-		 int machines_port, uint32_t memory_mb, uint32_t max_fds);
+bool entry_start(const struct entry_setup *setup);
 /* Returns false if the process has ended. */
 bool entry_measure(struct entry_peak *peak);
 const char *entry_ip(void);
 int entry_port(enum target target);
-/* Whether a submitted job is accepted and shown, and the process is ready. */
+/*
+ * Whether a submitted job is accepted and shown, and the process is ready. With
+ * its own interface, which has no configuration here: whether a request gets
+ * its answer and the metrics are shown.
+ */
 bool entry_serves(int64_t until_ms);
 void entry_stop(void);
 
@@ -59,6 +74,7 @@
 
 struct crowd_case {
 	const char *name;
+	bool serve; /* see struct entry_setup */
 	/* Writes everything that one client sends. */
 	void (*write)(GString *to, enum target target, uint32_t variant);
 	uint32_t variant_count;
--- a/test/crowd/entry.c
+++ b/test/crowd/entry.c
@@ -28,6 +28,7 @@
 #define PORT_COUNT 4
 
 static struct {
+	bool serve;
 	char ip[16];
 	int front_port;
 	int ready_port;
@@ -73,8 +74,32 @@
 	} while (!port_is_free(entry.ip, METRICS_PORT));
 }
 
-static void write_settings(const char *path, int store_port, int machines_port,
-			   uint32_t memory_mb, uint32_t max_fds)
+static void write_own_settings(const struct entry_setup *setup,
+			       const char *path)
+{
+	char *token_path = g_build_filename(setup->folder, "token", NULL);
+	/* Nothing listens on the last port: no log, no list, no configuration
+	 */
+	char *text = g_strdup_printf(
+		"entry: e1\ndc: d1\ncaller_address: %s:%d\n"
+		"operator_address: %s:%d\npeer_address: %s:%d\n"
+		"token_file: %s\nlog_address: %s:%d\nlist_address: %s:%d\n"
+		"memory_mb: %u\nmax_fds: %u\n",
+		entry.ip, entry.front_port, entry.ip, entry.ready_port,
+		entry.ip, entry.ready_port + 1, token_path, entry.ip,
+		entry.ready_port + 2, entry.ip, entry.ready_port + 2,
+		setup->memory_mb, setup->max_fds);
+
+	if (!g_file_set_contents(token_path, "crowd\n", -1, NULL) ||
+	    !g_file_set_contents(path, text, -1, NULL)) {
+		fprintf(stderr, "can't write %s\n", path);
+		exit(2);
+	}
+	g_free(text);
+	g_free(token_path);
+}
+
+static void write_settings(const struct entry_setup *setup, const char *path)
 {
 	char front[32];
 	char ready[32];
@@ -84,8 +109,9 @@
 
 	g_snprintf(front, sizeof(front), "%s:%d", entry.ip, entry.front_port);
 	g_snprintf(ready, sizeof(ready), "%s:%d", entry.ip, entry.ready_port);
-	g_snprintf(store, sizeof(store), "127.0.0.1:%d", store_port);
-	g_snprintf(machines, sizeof(machines), "127.0.0.1:%d", machines_port);
+	g_snprintf(store, sizeof(store), "127.0.0.1:%d", setup->store_port);
+	g_snprintf(machines, sizeof(machines), "127.0.0.1:%d",
+		   setup->machines_port);
 	settings = json_pack(
 		"{s:s, s:s, s:s, s:{s:s, s:s}, s:[i, i], "
 		"s:{s:f, s:i, s:i, s:i}, s:s, s:{s:i, s:i, s:i, s:i, s:i}, "
@@ -94,11 +120,12 @@
 		"listen", "frontend", front, "readiness", ready,
 		"internal_ports", entry.ready_port + 1, entry.ready_port + 2,
 		"limits", "cpu_share", 0.25, "cores", 1, "memory_mb",
-		(int)memory_mb, "max_fds", (int)max_fds, "recommendation", "",
-		"bounds", "hold_max_ms", 6000, "stop_ms", 400, "status_s", 240,
-		"lease_ms", 3000, "max_skew_ms", 5000, "platform", "address",
-		store, "record_bytes", 262144, "max_batch_bytes", 2097152,
-		"cloud", "address", machines, "duty_per_s", 64.);
+		(int)setup->memory_mb, "max_fds", (int)setup->max_fds,
+		"recommendation", "", "bounds", "hold_max_ms", 6000, "stop_ms",
+		400, "status_s", 240, "lease_ms", 3000, "max_skew_ms", 5000,
+		"platform", "address", store, "record_bytes", 262144,
+		"max_batch_bytes", 2097152, "cloud", "address", machines,
+		"duty_per_s", 64.);
 	if (!settings || json_dump_file(settings, path, JSON_INDENT(1))) {
 		fprintf(stderr, "can't write %s\n", path);
 		exit(2);
@@ -115,31 +142,37 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	dup2(fd, STDOUT_FILENO);
 	dup2(fd, STDERR_FILENO);
-	execl(program, program, "entry", "--settings", settings_path, NULL);
+	execl(program, program, entry.serve ? "serve" : "entry", "--settings",
+	      settings_path, NULL);
 	_exit(127);
 }
 
 static bool is_ready(void)
 {
+	if (entry.serve)
+		return http_call(entry.ip, entry.ready_port, "GET", "/metrics",
+				 NULL, NULL, CALL_TIMEOUT_MS, NULL, 0) == 200;
 	return http_call(entry.ip, entry.ready_port, "GET", "/api/readyz", NULL,
 			 NULL, CALL_TIMEOUT_MS, NULL, 0) == 200;
 }
 
-bool entry_start(const char *program, const char *folder, int store_port,
-		 int machines_port, uint32_t memory_mb, uint32_t max_fds)
+bool entry_start(const struct entry_setup *setup)
 {
-	char *settings_path = g_build_filename(folder, "settings.json", NULL);
-	char *log_path = g_build_filename(folder, "entry.log", NULL);
+	char *settings_path = g_build_filename(setup->folder, "settings", NULL);
+	char *log_path = g_build_filename(setup->folder, "entry.log", NULL);
 	int64_t until_ms = world_ms() + READY_TIMEOUT_MS;
 
 	pick_ip();
 	entry.front_port = pick_ports();
 	entry.ready_port = entry.front_port + 1;
-	write_settings(settings_path, store_port, machines_port, memory_mb,
-		       max_fds);
+	entry.serve = setup->serve;
+	if (setup->serve)
+		write_own_settings(setup, settings_path);
+	else
+		write_settings(setup, settings_path);
 	entry.pid = fork();
 	if (!entry.pid)
-		run_program(program, settings_path, log_path);
+		run_program(setup->program, settings_path, log_path);
 	g_free(settings_path);
 	g_free(log_path);
 	if (entry.pid < 0)
@@ -206,7 +239,8 @@
 
 int entry_port(enum target target)
 {
-	if (target == TARGET_READINESS)
+	if (target == TARGET_READINESS ||
+	    (entry.serve && target == TARGET_METRICS))
 		return entry.ready_port;
 	return target == TARGET_METRICS ? METRICS_PORT : entry.front_port;
 }
@@ -236,7 +270,21 @@
 	return true;
 }
 
-bool entry_serves(int64_t until_ms)
+static bool own_interface_serves(int64_t until_ms)
+{
+	while (http_call(entry.ip, entry.front_port, "POST", "/ordinary",
+			 QUEUE_HOST, "work", CALL_TIMEOUT_MS, NULL, 0) <= 0 ||
+	       !is_ready()) {
+		if (world_ms() > until_ms) {
+			fprintf(stderr, "a request was not answered\n");
+			return false;
+		}
+		world_sleep_ms(RETRY_PAUSE_MS);
+	}
+	return true;
+}
+
+static bool queue_serves(int64_t until_ms)
 {
 	char *path = g_strdup_printf("/crowd/%08x%08x", g_random_int(),
 				     g_random_int());
@@ -257,6 +305,12 @@
 	return served;
 }
 
+bool entry_serves(int64_t until_ms)
+{
+	return entry.serve ? own_interface_serves(until_ms)
+			   : queue_serves(until_ms);
+}
+
 void entry_stop(void)
 {
 	if (!entry.pid)
--- a/test/crowd/main.c
+++ b/test/crowd/main.c
@@ -2,11 +2,11 @@
  * Usage: crowd PROGRAM FOLDER CASE [CALM_KB]
  *
  * Runs the crowd of one case against one entry instance, whose memory_mb is
- * HEADROOM_MB more than CALM_KB, what it takes without a crowd. The case `calm`
- * prints that. Guards against a process that ends, runs out of memory or
- * descriptors, or no longer serves, because of clients that nobody controls.
- * Exits with 0 if all checks held, 1 if one didn't, 2 if the run wasn't
- * possible.
+ * HEADROOM_MB more than CALM_KB, what it takes without a crowd. The cases
+ * `calm` and `calm-serve` print that. Guards against a process that ends, runs
+ * out of memory or descriptors, or no longer serves, because of clients that
+ * nobody controls. Exits with 0 if all checks held, 1 if one didn't, 2 if the
+ * run wasn't possible.
  */
 
 #include "crowd.h"
@@ -91,35 +91,38 @@
 int main(int argc, char **argv)
 {
 	const struct crowd_case *crowd_case;
-	uint32_t memory_mb = CALM_MEMORY_MB;
-	int store_port;
-	int machines_port;
+	struct entry_setup setup = { .memory_mb = CALM_MEMORY_MB,
+				     .max_fds = FDS_MAX_COUNT };
 	bool held = true;
 
 	crowd_case = argc > 3 ? find_case(argv[3]) : NULL;
-	if (argc < 4 || (!crowd_case && strcmp(argv[3], "calm") != 0)) {
+	if (argc < 4 || (!crowd_case && strcmp(argv[3], "calm") != 0 &&
+			 strcmp(argv[3], "calm-serve") != 0)) {
 		fprintf(stderr, "usage: %s PROGRAM FOLDER CASE [CALM_KB]\n",
 			argv[0]);
 		return 2;
 	}
+	setup.program = argv[1];
+	setup.folder = argv[2];
+	setup.serve =
+		crowd_case ? crowd_case->serve : !strcmp(argv[3], "calm-serve");
 	if (crowd_case && argc > 4)
-		memory_mb = (uint32_t)(strtoul(argv[4], NULL, 10) / 1024) +
-			    HEADROOM_MB;
+		setup.memory_mb =
+			(uint32_t)(strtoul(argv[4], NULL, 10) / 1024) +
+			HEADROOM_MB;
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGALRM, on_signal);
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
 	alarm(RUN_MAX_S);
-	world_open(&store_port, &machines_port);
-	if (!entry_start(argv[1], argv[2], store_port, machines_port, memory_mb,
-			 FDS_MAX_COUNT) ||
-	    !entry_serves(world_ms() + SERVE_MAX_MS)) {
+	world_open(&setup.store_port, &setup.machines_port);
+	if (!entry_start(&setup) || !entry_serves(world_ms() + SERVE_MAX_MS)) {
 		fprintf(stderr, "the entry instance did not become ready\n");
 		entry_stop();
 		return 2;
 	}
 	if (crowd_case)
-		held = run_crowd(crowd_case, memory_mb);
+		held = run_crowd(crowd_case, setup.memory_mb);
 	else if (entry_measure(&peak))
 		printf("%" G_GUINT64_FORMAT "\n", peak.memory_kb);
 	entry_stop();
