Bound what clients make the HTTP servers of serve hold

Cause: its servers had no budget: crowds that stop just short of the end of their bodies took 110 MB, and 514 connections of 400 descriptors were accepted.

--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -9,6 +9,7 @@
 #include <sys/resource.h>
 
 #include "cmd/command.h"
+#include "cmd/heap.h"
 #include "kernel/clock.h"
 #include "kernel/kernel.h"
 #include "kernel/klog.h"
@@ -215,6 +216,7 @@
 	struct serve serve = { .settings = NULL };
 	int code = EXIT_REJECTED;
 
+	heap_init();
 	argp_parse(&argp, argc, argv, 0, NULL, &path);
 	serve.settings = settings_load(path, errors);
 	for (guint i = 0; i < errors->len; i++)
--- a/src/io/front_http.c
+++ b/src/io/front_http.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "io/mhd_loop.h"
+#include "io/serve_limits.h"
 #include "io/token.h"
 #include "kernel/clock.h"
 #include "kernel/kernel.h"
@@ -11,7 +11,6 @@
 #define LOG_PREFIX "front"
 #define BODY_MAX_BYTES (UINT64_C(1024) * 1024)
 #define CLIENT_TIMEOUT_US (30 * USEC_PER_SEC)
-#define CONNECTIONS_MAX_COUNT 1024
 #define DEADLINE_MAX_MS (UINT64_C(24) * 3600 * 1000)
 #define DRAIN_RETRY_AFTER_US USEC_PER_SEC
 
@@ -251,9 +250,9 @@
 
 static void *front_init(struct kernel *kernel)
 {
-	const struct httpd_limits limits = {
+	struct conn_limits conn_limits;
+	struct httpd_limits limits = {
 		.body_max_bytes = BODY_MAX_BYTES,
-		.connections_max_count = CONNECTIONS_MAX_COUNT,
 		.client_timeout_us = CLIENT_TIMEOUT_US,
 	};
 	struct front *front = g_new0(struct front, 1);
@@ -263,6 +262,7 @@
 		goto fail;
 	front->relay_mac = token_relay_mac(token);
 	front->kernel = kernel;
+	serve_limits_callers(kernel, &limits, &conn_limits);
 	front->httpd = httpd_new(kernel_loop(kernel),
 				 kernel_settings(kernel)->caller_address,
 				 &limits, &front_ops, front);
--- a/src/io/mhd_loop.c
+++ b/src/io/mhd_loop.c
@@ -224,7 +224,8 @@
 	httpd->limits = *limits;
 	httpd->budget = limits->budget;
 	if (!limits->budget)
-		httpd->own_budget = conn_budget_new(&no_limits);
+		httpd->own_budget = conn_budget_new(
+			limits->conn_limits ? limits->conn_limits : &no_limits);
 	if (httpd->own_budget)
 		httpd->budget = httpd->own_budget;
 	httpd->ops = ops;
--- a/src/io/mhd_loop.h
+++ b/src/io/mhd_loop.h
@@ -33,8 +33,10 @@
 	int64_t client_timeout_us;
 	uint32_t header_lines_max_count;	/* 0: no limit */
 	uint32_t address_connections_max_count; /* of one client; 0: no limit */
-	/* Shared by servers, must outlive them; NULL: nothing is limited. */
+	/* Shared by servers, must outlive them; NULL: one of its own. */
 	struct conn_budget *budget;
+	/* Of a budget of its own; NULL: nothing is limited. */
+	const struct conn_limits *conn_limits;
 	enum conn_partition partition;
 	struct counters *counters; /* of refusals; may be NULL */
 };
--- a/src/io/operator_http.c
+++ b/src/io/operator_http.c
@@ -5,8 +5,8 @@
 
 #include <string.h>
 
-#include "io/mhd_loop.h"
 #include "io/operator_json.h"
+#include "io/serve_limits.h"
 #include "io/token.h"
 #include "kernel/clock.h"
 #include "kernel/kernel.h"
@@ -15,7 +15,6 @@
 #define LOG_PREFIX "operator"
 #define BODY_MAX_BYTES (UINT64_C(1024) * 1024)
 #define CLIENT_TIMEOUT_US (30 * USEC_PER_SEC)
-#define CONNECTIONS_MAX_COUNT 64
 
 struct operator_api {
 	struct kernel *kernel;
@@ -382,9 +381,9 @@
 static void *operator_init(struct kernel *kernel)
 {
 	const struct settings *settings = kernel_settings(kernel);
-	const struct httpd_limits limits = {
+	struct conn_limits conn_limits;
+	struct httpd_limits limits = {
 		.body_max_bytes = BODY_MAX_BYTES,
-		.connections_max_count = CONNECTIONS_MAX_COUNT,
 		.client_timeout_us = CLIENT_TIMEOUT_US,
 	};
 	struct operator_api *api = g_new0(struct operator_api, 1);
@@ -393,6 +392,7 @@
 	api->token = token_read(settings->token_file);
 	if (!api->token)
 		goto fail;
+	serve_limits_operators(kernel, &limits, &conn_limits);
 	api->httpd = httpd_new(kernel_loop(kernel), settings->operator_address,
 			       &limits, &operator_ops, api);
 	if (!api->httpd)
