--- a/src/jobs/sched_item.c
+++ b/src/jobs/sched_item.c
@@ -24,6 +24,12 @@
 /* Longer, as long-running items may fail every time and have no limit. */
 #define LONG_RUNNING_RETRY_US (200 * USEC_PER_MSEC)
 
+/*
+ * Stop orders to one worker at a time, of which its connections carry two at
+ * once. Further ones would wait in the HTTP client until they time out there.
+ */
+#define PENDING_STOPS_MAX_COUNT 4
+
 /* Progress of a checkpoint from the end of a run: more than any it had. */
 #define CHECKPOINT_END_PERCENT 101
 /* The same if the run wrote it as it was stopped. */
@@ -259,6 +265,12 @@
 {
 	struct job_item *item = job_item(job, index);
 
+	/* The next result of an order there sends it. */
+	if (worker->pending_stops_count >= PENDING_STOPS_MAX_COUNT) {
+		item->ordered_us = 0;
+		worker->resend_pending = true;
+		return;
+	}
 	item->ordered_us = sched_now_us(sched);
 	item->pending_orders_count++;
 	worker_send_order(
--- a/src/jobs/sched_state.h
+++ b/src/jobs/sched_state.h
@@ -89,6 +89,7 @@
 	uint32_t missed_holds_count;   /* since a hold was answered */
 	int64_t missed_since_us;       /* first of these holds */
 	uint32_t pending_starts_count; /* start orders without a result yet */
+	uint32_t pending_stops_count;  /* the same of stop orders */
 	uint32_t unstarted_count; /* items whose start was not ordered yet */
 	bool resend_pending;	  /* some order may have to be sent again */
 
--- a/src/jobs/sched_worker.c
+++ b/src/jobs/sched_worker.c
@@ -175,6 +175,7 @@
 		worker->lease_expiry_us =
 			MAX(worker->lease_expiry_us, expiry_us);
 	}
+	worker->pending_stops_count += order->kind == ORDER_STOP;
 	kernel_emit_msg(sched->kernel, EVENT_ORDER, order);
 }
 
@@ -325,6 +326,8 @@
 	update_clock(sched, worker, order);
 	if (order->kind == ORDER_START && worker->pending_starts_count)
 		worker->pending_starts_count--;
+	if (order->kind == ORDER_STOP && worker->pending_stops_count)
+		worker->pending_stops_count--;
 	if (order->result == ORDER_WRONG_WORKER) {
 		if (order->kind != ORDER_HOLD && order->kind != ORDER_PACE)
 			item_on_order(sched, worker, order);
