Place a large gang in one pass without comparing all members with all workers

Change: the racks of a step's items are collected once for a step and kept as items are placed. A gang's next member goes to the worker of the last one without another look at all workers while that has room, as the fullest worker is preferred.

--- a/src/jobs/sched_place.c
+++ b/src/jobs/sched_place.c
@@ -76,6 +76,7 @@
 		if (!worker)
 			return;
 		item_place(pass->sched, job, i, worker);
+		place_note_sibling(pass, worker);
 		pass->stats.items_count++;
 	}
 }
@@ -119,7 +120,7 @@
 	uint32_t count = job_step(job, index)->item_count;
 	uint32_t run = 0;
 	uint32_t placed_count = 0;
-	struct worker *worker;
+	struct worker *worker = NULL;
 
 	if (job_step_count(job, occurrence, index).waiting < count) {
 		stop_incomplete_gang(pass, job, first, count);
@@ -138,12 +139,15 @@
 	pass->failed_worker = NULL;
 	pass->limits_starts = false;
 	while (placed_count < count) {
-		worker = place_choose_worker(pass, candidate->pool, job,
-					     occurrence, index);
+		if (!worker || !place_worker_stays_best(pass, worker,
+							job_step(job, index)))
+			worker = place_choose_worker(pass, candidate->pool, job,
+						     occurrence, index);
 		if (!worker)
 			break;
 		job_item(job, first + placed_count)->run = run;
 		item_place(pass->sched, job, first + placed_count, worker);
+		place_note_sibling(pass, worker);
 		placed_count++;
 	}
 	pass->stats.items_count += placed_count == count ? count : 0;
@@ -157,6 +161,7 @@
 {
 	struct job *job = candidate->job;
 
+	place_forget_siblings(pass);
 	pass->advice = advice_get(pass->sched, job, occurrence, index);
 	pass->lacks_more_than_cores = false;
 	if (job_step(job, index)->gang)
@@ -276,6 +281,7 @@
 	pass.stats.passes_count = 1;
 	pass.stats.jobs_count = pass.candidates->len;
 	count_stats(sched, &pass.stats);
+	place_forget_siblings(&pass);
 	g_hash_table_unref(pass.by_pool);
 	g_hash_table_unref(pass.surplus_by_pool);
 	g_hash_table_unref(pass.full_pools);
--- a/src/jobs/sched_place.h
+++ b/src/jobs/sched_place.h
@@ -28,6 +28,8 @@
 	int64_t wall_ms;
 	const struct step_advice *advice; /* of the step; NULL: needs none */
 	const char *failed_worker; /* where the item failed last, or NULL */
+	/* Racks of the items of the step; NULL: not computed for it yet */
+	GHashTable *sibling_racks;
 	bool limits_starts; /* workers with a full start queue are left out */
 	/* A worker was left out for this item that may take it soon. */
 	bool waits_for_worker;
@@ -42,6 +44,21 @@
 struct worker *place_choose_worker(struct pass *pass, const char *pool,
 				   const struct job *job, uint32_t occurrence,
 				   uint32_t index);
+
+/*
+ * Whether a worker that was just chosen for an item would be chosen for the
+ * next one of the step, too; false if that isn't certain. The fullest worker
+ * with room is preferred, so that it stays the best one until it is full.
+ */
+bool place_worker_stays_best(const struct pass *pass,
+			     const struct worker *worker,
+			     const struct job_step *step);
+
+/* Notes that an item of the step is placed on a worker. */
+void place_note_sibling(struct pass *pass, const struct worker *worker);
+/* Before another step is placed. */
+void place_forget_siblings(struct pass *pass);
+
 /* Asks which workers may run the waiting items of a step. */
 void place_request_advice(struct pass *pass, const struct candidate *candidate,
 			  uint32_t occurrence, uint32_t index);
--- a/src/jobs/sched_place_worker.c
+++ b/src/jobs/sched_place_worker.c
@@ -134,20 +134,37 @@
 	       step->max_per_worker;
 }
 
-static bool rack_has_sibling(const struct sched *sched, const struct job *job,
+void place_note_sibling(struct pass *pass, const struct worker *worker)
+{
+	if (pass->sibling_racks)
+		g_hash_table_add(pass->sibling_racks, g_strdup(worker->rack));
+}
+
+void place_forget_siblings(struct pass *pass)
+{
+	g_clear_pointer(&pass->sibling_racks, g_hash_table_unref);
+}
+
+/* Computed once a step: large steps have thousands of items. */
+static bool rack_has_sibling(struct pass *pass, const struct job *job,
 			     uint32_t first, uint32_t count, const char *rack)
 {
+	if (pass->sibling_racks)
+		return g_hash_table_contains(pass->sibling_racks, rack);
+	pass->sibling_racks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (uint32_t i = 0; i < count; i++) {
-		const struct worker *worker = worker_find(
-			sched, job_item_view(job, first + i)->worker);
+		const char *id = job_item_view(job, first + i)->worker;
+		const struct worker *worker =
+			id ? worker_find(pass->sched, id) : NULL;
 
-		if (worker && !strcmp(worker->rack, rack))
-			return true;
+		if (worker)
+			place_note_sibling(pass, worker);
 	}
-	return false;
+	return g_hash_table_contains(pass->sibling_racks, rack);
 }
 
-static int64_t score(const struct pass *pass, const struct worker *worker,
+static int64_t score(struct pass *pass, const struct worker *worker,
 		     const struct job *job, uint32_t occurrence, uint32_t index,
 		     const struct neighbours *neighbours)
 {
@@ -171,7 +188,7 @@
 
 		value += (int64_t)neighbours->long_running_count *
 			 SCORE_LONG_RUNNING_PACKED;
-		if (rack_has_sibling(pass->sched, job, first, step->item_count,
+		if (rack_has_sibling(pass, job, first, step->item_count,
 				     worker->rack))
 			value -= PENALTY_SIBLING_RACK;
 		if (machine &&
@@ -182,8 +199,8 @@
 		value -= PENALTY_FAILED_HERE;
 	if (step->rack[0] && !strcmp(step->rack, worker->rack))
 		value += SCORE_SAME_RACK;
-	if (step->colocated && rack_has_sibling(pass->sched, job, first,
-						step->item_count, worker->rack))
+	if (step->colocated &&
+	    rack_has_sibling(pass, job, first, step->item_count, worker->rack))
 		value += SCORE_SAME_RACK;
 	if (step->filler && neighbours->serving_count)
 		value -= PENALTY_FILLER_NEIGHBOUR;
@@ -208,6 +225,15 @@
 		!advice_allows(pass->sched, pass->advice, worker));
 }
 
+bool place_worker_stays_best(const struct pass *pass,
+			     const struct worker *worker,
+			     const struct job_step *step)
+{
+	return !step->long_running && !step->max_per_worker &&
+	       has_cores(worker, step) && is_suitable(pass, worker, step) &&
+	       !must_wait(pass, worker);
+}
+
 /* Free capacity of a worker, which may have more placed than it declares. */
 static struct resources free_capacity(const struct worker *worker)
 {
