--- a/src/jobs/sched_place_worker.c
+++ b/src/jobs/sched_place_worker.c
@@ -154,9 +154,8 @@
 	pass->sibling_racks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (uint32_t i = 0; i < count; i++) {
-		const char *id = job_item_view(job, first + i)->worker;
-		const struct worker *worker =
-			id ? worker_find(pass->sched, id) : NULL;
+		const struct worker *worker = worker_find(
+			pass->sched, job_item_view(job, first + i)->worker);
 
 		if (worker)
 			place_note_sibling(pass, worker);
