--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -402,7 +402,7 @@
 
 	if (!job->step_counts[number]) {
 		uint32_t len = block_len(job->spec, number) * steps_count;
-		struct step_count *block = g_new(struct step_count, len);
+		struct step_count *block = g_new0(struct step_count, len);
 
 		for (uint32_t i = 0; i < len; i++) {
 			uint32_t item_count =
